--- /dev/null
+++ b/packages/standins/src/cornellead_standins/__init__.py
@@ -0,0 +1,6 @@
+"""Test stand-ins for model engines, plain services and the platform."""
+
+from __future__ import annotations
+
+
+__version__ = "0.1.0"
