--- /dev/null
+++ b/packages/core/src/cornellead_core/blackboard/__init__.py
@@ -0,0 +1,11 @@
+"""A blackboard of typed facts that controllers read and write."""
+
+from __future__ import annotations
+
+from cornellead_core.blackboard._blackboard import Blackboard
+from cornellead_core.blackboard._controller import Controller
+from cornellead_core.blackboard._controller import run_controllers
+from cornellead_core.blackboard._fact import Fact
+
+
+__all__ = ["Blackboard", "Controller", "Fact", "run_controllers"]
--- /dev/null
+++ b/packages/core/src/cornellead_core/facts/__init__.py
@@ -0,0 +1,10 @@
+"""Facts that routers and agents share."""
+
+from __future__ import annotations
+
+from cornellead_core.facts._facts import CONFIG
+from cornellead_core.facts._facts import DRAINING
+from cornellead_core.facts._facts import HOSTS
+
+
+__all__ = ["CONFIG", "DRAINING", "HOSTS"]
--- /dev/null
+++ b/packages/core/src/cornellead_core/load/_digest.py
@@ -0,0 +1,78 @@
+"""Load reports and summaries as they travel between processes."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+
+class ServerState(StrEnum):
+    """Whether an agent admits new work for its server."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    OUT_OF_SERVICE = "out_of_service"
+    DOWN = "down"
+
+
+class LoadReport(NamedTuple):
+    """Load of one server as its agent knows it."""
+
+    server: str
+    incarnation: int
+    """Unix time in milliseconds at which the agent process started."""
+    seq: int
+    age_ms: int
+    load: int
+    """Requests admitted and not finished."""
+    capacity: float
+    limit: int
+    """Present admission limit in requests."""
+    state: ServerState
+
+
+class DcSummary(NamedTuple):
+    """Total load of the engines of one data centre group."""
+
+    dc: str
+    group: int
+    seq: int
+    age_ms: int
+    load: int
+    capacity: float
+    servers: int
+
+
+class Digest(NamedTuple):
+    """What a process knows of load: summaries, and its own report if it is an agent."""
+
+    summaries: list[DcSummary]
+    own: LoadReport | None = None
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Digest)
+
+
+def encode_digest(digest: Digest) -> str:
+    """Encode a digest for the ``x-cl-load`` header."""
+    return base64.b64encode(_encoder.encode(digest)).decode()
+
+
+def decode_digest(value: str) -> Result[Digest, str]:
+    """Decode the ``x-cl-load`` header.
+
+    >>> decode_digest(encode_digest(Digest([]))).unwrap()
+    Digest(summaries=[], own=None)
+    """
+    try:
+        return Success(_decoder.decode(base64.b64decode(value, validate=True)))
+    except (binascii.Error, msgspec.DecodeError) as exc:
+        return Failure(f"malformed load digest: {exc}")
--- /dev/null
+++ b/packages/core/src/cornellead_core/outcomes/_refusal.py
@@ -0,0 +1,37 @@
+"""Refusals: answers that guarantee that a request did not run."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RefusalReason(StrEnum):
+    """Reason for a refusal, sent in the ``x-cl-refusal`` header."""
+
+    OVER_BOUND = "over_bound"
+    COLD = "cold"
+    DRAINING = "draining"
+    OUT_OF_SERVICE = "out_of_service"
+    NO_CACHE = "no_cache"
+    MOVED = "moved"
+    STALE_CONFIG = "stale_config"
+    NOT_OWNER = "not_owner"
+    LOG_UNAVAILABLE = "log_unavailable"
+    DEADLINE = "deadline"
+    SERVER_DOWN = "server_down"
+    UNAUTHORIZED = "unauthorized"
+    KEY_CONFLICT = "key_conflict"
+    KEY_EXPIRED = "key_expired"
+    UNKNOWN_TARGET = "unknown_target"
+    TEAM_LIMIT = "team_limit"
+
+
+class Refusal(NamedTuple):
+    """A refusal together with what helps the next attempt."""
+
+    reason: RefusalReason
+    message: str
+    hint: str = ""
+    """Server id that the refusing agent suggests, or empty."""
+    retry_after_s: float | None = None
--- /dev/null
+++ b/packages/core/src/cornellead_core/placement/__init__.py
@@ -0,0 +1,12 @@
+"""Placement of chats and keys on servers without state per chat."""
+
+from __future__ import annotations
+
+from cornellead_core.placement._chat_key import ChatKey
+from cornellead_core.placement._chat_key import derive_chat_key
+from cornellead_core.placement._rendezvous import Weighted
+from cornellead_core.placement._rendezvous import order_by_rendezvous
+from cornellead_core.placement._rendezvous import rank_members
+
+
+__all__ = ["ChatKey", "Weighted", "derive_chat_key", "order_by_rendezvous", "rank_members"]
--- /dev/null
+++ b/packages/core/src/cornellead_core/platform/__init__.py
@@ -0,0 +1,30 @@
+"""Clients of the platform: log service, host list and weight store."""
+
+from __future__ import annotations
+
+from cornellead_core.platform._host_list import HostEntry
+from cornellead_core.platform._host_list import HostKind
+from cornellead_core.platform._host_list import HostList
+from cornellead_core.platform._host_list import HostState
+from cornellead_core.platform._http_host_list import HttpHostList
+from cornellead_core.platform._http_log import HttpLog
+from cornellead_core.platform._log import AppendError
+from cornellead_core.platform._log import Log
+from cornellead_core.platform._log import LogPage
+from cornellead_core.platform._log import LogRecord
+from cornellead_core.platform._log import PlatformError
+
+
+__all__ = [
+    "AppendError",
+    "HostEntry",
+    "HostKind",
+    "HostList",
+    "HostState",
+    "HttpHostList",
+    "HttpLog",
+    "Log",
+    "LogPage",
+    "LogRecord",
+    "PlatformError",
+]
--- /dev/null
+++ b/packages/core/src/cornellead_core/platform/_http_log.py
@@ -0,0 +1,98 @@
+"""Client of the log service over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_core.platform._log import AppendError
+from cornellead_core.platform._log import LogPage
+from cornellead_core.platform._log import LogRecord
+from cornellead_core.platform._log import PlatformError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+TIMEOUT_S = 2.0
+"""Time allowed for one answer of the log, besides any wait for records."""
+
+
+class _PageBody(msgspec.Struct):
+    records: list[tuple[int, int, dict[str, Any]]]
+    next: int
+    oldest: int
+    end: int
+    retention_s: float
+    time_ms: int
+
+
+class _AppendBody(msgspec.Struct):
+    first_offset: int
+
+
+class HttpLog:
+    """Log service at a base URL.
+
+    :param client: HTTP client; its owner closes it.
+    :param url: Base URL such as ``http://10.0.0.1:7000``.
+    """
+
+    def __init__(self, *, client: httpx.AsyncClient, url: str) -> None:
+        self._client = client
+        self._url = url.rstrip("/")
+
+    async def append(
+        self, stream: str, values: Sequence[Mapping[str, Any]]
+    ) -> Result[int, AppendError]:
+        """Append records; ``UNKNOWN`` when the answer was lost."""
+        content = msgspec.json.encode({"records": list(values)})
+        try:
+            resp = await self._client.post(
+                f"{self._url}/log/{stream}", content=content, timeout=TIMEOUT_S
+            )
+        except httpx.ConnectError:
+            return Failure(AppendError.REJECTED)
+        except httpx.HTTPError:
+            return Failure(AppendError.UNKNOWN)
+        if resp.status_code in (429, 503):
+            return Failure(AppendError.REJECTED)
+        if resp.status_code != 200:
+            return Failure(AppendError.UNKNOWN)
+        try:
+            return Success(msgspec.json.decode(resp.content, type=_AppendBody).first_offset)
+        except msgspec.DecodeError:
+            return Failure(AppendError.UNKNOWN)
+
+    async def read(
+        self, stream: str, *, from_offset: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogPage, PlatformError]:
+        """Read records from an offset."""
+        params = {"from": from_offset, "limit": limit, "wait_ms": round(wait_s * 1000)}
+        try:
+            resp = await self._client.get(
+                f"{self._url}/log/{stream}", params=params, timeout=TIMEOUT_S + wait_s
+            )
+        except httpx.HTTPError as exc:
+            return Failure(PlatformError(f"log read failed: {exc!r}"))
+        if resp.status_code != 200:
+            return Failure(PlatformError(f"log read answered status {resp.status_code}"))
+        return _parse_page(resp.content)
+
+
+def _parse_page(content: bytes) -> Result[LogPage, PlatformError]:
+    try:
+        body = msgspec.json.decode(content, type=_PageBody)
+    except msgspec.DecodeError as exc:
+        return Failure(PlatformError(f"log read answered malformed data: {exc}"))
+    records = [LogRecord(*record) for record in body.records]
+    return Success(
+        LogPage(records, body.next, body.oldest, body.end, body.retention_s, body.time_ms)
+    )
--- /dev/null
+++ b/packages/core/src/cornellead_core/wire/__init__.py
@@ -0,0 +1,44 @@
+"""Control protocol between the processes of the fleet."""
+
+from __future__ import annotations
+
+from cornellead_core.wire._codec import decode_message
+from cornellead_core.wire._codec import encode_message
+from cornellead_core.wire._control_client import ControlClient
+from cornellead_core.wire._control_server import ControlServer
+from cornellead_core.wire._messages import Ack
+from cornellead_core.wire._messages import ConfigOffset
+from cornellead_core.wire._messages import ConfigRecords
+from cornellead_core.wire._messages import ConfigSnapshot
+from cornellead_core.wire._messages import ConfigStateRequest
+from cornellead_core.wire._messages import Demand
+from cornellead_core.wire._messages import Hint
+from cornellead_core.wire._messages import LoadExchange
+from cornellead_core.wire._messages import Message
+from cornellead_core.wire._messages import Report
+from cornellead_core.wire._messages import Shares
+from cornellead_core.wire._messages import TeamDemand
+from cornellead_core.wire._messages import TeamShare
+from cornellead_core.wire._traffic import Traffic
+
+
+__all__ = [
+    "Ack",
+    "ConfigOffset",
+    "ConfigRecords",
+    "ConfigSnapshot",
+    "ConfigStateRequest",
+    "ControlClient",
+    "ControlServer",
+    "Demand",
+    "Hint",
+    "LoadExchange",
+    "Message",
+    "Report",
+    "Shares",
+    "TeamDemand",
+    "TeamShare",
+    "Traffic",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/packages/core/src/cornellead_core/wire/_codec.py
@@ -0,0 +1,59 @@
+"""Encoding of control messages: a type byte, msgpack, and a MAC."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_core.wire import _messages
+
+
+if TYPE_CHECKING:
+    from cornellead_core.auth import FleetKey
+    from cornellead_core.wire._messages import Message
+
+# The position in this tuple is the type byte on the wire: append only.
+_TYPES: tuple[type[Message], ...] = (
+    _messages.Ack,
+    _messages.Report,
+    _messages.LoadExchange,
+    _messages.ConfigOffset,
+    _messages.ConfigRecords,
+    _messages.ConfigStateRequest,
+    _messages.ConfigSnapshot,
+    _messages.Hint,
+    _messages.Demand,
+    _messages.Shares,
+)
+_TYPE_BYTES = {message_type: bytes([index]) for index, message_type in enumerate(_TYPES)}
+_DECODERS = [msgspec.msgpack.Decoder(message_type) for message_type in _TYPES]
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_message(message: Message, *, key: FleetKey) -> bytes:
+    """Encode and sign a message."""
+    return key.seal(_TYPE_BYTES[type(message)] + _encoder.encode(message))
+
+
+def decode_message(sealed: bytes, *, key: FleetKey) -> Result[Message, str]:
+    """Verify and decode a message.
+
+    >>> from cornellead_core.auth import FleetKey
+    >>> key = FleetKey(secret=b"0123456789abcdef")
+    >>> decode_message(encode_message(_messages.ConfigOffset(7), key=key), key=key).unwrap()
+    ConfigOffset(offset=7)
+    """
+    content = key.open(sealed)
+    if not content:
+        return Failure("wrong MAC: check that both processes have the same fleet key")
+    if content[0] >= len(_DECODERS):
+        return Failure(f"unknown message type {content[0]}: update this process")
+    try:
+        message: Message = _DECODERS[content[0]].decode(content[1:])
+    except msgspec.DecodeError as exc:
+        return Failure(f"malformed control message: {exc}")
+    return Success(message)
--- /dev/null
+++ b/packages/core/src/cornellead_core/wire/_control_client.py
@@ -0,0 +1,77 @@
+"""Requests to the control listeners of peers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import pynng
+from returns.result import Failure
+from returns.result import Result
+
+from cornellead_core.wire._codec import decode_message
+from cornellead_core.wire._codec import encode_message
+
+
+if TYPE_CHECKING:
+    from cornellead_core.auth import FleetKey
+    from cornellead_core.wire._messages import Message
+    from cornellead_core.wire._traffic import Traffic
+
+MAX_PEERS = 64
+"""Connections kept open; the least recently used is closed first."""
+TIMEOUT_MS = 500
+MAX_MESSAGE_BYTES = 8 << 20
+
+
+class ControlClient:
+    """Sends control messages to peers and waits for their answers."""
+
+    def __init__(self, *, key: FleetKey, traffic: Traffic) -> None:
+        self._key = key
+        self._traffic = traffic
+        self._sockets: OrderedDict[str, pynng.Req0] = OrderedDict()
+
+    async def request(self, address: str, message: Message) -> Result[Message, str]:
+        """Send a message and return the answer.
+
+        :param address: ``ip:port`` of the peer's control listener.
+        """
+        sealed = encode_message(message, key=self._key)
+        try:
+            with self._socket(address).new_context() as ctx:
+                await ctx.asend(sealed)
+                self._traffic.count_sent(sealed)
+                reply = await ctx.arecv()
+        except pynng.NNGException as exc:
+            self._close(address)
+            return Failure(f"control request to {address} failed: {exc}")
+        self._traffic.count_received(reply)
+        return decode_message(reply, key=self._key)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._sockets):
+            self._close(address)
+
+    def _socket(self, address: str) -> pynng.Req0:
+        sock = self._sockets.get(address)
+        if sock is None:
+            sock = pynng.Req0(
+                send_timeout=TIMEOUT_MS,
+                recv_timeout=TIMEOUT_MS,
+                recv_max_size=MAX_MESSAGE_BYTES,
+                # Without a resend the protocol never repeats a request by itself.
+                resend_time=-1,
+            )
+            sock.dial(f"tcp://{address}", block=False)
+            self._sockets[address] = sock
+        self._sockets.move_to_end(address)
+        while len(self._sockets) > MAX_PEERS:
+            self._close(next(iter(self._sockets)))
+        return sock
+
+    def _close(self, address: str) -> None:
+        sock = self._sockets.pop(address, None)
+        if sock is not None:
+            sock.close()
--- /dev/null
+++ b/packages/core/src/cornellead_core/wire/_messages.py
@@ -0,0 +1,105 @@
+"""Messages of the control protocol."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TypeAlias
+
+from cornellead_core.load import DcSummary
+from cornellead_core.load import LoadReport
+
+
+class Ack(NamedTuple):
+    """Answer without content."""
+
+
+class Report(NamedTuple):
+    """Load report of an agent to its reporter; answered with `LoadExchange`."""
+
+    dc: str
+    own: LoadReport
+
+
+class LoadExchange(NamedTuple):
+    """Summaries that the sender knows; answered with the receiver's."""
+
+    summaries: list[DcSummary]
+
+
+class ConfigOffset(NamedTuple):
+    """Offset in force at the sender; answered with records above it or a snapshot."""
+
+    offset: int
+
+
+class ConfigRecords(NamedTuple):
+    """Contiguous records of the configuration stream."""
+
+    records: list[tuple[int, int, bytes]]
+    """Offset, append time in Unix milliseconds, and value as JSON."""
+    offset: int
+    """Offset in force at the sender."""
+
+
+class ConfigStateRequest(NamedTuple):
+    """Asks for the whole configuration; answered with `ConfigSnapshot`."""
+
+
+class ConfigSnapshot(NamedTuple):
+    """Whole configuration after applying all records up to an offset."""
+
+    upto: int
+    """-1 when the sender has no configuration."""
+    state: bytes
+    """State as JSON."""
+
+
+class Hint(NamedTuple):
+    """Tells the first server in a chat's order where the chat's cache went."""
+
+    chat: int
+    server: str
+
+
+class TeamDemand(NamedTuple):
+    """Demand of one team at one router."""
+
+    team: str
+    requests_per_s: float
+    concurrent: int
+
+
+class Demand(NamedTuple):
+    """Demand of a router to the coordinator of some teams; answered with `Shares`."""
+
+    router: str
+    teams: list[TeamDemand]
+
+
+class TeamShare(NamedTuple):
+    """Part of a team's limit leased to one router."""
+
+    team: str
+    requests_per_s: float
+    concurrent: float
+    lease_s: float
+
+
+class Shares(NamedTuple):
+    """Leased shares for the asking router."""
+
+    teams: list[TeamShare]
+
+
+Message: TypeAlias = (
+    Ack
+    | Report
+    | LoadExchange
+    | ConfigOffset
+    | ConfigRecords
+    | ConfigStateRequest
+    | ConfigSnapshot
+    | Hint
+    | Demand
+    | Shares
+)
