--- a/packages/core/src/cornellead_core/config/_fleet_config.py
+++ b/packages/core/src/cornellead_core/config/_fleet_config.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
--- a/packages/core/src/cornellead_core/logs/_configure.py
+++ b/packages/core/src/cornellead_core/logs/_configure.py
@@ -4,7 +4,6 @@
 
 import logging
 import sys
-
 from typing import TYPE_CHECKING
 
 import structlog
