--- a/packages/core/src/cornellead_core/auth/__init__.py
+++ b/packages/core/src/cornellead_core/auth/__init__.py
@@ -4,5 +4,4 @@
 
 from cornellead_core.auth._fleet_key import FleetKey
 
-
 __all__ = ["FleetKey"]
--- a/packages/core/src/cornellead_core/auth/_fleet_key.py
+++ b/packages/core/src/cornellead_core/auth/_fleet_key.py
@@ -5,7 +5,6 @@
 import hashlib
 import hmac
 
-
 MAC_BYTES = 16
 """Length of the MAC on control messages; 128 bits keep a report small and stay unforgeable."""
 
--- a/packages/core/src/cornellead_core/blackboard/__init__.py
+++ b/packages/core/src/cornellead_core/blackboard/__init__.py
@@ -7,5 +7,4 @@
 from cornellead_core.blackboard._controller import run_controllers
 from cornellead_core.blackboard._fact import Fact
 
-
 __all__ = ["Blackboard", "Controller", "Fact", "run_controllers"]
--- a/packages/core/src/cornellead_core/blackboard/_blackboard.py
+++ b/packages/core/src/cornellead_core/blackboard/_blackboard.py
@@ -7,7 +7,6 @@
 from typing import Any
 from typing import TypeVar
 
-
 if TYPE_CHECKING:
     from cornellead_core.blackboard._fact import Fact
 
--- a/packages/core/src/cornellead_core/blackboard/_controller.py
+++ b/packages/core/src/cornellead_core/blackboard/_controller.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/packages/core/src/cornellead_core/blackboard/_fact.py
+++ b/packages/core/src/cornellead_core/blackboard/_fact.py
@@ -5,7 +5,6 @@
 from typing import Generic
 from typing import TypeVar
 
-
 T = TypeVar("T")
 
 
--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -9,7 +9,6 @@
 from cornellead_core.config._fleet_config import ServicePolicy
 from cornellead_core.config._fleet_config import TeamPolicy
 
-
 __all__ = [
     "EMPTY_CONFIG",
     "FleetConfig",
--- a/packages/core/src/cornellead_core/config/_fleet_config.py
+++ b/packages/core/src/cornellead_core/config/_fleet_config.py
@@ -3,17 +3,13 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Mapping
 from enum import StrEnum
-from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from cornellead_core.load import DEFAULT_BOUND
 
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-
 class Priority(StrEnum):
     """Class of a request; interactive requests are served first."""
 
--- a/packages/core/src/cornellead_core/facts/__init__.py
+++ b/packages/core/src/cornellead_core/facts/__init__.py
@@ -6,5 +6,4 @@
 from cornellead_core.facts._facts import DRAINING
 from cornellead_core.facts._facts import HOSTS
 
-
 __all__ = ["CONFIG", "DRAINING", "HOSTS"]
--- a/packages/core/src/cornellead_core/facts/_facts.py
+++ b/packages/core/src/cornellead_core/facts/_facts.py
@@ -7,7 +7,6 @@
 from cornellead_core.blackboard import Fact
 from cornellead_core.config import EMPTY_CONFIG
 
-
 if TYPE_CHECKING:
     from cornellead_core.config import FleetConfig
     from cornellead_core.platform import HostEntry
--- a/packages/core/src/cornellead_core/headers/__init__.py
+++ b/packages/core/src/cornellead_core/headers/__init__.py
@@ -18,7 +18,6 @@
 from cornellead_core.headers._names import RETURNING
 from cornellead_core.headers._names import TEAM
 
-
 __all__ = [
     "ADOPT",
     "AUTH",
--- a/packages/core/src/cornellead_core/headers/_names.py
+++ b/packages/core/src/cornellead_core/headers/_names.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 AUTH = "x-cl-auth"
 REQUEST = "x-cl-request"
 CHAT = "x-cl-chat"
--- a/packages/core/src/cornellead_core/load/__init__.py
+++ b/packages/core/src/cornellead_core/load/__init__.py
@@ -15,7 +15,6 @@
 from cornellead_core.load._load_table import LoadEstimate
 from cornellead_core.load._load_table import LoadTable
 
-
 __all__ = [
     "BATCH_SHARE",
     "DEFAULT_BOUND",
--- a/packages/core/src/cornellead_core/load/_bound.py
+++ b/packages/core/src/cornellead_core/load/_bound.py
@@ -4,7 +4,6 @@
 
 import math
 
-
 DEFAULT_BOUND = 1.25
 DEFAULT_MARGIN = 0.92
 """Share of the bound used for ordinary admissions; covers a mean that is 0.1 s old."""
--- a/packages/core/src/cornellead_core/load/_load_table.py
+++ b/packages/core/src/cornellead_core/load/_load_table.py
@@ -9,7 +9,6 @@
 from cornellead_core.load._digest import Digest
 from cornellead_core.load._digest import LoadReport
 
-
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
--- a/packages/core/src/cornellead_core/logs/_configure.py
+++ b/packages/core/src/cornellead_core/logs/_configure.py
@@ -8,7 +8,6 @@
 
 import structlog
 
-
 if TYPE_CHECKING:
     from structlog.typing import Processor
 
--- a/packages/core/src/cornellead_core/metrics/_latency.py
+++ b/packages/core/src/cornellead_core/metrics/_latency.py
@@ -4,7 +4,6 @@
 
 from hdrh.histogram import HdrHistogram
 
-
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
--- a/packages/core/src/cornellead_core/metrics/_metrics.py
+++ b/packages/core/src/cornellead_core/metrics/_metrics.py
@@ -9,7 +9,6 @@
 from prometheus_client import Gauge
 from prometheus_client import generate_latest
 
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/packages/core/src/cornellead_core/placement/__init__.py
+++ b/packages/core/src/cornellead_core/placement/__init__.py
@@ -8,5 +8,4 @@
 from cornellead_core.placement._rendezvous import order_by_rendezvous
 from cornellead_core.placement._rendezvous import rank_members
 
-
 __all__ = ["ChatKey", "Weighted", "derive_chat_key", "order_by_rendezvous", "rank_members"]
--- a/packages/core/src/cornellead_core/placement/_rendezvous.py
+++ b/packages/core/src/cornellead_core/placement/_rendezvous.py
@@ -8,7 +8,6 @@
 
 import xxhash
 
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
--- a/packages/core/src/cornellead_core/platform/__init__.py
+++ b/packages/core/src/cornellead_core/platform/__init__.py
@@ -14,7 +14,6 @@
 from cornellead_core.platform._log import LogRecord
 from cornellead_core.platform._log import PlatformError
 
-
 __all__ = [
     "AppendError",
     "HostEntry",
--- a/packages/core/src/cornellead_core/platform/_host_list.py
+++ b/packages/core/src/cornellead_core/platform/_host_list.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 from typing import Protocol
 
-
 if TYPE_CHECKING:
     from returns.result import Result
 
--- a/packages/core/src/cornellead_core/platform/_http_host_list.py
+++ b/packages/core/src/cornellead_core/platform/_http_host_list.py
@@ -13,7 +13,6 @@
 from cornellead_core.platform._host_list import HostState
 from cornellead_core.platform._log import PlatformError
 
-
 TIMEOUT_S = 2.0
 
 
--- a/packages/core/src/cornellead_core/platform/_http_log.py
+++ b/packages/core/src/cornellead_core/platform/_http_log.py
@@ -16,7 +16,6 @@
 from cornellead_core.platform._log import LogRecord
 from cornellead_core.platform._log import PlatformError
 
-
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
--- a/packages/core/src/cornellead_core/platform/_log.py
+++ b/packages/core/src/cornellead_core/platform/_log.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 from typing import Protocol
 
-
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
--- a/packages/core/src/cornellead_core/settings/__init__.py
+++ b/packages/core/src/cornellead_core/settings/__init__.py
@@ -7,5 +7,4 @@
 from cornellead_core.settings._process_settings import ProcessSettings
 from cornellead_core.settings._router_settings import RouterSettings
 
-
 __all__ = ["AgentSettings", "ProcessSettings", "RouterSettings", "ServerSettings"]
--- a/packages/core/src/cornellead_core/wire/__init__.py
+++ b/packages/core/src/cornellead_core/wire/__init__.py
@@ -21,7 +21,6 @@
 from cornellead_core.wire._messages import TeamShare
 from cornellead_core.wire._traffic import Traffic
 
-
 __all__ = [
     "Ack",
     "ConfigOffset",
--- a/packages/core/src/cornellead_core/wire/_codec.py
+++ b/packages/core/src/cornellead_core/wire/_codec.py
@@ -11,7 +11,6 @@
 
 from cornellead_core.wire import _messages
 
-
 if TYPE_CHECKING:
     from cornellead_core.auth import FleetKey
     from cornellead_core.wire._messages import Message
--- a/packages/core/src/cornellead_core/wire/_control_client.py
+++ b/packages/core/src/cornellead_core/wire/_control_client.py
@@ -12,7 +12,6 @@
 from cornellead_core.wire._codec import decode_message
 from cornellead_core.wire._codec import encode_message
 
-
 if TYPE_CHECKING:
     from cornellead_core.auth import FleetKey
     from cornellead_core.wire._messages import Message
--- a/packages/core/src/cornellead_core/wire/_control_server.py
+++ b/packages/core/src/cornellead_core/wire/_control_server.py
@@ -12,7 +12,6 @@
 from cornellead_core.wire._codec import decode_message
 from cornellead_core.wire._codec import encode_message
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/packages/core/src/cornellead_core/wire/_traffic.py
+++ b/packages/core/src/cornellead_core/wire/_traffic.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 FRAME_BYTES = 12
 """Length prefix and request id that the transport adds to each message."""
 
--- a/packages/router/src/cornellead/__init__.py
+++ b/packages/router/src/cornellead/__init__.py
@@ -2,5 +2,4 @@
 
 from __future__ import annotations
 
-
 __version__ = "0.1.0"
