--- /dev/null
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -0,0 +1,148 @@
+"""HTTP application of the stand-in engine."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from litestar import Litestar
+from litestar import Request
+from litestar import Response
+from litestar import asgi
+from litestar import get
+from litestar import post
+from litestar import put
+from litestar.types import Receive
+from litestar.types import Scope
+from litestar.types import Send
+
+from cornellead_standins.engine._chat_api import ChatApi
+from cornellead_standins.engine._engine import Engine
+from cornellead_standins.engine._orders import Order
+from cornellead_standins.engine._orders import OrderDesk
+from cornellead_standins.engine._settings import EngineFaults
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from cornellead_standins.engine._settings import EngineSettings
+
+MAX_WAIT_S = 30.0
+EVENT_POLL_S = 0.05
+KV_BLOCKS_PER_S = 20_000.0
+"""Rate at which exported and imported blocks are copied."""
+
+
+class _KvBody(msgspec.Struct):
+    blocks: list[int]
+
+
+def _answer(body: object, *, status: int = 200) -> Response[bytes]:
+    return Response(msgspec.json.encode(body), status_code=status, media_type="application/json")
+
+
+def _error(status: int, message: str) -> Response[bytes]:
+    return _answer({"error": {"message": message}}, status=status)
+
+
+def build_app(settings: EngineSettings) -> Litestar:
+    """Build the application; each one is an engine of its own."""
+    engine = Engine(settings=settings)
+    chat_api = ChatApi(engine=engine)
+    orders = OrderDesk(engine=engine)
+
+    @asynccontextmanager
+    async def run_engine(_: Litestar) -> AsyncGenerator[None]:
+        tasks = [
+            asyncio.create_task(engine.run()),
+            asyncio.create_task(engine.run_housekeeping()),
+        ]
+        yield
+        for task in tasks:
+            task.cancel()
+
+    @asgi("/v1/chat/completions", copy_scope=False)
+    async def complete(scope: Scope, receive: Receive, send: Send) -> None:
+        await chat_api.complete(scope, receive, send)
+
+    @asgi("/v1/streams/{request_id:str}", copy_scope=False)
+    async def resume(scope: Scope, receive: Receive, send: Send) -> None:
+        await chat_api.resume(scope, receive, send)
+
+    @get("/load")
+    async def report_load() -> Response[bytes]:
+        now = time.monotonic()
+        if not engine.available(now=now):
+            return _error(503, "engine is starting")
+        return _answer(engine.load(now=now))
+
+    @get("/cache/events")
+    async def read_cache_events(request: Request[Any, Any, Any]) -> Response[bytes]:
+        first = int(request.query_params.get("from", 1))
+        wait_s = min(MAX_WAIT_S, int(request.query_params.get("wait_ms", 0)) / 1000)
+        give_up_at = time.monotonic() + wait_s
+        while True:
+            now = time.monotonic()
+            if not engine.available(now=now):
+                return _error(503, "engine is starting")
+            events, following, oldest = engine.feed.read(from_seq=first, now=now)
+            if events or now >= give_up_at:
+                break
+            await asyncio.sleep(EVENT_POLL_S)
+        listed = [{"seq": e.seq, "kind": e.kind, "key": e.key} for e in events]
+        return _answer({"events": listed, "next": following, "oldest": oldest})
+
+    @get("/kv/{key:str}")
+    async def export_kv(key: str) -> Response[bytes]:
+        blocks = engine.cache.export_blocks(key)
+        if blocks is None:
+            return _error(404, "chat is not cached")
+        await asyncio.sleep(len(blocks) / KV_BLOCKS_PER_S)
+        return _answer({"blocks": blocks})
+
+    @put("/kv/{key:str}")
+    async def import_kv(key: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+        try:
+            body = msgspec.json.decode(await request.body(), type=_KvBody)
+        except msgspec.DecodeError as exc:
+            return _error(400, str(exc))
+        await asyncio.sleep(len(body.blocks) / KV_BLOCKS_PER_S)
+        engine.publish(engine.cache.import_blocks(key, body.blocks), now=time.monotonic())
+        return _answer({"blocks": len(body.blocks)})
+
+    @post("/orders", status_code=200)
+    async def accept_order(request: Request[Any, Any, Any]) -> Response[bytes]:
+        if not engine.available(now=time.monotonic()):
+            return _error(503, "engine is starting")
+        try:
+            order = msgspec.json.decode(await request.body(), type=Order)
+        except msgspec.DecodeError as exc:
+            return _error(400, str(exc))
+        if not orders.accept(order):
+            return _error(409, f"fence {order.fence} is older than {engine.fence}")
+        return _answer({"fence": engine.fence})
+
+    @put("/faults")
+    async def set_faults(request: Request[Any, Any, Any]) -> Response[bytes]:
+        try:
+            faults = msgspec.json.decode(await request.body(), type=EngineFaults)
+        except msgspec.DecodeError as exc:
+            return _error(400, str(exc))
+        engine.apply_faults(faults, now=time.monotonic())
+        return _answer(faults)
+
+    handlers = [
+        complete,
+        resume,
+        report_load,
+        read_cache_events,
+        export_kv,
+        import_kv,
+        accept_order,
+        set_faults,
+    ]
+    return Litestar(handlers, lifespan=[run_engine], openapi_config=None)
--- /dev/null
+++ b/packages/standins/src/cornellead_standins/engine/_orders.py
@@ -0,0 +1,79 @@
+"""Orders: changes of models, adapters, version and role."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Literal
+
+import httpx
+import msgspec
+
+if TYPE_CHECKING:
+    from cornellead_standins.engine._engine import Engine
+
+FETCH_RETRY_S = 0.2
+
+
+class Order(msgspec.Struct):
+    """One order."""
+
+    fence: int
+    kind: Literal[
+        "load_model", "unload_model", "load_adapter", "unload_adapter", "set_version", "set_role"
+    ]
+    value: str
+
+
+class OrderDesk:
+    """Carries out orders, checking the fencing token if the engine honours it."""
+
+    def __init__(self, *, engine: Engine) -> None:
+        self._engine = engine
+        self._loading: dict[str, asyncio.Task[None]] = {}
+
+    def accept(self, order: Order) -> bool:
+        """Carry out an order; returns whether its token was accepted."""
+        engine = self._engine
+        if engine.settings.honours_fence and order.fence < engine.fence:
+            return False
+        engine.fence = order.fence
+        match order.kind:
+            case "load_model":
+                self._load_model(order.value)
+            case "unload_model":
+                task = self._loading.pop(order.value, None)
+                if task is not None:
+                    task.cancel()
+                engine.models.discard(order.value)
+            case "load_adapter":
+                engine.adapters.add(order.value)
+            case "unload_adapter":
+                engine.adapters.discard(order.value)
+            case "set_version":
+                engine.version = order.value
+            case "set_role":
+                engine.role = order.value
+        return True
+
+    def _load_model(self, model: str) -> None:
+        if not self._engine.settings.platform_url:
+            self._engine.models.add(model)
+        elif model not in self._engine.models and model not in self._loading:
+            self._loading[model] = asyncio.create_task(self._fetch(model))
+
+    async def _fetch(self, model: str) -> None:
+        version = self._engine.version or "latest"
+        url = f"{self._engine.settings.platform_url}/weights/{model}/{version}"
+        async with httpx.AsyncClient() as client:
+            while not await _fetch_once(client, url):
+                await asyncio.sleep(FETCH_RETRY_S)
+        self._engine.models.add(model)
+        self._loading.pop(model, None)
+
+
+async def _fetch_once(client: httpx.AsyncClient, url: str) -> bool:
+    try:
+        return (await client.get(url)).status_code == 200
+    except httpx.HTTPError:
+        return False
--- /dev/null
+++ b/packages/standins/src/cornellead_standins/service/__init__.py
@@ -0,0 +1,9 @@
+"""Stand-in for a plain service that counts the effects of its calls."""
+
+from __future__ import annotations
+
+from cornellead_standins.service._app import build_app
+from cornellead_standins.service._settings import ServiceFaults
+from cornellead_standins.service._settings import ServiceSettings
+
+__all__ = ["ServiceFaults", "ServiceSettings", "build_app"]
--- /dev/null
+++ b/packages/standins/src/cornellead_standins/serving/_run_app.py
@@ -0,0 +1,59 @@
+"""Runs the application of a stand-in until it is told to stop."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+import msgspec
+import uvicorn
+import yaml
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from litestar import Litestar
+
+S = TypeVar("S", bound=msgspec.Struct)
+
+SHUTDOWN_S = 1
+"""Wait for open connections at a stop; a stand-in may cut them."""
+KEEP_ALIVE_S = 75
+BACKLOG = 4096
+
+
+def read_settings(argv: Sequence[str], settings_type: type[S]) -> S:
+    """Read the YAML file named by ``--settings=FILE``.
+
+    :raises SystemExit: when the file is missing or does not match the settings.
+    """
+    parser = argparse.ArgumentParser(prog=argv[0])
+    parser.add_argument("--settings", required=True, help="YAML file with settings")
+    path = Path(parser.parse_args(argv[1:]).settings)
+    try:
+        return msgspec.convert(yaml.safe_load(path.read_text()), settings_type)
+    except (OSError, yaml.YAMLError, msgspec.ValidationError) as exc:
+        raise SystemExit(f"{path}: {exc}; correct the settings file") from exc
+
+
+def run_app(app: Litestar, *, listen: str) -> None:
+    """Serve an application.
+
+    :param listen: ``ip:port``.
+    """
+    host, _, port = listen.rpartition(":")
+    uvicorn.run(
+        app,
+        host=host,
+        port=int(port),
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        access_log=False,
+        log_level="error",
+        backlog=BACKLOG,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=SHUTDOWN_S,
+    )
