Mount the streams of the stand-in engine

Litestar 2.25 answers 500 to every request on a raw handler whose path has parameters (KeyError on the method in its routing trie). A mount is routed correctly.

--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -69,7 +69,8 @@
     async def complete(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.complete(scope, receive, send)
 
-    @asgi("/v1/streams/{request_id:str}", copy_scope=False)
+    # A mount, because raw handlers of Litestar 2.25 answer 500 on a path with parameters.
+    @asgi("/v1/streams", is_mount=True, copy_scope=False)
     async def resume(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.resume(scope, receive, send)
 
