--- a/packages/standins/src/cornellead_standins/engine/_chat_api.py
+++ b/packages/standins/src/cornellead_standins/engine/_chat_api.py
@@ -67,7 +67,7 @@
         """Continue (``GET``) or cancel (``DELETE``) a stream."""
         if scope["type"] != ScopeType.HTTP:
             return
-        request_id = scope["path"].rpartition("/")[2]
+        request_id = scope["path"].rstrip("/").rpartition("/")[2]
         if scope["method"] == "DELETE":
             known = self._engine.cancel(request_id)
             await self._send_json(send, 200 if known else 404, {})
