--- /dev/null
+++ b/tests/core/blackboard/test_blackboard.py
@@ -0,0 +1,62 @@
+"""Guards against lost wake-ups of controllers that wait for a fact."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.blackboard import Fact
+from cornellead_core.blackboard import run_controllers
+
+COUNT = Fact(name="count", default=0)
+
+
+async def test_a_write_before_the_wait_is_seen() -> None:
+    board = Blackboard()
+    seen = board.revision(COUNT)
+    board.write(COUNT, 1)
+    assert await board.wait_change(COUNT, revision=seen, timeout_s=0)
+
+
+async def test_a_write_wakes_all_waiters() -> None:
+    board = Blackboard()
+    waiters = [
+        asyncio.create_task(board.wait_change(COUNT, revision=0, timeout_s=30)) for _ in range(3)
+    ]
+    await asyncio.sleep(0)
+    board.write(COUNT, 5)
+    assert await asyncio.gather(*waiters) == [True, True, True]
+    assert board.read(COUNT) == 5
+
+
+async def test_a_wait_without_a_write_times_out() -> None:
+    assert not await Blackboard().wait_change(COUNT, revision=0, timeout_s=0.001)
+
+
+class _Failing:
+    name = "failing"
+
+    async def run(self) -> None:
+        raise AssertionError("invariant broken")
+
+
+class _Forever:
+    name = "forever"
+
+    def __init__(self) -> None:
+        self.cancelled = False
+
+    async def run(self) -> None:
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled = True
+
+
+async def test_a_broken_invariant_stops_all_controllers() -> None:
+    other = _Forever()
+    with pytest.raises(ExceptionGroup):
+        await run_controllers([other, _Failing()])
+    assert other.cancelled
