--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -2,18 +2,64 @@
 
 from __future__ import annotations
 
+from cornellead_core.config._config_state import ConfigObject
+from cornellead_core.config._config_state import ConfigState
+from cornellead_core.config._config_state import Verdict
+from cornellead_core.config._config_state import decode_state
+from cornellead_core.config._config_state import digest_state
+from cornellead_core.config._config_state import encode_state
 from cornellead_core.config._fleet_config import EMPTY_CONFIG
 from cornellead_core.config._fleet_config import FleetConfig
 from cornellead_core.config._fleet_config import Priority
 from cornellead_core.config._fleet_config import ServerConfig
 from cornellead_core.config._fleet_config import ServicePolicy
 from cornellead_core.config._fleet_config import TeamPolicy
+from cornellead_core.config._object_name import ObjectKind
+from cornellead_core.config._object_name import split_name
+from cornellead_core.config._problem import Problem
+from cornellead_core.config._records import CHANGE
+from cornellead_core.config._records import SNAPSHOT
+from cornellead_core.config._records import STREAM
+from cornellead_core.config._records import AuditRecord
+from cornellead_core.config._records import ChangeRecord
+from cornellead_core.config._records import make_snapshot
+from cornellead_core.config._records import parse_snapshot
+from cornellead_core.config._reducer import RECENT_CHANGES
+from cornellead_core.config._reducer import apply_change
+from cornellead_core.config._reducer import reduce_record
+from cornellead_core.config._resolver import Resolver
+from cornellead_core.config._resolver import resolve_spec
+from cornellead_core.config._validation import find_object_problems
+from cornellead_core.config._validation import find_problems
 
 __all__ = [
+    "CHANGE",
     "EMPTY_CONFIG",
+    "RECENT_CHANGES",
+    "SNAPSHOT",
+    "STREAM",
+    "AuditRecord",
+    "ChangeRecord",
+    "ConfigObject",
+    "ConfigState",
     "FleetConfig",
+    "ObjectKind",
     "Priority",
+    "Problem",
+    "Resolver",
     "ServerConfig",
     "ServicePolicy",
     "TeamPolicy",
+    "Verdict",
+    "apply_change",
+    "decode_state",
+    "digest_state",
+    "encode_state",
+    "find_object_problems",
+    "find_problems",
+    "make_snapshot",
+    "parse_snapshot",
+    "reduce_record",
+    "resolve_spec",
+    "split_name",
 ]
--- /dev/null
+++ b/packages/core/src/cornellead_core/config/_object_name.py
@@ -0,0 +1,42 @@
+"""Names of configuration objects such as ``team/imigongo``."""
+
+from __future__ import annotations
+
+import re
+from enum import StrEnum
+from typing import Final
+
+_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+NAME_HELP: Final = "a name of letters, digits, dot, hyphen and underscore"
+
+
+class ObjectKind(StrEnum):
+    """Kind of a configuration object."""
+
+    TEMPLATE = "template"
+    TEAM = "team"
+    MODEL = "model"
+    DATA_CENTRE = "data_centre"
+    SERVER = "server"
+
+
+_KINDS: Final = frozenset(ObjectKind)
+
+
+def is_name(value: object) -> bool:
+    """Return whether a value may name an object, a service or an operation."""
+    return isinstance(value, str) and _NAME.fullmatch(value) is not None
+
+
+def split_name(name: object) -> tuple[ObjectKind, str] | None:
+    """Split an object name into kind and name.
+
+    >>> split_name("team/imigongo"), split_name("team/"), split_name("crew/x")
+    ((<ObjectKind.TEAM: 'team'>, 'imigongo'), None, None)
+    """
+    if not isinstance(name, str):
+        return None
+    kind, _, rest = name.partition("/")
+    if kind not in _KINDS or not is_name(rest):
+        return None
+    return ObjectKind(kind), rest
--- /dev/null
+++ b/packages/core/src/cornellead_core/config/_validation.py
@@ -0,0 +1,119 @@
+"""Validation of a change against the objects that it meets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cornellead_core.config._checks import check_object
+from cornellead_core.config._object_name import ObjectKind
+from cornellead_core.config._object_name import split_name
+from cornellead_core.config._problem import Problem
+from cornellead_core.config._resolver import check_team
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from cornellead_core.config._config_state import ConfigObject
+
+
+def find_problems(
+    objects: Mapping[str, ConfigObject], changes: Mapping[str, dict[str, Any] | None]
+) -> list[str]:
+    """Return what is wrong with a change, as text."""
+    return [f"{name}: {problem}" for name, problem in find_object_problems(objects, changes)]
+
+
+def find_object_problems(
+    objects: Mapping[str, ConfigObject], changes: Mapping[str, dict[str, Any] | None]
+) -> list[tuple[str, Problem]]:
+    """Check the changed objects and those that refer to them.
+
+    :param objects: Valid objects before the change.
+    :param changes: New value by object name; ``None`` deletes.
+    :returns: Problems with the name of the object each belongs to, in a fixed order.
+    """
+    shapes = [
+        (name, problem)
+        for name, value in sorted(changes.items())
+        for problem in _check_shape(name, value)
+    ]
+    return shapes or list(_References(objects, changes).check())
+
+
+def _check_shape(name: str, value: dict[str, Any] | None) -> Iterable[Problem]:
+    split = split_name(name)
+    if split is None:
+        return [Problem((), "not an object name", "<kind>/<name>")]
+    return [] if value is None else check_object(split[0], value)
+
+
+class _References:
+    """Checks references; only objects that a change can affect are looked at."""
+
+    def __init__(
+        self,
+        objects: Mapping[str, ConfigObject],
+        changes: Mapping[str, dict[str, Any] | None],
+    ) -> None:
+        self._objects = objects
+        self._changes = changes
+        names = {name for name, item in objects.items() if item.value is not None}
+        names |= {name for name, value in changes.items() if value is not None}
+        names -= {name for name, value in changes.items() if value is None}
+        self._names = sorted(names)
+        self._models = frozenset(name[6:] for name in self._names if name.startswith("model/"))
+
+    def check(self) -> Iterable[tuple[str, Problem]]:
+        kinds = {name.partition("/")[0] for name in self._changes}
+        deletes_model = any(
+            name.startswith("model/") and value is None for name, value in self._changes.items()
+        )
+        if ObjectKind.TEAM in kinds or ObjectKind.TEMPLATE in kinds or deletes_model:
+            yield from self._check_teams(all_teams=deletes_model)
+        if ObjectKind.SERVER in kinds or deletes_model:
+            yield from self._check_servers()
+
+    def _value(self, name: str) -> dict[str, Any] | None:
+        if name in self._changes:
+            return self._changes[name]
+        known = self._objects.get(name)
+        return None if known is None else known.value
+
+    def _check_teams(self, *, all_teams: bool) -> Iterable[tuple[str, Problem]]:
+        owners: dict[str, str] = {}
+        for name in self._names:
+            if not name.startswith("team/"):
+                continue
+            team = self._value(name)
+            assert team is not None
+            tokens = team["token_sha256"]
+            for digest in [tokens] if isinstance(tokens, str) else tokens:
+                owner = owners.setdefault(digest, name)
+                if owner != name:
+                    yield name, Problem(("token_sha256",), f"{owner} has the same token")
+            template_name = f"template/{team['template']}"
+            if all_teams or name in self._changes or template_name in self._changes:
+                for problem in self._check_team(team, template_name):
+                    yield name, problem
+
+    def _check_team(self, team: dict[str, Any], template_name: str) -> Iterable[Problem]:
+        template = self._value(template_name)
+        if template is None:
+            templates = [name[9:] for name in self._names if name.startswith("template/")]
+            help_text = ", ".join(templates) or "publish a template first"
+            message = f"template {team['template']} does not exist"
+            return [Problem(("template",), message, help_text)]
+        return check_team(team, template, self._models)
+
+    def _check_servers(self) -> Iterable[tuple[str, Problem]]:
+        for name in self._names:
+            if not name.startswith("server/"):
+                continue
+            value = self._value(name)
+            assert value is not None
+            for model in value.get("models", []):
+                if model not in self._models:
+                    known = ", ".join(sorted(self._models)) or "publish a model object first"
+                    yield name, Problem(("models",), f"model {model} does not exist", known)
--- /dev/null
+++ b/packages/core/src/cornellead_core/settings/_yaml_tree.py
@@ -0,0 +1,133 @@
+"""YAML documents with the line of every value."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+from typing import TypeAlias
+
+import yaml
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_core.settings._settings_error import SettingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+Scalar: TypeAlias = str | int | float | bool | None
+
+MAX_DEPTH = 32
+MAX_NODES = 100_000
+"""Bounds what aliases may expand to."""
+
+
+class YamlNode(NamedTuple):
+    """A value and the line it starts on."""
+
+    value: Scalar | dict[str, YamlNode] | list[YamlNode]
+    line: int
+
+    def plain(self) -> Any:
+        """Return the value without lines."""
+        if isinstance(self.value, dict):
+            return {key: node.plain() for key, node in self.value.items()}
+        if isinstance(self.value, list):
+            return [node.plain() for node in self.value]
+        return self.value
+
+    def line_at(self, path: Sequence[str]) -> int:
+        """Return the line of the value at a path, or of its nearest existing parent."""
+        if not path:
+            return self.line
+        child: YamlNode | None = None
+        if isinstance(self.value, dict):
+            child = self.value.get(path[0])
+        elif isinstance(self.value, list) and path[0].isdigit() and int(path[0]) < len(self.value):
+            child = self.value[int(path[0])]
+        return self.line if child is None else child.line_at(path[1:])
+
+
+class _FaultError(Exception):
+    def __init__(self, line: int, path: str, message: str, accepted: str = "") -> None:
+        super().__init__(message)
+        self.line = line
+        self.path = path
+        self.message = message
+        self.accepted = accepted
+
+
+def parse_yaml(text: str, *, file: str) -> Result[list[YamlNode], list[SettingsError]]:
+    """Parse all documents of a file; only plain mappings, lists and scalars are accepted.
+
+    >>> parse_yaml("a: 1", file="x").unwrap()[0].plain()
+    {'a': 1}
+    >>> print(parse_yaml("a: 1\\na: 2", file="x").failure()[0])
+    x:2: a: key is given twice
+    """
+    loader = yaml.SafeLoader(text)
+    try:
+        nodes = []
+        while loader.check_node():
+            root = loader.get_node()
+            if root is not None:
+                nodes.append(_Builder(loader).build(root, ()))
+        return Success(nodes)
+    except yaml.MarkedYAMLError as exc:
+        mark = exc.problem_mark or exc.context_mark
+        line = 1 if mark is None else mark.line + 1
+        return Failure([SettingsError(file, line, "", f"not valid YAML: {exc.problem}")])
+    except yaml.YAMLError as exc:
+        return Failure([SettingsError(file, 1, "", f"not valid YAML: {exc}")])
+    except _FaultError as exc:
+        return Failure([SettingsError(file, exc.line, exc.path, exc.message, exc.accepted)])
+    finally:
+        loader.dispose()
+
+
+class _Builder:
+    def __init__(self, loader: yaml.SafeLoader) -> None:
+        self._loader = loader
+        self._count = 0
+
+    def build(self, node: yaml.Node, path: tuple[str, ...]) -> YamlNode:
+        line = node.start_mark.line + 1
+        self._count += 1
+        if len(path) > MAX_DEPTH or self._count > MAX_NODES:
+            raise _FaultError(line, ".".join(path), "document is nested too deeply or too large")
+        if isinstance(node, yaml.MappingNode):
+            return YamlNode(self._mapping(node, path), line)
+        if isinstance(node, yaml.SequenceNode):
+            items = [self.build(item, (*path, str(i))) for i, item in enumerate(node.value)]
+            return YamlNode(items, line)
+        return YamlNode(self._scalar(node, path), line)
+
+    def _mapping(self, node: yaml.MappingNode, path: tuple[str, ...]) -> dict[str, YamlNode]:
+        mapping: dict[str, YamlNode] = {}
+        for key_node, value_node in node.value:
+            key_line = key_node.start_mark.line + 1
+            if not isinstance(key_node, yaml.ScalarNode):
+                raise _FaultError(key_line, ".".join(path), "key is not a string", "a plain string")
+            key = key_node.value
+            if key in mapping:
+                raise _FaultError(key_line, ".".join((*path, key)), "key is given twice")
+            mapping[key] = self.build(value_node, (*path, key))
+        return mapping
+
+    def _scalar(self, node: yaml.Node, path: tuple[str, ...]) -> Scalar:
+        try:
+            value = self._loader.construct_object(node)
+        except (yaml.YAMLError, ValueError) as exc:
+            raise _FaultError(
+                node.start_mark.line + 1, ".".join(path), f"not a plain value: {exc}"
+            ) from exc
+        if value is None or isinstance(value, str | int | float | bool):
+            return value
+        raise _FaultError(
+            node.start_mark.line + 1,
+            ".".join(path),
+            f"{type(value).__name__} values are not used",
+            "a string (in quotes), number, true, false or null",
+        )
