--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -21,9 +21,9 @@
 from litestar.types import Send
 
 from cornellead_standins.engine._chat_api import ChatApi
+from cornellead_standins.engine._commands import Command
+from cornellead_standins.engine._commands import CommandExecutor
 from cornellead_standins.engine._engine import Engine
-from cornellead_standins.engine._orders import Order
-from cornellead_standins.engine._orders import OrderDesk
 from cornellead_standins.engine._settings import EngineFaults
 
 if TYPE_CHECKING:
@@ -53,7 +53,7 @@
     """Build the application; each one is an engine of its own."""
     engine = Engine(settings=settings)
     chat_api = ChatApi(engine=engine)
-    orders = OrderDesk(engine=engine)
+    commands = CommandExecutor(engine=engine)
 
     @asynccontextmanager
     async def run_engine(_: Litestar) -> AsyncGenerator[None]:
@@ -116,15 +116,15 @@
         return _answer({"blocks": len(body.blocks)})
 
     @post("/orders", status_code=200)
-    async def accept_order(request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def accept_command(request: Request[Any, Any, Any]) -> Response[bytes]:
         if not engine.available(now=time.monotonic()):
             return _error(503, "engine is starting")
         try:
-            order = msgspec.json.decode(await request.body(), type=Order)
+            command = msgspec.json.decode(await request.body(), type=Command)
         except msgspec.DecodeError as exc:
             return _error(400, str(exc))
-        if not orders.accept(order):
-            return _error(409, f"fence {order.fence} is older than {engine.fence}")
+        if not commands.accept(command):
+            return _error(409, f"fence {command.fence} is older than {engine.fence}")
         return _answer({"fence": engine.fence})
 
     @put("/faults")
@@ -143,7 +143,7 @@
         read_cache_events,
         export_kv,
         import_kv,
-        accept_order,
+        accept_command,
         set_faults,
     ]
     return Litestar(handlers, lifespan=[run_engine], openapi_config=None)
--- a/packages/standins/src/cornellead_standins/engine/_orders.py
+++ b/packages/standins/src/cornellead_standins/engine/_commands.py
@@ -1,4 +1,4 @@
-"""Orders: changes of models, adapters, version and role."""
+"""Commands: changes of models, adapters, version and role."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 FETCH_RETRY_S = 0.2
 
 
-class Order(msgspec.Struct):
-    """One order."""
+class Command(msgspec.Struct):
+    """Body of ``POST /orders``."""
 
     fence: int
     kind: Literal[
@@ -25,35 +25,35 @@
     value: str
 
 
-class OrderDesk:
-    """Carries out orders, checking the fencing token if the engine honours it."""
+class CommandExecutor:
+    """Carries out commands, checking the fencing token if the engine honours it."""
 
     def __init__(self, *, engine: Engine) -> None:
         self._engine = engine
         self._loading: dict[str, asyncio.Task[None]] = {}
 
-    def accept(self, order: Order) -> bool:
-        """Carry out an order; returns whether its token was accepted."""
+    def accept(self, command: Command) -> bool:
+        """Carry out a command; returns whether its token was accepted."""
         engine = self._engine
-        if engine.settings.honours_fence and order.fence < engine.fence:
+        if engine.settings.honours_fence and command.fence < engine.fence:
             return False
-        engine.fence = order.fence
-        match order.kind:
+        engine.fence = command.fence
+        match command.kind:
             case "load_model":
-                self._load_model(order.value)
+                self._load_model(command.value)
             case "unload_model":
-                task = self._loading.pop(order.value, None)
+                task = self._loading.pop(command.value, None)
                 if task is not None:
                     task.cancel()
-                engine.models.discard(order.value)
+                engine.models.discard(command.value)
             case "load_adapter":
-                engine.adapters.add(order.value)
+                engine.adapters.add(command.value)
             case "unload_adapter":
-                engine.adapters.discard(order.value)
+                engine.adapters.discard(command.value)
             case "set_version":
-                engine.version = order.value
+                engine.version = command.value
             case "set_role":
-                engine.role = order.value
+                engine.role = command.value
         return True
 
     def _load_model(self, model: str) -> None:
