--- /dev/null
+++ b/scripts/down.py
@@ -0,0 +1,26 @@
+"""Stops the fleet that ``scripts.up`` left running: ``python -m scripts.down``."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from scripts.fleet import STATE_DIRECTORY
+from scripts.fleet import stop_process
+
+
+def main() -> int:
+    """Stop every process of the state file by its process id."""
+    path = STATE_DIRECTORY / "state.json"
+    if not path.exists():
+        sys.stderr.write("no fleet is running\n")
+        return 1
+    state = json.loads(path.read_text())
+    stopped = [stop_process(pid, state["directory"]) for pid in state["pids"].values()]
+    path.unlink()
+    sys.stdout.write(f"stopped {sum(stopped)} processes\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/up.py
@@ -0,0 +1,36 @@
+"""Starts a fleet and leaves it running: ``python -m scripts.up``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from scripts.fleet import STATE_DIRECTORY
+from scripts.fleet import Fleet
+from scripts.fleet import plan_imigongo
+from scripts.fleet import plan_sabarmati
+
+PLANS = {"imigongo": plan_imigongo, "sabarmati": plan_sabarmati}
+
+
+def main() -> int:
+    """Start the fleet of one user."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--user", choices=sorted(PLANS), default="imigongo")
+    user = parser.parse_args().user
+    if (STATE_DIRECTORY / "state.json").exists():
+        sys.stderr.write("a fleet is running; stop it with: make down\n")
+        return 1
+    fleet = Fleet(plan=PLANS[user](), directory=STATE_DIRECTORY)
+    try:
+        fleet.start()
+    except BaseException:
+        fleet.stop()
+        raise
+    fleet.write_state()
+    sys.stdout.write(f"fleet of {user} is running; addresses: . {STATE_DIRECTORY / 'env'}\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
