--- /dev/null
+++ b/packages/core/src/cornellead_core/distribution/__init__.py
@@ -0,0 +1,17 @@
+"""Distribution of configuration and of the host list to every process."""
+
+from __future__ import annotations
+
+from cornellead_core.distribution._config_distributor import ConfigDistributor
+from cornellead_core.distribution._config_exchange import ConfigExchange
+from cornellead_core.distribution._config_store import ConfigStore
+from cornellead_core.distribution._control_requester import ControlRequester
+from cornellead_core.distribution._host_list_watcher import HostListWatcher
+
+__all__ = [
+    "ConfigDistributor",
+    "ConfigExchange",
+    "ConfigStore",
+    "ControlRequester",
+    "HostListWatcher",
+]
--- /dev/null
+++ b/packages/core/src/cornellead_core/distribution/_control_requester.py
@@ -0,0 +1,19 @@
+"""The part of the control client that the distribution uses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from cornellead_core.wire import Message
+
+
+class ControlRequester(Protocol):
+    """Sends a control message to a peer and waits for the answer."""
+
+    async def request(self, address: str, message: Message) -> Result[Message, str]:
+        """Send a message to ``ip:port`` and return the answer."""
+        ...
--- /dev/null
+++ b/packages/core/src/cornellead_core/membership/__init__.py
@@ -0,0 +1,7 @@
+"""Members of the fleet from the platform's host list."""
+
+from __future__ import annotations
+
+from cornellead_core.membership._peers import Peers
+
+__all__ = ["Peers"]
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_main.py
@@ -0,0 +1,47 @@
+"""Dispatch from the command line to one module per verb."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+from cornellead.cli._exit_code import ExitCode
+
+VERBS = {
+    "serve": "run a router",
+    "validate": "check configuration files without publishing them",
+    "publish": "publish configuration files to the fleet",
+    "diff": "compare configuration files with the fleet",
+    "drain": "take a data centre, server or router host out of service",
+    "restore": "put a data centre, server or router host back into service",
+    "status": "show the state of data centres and servers",
+    "audit": "show who changed what, and what was rejected",
+    "version": "print the version",
+}
+
+
+def main() -> int:
+    """Run the verb on the command line and return its exit code."""
+    argv = sys.argv[1:]
+    if not argv or argv[0] in ("help", "-h", "--help"):
+        print(_help())
+        return ExitCode.OK if argv else ExitCode.USAGE
+    if argv[0] not in VERBS:
+        print(f"cornellead: unknown verb {argv[0]!r}\n\n{_help()}", file=sys.stderr)
+        return ExitCode.USAGE
+    module = importlib.import_module(f"cornellead.cli._{argv[0]}")
+    try:
+        code: int = module.run(argv)
+    except KeyboardInterrupt:
+        return 130
+    return code
+
+
+def _help() -> str:
+    rows = "\n".join(f"  {verb:<9} {text}" for verb, text in VERBS.items())
+    codes = "\n".join(f"  {code.value}  {code.name.lower()}" for code in ExitCode)
+    return (
+        f"usage: cornellead <verb> [flags]\n\n{rows}\n\n"
+        f"exit codes:\n{codes}\n\n"
+        "cornellead <verb> --help shows flags and examples of a verb"
+    )
