Add the agent: admission, engine relay, load exchange and drain

The agent starts from settings, admits by bound, cold limit and state, and relays streams with event numbers, resume and end comment. The settings reader and the host poller are placeholders for the shared ones.

--- /dev/null
+++ b/packages/agent/src/cornellead_agent/admission/__init__.py
@@ -0,0 +1,21 @@
+"""Admission of requests to the server beside the agent."""
+
+from __future__ import annotations
+
+from cornellead_agent.admission._cold_limit import ColdLimit
+from cornellead_agent.admission._cold_limit import ServerSample
+from cornellead_agent.admission._decision import AdmissionRequest
+from cornellead_agent.admission._decision import AdmissionView
+from cornellead_agent.admission._decision import bound_limit
+from cornellead_agent.admission._decision import decide_admission
+from cornellead_agent.admission._gate import Gate
+
+__all__ = [
+    "AdmissionRequest",
+    "AdmissionView",
+    "ColdLimit",
+    "Gate",
+    "ServerSample",
+    "bound_limit",
+    "decide_admission",
+]
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/__init__.py
@@ -0,0 +1,23 @@
+"""HTTP API of the agent."""
+
+from __future__ import annotations
+
+from cornellead_agent.api._build_app import build_app
+from cornellead_agent.api._chat_endpoint import ChatEndpoint
+from cornellead_agent.api._clock import Clock
+from cornellead_agent.api._clock import SystemClock
+from cornellead_agent.api._endpoint import Endpoint
+from cornellead_agent.api._relay_counters import RelayCounters
+from cornellead_agent.api._service_endpoint import ServiceEndpoint
+from cornellead_agent.api._status_view import StatusView
+
+__all__ = [
+    "ChatEndpoint",
+    "Clock",
+    "Endpoint",
+    "RelayCounters",
+    "ServiceEndpoint",
+    "StatusView",
+    "SystemClock",
+    "build_app",
+]
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -0,0 +1,103 @@
+"""Chat completions for routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from returns.result import Success
+
+from cornellead_agent.api._body import read_body
+from cornellead_agent.api._chat_relay import ChatRelay
+from cornellead_agent.api._responses import send_error
+from cornellead_agent.api._responses import send_refusal
+from cornellead_agent.relay import ChatRequest
+from cornellead_core.outcomes import Outcome
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import ColdLimit
+    from cornellead_agent.admission import Gate
+    from cornellead_agent.api._clock import Clock
+    from cornellead_agent.api._endpoint import Endpoint
+    from cornellead_agent.api._relay_counters import RelayCounters
+    from cornellead_agent.chats import ChatIndex
+    from cornellead_agent.relay import Upstream
+    from cornellead_core.blackboard import Blackboard
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    stream: bool = False
+
+
+_decoder = msgspec.json.Decoder(_ChatBody)
+
+
+class ChatEndpoint:
+    """Raw ASGI handler of ``POST /v1/chat/completions``."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        gate: Gate,
+        board: Blackboard,
+        chats: ChatIndex,
+        cold_limit: ColdLimit,
+        upstream: Upstream,
+        counters: RelayCounters,
+        clock: Clock,
+    ) -> None:
+        self._endpoint = endpoint
+        self._gate = gate
+        self._board = board
+        self._chats = chats
+        self._cold_limit = cold_limit
+        self._upstream = upstream
+        self._counters = counters
+        self._clock = clock
+
+    async def handle(self, scope: Any, receive: Any, send: Any) -> None:
+        """Admit and relay one request."""
+        context = await self._endpoint.accept(scope, send)
+        if context is None:
+            return
+        content = await read_body(receive)
+        if not isinstance(content, Success):
+            error = content.failure()
+            await self._reject(send, context, error.status, error.message)
+            return
+        body = content.unwrap()
+        try:
+            parsed = _decoder.decode(body)
+        except msgspec.DecodeError as exc:
+            await self._reject(send, context, 400, f"send a JSON object with a model: {exc}")
+            return
+        # The decision comes after the body was read, so that a slow sender holds no place.
+        now = self._clock.monotonic()
+        refusal = self._gate.admit(context.admission, chat=context.chat, now=now)
+        if refusal is not None:
+            await send_refusal(send, refusal, self._endpoint.common_headers(context))
+            return
+        relay = ChatRelay(
+            request=ChatRequest(context.request_id, context.chat, context.admission.batch, body),
+            context=context,
+            endpoint=self._endpoint,
+            board=self._board,
+            chats=self._chats,
+            cold_limit=self._cold_limit,
+            upstream=self._upstream,
+            counters=self._counters,
+            clock=self._clock,
+        )
+        try:
+            await relay.run(receive, send, stream=parsed.stream)
+        finally:
+            self._gate.finish()
+
+    async def _reject(self, send: Any, context: Any, status: int, message: str) -> None:
+        fields = self._endpoint.common_headers(context)
+        await send_error(
+            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
+        )
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -0,0 +1,248 @@
+"""Relay of one admitted chat completion."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+from returns.result import Success
+
+from cornellead_agent.api._responses import encode_error
+from cornellead_agent.api._responses import send_error
+from cornellead_agent.api._responses import send_whole
+from cornellead_agent.facts import MOVING
+from cornellead_agent.relay import EventAssembler
+from cornellead_core import headers
+from cornellead_core.outcomes import Outcome
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import ColdLimit
+    from cornellead_agent.api._clock import Clock
+    from cornellead_agent.api._endpoint import Endpoint
+    from cornellead_agent.api._relay_counters import RelayCounters
+    from cornellead_agent.api._request_context import RequestContext
+    from cornellead_agent.chats import ChatIndex
+    from cornellead_agent.relay import ChatRequest
+    from cornellead_agent.relay import EngineConnection
+    from cornellead_agent.relay import Upstream
+    from cornellead_core.blackboard import Blackboard
+
+MAX_RESUMES = 3
+"""Attempts to continue a broken stream on the same engine without a new event in between."""
+RESUME_PAUSE_S = 0.1
+
+
+class ChatRelay:
+    """Carries one request to the engine and its response back."""
+
+    def __init__(
+        self,
+        *,
+        request: ChatRequest,
+        context: RequestContext,
+        endpoint: Endpoint,
+        board: Blackboard,
+        chats: ChatIndex,
+        cold_limit: ColdLimit,
+        upstream: Upstream,
+        counters: RelayCounters,
+        clock: Clock,
+    ) -> None:
+        self._request = request
+        self._context = context
+        self._endpoint = endpoint
+        self._board = board
+        self._chats = chats
+        self._cold_limit = cold_limit
+        self._upstream = upstream
+        self._counters = counters
+        self._clock = clock
+        self._conn: EngineConnection | None = None
+        self._disconnected = False
+        self._started_at = clock.monotonic()
+        self._first_token_s: float | None = None
+
+    async def run(self, receive: Any, send: Any, *, stream: bool) -> None:
+        """Relay until the response ends, the router leaves or the agent must stop."""
+        watcher = asyncio.create_task(self._watch(receive))
+        finished = False
+        try:
+            finished = await (self._run_stream(send) if stream else self._run_whole(send))
+        finally:
+            watcher.cancel()
+            if self._conn is not None:
+                self._upstream.release(self._conn)
+            if not finished:
+                self._counters.cancelled += self._disconnected
+                await asyncio.shield(self._upstream.cancel(self._request.request_id))
+
+    async def _watch(self, receive: Any) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self._disconnected = True
+        if self._conn is not None:
+            self._conn.abort()
+
+    async def _run_whole(self, send: Any) -> bool:
+        opened = await self._upstream.open(self._request, resume_from=0)
+        if not isinstance(opened, Success):
+            await self._send_failure(send, opened.failure().message, sent=opened.failure().sent)
+            return True
+        conn = self._conn = opened.unwrap()
+        head = await conn.response()
+        body = bytearray()
+        while head is not None and not conn.complete:
+            data = await conn.read()
+            if not data and not conn.complete:
+                break
+            body += data
+        if self._disconnected:
+            return False
+        if head is None or not conn.complete:
+            await self._send_failure(send, "the engine's answer ended early", sent=True)
+            return False
+        if head.status != 200:
+            await self._send_engine_error(send, head.status, bytes(body))
+            return True
+        cached = self._counters.count_usage(bytes(body))
+        if cached is None:
+            await self._send_failure(send, "the engine's answer is malformed", sent=True)
+            return True
+        self._succeed(self._clock.monotonic() - self._started_at)
+        fields = [
+            *self._endpoint.common_headers(self._context),
+            ("content-type", "application/json"),
+            (headers.CACHED, str(cached)),
+        ]
+        await send_whole(send, 200, fields, bytes(body))
+        return True
+
+    async def _run_stream(self, send: Any) -> bool:
+        assembler = EventAssembler(delivered=self._context.resume)
+        opened = await self._upstream.open(self._request, resume_from=assembler.resume_from)
+        if not isinstance(opened, Success):
+            await self._send_failure(send, opened.failure().message, sent=opened.failure().sent)
+            return True
+        conn = self._conn = opened.unwrap()
+        status = await self._upstream.head(conn)
+        if self._disconnected:
+            return False
+        if not isinstance(status, Success):
+            await self._send_failure(send, status.failure().message, sent=True)
+            return False
+        if status.unwrap() != 200:
+            content = await conn.read()
+            await self._send_engine_error(send, status.unwrap(), content)
+            return True
+        await self._send_stream_head(send)
+        return await self._relay_events(assembler, send)
+
+    async def _relay_events(self, assembler: EventAssembler, send: Any) -> bool:
+        failures = 0
+        while not assembler.complete:
+            assert self._conn is not None
+            data = await self._conn.read()
+            if self._disconnected:
+                return False
+            out = assembler.feed(data) if data else b""
+            if self._conn.complete:
+                assembler.close()
+            if out:
+                failures = 0
+                if self._first_token_s is None:
+                    self._first_token_s = self._clock.monotonic() - self._started_at
+                await send({"type": "http.response.body", "body": out, "more_body": True})
+            if self._board.read(MOVING):
+                await self._end(send, b"moved", assembler.delivered)
+                self._counters.moved += 1
+                return False
+            if assembler.complete or (data and not assembler.overflowed):
+                continue
+            failures += 1
+            if failures > MAX_RESUMES or not await self._resume(assembler):
+                # The missing end comment tells the router that the stream is not complete.
+                self._cold_limit.record_error()
+                self._counters.engine_errors += 1
+                await send({"type": "http.response.body", "body": b"", "more_body": False})
+                return False
+        self._counters.duplicates += assembler.duplicates
+        self._count_stream(assembler)
+        await self._end(send, b"end", assembler.delivered)
+        return True
+
+    async def _resume(self, assembler: EventAssembler) -> bool:
+        assert self._conn is not None
+        self._conn.abort()
+        assembler.restart()
+        self._counters.resumes += 1
+        for _ in range(MAX_RESUMES):
+            resumed = await self._upstream.resume(self._request, resume_from=assembler.resume_from)
+            if isinstance(resumed, Success):
+                self._conn = resumed.unwrap()
+                if self._disconnected:
+                    return False
+                status = await self._upstream.head(self._conn)
+                return isinstance(status, Success) and status.unwrap() == 200
+            await asyncio.sleep(RESUME_PAUSE_S)
+        return False
+
+    def _count_stream(self, assembler: EventAssembler) -> None:
+        _, _, data = assembler.usage_event.partition(b"data: ")
+        self._counters.count_usage(data)
+        if self._first_token_s is not None:
+            self._succeed(self._first_token_s)
+
+    def _succeed(self, first_token_s: float) -> None:
+        self._counters.completed += 1
+        self._cold_limit.record_success(first_token_s=first_token_s)
+        if self._context.chat is not None:
+            self._chats.touch(self._context.chat, now=self._clock.monotonic())
+
+    async def _send_stream_head(self, send: Any) -> None:
+        fields = [
+            *self._endpoint.common_headers(self._context),
+            ("content-type", "text/event-stream"),
+            ("cache-control", "no-cache"),
+        ]
+        encoded = [(name.encode(), value.encode("latin-1")) for name, value in fields]
+        await send({"type": "http.response.start", "status": 200, "headers": encoded})
+
+    async def _end(self, send: Any, word: bytes, events: int) -> None:
+        comment = b": %s %s %d\n\n" % (word, self._context.request_id.encode(), events)
+        await send({"type": "http.response.body", "body": comment, "more_body": False})
+
+    async def _send_engine_error(self, send: Any, status: int, content: bytes) -> None:
+        if status >= 500:
+            self._cold_limit.record_error()
+            self._counters.engine_errors += 1
+            await self._send_failure(send, f"the engine answered status {status}", sent=True)
+            return
+        fields = [
+            *self._endpoint.common_headers(self._context),
+            ("content-type", "application/json"),
+        ]
+        message = content.decode("utf-8", "replace")[:500]
+        kind = "invalid_request_error"
+        body = encode_error(
+            message=f"the engine rejected the request: {message}",
+            kind=kind,
+            code=str(status),
+            outcome=Outcome.NOT_RUN,
+        )
+        await send_whole(send, status, fields, body)
+
+    async def _send_failure(self, send: Any, message: str, *, sent: bool) -> None:
+        self._cold_limit.record_error()
+        self._counters.engine_errors += 1
+        fields = self._endpoint.common_headers(self._context)
+        if not sent:
+            fields.append((headers.REFUSAL, "server_down"))
+        await send_error(
+            send,
+            502 if sent else 503,
+            fields,
+            message=message,
+            code="engine_failed",
+            outcome=Outcome.UNKNOWN if sent else Outcome.NOT_RUN,
+        )
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/_endpoint.py
@@ -0,0 +1,81 @@
+"""What all endpoints for routers have in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from returns.result import Success
+
+from cornellead_agent.api._request_context import read_context
+from cornellead_agent.api._request_context import read_headers
+from cornellead_agent.api._responses import send_refusal
+from cornellead_agent.facts import NEEDED_CONFIG
+from cornellead_core import headers
+from cornellead_core.facts import CONFIG
+from cornellead_core.load import decode_digest
+from cornellead_core.load import encode_digest
+from cornellead_core.outcomes import Refusal
+from cornellead_core.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import Gate
+    from cornellead_agent.api._clock import Clock
+    from cornellead_agent.api._request_context import RequestContext
+    from cornellead_core.auth import FleetKey
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.load import LoadTable
+
+
+class Endpoint:
+    """Authenticates routers, merges load digests and makes the common response headers."""
+
+    def __init__(
+        self, *, key: FleetKey, board: Blackboard, table: LoadTable, gate: Gate, clock: Clock
+    ) -> None:
+        self._key = key
+        self._board = board
+        self._table = table
+        self._gate = gate
+        self._clock = clock
+
+    async def accept(self, scope: Any, send: Any) -> RequestContext | None:
+        """Return the context of an authentic request, or refuse it."""
+        fields = read_headers(scope)
+        now = self._clock.monotonic()
+        context = read_context(fields, now=now)
+        authentic = self._key.verify_request(
+            fields.get(headers.AUTH, ""),
+            now_ms=self._clock.unix_ms(),
+            method=scope["method"],
+            path=scope["path"],
+            request_id=context.request_id,
+        )
+        if not authentic:
+            refusal = Refusal(
+                RefusalReason.UNAUTHORIZED, "check the fleet key and the clock of the router"
+            )
+            self._gate.count_refusal(refusal.reason.value)
+            await send_refusal(send, refusal, [(headers.REQUEST, context.request_id)])
+            return None
+        self._learn(context, now)
+        return context
+
+    def common_headers(self, context: RequestContext) -> list[tuple[str, str]]:
+        """Return the headers of every response to a router."""
+        digest = self._gate.digest(now=self._clock.monotonic())
+        return [
+            (headers.REQUEST, context.request_id),
+            (headers.CONFIG, str(self._board.read(CONFIG).offset)),
+            (headers.LOAD, encode_digest(digest)),
+        ]
+
+    def _learn(self, context: RequestContext, now: float) -> None:
+        if context.load:
+            digest = decode_digest(context.load)
+            if isinstance(digest, Success):
+                self._table.merge(digest.unwrap(), now=now)
+        if context.admission.config_offset > max(
+            self._board.read(CONFIG).offset, self._board.read(NEEDED_CONFIG)
+        ):
+            self._board.write(NEEDED_CONFIG, context.admission.config_offset)
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/_status_view.py
@@ -0,0 +1,99 @@
+"""State of the agent for operators and the measurements."""
+
+from __future__ import annotations
+
+import resource
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cornellead_agent.facts import SERVER
+from cornellead_core.facts import CONFIG
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import ColdLimit
+    from cornellead_agent.admission import Gate
+    from cornellead_agent.api._clock import Clock
+    from cornellead_agent.api._relay_counters import RelayCounters
+    from cornellead_agent.chats import ChatIndex
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.load import LoadTable
+    from cornellead_core.settings import AgentSettings
+    from cornellead_core.wire import Traffic
+
+STATM = "/proc/self/statm"
+
+
+class StatusView:
+    """Collects the JSON object of ``GET /status``."""
+
+    def __init__(
+        self,
+        *,
+        settings: AgentSettings,
+        board: Blackboard,
+        gate: Gate,
+        table: LoadTable,
+        cold_limit: ColdLimit,
+        chats: ChatIndex,
+        counters: RelayCounters,
+        traffic: Traffic,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._board = board
+        self._gate = gate
+        self._table = table
+        self._cold_limit = cold_limit
+        self._chats = chats
+        self._counters = counters
+        self._traffic = traffic
+        self._clock = clock
+        self._started_at = clock.monotonic()
+
+    def collect(self) -> dict[str, Any]:
+        """Return the present state."""
+        now = self._clock.monotonic()
+        cfg = self._board.read(CONFIG)
+        estimate = self._table.estimate(now=now, excluded=cfg.out_of_service)
+        server = self._board.read(SERVER)
+        counters = self._counters
+        return {
+            "server": self._settings.process.name,
+            "dc": self._settings.process.dc,
+            "state": self._gate.state.value,
+            "load": self._gate.in_flight,
+            "limit": self._gate.limit(now=now),
+            "cold_limit": self._cold_limit.value,
+            "cold_drops": self._cold_limit.drops,
+            "capacity": self._gate.capacity,
+            "rho": round(estimate.rho, 6),
+            "estimate_age_s": round(estimate.oldest_s, 3),
+            "estimate_servers": estimate.servers,
+            "admissions": self._gate.admissions,
+            "refusals": dict(self._gate.refusals),
+            "max_over_mean": round(self._gate.max_over_mean, 4),
+            "prompt_tokens": counters.prompt_tokens,
+            "cached_tokens": counters.cached_tokens,
+            "completion_tokens": counters.completion_tokens,
+            "completed": counters.completed,
+            "engine_errors": counters.engine_errors,
+            "resumes": counters.resumes,
+            "moved": counters.moved,
+            "cancelled": counters.cancelled,
+            "duplicates": counters.duplicates,
+            "chats": len(self._chats),
+            "server_boot_id": server.boot_id,
+            "server_running": server.running,
+            "config_offset": cfg.offset,
+            "control_bytes": self._traffic.total_bytes,
+            "control_bytes_per_s": round(
+                self._traffic.total_bytes / max(1.0, now - self._started_at), 1
+            ),
+            "resident_bytes": resident_bytes(),
+        }
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    with open(STATM, encoding="ascii") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/cli/__init__.py
@@ -0,0 +1,7 @@
+"""Command line of the agent."""
+
+from __future__ import annotations
+
+from cornellead_agent.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/cli/_main.py
@@ -0,0 +1,43 @@
+"""Entry point ``cornellead-agent``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+from absl import flags
+from returns.result import Success
+
+from cornellead_agent.cli._settings_file import read_settings
+from cornellead_agent.process import Agent
+from cornellead_core.logs import configure_logs
+
+USAGE_STATUS = 2
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run an agent until it is told to stop.
+
+    :param argv: Program name and flags; the arguments of the process by default.
+    :returns: Exit status.
+    """
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string("settings", None, "File with the settings.", flag_values=values)
+    try:
+        values(sys.argv if argv is None else argv)
+    except flags.Error as exc:
+        return _fail(f"{exc}; use cornellead-agent --settings=FILE")
+    if values.settings is None:
+        return _fail("use cornellead-agent --settings=FILE")
+    loaded = read_settings(values.settings)
+    if not isinstance(loaded, Success):
+        return _fail(loaded.failure())
+    settings = loaded.unwrap()
+    configure_logs(process=settings.process.name, as_json=settings.process.log_format == "json")
+    asyncio.run(Agent(settings=settings).run())
+    return 0
+
+
+def _fail(message: str) -> int:
+    print(message, file=sys.stderr)
+    return USAGE_STATUS
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/engine/_server_monitor.py
@@ -0,0 +1,93 @@
+"""Samples the load report of the server beside the agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from returns.result import Success
+
+from cornellead_agent.admission import ServerSample
+from cornellead_agent.facts import SERVER
+from cornellead_agent.facts import ServerView
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import ColdLimit
+    from cornellead_agent.chats import ChatIndex
+    from cornellead_agent.relay import EngineClient
+    from cornellead_core.blackboard import Blackboard
+
+SAMPLE_INTERVAL_S = 0.25
+SAMPLE_TIMEOUT_S = 1.0
+FAILURES_DOWN = 2
+"""Failed samples after which the server counts as down."""
+
+
+class _LoadBody(msgspec.Struct):
+    boot_id: str = ""
+    restarts: int = 0
+    running: int = 0
+    waiting: int = 0
+    capacity: int = 0
+    cached_blocks: int = 0
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    version: str = ""
+    role: str = ""
+
+
+class ServerMonitor:
+    """Controller that writes the `SERVER` fact and feeds the cold limit."""
+
+    name = "server-monitor"
+
+    def __init__(
+        self, *, board: Blackboard, client: EngineClient, cold_limit: ColdLimit, chats: ChatIndex
+    ) -> None:
+        self._board = board
+        self._client = client
+        self._cold_limit = cold_limit
+        self._chats = chats
+        self._failures = 0
+        self._log = structlog.get_logger()
+
+    async def run(self) -> None:
+        """Sample until cancelled."""
+        while True:
+            await self.sample()
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def sample(self) -> None:
+        """Read the server's load once."""
+        fetched = await self._client.fetch("GET", "/load", timeout_s=SAMPLE_TIMEOUT_S)
+        if not isinstance(fetched, Success) or fetched.unwrap().status != 200:
+            self._fail()
+            return
+        try:
+            body = msgspec.json.decode(fetched.unwrap().body, type=_LoadBody)
+        except msgspec.DecodeError:
+            self._fail()
+            return
+        self._accept(body)
+
+    def _accept(self, body: _LoadBody) -> None:
+        before = self._board.read(SERVER)
+        cold = self._cold_limit.observe(
+            ServerSample(body.boot_id, body.restarts, body.running, body.cached_blocks)
+        )
+        if cold:
+            self._chats.clear()
+            self._log.warning("server_cold", boot_id=body.boot_id, restarts=body.restarts)
+        if not before.up:
+            self._log.info("server_up", boot_id=body.boot_id)
+        self._failures = 0
+        self._board.write(SERVER, ServerView(up=True, **msgspec.structs.asdict(body)))
+
+    def _fail(self) -> None:
+        self._failures += 1
+        before = self._board.read(SERVER)
+        if self._failures >= FAILURES_DOWN and before.up:
+            self._log.warning("server_down", failures=self._failures)
+            self._board.write(SERVER, before._replace(up=False))
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -0,0 +1,187 @@
+"""Composition of the agent process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import httpx
+import uvicorn
+
+from cornellead_agent.admission import ColdLimit
+from cornellead_agent.admission import Gate
+from cornellead_agent.api import ChatEndpoint
+from cornellead_agent.api import Endpoint
+from cornellead_agent.api import RelayCounters
+from cornellead_agent.api import ServiceEndpoint
+from cornellead_agent.api import StatusView
+from cornellead_agent.api import SystemClock
+from cornellead_agent.api import build_app
+from cornellead_agent.chats import ChatIndex
+from cornellead_agent.engine import ServerMonitor
+from cornellead_agent.exchange import LoadExchanger
+from cornellead_agent.process._drainer import Drainer
+from cornellead_agent.process._host_poller import HostPoller
+from cornellead_agent.relay import EngineClient
+from cornellead_agent.relay import Upstream
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.blackboard import run_controllers
+from cornellead_core.load import LoadTable
+from cornellead_core.metrics import Metrics
+from cornellead_core.platform import HttpHostList
+from cornellead_core.wire import Ack
+from cornellead_core.wire import ControlClient
+from cornellead_core.wire import ControlServer
+from cornellead_core.wire import Hint
+from cornellead_core.wire import LoadExchange
+from cornellead_core.wire import Traffic
+
+if TYPE_CHECKING:
+    from cornellead_core.blackboard import Controller
+    from cornellead_core.settings import AgentSettings
+    from cornellead_core.wire import Message
+
+
+class Agent:
+    """One agent: its state, its controllers and its HTTP listener."""
+
+    def __init__(self, *, settings: AgentSettings) -> None:
+        self._settings = settings
+        process = settings.process
+        clock = SystemClock()
+        key = FleetKey(secret=process.fleet_key.encode())
+        self._board = Blackboard()
+        self._traffic = Traffic()
+        self._table = LoadTable()
+        self._chats = ChatIndex()
+        self._metrics = Metrics()
+        self._http = httpx.AsyncClient()
+        self._engine = EngineClient(url=settings.server.url)
+        self._control = ControlClient(key=key, traffic=self._traffic)
+        self._cold_limit = ColdLimit(
+            start=settings.cold_start_limit,
+            capacity=settings.server.capacity,
+            ceiling_s=settings.first_token_ceiling_s,
+        )
+        self._gate = Gate(
+            settings=settings,
+            board=self._board,
+            table=self._table,
+            cold_limit=self._cold_limit,
+            chats=self._chats,
+            incarnation=clock.unix_ms(),
+            started_at=clock.monotonic(),
+        )
+        self._exchanger = LoadExchanger(
+            settings=settings,
+            board=self._board,
+            table=self._table,
+            gate=self._gate,
+            client=self._control,
+        )
+        self._control_server = ControlServer(
+            address=process.control, key=key, traffic=self._traffic, handler=self._handle
+        )
+        counters = RelayCounters()
+        endpoint = Endpoint(
+            key=key, board=self._board, table=self._table, gate=self._gate, clock=clock
+        )
+        self._app = build_app(
+            chat=ChatEndpoint(
+                endpoint=endpoint,
+                gate=self._gate,
+                board=self._board,
+                chats=self._chats,
+                cold_limit=self._cold_limit,
+                upstream=Upstream(client=self._engine),
+                counters=counters,
+                clock=clock,
+            ),
+            service=ServiceEndpoint(
+                endpoint=endpoint,
+                gate=self._gate,
+                cold_limit=self._cold_limit,
+                client=self._engine,
+                clock=clock,
+            ),
+            status=StatusView(
+                settings=settings,
+                board=self._board,
+                gate=self._gate,
+                table=self._table,
+                cold_limit=self._cold_limit,
+                chats=self._chats,
+                counters=counters,
+                traffic=self._traffic,
+                clock=clock,
+            ),
+            gate=self._gate,
+            metrics=self._metrics,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain and return."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, stop.set)
+        server = self._make_server()
+        serving = asyncio.create_task(server._serve())
+        controlling = asyncio.create_task(run_controllers(self._controllers()))
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait({serving, controlling, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if stop.is_set():
+            drainer = Drainer(
+                board=self._board,
+                gate=self._gate,
+                timeout_s=self._settings.process.drain_timeout_s,
+            )
+            await drainer.drain()
+        server.should_exit = True
+        await serving
+        stopping.cancel()
+        controlling.cancel()
+        await asyncio.gather(controlling, return_exceptions=stop.is_set())
+        self._control.close()
+        self._engine.close()
+        await self._http.aclose()
+
+    def _controllers(self) -> list[Controller]:
+        hosts = HttpHostList(client=self._http, url=self._settings.process.platform_url)
+        return [
+            HostPoller(board=self._board, hosts=hosts),
+            ServerMonitor(
+                board=self._board,
+                client=self._engine,
+                cold_limit=self._cold_limit,
+                chats=self._chats,
+            ),
+            self._control_server,
+            self._exchanger,
+        ]
+
+    async def _handle(self, message: Message) -> Message:
+        if isinstance(message, LoadExchange):
+            return self._exchanger.handle(message)
+        if isinstance(message, Hint):
+            self._chats.hint(message.chat, message.server, now=time.monotonic())
+        return Ack()
+
+    def _make_server(self) -> uvicorn.Server:
+        host, _, port = self._settings.process.http.rpartition(":")
+        config = uvicorn.Config(
+            self._app,
+            host=host,
+            port=int(port),
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            access_log=False,
+            log_level="warning",
+            timeout_graceful_shutdown=2,
+        )
+        return uvicorn.Server(config)
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/relay/__init__.py
@@ -0,0 +1,23 @@
+"""Relay of requests to the server beside the agent."""
+
+from __future__ import annotations
+
+from cornellead_agent.relay._engine_client import EngineClient
+from cornellead_agent.relay._engine_client import ExchangeError
+from cornellead_agent.relay._engine_client import WholeResponse
+from cornellead_agent.relay._engine_connection import EngineConnection
+from cornellead_agent.relay._engine_connection import EngineResponse
+from cornellead_agent.relay._event_assembler import EventAssembler
+from cornellead_agent.relay._upstream import ChatRequest
+from cornellead_agent.relay._upstream import Upstream
+
+__all__ = [
+    "ChatRequest",
+    "EngineClient",
+    "EngineConnection",
+    "EngineResponse",
+    "EventAssembler",
+    "ExchangeError",
+    "Upstream",
+    "WholeResponse",
+]
--- a/packages/core/src/cornellead_core/load/__init__.py
+++ b/packages/core/src/cornellead_core/load/__init__.py
@@ -14,6 +14,7 @@
 from cornellead_core.load._digest import encode_digest
 from cornellead_core.load._load_table import LoadEstimate
 from cornellead_core.load._load_table import LoadTable
+from cornellead_core.load._load_table import server_group
 
 __all__ = [
     "BATCH_SHARE",
@@ -28,4 +29,5 @@
     "admission_limit",
     "decode_digest",
     "encode_digest",
+    "server_group",
 ]
--- a/packages/core/src/cornellead_core/load/_load_table.py
+++ b/packages/core/src/cornellead_core/load/_load_table.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import xxhash
+
 from cornellead_core.load._digest import DcSummary
 from cornellead_core.load._digest import Digest
 from cornellead_core.load._digest import LoadReport
@@ -15,6 +18,22 @@
 
 HORIZON_S = 3.0
 """Age at which a summary's load counts for nothing in the estimate."""
+EXPIRY_S = 5.0
+"""Age at which a summary's capacity is dropped too.
+
+Without it, half a fleet that is cut off would count as idle and the limits of the other half would
+shrink to one request for as long as the partition lasts.
+"""
+DEVIATIONS = 3.0
+"""Standard deviations of the number of requests that may have finished since the summaries."""
+
+
+def server_group(server: str) -> int:
+    """Return the group number of a server that is summarised alone.
+
+    It depends on the name only, so that processes whose host lists differ agree on it.
+    """
+    return xxhash.xxh3_64_intdigest(server.encode()) >> 33 | 1 << 30
 
 
 class LoadEstimate(NamedTuple):
@@ -95,19 +114,26 @@
             if now - dated.taken_at <= max_age_s
         ]
 
-    def estimate(self, *, now: float, excluded: Collection[str] = ()) -> LoadEstimate:
+    def estimate(
+        self, *, now: float, excluded: Collection[str] = (), added: int = 0
+    ) -> LoadEstimate:
         """Estimate the mean load, low when summaries are old.
 
         :param excluded: Data centres out of service.
+        :param added: Requests to count besides, such as the one that is being admitted.
         """
-        load, capacity, servers, oldest = 0.0, 0.0, 0, 0.0
+        load, capacity, servers, oldest, finished = 0.0, 0.0, 0, 0.0, 0.0
         for (dc, _), dated in self._summaries.items():
-            if dc in excluded:
-                continue
             age = now - dated.taken_at
-            load += dated.summary.load * max(0.0, 1.0 - age / HORIZON_S)
+            if dc in excluded or age > EXPIRY_S:
+                continue
+            weight = max(0.0, 1.0 - age / HORIZON_S)
+            load += dated.summary.load * weight
+            finished += dated.summary.load * (1.0 - weight)
             capacity += dated.summary.capacity
             servers += dated.summary.servers
-            oldest = max(oldest, age)
+            if dated.summary.servers:
+                oldest = max(oldest, age)
+        load = max(0.0, load - DEVIATIONS * math.sqrt(finished)) + added
         rho = load / capacity if capacity else 0.0
         return LoadEstimate(rho, capacity, servers, oldest)
