--- a/packages/agent/src/cornellead_agent/admission/_decision.py
+++ b/packages/agent/src/cornellead_agent/admission/_decision.py
@@ -52,7 +52,7 @@
 ) -> Refusal | None:
     """Return why a request is refused, or ``None`` to admit it.
 
-    >>> view = AdmissionView(ServerState.SERVING, 3, 9, 1.25, 8.0, 16, 16)
+    >>> view = AdmissionView(ServerState.SERVING, 3, 9, 1.25, 0.5, 16, 16)
     >>> decide_admission(AdmissionRequest(), view, now=0.0)
     >>> decide_admission(AdmissionRequest(), view._replace(in_flight=10), now=0.0).reason.value
     'over_bound'
--- a/packages/agent/src/cornellead_agent/cli/_main.py
+++ b/packages/agent/src/cornellead_agent/cli/_main.py
@@ -8,9 +8,9 @@
 from absl import flags
 from returns.result import Success
 
-from cornellead_agent.cli._settings_file import read_settings
 from cornellead_agent.process import Agent
 from cornellead_core.logs import configure_logs
+from cornellead_core.settings import load_agent_settings
 
 USAGE_STATUS = 2
 
@@ -29,9 +29,9 @@
         return _fail(f"{exc}; use cornellead-agent --settings=FILE")
     if values.settings is None:
         return _fail("use cornellead-agent --settings=FILE")
-    loaded = read_settings(values.settings)
+    loaded = load_agent_settings(values.settings)
     if not isinstance(loaded, Success):
-        return _fail(loaded.failure())
+        return _fail("\n".join(str(error) for error in loaded.failure()))
     settings = loaded.unwrap()
     configure_logs(process=settings.process.name, as_json=settings.process.log_format == "json")
     asyncio.run(Agent(settings=settings).run())
