--- /dev/null
+++ b/packages/router/src/cornellead/api/_caller_connection.py
@@ -0,0 +1,123 @@
+"""The caller's side of one request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cornellead.errors import ApiError
+from cornellead.errors import invalid
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from litestar.types import Receive
+    from litestar.types import Scope
+    from litestar.types import Send
+
+
+class CallerConnection:
+    """Reads the request body, sends the response, and cancels the work when the caller leaves."""
+
+    def __init__(self, *, scope: Scope, receive: Receive, send: Send) -> None:
+        self._receive = receive
+        self._send = send
+        self._headers = {name: text.decode("latin-1") for name, text in scope["headers"]}
+        self._watcher: asyncio.Task[None] | None = None
+        self.started = False
+        self.gone = False
+
+    def header(self, name: str) -> str | None:
+        """Return a request header.
+
+        :param name: Lower-case name.
+        """
+        return self._headers.get(name.encode())
+
+    @property
+    def bearer_token(self) -> str | None:
+        """Token of the ``Authorization`` header."""
+        scheme, _, token = (self.header("authorization") or "").partition(" ")
+        return token.strip() if scheme.lower() == "bearer" and token.strip() else None
+
+    async def read_body(self, *, limit: int, timeout_s: float) -> bytes | ApiError:
+        """Read the request body.
+
+        :param limit: Longest accepted body in bytes.
+        :param timeout_s: Longest wait for the whole body.
+        """
+        length = self.header("content-length")
+        if length is not None and length.isdecimal() and int(length) > limit:
+            return _too_long(limit)
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    message = await self._receive()
+                    if message["type"] == "http.disconnect":
+                        self.gone = True
+                        return invalid("the connection closed before the body was complete")
+                    if message["type"] != "http.request":
+                        continue
+                    part = message["body"]
+                    size += len(part)
+                    if size > limit:
+                        return _too_long(limit)
+                    parts.append(part)
+                    if not message["more_body"]:
+                        return b"".join(parts)
+        except TimeoutError:
+            text = f"the body did not arrive within {timeout_s:g} s; send it without pauses"
+            return invalid(text, status=408, code="body_timeout")
+
+    def watch(self) -> None:
+        """Cancel the calling task when the caller disconnects before the response is complete."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._watcher = asyncio.create_task(self._watch(task))
+
+    def unwatch(self) -> None:
+        """Stop watching; the response is complete."""
+        if self._watcher is not None:
+            self._watcher.cancel()
+            self._watcher = None
+
+    async def start(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        """Send status and headers."""
+        self.started = True
+        await self._send(
+            {"type": "http.response.start", "status": status, "headers": list(headers)}
+        )
+
+    async def respond(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Send a whole response."""
+        self.unwatch()
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self._send({"type": "http.response.body", "body": body, "more_body": False})
+
+    async def fail(self, error: ApiError, request_id: str) -> None:
+        """Send an error response."""
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"x-request-id", request_id.encode()),
+            *error.headers(),
+        ]
+        if error.status in (408, 413):
+            # The rest of the body is not read, so the connection cannot carry another request.
+            headers.append((b"connection", b"close"))
+        await self.respond(error.status, headers, error.body())
+
+    async def _watch(self, task: asyncio.Task[object]) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        self.gone = True
+        task.cancel()
+
+
+def _too_long(limit: int) -> ApiError:
+    text = f"the body is longer than {limit} bytes; shorten the conversation"
+    return invalid(text, status=413, code="body_too_long")
--- /dev/null
+++ b/packages/router/src/cornellead/api/_chat_body.py
@@ -0,0 +1,36 @@
+"""The fields of a chat request that the router reads."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from cornellead.errors import ApiError
+from cornellead.errors import invalid
+
+
+class ChatBody(msgspec.Struct):
+    """Body of ``POST /v1/chat/completions``; other fields go to the engine unread."""
+
+    model: str
+    messages: list[dict[str, Any]]
+    stream: bool = False
+
+
+_decoder = msgspec.json.Decoder(ChatBody)
+
+
+def parse_chat_body(body: bytes) -> ChatBody | ApiError:
+    """Parse the body.
+
+    >>> parse_chat_body(b'{"model": "m", "messages": []}').code
+    'invalid_request'
+    """
+    try:
+        chat = _decoder.decode(body)
+    except msgspec.DecodeError as exc:
+        return invalid(f"the body is not a chat request: {exc}")
+    if not chat.messages:
+        return invalid("messages is empty; send at least one message")
+    return chat
--- /dev/null
+++ b/packages/router/src/cornellead/api/_http_app.py
@@ -0,0 +1,106 @@
+"""The ASGI application of a router."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+from litestar import Litestar
+from litestar import asgi
+
+from cornellead.api._caller_connection import CallerConnection
+from cornellead.api._caller_request import authenticate
+from cornellead.errors import ApiError
+from cornellead.errors import invalid
+from cornellead_core.facts import CONFIG
+from cornellead_core.facts import DRAINING
+
+if TYPE_CHECKING:
+    from litestar.types import ASGIApp
+    from litestar.types import Receive
+    from litestar.types import Scope
+    from litestar.types import Send
+
+    from cornellead.api._status import Status
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.metrics import Metrics
+
+_JSON = [(b"content-type", b"application/json")]
+_TEXT = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+
+
+class HttpApp:
+    """Routes of the caller API.
+
+    Handlers are raw ASGI: chunks of a stream pass through no layer of the framework.
+    """
+
+    def __init__(
+        self, *, chat: ASGIApp, board: Blackboard, metrics: Metrics, status: Status
+    ) -> None:
+        self._chat = chat
+        self._board = board
+        self._metrics = metrics
+        self._status = status
+
+    def build(self) -> Litestar:
+        """Return the application."""
+        return Litestar(
+            route_handlers=[
+                asgi("/v1/chat/completions", copy_scope=False)(_only("POST", self._chat)),
+                asgi("/v1/models", copy_scope=False)(_only("GET", self._models)),
+                asgi("/healthz", copy_scope=False)(_only("GET", self._health)),
+                asgi("/readyz", copy_scope=False)(_only("GET", self._ready)),
+                asgi("/metrics", copy_scope=False)(_only("GET", self._show_metrics)),
+                asgi("/status", copy_scope=False)(_only("GET", self._show_status)),
+            ],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    async def _models(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        team = authenticate(conn, self._board)
+        if isinstance(team, ApiError):
+            await conn.fail(team, "")
+            return
+        models = [
+            {"id": model, "object": "model", "created": 0, "owned_by": "fleet"}
+            for model in sorted(team.models)
+        ]
+        await conn.respond(200, _JSON, msgspec.json.encode({"object": "list", "data": models}))
+
+    async def _health(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        await conn.respond(200, _TEXT, b"ok\n")
+
+    async def _ready(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        if self._board.read(DRAINING):
+            await conn.respond(503, _TEXT, b"stopping\n")
+        elif self._board.read(CONFIG).offset < 0:
+            await conn.respond(503, _TEXT, b"no configuration yet\n")
+        else:
+            await conn.respond(200, _TEXT, b"ready\n")
+
+    async def _show_metrics(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        await conn.respond(200, _TEXT, self._metrics.render())
+
+    async def _show_status(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        body = self._status.collect(now=asyncio.get_running_loop().time())
+        await conn.respond(200, _JSON, msgspec.json.encode(body))
+
+
+def _only(method: str, app: ASGIApp) -> ASGIApp:
+    async def serve(scope: Scope, receive: Receive, send: Send) -> None:
+        if scope.get("method") == method:
+            await app(scope, receive, send)
+            return
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        error = invalid(f"use {method} for this path", status=405, code="method_not_allowed")
+        await conn.fail(error, "")
+
+    return serve
--- /dev/null
+++ b/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
@@ -0,0 +1,203 @@
+"""Finds a server that takes a chat request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from cornellead.dispatch._agent_reply import Answered
+from cornellead.dispatch._agent_reply import Refused
+from cornellead.dispatch._agent_request import AgentRequest
+from cornellead.errors import ApiError
+from cornellead.errors import busy
+from cornellead.errors import lost
+from cornellead.errors import too_late
+from cornellead.fleet import engines_for
+from cornellead.placement import PlacementPlan
+from cornellead.upstream import Exchange
+from cornellead.upstream import ResponseHead
+from cornellead_core import headers as names
+from cornellead_core.config import Priority
+from cornellead_core.config import TeamPolicy
+from cornellead_core.facts import CONFIG
+from cornellead_core.facts import HOSTS
+from cornellead_core.outcomes import RefusalReason
+from cornellead_core.placement import ChatKey
+from cornellead_core.placement import Weighted
+from cornellead_core.placement import order_by_rendezvous
+
+if TYPE_CHECKING:
+    from cornellead.dispatch._agent_caller import AgentCaller
+    from cornellead.dispatch._hint_sender import HintSender
+    from cornellead.fleet import ServerView
+    from cornellead.placement import Placement
+    from cornellead.waiting import WaitingRoom
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.platform import HostEntry
+    from cornellead_core.retries import RetryBudget
+
+ERROR_BODY_LIMIT = 64 << 10
+
+
+class ChatJob(NamedTuple):
+    """A chat request that passed authentication and parsing."""
+
+    request: AgentRequest
+    model: str
+    key: ChatKey
+    team: TeamPolicy
+    priority: Priority
+
+
+class Placed(NamedTuple):
+    """A server accepted the request."""
+
+    server: str
+    head: ResponseHead
+    exchange: Exchange
+
+
+class Progress:
+    """What the attempts of one request have led to so far."""
+
+    def __init__(self) -> None:
+        self.may_have_run = False
+        """Whether an attempt that ended may have run."""
+        self.in_flight = False
+        """Whether an attempt was sent and not refused."""
+        self.waited_s = 0.0
+        """Time in the wait queue, in seconds."""
+
+
+class ChatDispatcher:
+    """Offers a request to servers in preference order, then lets it wait for its turn."""
+
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        caller: AgentCaller,
+        view: ServerView,
+        room: WaitingRoom,
+        budget: RetryBudget,
+        hints: HintSender,
+        attempts: int,
+    ) -> None:
+        self._board = board
+        self._caller = caller
+        self._view = view
+        self._room = room
+        self._budget = budget
+        self._hints = hints
+        self._attempts = attempts
+
+    async def place(
+        self, job: ChatJob, progress: Progress, *, resume_from: int | None = None
+    ) -> Placed | ApiError:
+        """Find a server.
+
+        :param resume_from: Events already delivered to the caller, when a stream is resumed.
+        :returns: The response, or the error for the caller once no attempt may follow.
+        """
+        # A resumed stream was admitted before; it does not queue again behind new requests.
+        overtakes = resume_from is not None
+        if overtakes or not self._room.waits_before(job.model, job.priority):
+            found = await self._try_round(job, progress, resume_from)
+            if found is not None:
+                return found
+        return await self._wait(job, progress, resume_from)
+
+    async def _wait(
+        self, job: ChatJob, progress: Progress, resume_from: int | None
+    ) -> Placed | ApiError:
+        loop = asyncio.get_running_loop()
+        ticket = self._room.enter(
+            job.model,
+            team=job.team.name,
+            weight=max(1, job.team.concurrent_requests),
+            priority=job.priority,
+        )
+        if ticket is None:
+            return self._overloaded(progress)
+        entered_at = loop.time()
+        found: Placed | ApiError | None = None
+        try:
+            while found is None:
+                deadline = job.request.deadline
+                if not await self._room.wait_turn(job.model, ticket, deadline=deadline):
+                    if loop.time() >= deadline:
+                        return too_late(may_have_run=progress.may_have_run)
+                    return self._overloaded(progress)
+                found = await self._try_round(job, progress, resume_from)
+        finally:
+            self._room.leave(job.model, ticket, served=found is not None)
+            progress.waited_s += loop.time() - entered_at
+        return found
+
+    def _overloaded(self, progress: Progress) -> ApiError:
+        error = busy("overloaded", "all servers are at their limits; retry later")
+        return error if not progress.may_have_run else lost(error.message, may_have_run=True)
+
+    async def _try_round(
+        self, job: ChatJob, progress: Progress, resume_from: int | None
+    ) -> Placed | ApiError | None:
+        loop = asyncio.get_running_loop()
+        config = self._board.read(CONFIG)
+        hosts = self._board.read(HOSTS)
+        engines = engines_for(job.model, hosts=hosts, config=config)
+        order = order_by_rendezvous(
+            job.key.placement_key(job.model),
+            [Weighted(host.name, host.capacity) for host in engines.values()],
+        )
+        plan = PlacementPlan(
+            order=order,
+            view=self._view,
+            attempts=self._attempts,
+            batch=job.priority is Priority.BATCH,
+        )
+        hinted = False
+        while (placement := plan.next(now=loop.time())) is not None:
+            if loop.time() >= job.request.deadline:
+                return too_late(may_have_run=progress.may_have_run)
+            host = engines[placement.server]
+            progress.in_flight = True
+            reply = await self._caller.call(host, job.request, _extra(placement, resume_from))
+            if isinstance(reply, Answered) and reply.head.status < 500:
+                if not hinted:
+                    self._send_hint(job, engines[order[0]], placement.server)
+                return Placed(placement.server, reply.head, reply.exchange)
+            progress.in_flight = False
+            if isinstance(reply, Refused):
+                if reply.refusal.reason is RefusalReason.DEADLINE:
+                    return too_late(may_have_run=progress.may_have_run)
+                hinted = reply.refusal.reason is RefusalReason.MOVED
+                plan.refused(reply.refusal.reason, reply.refusal.hint)
+                continue
+            if isinstance(reply, Answered):
+                await reply.exchange.read_all(limit=ERROR_BODY_LIMIT)
+                self._view.failed(placement.server, now=loop.time())
+                message, may_have_run = f"{host.name} failed with {reply.head.status}", True
+            else:
+                message, may_have_run = reply.message, reply.may_have_run
+            progress.may_have_run |= may_have_run
+            if loop.time() >= job.request.deadline:
+                return too_late(may_have_run=progress.may_have_run)
+            if not self._budget.try_spend(now=loop.time()):
+                return lost(message, may_have_run=progress.may_have_run)
+        return None
+
+    def _send_hint(self, job: ChatJob, first: HostEntry, server: str) -> None:
+        if first.name != server:
+            self._hints.offer(first.control, chat=job.key.value, server=server)
+
+
+def _extra(placement: Placement, resume_from: int | None) -> dict[str, str]:
+    fields = {}
+    if placement.adopt:
+        fields[names.ADOPT] = "1"
+    if placement.fallback:
+        fields[names.FALLBACK] = "1"
+    if resume_from:
+        fields[names.RESUME] = str(resume_from)
+    return fields
--- /dev/null
+++ b/packages/router/src/cornellead/errors/__init__.py
@@ -0,0 +1,11 @@
+"""Errors as callers see them."""
+
+from __future__ import annotations
+
+from cornellead.errors._api_error import ApiError
+from cornellead.errors._api_error import busy
+from cornellead.errors._api_error import invalid
+from cornellead.errors._api_error import lost
+from cornellead.errors._api_error import too_late
+
+__all__ = ["ApiError", "busy", "invalid", "lost", "too_late"]
--- /dev/null
+++ b/packages/router/src/cornellead/fleet/__init__.py
@@ -0,0 +1,9 @@
+"""What a router knows of the servers."""
+
+from __future__ import annotations
+
+from cornellead.fleet._candidates import engines_for
+from cornellead.fleet._candidates import servers_of
+from cornellead.fleet._server_view import ServerView
+
+__all__ = ["ServerView", "engines_for", "servers_of"]
--- /dev/null
+++ b/packages/router/src/cornellead/stats/__init__.py
@@ -0,0 +1,7 @@
+"""Counters of a router."""
+
+from __future__ import annotations
+
+from cornellead.stats._router_stats import RouterStats
+
+__all__ = ["RouterStats"]
--- /dev/null
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -0,0 +1,140 @@
+"""One connection to an agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import httptools
+
+from cornellead.upstream._exchange import HIGH_WATER_BYTES
+from cornellead.upstream._exchange import Exchange
+from cornellead.upstream._exchange import ResponseHead
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Connection(asyncio.Protocol):
+    """Sends one request at a time and pushes the parsed response into an `Exchange`.
+
+    :param release: Called when a response is complete and the connection can be used again.
+    """
+
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, release: Callable[[Connection], None]
+    ) -> None:
+        self._loop = loop
+        self._release = release
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._exchange: Exchange | None = None
+        self._headers: dict[str, str] = {}
+        self._paused = False
+        self.idle_since = 0.0
+        self.closed = False
+
+    def send(self, head: bytes, body: bytes) -> Exchange:
+        """Write a request.
+
+        :param head: Request line and headers with the final empty line.
+        """
+        assert self._transport is not None and self._exchange is None
+        # A new parser for each response: nothing of an earlier response can leak into this one.
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = {}
+        self._exchange = Exchange(loop=self._loop, abort=self.close, resume_reading=self._resume)
+        self._transport.write(head + body)
+        return self._exchange
+
+    def close(self) -> None:
+        """Close at once without sending pending bytes."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Parse response bytes."""
+        exchange = self._exchange
+        if exchange is None or self._parser is None:
+            # Bytes without a request: a late or duplicated response must not reach another one.
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._fail()
+            return
+        if exchange.pending_bytes > HIGH_WATER_BYTES and not self._paused and not self.closed:
+            self._paused = True
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Close after the agent closed its side."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report an incomplete response as broken."""
+        del exc
+        self.closed = True
+        self._fail()
+
+    def on_message_begin(self) -> None:
+        """Reject a second response to the same request."""
+        if self._exchange is None or self._exchange.complete:
+            self.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Publish status and headers."""
+        if self._exchange is None or self._parser is None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._headers = {}
+            return
+        self._exchange.put_head(ResponseHead(status, self._headers))
+
+    def on_body(self, data: bytes) -> None:
+        """Publish body bytes."""
+        if self._exchange is not None and not self.closed:
+            self._exchange.put_body(data)
+
+    def on_message_complete(self) -> None:
+        """Finish the exchange and offer the connection for the next request."""
+        exchange, parser = self._exchange, self._parser
+        if exchange is None or parser is None or parser.get_status_code() < 200:
+            return
+        exchange.finish(complete=True)
+        self._exchange = None
+        if not parser.should_keep_alive() or self.closed:
+            self.close()
+            return
+        self._resume()
+        # Released from the loop, not here: the rest of this read may hold bytes that close it.
+        self._loop.call_soon(self._offer)
+
+    def _offer(self) -> None:
+        if not self.closed:
+            self._release(self)
+
+    def _resume(self) -> None:
+        if self._paused and self._transport is not None and not self.closed:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _fail(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.finish(complete=False)
+        if not self.closed:
+            self.close()
