--- a/scripts/fleet/_fleet.py
+++ b/scripts/fleet/_fleet.py
@@ -65,8 +65,7 @@
         self.listeners = {server.name: self._ports.take() for server in plan.servers}
         """``ip:port`` of each stand-in server."""
         self.addresses = {
-            host.name: Addresses(self._ports.take(), self._ports.take())
-            for host in plan.hosts
+            host.name: Addresses(self._ports.take(), self._ports.take()) for host in plan.hosts
         }
         """Listeners of each router, and of each agent by the name of its server."""
 
