--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -8,6 +8,9 @@
 from cornellead_core.config._config_state import decode_state
 from cornellead_core.config._config_state import digest_state
 from cornellead_core.config._config_state import encode_state
+from cornellead_core.config._documents import Document
+from cornellead_core.config._documents import check_documents
+from cornellead_core.config._documents import load_documents
 from cornellead_core.config._fleet_config import EMPTY_CONFIG
 from cornellead_core.config._fleet_config import FleetConfig
 from cornellead_core.config._fleet_config import Priority
@@ -42,6 +45,7 @@
     "ChangeRecord",
     "ConfigObject",
     "ConfigState",
+    "Document",
     "FleetConfig",
     "ObjectKind",
     "Priority",
@@ -52,11 +56,13 @@
     "TeamPolicy",
     "Verdict",
     "apply_change",
+    "check_documents",
     "decode_state",
     "digest_state",
     "encode_state",
     "find_object_problems",
     "find_problems",
+    "load_documents",
     "make_snapshot",
     "parse_snapshot",
     "reduce_record",
--- a/packages/core/src/cornellead_core/distribution/__init__.py
+++ b/packages/core/src/cornellead_core/distribution/__init__.py
@@ -7,11 +7,15 @@
 from cornellead_core.distribution._config_store import ConfigStore
 from cornellead_core.distribution._control_requester import ControlRequester
 from cornellead_core.distribution._host_list_watcher import HostListWatcher
+from cornellead_core.distribution._snapshot_search import FoundSnapshot
+from cornellead_core.distribution._snapshot_search import find_snapshot
 
 __all__ = [
     "ConfigDistributor",
     "ConfigExchange",
     "ConfigStore",
     "ControlRequester",
+    "FoundSnapshot",
     "HostListWatcher",
+    "find_snapshot",
 ]
--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -10,10 +10,11 @@
 from returns.result import Success
 
 from cornellead_core.config import STREAM
-from cornellead_core.config import parse_snapshot
 from cornellead_core.distribution._config_exchange import PROBE_OFFSET
 from cornellead_core.distribution._config_exchange import ConfigExchange
 from cornellead_core.distribution._config_store import ConfigStore
+from cornellead_core.distribution._snapshot_search import PAGE_RECORDS
+from cornellead_core.distribution._snapshot_search import find_snapshot
 from cornellead_core.facts import HOSTS
 from cornellead_core.membership import Peers
 from cornellead_core.wire import ConfigOffset
@@ -39,7 +40,6 @@
 START_RETRY_S = 0.5
 HOSTS_WAIT_S = 2.0
 START_PEERS = 3
-PAGE_RECORDS = 500
 MAX_PUSHES = 16
 """Pushes in flight; a peer that does not answer holds one for the request timeout."""
 MAX_PULL_ROUNDS = 8
@@ -149,10 +149,12 @@
         :returns: Whether the end of the log was reached.
         """
         while True:
-            if page.oldest_offset > self.store.offset + 1 and not await self._adopt_snapshot(page):
-                return False
-            self._exchange.take_page(page, now=self._clock())
-            self._send_pushes()
+            if page.oldest_offset > self.store.offset + 1:
+                if not await self._adopt_snapshot():
+                    return False
+            else:
+                self._exchange.take_page(page, now=self._clock())
+                self._send_pushes()
             offset = self.store.offset
             if offset + 1 >= page.end_offset:
                 return True
@@ -161,24 +163,12 @@
                 return False
             page = read.unwrap()
 
-    async def _adopt_snapshot(self, page: LogPage) -> bool:
-        """Adopt the earliest snapshot from which the kept records continue."""
-        offset = page.oldest_offset
-        while offset < page.end_offset:
-            read = await self._log.read(STREAM, from_offset=offset, limit=PAGE_RECORDS)
-            if not isinstance(read, Success):
-                return False
-            page = read.unwrap()
-            for record in page.records:
-                state = parse_snapshot(record.value).value_or(None)
-                if state is None or state.offset + 1 < page.oldest_offset:
-                    continue
-                if self.store.adopt(state, needed_since_ms=record.time_ms):
-                    return True
-            if page.next_offset <= offset:
-                return False
-            offset = page.next_offset
-        return False
+    async def _adopt_snapshot(self) -> bool:
+        found = await find_snapshot(self._log)
+        if not isinstance(found, Success):
+            return False
+        state, time_ms = found.unwrap()
+        return self.store.adopt(state, needed_since_ms=time_ms)
 
     async def _follow_log(self) -> None:
         while True:
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_change.py
@@ -0,0 +1,95 @@
+"""What the verbs that change the configuration share."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import httpx
+from returns.result import Success
+
+from cornellead.cli._config_history import ConfigHistory
+from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._output import print_errors
+from cornellead.cli._output import print_json
+from cornellead.cli._publisher import Publisher
+from cornellead_core.platform import HttpLog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from absl import flags
+
+    from cornellead_core.config import AuditRecord
+    from cornellead_core.config import ConfigState
+
+
+class ChangePlan(NamedTuple):
+    """Objects to publish, or why they cannot be."""
+
+    objects: dict[str, dict[str, Any] | None]
+    errors: list[str]
+
+
+async def run_change(
+    values: flags.FlagValues, plan: Callable[[ConfigState], ChangePlan], *, base: int | None = None
+) -> int:
+    """Plan a change against the present configuration, publish it and print the outcome.
+
+    :param values: Flags with ``platform``, ``timeout``, ``author`` and ``output``.
+    :param base: Offset that the change is based on; the present one by default.
+    """
+    async with httpx.AsyncClient() as client:
+        log = HttpLog(client=client, url=values.platform)
+        history = ConfigHistory(log=log)
+        read = await history.refresh()
+        if not isinstance(read, Success):
+            print(f"{read.failure().message}; nothing was changed", file=sys.stderr)
+            return ExitCode.UNAVAILABLE
+        state = read.unwrap()
+        objects, errors = plan(state)
+        if errors:
+            print_errors(errors)
+            return ExitCode.FAILED
+        if not objects:
+            return _print_unchanged(state.offset, as_json=values.output == "json")
+        publisher = Publisher(log=log, history=history, timeout_s=values.timeout)
+        outcome = await publisher.publish(
+            objects, author=values.author, base=state.offset if base is None else base
+        )
+    if not isinstance(outcome, Success):
+        print(outcome.failure().message, file=sys.stderr)
+        return outcome.failure().code
+    audit = outcome.unwrap()
+    if values.output == "json":
+        print_json(audit)
+    else:
+        _print_audit(audit)
+    return ExitCode.OK if audit.accepted else ExitCode.FAILED
+
+
+def _print_unchanged(offset: int, *, as_json: bool) -> int:
+    if as_json:
+        print_json({"offset": offset, "accepted": True, "objects": []})
+    else:
+        print(f"unchanged: the fleet already has this configuration (offset {offset})")
+    return ExitCode.OK
+
+
+def _print_audit(audit: AuditRecord) -> None:
+    names = ", ".join(audit.objects)
+    if audit.accepted:
+        print(f"accepted at offset {audit.offset}: {names}")
+        return
+    print(f"rejected at offset {audit.offset}: {audit.reason}", file=sys.stderr)
+    if audit.winner >= 0:
+        print(
+            f"version {audit.winner} is in force. See it with `cornellead audit "
+            f"--from={audit.winner}`, compare with `cornellead diff`, bring the files up to date "
+            "and publish them again.",
+            file=sys.stderr,
+        )
+    else:
+        print("correct the files and publish them again", file=sys.stderr)
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_publisher.py
@@ -0,0 +1,87 @@
+"""Publishing of a change and the search for its outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead.cli._exit_code import ExitCode
+from cornellead_core.config import STREAM
+from cornellead_core.config import AuditRecord
+from cornellead_core.config import ChangeRecord
+from cornellead_core.platform import AppendError
+
+if TYPE_CHECKING:
+    from cornellead.cli._config_history import ConfigHistory
+    from cornellead_core.platform import Log
+
+RETRY_S = 0.25
+
+
+class PublishFailure(NamedTuple):
+    """Why no decision on a change is known, and what to do."""
+
+    code: ExitCode
+    message: str
+
+
+class Publisher:
+    """Appends a change and reads the log until the decision on it is known.
+
+    :param history: The stream, already read once.
+    """
+
+    def __init__(self, *, log: Log, history: ConfigHistory, timeout_s: float) -> None:
+        self._log = log
+        self._history = history
+        self._timeout_s = timeout_s
+
+    async def publish(
+        self, objects: dict[str, dict[str, Any] | None], *, author: str, base: int
+    ) -> Result[AuditRecord, PublishFailure]:
+        """Publish new values by object name; ``None`` deletes.
+
+        The change is appended again with the same id when an append fails: the reducer ignores
+        the second copy, so a lost answer never applies a change twice.
+
+        :param base: Offset of the configuration that the author saw.
+        """
+        change = ChangeRecord(uuid.uuid4().hex, author, base, objects, time.time())
+        deadline = time.monotonic() + self._timeout_s
+        maybe_stored, message = False, ""
+        while True:
+            appended = await self._log.append(STREAM, [change.to_record()])
+            if isinstance(appended, Success) or appended.failure() is AppendError.UNKNOWN:
+                maybe_stored = True
+            refreshed = await self._history.refresh()
+            audit = self._history.find(change.change_id)
+            if audit is not None:
+                return Success(audit)
+            if not isinstance(refreshed, Success):
+                message = refreshed.failure().message
+            if time.monotonic() >= deadline:
+                break
+            await asyncio.sleep(RETRY_S)
+        return Failure(_give_up(maybe_stored=maybe_stored, message=message))
+
+
+def _give_up(*, maybe_stored: bool, message: str) -> PublishFailure:
+    reason = f" ({message})" if message else ""
+    if maybe_stored:
+        return PublishFailure(
+            ExitCode.UNKNOWN,
+            f"the log did not confirm the change{reason}; it may still take effect. Run the same "
+            "command again: a change that took effect is then reported as unchanged.",
+        )
+    return PublishFailure(
+        ExitCode.UNAVAILABLE,
+        f"the log did not accept the change{reason}; nothing was changed. Try again later.",
+    )
