--- a/packages/core/src/cornellead_core/wire/__init__.py
+++ b/packages/core/src/cornellead_core/wire/__init__.py
@@ -6,6 +6,7 @@
 from cornellead_core.wire._codec import encode_message
 from cornellead_core.wire._control_client import ControlClient
 from cornellead_core.wire._control_server import ControlServer
+from cornellead_core.wire._messages import UNKNOWN_AGE_MS
 from cornellead_core.wire._messages import Ack
 from cornellead_core.wire._messages import ConfigOffset
 from cornellead_core.wire._messages import ConfigRecords
@@ -22,6 +23,7 @@
 from cornellead_core.wire._traffic import Traffic
 
 __all__ = [
+    "UNKNOWN_AGE_MS",
     "Ack",
     "ConfigOffset",
     "ConfigRecords",
--- a/packages/core/src/cornellead_core/wire/_codec.py
+++ b/packages/core/src/cornellead_core/wire/_codec.py
@@ -44,7 +44,7 @@
     >>> from cornellead_core.auth import FleetKey
     >>> key = FleetKey(secret=b"0123456789abcdef")
     >>> decode_message(encode_message(_messages.ConfigOffset(7), key=key), key=key).unwrap()
-    ConfigOffset(offset=7)
+    ConfigOffset(offset=7, log_age_ms=2147483648)
     """
     content = key.open(sealed)
     if not content:
--- a/packages/core/src/cornellead_core/wire/_messages.py
+++ b/packages/core/src/cornellead_core/wire/_messages.py
@@ -8,6 +8,8 @@
 from cornellead_core.load import DcSummary
 from cornellead_core.load import LoadReport
 
+UNKNOWN_AGE_MS = 1 << 31
+
 
 class Ack(NamedTuple):
     """Answer without content."""
@@ -30,6 +32,8 @@
     """Offset in force at the sender; answered with records above it or a snapshot."""
 
     offset: int
+    log_age_ms: int = UNKNOWN_AGE_MS
+    """Time since the log had no record above the offset, as far as the sender knows."""
 
 
 class ConfigRecords(NamedTuple):
@@ -39,6 +43,8 @@
     """Offset, append time in Unix milliseconds, and value as JSON."""
     offset: int
     """Offset in force at the sender."""
+    log_age_ms: int = UNKNOWN_AGE_MS
+    """As in `ConfigOffset`."""
 
 
 class ConfigStateRequest(NamedTuple):
