--- a/packages/core/src/cornellead_core/platform/_http_log.py
+++ b/packages/core/src/cornellead_core/platform/_http_log.py
@@ -25,7 +25,7 @@
 
 
 class _PageBody(msgspec.Struct):
-    records: list[tuple[int, int, dict[str, Any]]]
+    records: list[tuple[int, int, Any]]
     next: int
     oldest: int
     end: int
@@ -91,7 +91,12 @@
         body = msgspec.json.decode(content, type=_PageBody)
     except msgspec.DecodeError as exc:
         return Failure(PlatformError(f"log read answered malformed data: {exc}"))
-    records = [LogRecord(*record) for record in body.records]
+    # A value that is no object becomes an empty one: were the page refused, a single malformed
+    # record would stop every reader of the stream for good.
+    records = [
+        LogRecord(offset, time_ms, value if isinstance(value, dict) else {})
+        for offset, time_ms, value in body.records
+    ]
     return Success(
         LogPage(records, body.next, body.oldest, body.end, body.retention_s, body.time_ms)
     )
