--- /dev/null
+++ b/packages/agent/src/cornellead_agent/services/_answers.py
@@ -0,0 +1,118 @@
+"""Answers that the agent gives in place of the server."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from cornellead_agent.services._service_response import ServiceResponse
+from cornellead_core import headers
+from cornellead_core.outcomes import Outcome
+from cornellead_core.outcomes import Refusal
+from cornellead_core.outcomes import RefusalReason
+
+REPLAYED = "idempotent-replayed"
+
+_STATUS = {
+    RefusalReason.KEY_CONFLICT: 422,
+    RefusalReason.KEY_EXPIRED: 409,
+    RefusalReason.OVER_BOUND: 429,
+}
+
+_MESSAGES = {
+    RefusalReason.NOT_OWNER: "another agent owns the partition of this key; ask that agent",
+    RefusalReason.LOG_UNAVAILABLE: (
+        "the log cannot be read, so this attempt was not run; retry with the same key"
+    ),
+    RefusalReason.DEADLINE: "the deadline passed before this attempt was dispatched",
+    RefusalReason.SERVER_DOWN: "the server does not accept connections; retry with the same key",
+    RefusalReason.KEY_CONFLICT: (
+        "the idempotency key was used for another request; use a new key for a new request"
+    ),
+    RefusalReason.KEY_EXPIRED: "the idempotency key is older than its validity; use a new key",
+}
+
+_RETRY_AFTER_S = {RefusalReason.LOG_UNAVAILABLE: 1.0, RefusalReason.SERVER_DOWN: 1.0}
+
+
+def refuse_call(reason: RefusalReason, *, hint: str = "") -> ServiceResponse:
+    """Refuse a call under an idempotency key."""
+    return refuse(Refusal(reason, _MESSAGES[reason], hint, _RETRY_AFTER_S.get(reason)))
+
+
+def refuse(refusal: Refusal) -> ServiceResponse:
+    """Answer that the request did not run and will not run later."""
+    extra = [(headers.REFUSAL, refusal.reason.value)]
+    if refusal.hint:
+        extra.append((headers.HINT, refusal.hint))
+    return report(
+        status=_STATUS.get(refusal.reason, 503),
+        code=refusal.reason.value,
+        message=refusal.message,
+        outcome=Outcome.NOT_RUN,
+        retry_after_s=refusal.retry_after_s,
+        extra=extra,
+    )
+
+
+def report(
+    *,
+    status: int,
+    code: str,
+    message: str,
+    outcome: Outcome,
+    retry_after_s: float | None = None,
+    extra: list[tuple[str, str]] | None = None,
+) -> ServiceResponse:
+    """Answer with an error body that states the outcome."""
+    kind = "invalid_request_error" if status in (400, 409, 422) else "server_error"
+    error = {"message": message, "type": kind, "code": code, "outcome": outcome.value}
+    fields = [("content-type", "application/json"), *(extra or ())]
+    if retry_after_s is not None:
+        fields.append(("retry-after", str(math.ceil(retry_after_s))))
+    return ServiceResponse(status, fields, msgspec.json.encode({"error": error}))
+
+
+def report_unknown(*, status: int, code: str, message: str) -> ServiceResponse:
+    """Answer that the operation may have run; a retry with the same key never runs it again."""
+    return report(
+        status=status, code=code, message=message, outcome=Outcome.UNKNOWN, retry_after_s=1.0
+    )
+
+
+def unresolved() -> ServiceResponse:
+    """Answer a call whose key has an open claim that this agent cannot resolve."""
+    message = "an earlier call with this key has no recorded answer; it may have run"
+    return report_unknown(status=409, code="key_unresolved", message=message)
+
+
+def replay_unavailable() -> ServiceResponse:
+    """Answer a call whose key is done while the log cannot be read."""
+    return report(
+        status=503,
+        code="replay_unavailable",
+        message="the operation ran, but its recorded answer cannot be read now; retry later",
+        outcome=Outcome.RAN,
+        retry_after_s=1.0,
+    )
+
+
+def not_recorded() -> ServiceResponse:
+    """Answer a call that ran and whose answer is not on the log."""
+    return report(
+        status=502,
+        code="answer_not_recorded",
+        message="the operation ran, but its answer was too large to be recorded",
+        outcome=Outcome.RAN,
+    )
+
+
+def key_time_ahead() -> ServiceResponse:
+    """Answer a call whose key claims to be made later than now."""
+    return report(
+        status=400,
+        code="key_time_ahead",
+        message="Idempotency-Key-Time is in the future; send the time at which the key was made",
+        outcome=Outcome.NOT_RUN,
+    )
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -0,0 +1,75 @@
+"""Sends calls to the service beside the agent."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import httpx
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_agent.services._service_response import ServiceResponse
+
+if TYPE_CHECKING:
+    from cornellead_agent.services._service_request import ServiceRequest
+
+MAX_RESPONSE_BYTES = 4 << 20
+CONNECT_TIMEOUT_S = 2.0
+
+
+class SendError(StrEnum):
+    """Why a call has no complete answer."""
+
+    NOT_SENT = "not_sent"
+    """No connection; not a byte was sent."""
+    LOST = "lost"
+    """The call was sent, perhaps in part, and its answer did not arrive completely."""
+    TOO_LARGE = "too_large"
+    """The server answered with more bytes than the agent passes on."""
+
+
+class ServerClient:
+    """HTTP client of one service.
+
+    :param client: HTTP client; its owner closes it.
+    :param url: Base URL of the service.
+    """
+
+    def __init__(self, *, client: httpx.AsyncClient, url: str) -> None:
+        self._client = client
+        self._url = url.rstrip("/")
+
+    async def send(
+        self, request: ServiceRequest, *, timeout_s: float
+    ) -> Result[ServiceResponse, SendError]:
+        """Send a call once and read its whole answer."""
+        fields = {"content-type": request.content_type, "x-request-id": request.request_id}
+        if request.key is not None:
+            fields["idempotency-key"] = request.key
+        if request.at_most_once:
+            # A connection that the server closes while idle would lose the call without a trace.
+            fields["connection"] = "close"
+        timeout = httpx.Timeout(timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s))
+        url = f"{self._url}/v1/{quote(request.operation, safe='')}"
+        try:
+            async with self._client.stream(
+                "POST", url, content=request.body, headers=fields, timeout=timeout
+            ) as resp:
+                return await _read_answer(resp)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            return Failure(SendError.NOT_SENT)
+        except (httpx.HTTPError, httpx.InvalidURL):
+            return Failure(SendError.LOST)
+
+
+async def _read_answer(resp: httpx.Response) -> Result[ServiceResponse, SendError]:
+    body = bytearray()
+    async for chunk in resp.aiter_bytes():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            return Failure(SendError.TOO_LARGE)
+    content_type = resp.headers.get("content-type", "application/octet-stream")
+    return Success(ServiceResponse(resp.status_code, [("content-type", content_type)], bytes(body)))
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/services/_stream_reader.py
@@ -0,0 +1,133 @@
+"""Reads the stream of one partition in order."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_core.claims import ClaimsRecord
+from cornellead_core.claims import Ledger
+from cornellead_core.claims import Verdict
+from cornellead_core.claims import check_retention
+from cornellead_core.claims import decode_record
+
+if TYPE_CHECKING:
+    from cornellead_core.platform import Log
+    from cornellead_core.platform import LogPage
+
+PAGE_RECORDS = 1000
+SEARCH_ABOVE_RECORDS = 2000
+"""A longer stream is searched for the first record that matters instead of read from its start."""
+
+
+class ReadRecord(NamedTuple):
+    """A record after the ledger applied it."""
+
+    offset: int
+    record: ClaimsRecord
+    verdict: Verdict | None
+
+
+class StreamReader:
+    """Ledger of one partition and the position up to which it was read."""
+
+    def __init__(self, *, log: Log, stream: str, validity_s: float) -> None:
+        self._log = log
+        self._stream = stream
+        self._validity_s = validity_s
+        self.ledger = Ledger(validity_s=validity_s)
+        self.next_offset = -1
+        """-1 before the first read."""
+        self.at_end = False
+        self.malformed = 0
+
+    def reset(self) -> None:
+        """Forget everything; the next read starts again."""
+        self.ledger = Ledger(validity_s=self._validity_s)
+        self.next_offset = -1
+        self.at_end = False
+
+    async def read(self, *, wait_s: float) -> Result[list[ReadRecord], str]:
+        """Read the next page.
+
+        :param wait_s: Longest wait for the first record, in seconds.
+        :returns: The records with the ledger's verdicts.
+        """
+        self.at_end = False
+        if self.next_offset < 0:
+            start = await self._find_start()
+            if not isinstance(start, Success):
+                return Failure(start.failure())
+            self.next_offset = start.unwrap()
+        page = await self._fetch(from_offset=self.next_offset, limit=PAGE_RECORDS, wait_s=wait_s)
+        return page.map(self._apply)
+
+    async def fetch_record(self, offset: int) -> Result[ClaimsRecord | None, str]:
+        """Read one record again, without applying it."""
+        page = await self._fetch(from_offset=offset, limit=1, wait_s=0.0)
+        return page.map(lambda page: _record_at(page, offset))
+
+    def _apply(self, page: LogPage) -> list[ReadRecord]:
+        applied: list[ReadRecord] = []
+        position = self.next_offset
+        if page.oldest_offset > position:
+            self.ledger.skip_missing()
+        for offset, time_ms, value in page.records:
+            if offset < position:
+                continue
+            record = decode_record(value)
+            if record is None:
+                self.malformed += 1
+                continue
+            verdict = self.ledger.apply(record, offset=offset, time_ms=time_ms)
+            applied.append(ReadRecord(offset, record, verdict))
+        self.next_offset = max(position, page.next_offset)
+        self.ledger.advance(page.time_ms)
+        self.at_end = self.next_offset >= page.end_offset
+        return applied
+
+    async def _fetch(self, *, from_offset: int, limit: int, wait_s: float) -> Result[LogPage, str]:
+        result = await self._log.read(
+            self._stream, from_offset=from_offset, limit=limit, wait_s=wait_s
+        )
+        if not isinstance(result, Success):
+            return Failure(result.failure().message)
+        page = result.unwrap()
+        checked = check_retention(validity_s=self._validity_s, retention_s=page.retention_s)
+        if not isinstance(checked, Success):
+            return Failure(checked.failure())
+        if page.end_offset < self.next_offset:
+            return Failure(f"stream {self._stream} ends before records that were read from it")
+        return Success(page)
+
+    async def _find_start(self) -> Result[int, str]:
+        """Find the first offset whose record may still matter, by its time."""
+        result = await self._fetch(from_offset=0, limit=1, wait_s=0.0)
+        if not isinstance(result, Success):
+            return Failure(result.failure())
+        page = result.unwrap()
+        low, high = page.oldest_offset, page.end_offset
+        since_ms = page.time_ms - round(self.ledger.memory_s * 1000)
+        if low > 0:
+            self.ledger.skip_missing()
+        while high - low > SEARCH_ABOVE_RECORDS:
+            middle = (low + high) // 2
+            probe = await self._fetch(from_offset=middle, limit=1, wait_s=0.0)
+            if not isinstance(probe, Success):
+                return Failure(probe.failure())
+            records = probe.unwrap().records
+            if records and records[0].time_ms < since_ms:
+                low = middle
+            else:
+                high = middle
+        return Success(low)
+
+
+def _record_at(page: LogPage, offset: int) -> ClaimsRecord | None:
+    if not page.records or page.records[0].offset != offset:
+        return None
+    return decode_record(page.records[0].value)
--- /dev/null
+++ b/packages/core/src/cornellead_core/claims/__init__.py
@@ -0,0 +1,47 @@
+"""At-most-once execution: records on the log and the rules that decide them."""
+
+from __future__ import annotations
+
+from cornellead_core.claims._identity import PARTITIONS
+from cornellead_core.claims._identity import body_digest
+from cornellead_core.claims._identity import key_digest
+from cornellead_core.claims._identity import partition_of
+from cornellead_core.claims._identity import rank_owners
+from cornellead_core.claims._identity import stream_name
+from cornellead_core.claims._ledger import Epoch
+from cornellead_core.claims._ledger import KeyState
+from cornellead_core.claims._ledger import KeyView
+from cornellead_core.claims._ledger import Ledger
+from cornellead_core.claims._ledger import Verdict
+from cornellead_core.claims._records import CancelRecord
+from cornellead_core.claims._records import ClaimRecord
+from cornellead_core.claims._records import ClaimsRecord
+from cornellead_core.claims._records import DoneRecord
+from cornellead_core.claims._records import EpochRecord
+from cornellead_core.claims._records import decode_record
+from cornellead_core.claims._records import encode_record
+from cornellead_core.claims._retention import check_retention
+from cornellead_core.claims._retention import clock_allowance_s
+
+__all__ = [
+    "PARTITIONS",
+    "CancelRecord",
+    "ClaimRecord",
+    "ClaimsRecord",
+    "DoneRecord",
+    "Epoch",
+    "EpochRecord",
+    "KeyState",
+    "KeyView",
+    "Ledger",
+    "Verdict",
+    "body_digest",
+    "check_retention",
+    "clock_allowance_s",
+    "decode_record",
+    "encode_record",
+    "key_digest",
+    "partition_of",
+    "rank_owners",
+    "stream_name",
+]
