--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -6,129 +6,98 @@
 import signal
 from typing import TYPE_CHECKING
 
-from cornellead.api import ChatHandler
-from cornellead.api import HttpApp
-from cornellead.api import InProgress
-from cornellead.api import Status
-from cornellead.dispatch import AgentCaller
-from cornellead.dispatch import ChatDispatcher
-from cornellead.dispatch import HintSender
-from cornellead.fleet import ServerView
+import httpx
+
+from cornellead.process._config_puller import ConfigPuller
+from cornellead.process._control_handler import ControlHandler
 from cornellead.process._drain import Drain
 from cornellead.process._http_server import HttpServer
-from cornellead.process._pool_janitor import PoolJanitor
-from cornellead.stats import RouterStats
-from cornellead.upstream import AgentPool
-from cornellead.waiting import WaitingRoom
+from cornellead.process._traffic_parts import TrafficParts
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
 from cornellead_core.blackboard import run_controllers
-from cornellead_core.metrics import Metrics
-from cornellead_core.retries import RetryBudget
+from cornellead_core.distribution import ConfigDistributor
+from cornellead_core.distribution import HostListWatcher
+from cornellead_core.platform import HttpHostList
+from cornellead_core.platform import HttpLog
+from cornellead_core.wire import ControlClient
+from cornellead_core.wire import ControlServer
+from cornellead_core.wire import Traffic
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Sequence
-
-    from cornellead_core.auth import FleetKey
-    from cornellead_core.blackboard import Blackboard
     from cornellead_core.blackboard import Controller
     from cornellead_core.settings import RouterSettings
-    from cornellead_core.wire import ControlClient
-    from cornellead_core.wire import Traffic
 
 
 class RouterProcess:
-    """Builds the parts of a router around one blackboard and runs them.
-
-    Must be created on the event loop that runs it.
+    """Builds a router and runs it until a planned stop; must be created on the event loop."""
 
-    :param on_newer_config: Called with the control address of a peer whose configuration is newer.
-    """
-
-    def __init__(
-        self,
-        *,
-        settings: RouterSettings,
-        board: Blackboard,
-        key: FleetKey,
-        traffic: Traffic,
-        control: ControlClient,
-        on_newer_config: Callable[[str], None],
-    ) -> None:
-        loop = asyncio.get_running_loop()
+    def __init__(self, *, settings: RouterSettings) -> None:
         process = settings.process
-        metrics = Metrics()
-        view = ServerView()
-        self._pool = AgentPool(loop=loop)
-        self._room = WaitingRoom(max_waiting=settings.max_waiting)
-        self._hints = HintSender(client=control)
-        stats = RouterStats(metrics=metrics)
-        budget = RetryBudget(ratio=settings.retry_ratio, min_per_s=settings.retry_min_per_s)
-        in_progress = InProgress()
-        caller = AgentCaller(
-            board=board, pool=self._pool, view=view, key=key, on_newer_config=on_newer_config
-        )
-        dispatcher = ChatDispatcher(
+        board = Blackboard()
+        key = FleetKey(secret=process.fleet_key.encode())
+        traffic = Traffic()
+        # The platform is met over plain HTTP; a TLS context would cost several megabytes.
+        self._http = httpx.AsyncClient(verify=False, trust_env=False)
+        self._control = ControlClient(key=key, traffic=traffic)
+        distributor = ConfigDistributor(
             board=board,
-            caller=caller,
-            view=view,
-            room=self._room,
-            budget=budget,
-            hints=self._hints,
-            attempts=settings.placement_attempts,
+            log=HttpLog(client=self._http, url=process.platform_url),
+            client=self._control,
+            settings=process,
         )
-        chat = ChatHandler(
-            board=board,
+        puller = ConfigPuller(distributor=distributor)
+        self._parts = TrafficParts(
             settings=settings,
-            dispatcher=dispatcher,
-            view=view,
-            budget=budget,
-            stats=stats,
-            in_progress=in_progress,
-        )
-        self.status = Status(
-            process=process,
             board=board,
-            caller=caller,
-            room=self._room,
-            budget=budget,
-            hints=self._hints,
-            stats=stats,
+            key=key,
             traffic=traffic,
-            started_at=loop.time(),
+            control=self._control,
+            on_newer_config=puller.request,
+        )
+        handler = ControlHandler(distributor=distributor)
+        self._controllers: list[Controller] = [
+            HostListWatcher(
+                board=board,
+                host_list=HttpHostList(client=self._http, url=process.platform_url),
+            ),
+            distributor,
+            puller,
+            ControlServer(
+                address=process.control, key=key, traffic=traffic, handler=handler.handle
+            ),
+            *self._parts.controllers(),
+        ]
+        self._server = HttpServer(app=self._parts.app, address=process.http)
+        self._drain = Drain(
+            board=board,
+            in_progress=self._parts.in_progress,
+            timeout_s=process.drain_timeout_s,
         )
-        app = HttpApp(chat=chat, board=board, metrics=metrics, status=self.status)
-        self._server = HttpServer(app=app.build(), address=process.http)
-        self._drain = Drain(board=board, in_progress=in_progress, timeout_s=process.drain_timeout_s)
         self._stopping = asyncio.Event()
 
-    def stop(self) -> None:
-        """Begin a planned stop."""
-        self._stopping.set()
-
-    async def run(self, controllers: Sequence[Controller]) -> int:
+    async def run(self) -> int:
         """Serve until a planned stop is complete.
 
-        :param controllers: Further controllers of the process.
         :returns: Number of requests that exceeded the drain time.
+        :raises ExceptionGroup: when a controller breaks an invariant.
         """
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signum, self.stop)
-        own: list[Controller] = [self._room, self._hints, PoolJanitor(pool=self._pool)]
-        background = asyncio.create_task(run_controllers([*own, *controllers]))
+            loop.add_signal_handler(signum, self._stopping.set)
+        background = asyncio.create_task(run_controllers(self._controllers))
         serving = asyncio.create_task(self._server.serve())
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait([background, serving, stopping], return_when=asyncio.FIRST_COMPLETED)
-        exceeded = 0
-        if stopping.done() and not serving.done():
-            exceeded = await self._drain.run()
+        exceeded = await self._drain.run() if self._stopping.is_set() else 0
         self._server.should_exit = True
         self._server.force_exit = True
         await serving
         stopping.cancel()
         background.cancel()
-        self._pool.close()
-        # A controller that failed is a broken invariant: its exception ends the process.
+        self._parts.pool.close()
+        self._control.close()
+        await self._http.aclose()
         try:
             await background
         except asyncio.CancelledError:
--- /dev/null
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -0,0 +1,98 @@
+"""The parts of a router that carry the traffic of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cornellead.api import ChatHandler
+from cornellead.api import HttpApp
+from cornellead.api import InProgress
+from cornellead.api import Status
+from cornellead.dispatch import AgentCaller
+from cornellead.dispatch import ChatDispatcher
+from cornellead.dispatch import HintSender
+from cornellead.fleet import ServerView
+from cornellead.process._pool_janitor import PoolJanitor
+from cornellead.stats import RouterStats
+from cornellead.upstream import AgentPool
+from cornellead.waiting import WaitingRoom
+from cornellead_core.metrics import Metrics
+from cornellead_core.retries import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from litestar import Litestar
+
+    from cornellead_core.auth import FleetKey
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.blackboard import Controller
+    from cornellead_core.settings import RouterSettings
+    from cornellead_core.wire import ControlClient
+    from cornellead_core.wire import Traffic
+
+
+class TrafficParts:
+    """Builds the data path around one blackboard; must be created on the event loop.
+
+    :param on_newer_config: Called with the control address of a peer with a newer configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        board: Blackboard,
+        key: FleetKey,
+        traffic: Traffic,
+        control: ControlClient,
+        on_newer_config: Callable[[str], None],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        metrics = Metrics()
+        view = ServerView()
+        self.pool = AgentPool(loop=loop)
+        self.room = WaitingRoom(max_waiting=settings.max_waiting)
+        self.hints = HintSender(client=control)
+        self.stats = RouterStats(metrics=metrics)
+        budget = RetryBudget(ratio=settings.retry_ratio, min_per_s=settings.retry_min_per_s)
+        self.in_progress = InProgress()
+        caller = AgentCaller(
+            board=board, pool=self.pool, view=view, key=key, on_newer_config=on_newer_config
+        )
+        dispatcher = ChatDispatcher(
+            board=board,
+            caller=caller,
+            view=view,
+            room=self.room,
+            budget=budget,
+            hints=self.hints,
+            attempts=settings.placement_attempts,
+        )
+        chat = ChatHandler(
+            board=board,
+            settings=settings,
+            dispatcher=dispatcher,
+            view=view,
+            budget=budget,
+            stats=self.stats,
+            in_progress=self.in_progress,
+        )
+        self.status = Status(
+            process=settings.process,
+            board=board,
+            caller=caller,
+            room=self.room,
+            budget=budget,
+            hints=self.hints,
+            stats=self.stats,
+            traffic=traffic,
+            started_at=loop.time(),
+        )
+        app = HttpApp(chat=chat, board=board, metrics=metrics, status=self.status)
+        self.app: Litestar = app.build()
+
+    def controllers(self) -> list[Controller]:
+        """Return the controllers of the data path."""
+        return [self.room, self.hints, PoolJanitor(pool=self.pool)]
