Test the stand-ins and correct three faults that the tests found

A cold engine never crashed: refused requests did not count as load, so the offered load was never above what it bears by more than one. Failures of the last second now count. The lagged load could be as old as the last poll; it now comes from samples.

--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -16,6 +16,7 @@
 from litestar import get
 from litestar import post
 from litestar import put
+from litestar.params import FromPath
 from litestar.types import Receive
 from litestar.types import Scope
 from litestar.types import Send
@@ -98,7 +99,7 @@
         return _answer({"events": listed, "next": following, "oldest": oldest})
 
     @get("/kv/{key:str}")
-    async def export_kv(key: str) -> Response[bytes]:
+    async def export_kv(key: FromPath[str]) -> Response[bytes]:
         blocks = engine.cache.export_blocks(key)
         if blocks is None:
             return _error(404, "chat is not cached")
@@ -106,7 +107,7 @@
         return _answer({"blocks": blocks})
 
     @put("/kv/{key:str}")
-    async def import_kv(key: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def import_kv(key: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         try:
             body = msgspec.json.decode(await request.body(), type=_KvBody)
         except msgspec.DecodeError as exc:
--- a/packages/standins/src/cornellead_standins/engine/_engine.py
+++ b/packages/standins/src/cornellead_standins/engine/_engine.py
@@ -7,6 +7,7 @@
 import secrets
 import time
 from collections import OrderedDict
+from collections import deque
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -30,8 +31,12 @@
     from cornellead_standins.engine._settings import EngineSettings
 
 CRASH_MULTIPLE = 2
-"""A cold engine crashes above this multiple of the requests that it bears."""
-HOUSEKEEPING_S = 0.1
+"""A cold engine crashes when it was offered more than this multiple of what it bears."""
+FAILURE_WINDOW_S = 1.0
+"""Time for which failed requests count as offered load."""
+HOUSEKEEPING_S = 0.05
+SAMPLES_KEPT = 200
+"""Samples of the load for the lagged report; 10 s."""
 
 
 class Rejection(NamedTuple):
@@ -63,9 +68,9 @@
         self._served_since_cold = 0 if settings.cold_start else settings.slots
         self._restarting_until = 0.0
         self._stalled_until = 0.0
+        self._failed_at: deque[float] = deque()
         self._work = asyncio.Event()
-        self._reported: dict[str, Any] = {}
-        self._reported_at = 0.0
+        self._samples: deque[tuple[float, dict[str, Any]]] = deque(maxlen=SAMPLES_KEPT)
 
     @property
     def bears(self) -> int:
@@ -86,10 +91,7 @@
             return Failure(Rejection(404, f"model {body.model} is not loaded"))
         if self.rng.random() < self.faults.errors:
             return Failure(Rejection(500, "internal error"))
-        load = self.batch.running + self.batch.waiting + 1
-        if self.bears < self.settings.slots and load > self.bears:
-            if load > CRASH_MULTIPLE * self.bears:
-                self.crash(now=now)
+        if self._falls_over(now=now):
             return Failure(Rejection(500, "out of memory while cold"))
         self.cancel(request_id)
         seq = Sequence(
@@ -110,6 +112,17 @@
         self._work.set()
         return Success(stream)
 
+    def _falls_over(self, *, now: float) -> bool:
+        load = self.batch.running + self.batch.waiting + 1
+        if self.bears >= self.settings.slots or load <= self.bears:
+            return False
+        self._failed_at.append(now)
+        while self._failed_at[0] < now - FAILURE_WINDOW_S:
+            self._failed_at.popleft()
+        if load + len(self._failed_at) > CRASH_MULTIPLE * self.bears:
+            self.crash(now=now)
+        return True
+
     def cancel(self, request_id: str) -> bool:
         """Stop a request and forget its stream; returns whether it was known."""
         stream = self.streams.pop(request_id, None)
@@ -129,6 +142,8 @@
         self.boot_id = secrets.token_hex(8)
         self.restarts += 1
         self.fence = -1
+        self._samples.clear()
+        self._failed_at.clear()
         self._served = 0
         self._served_since_cold = 0
         self._restarting_until = now + self.settings.restart_s
@@ -150,11 +165,12 @@
             self.feed.publish(change, now=now, lost=lost)
 
     def load(self, *, now: float) -> dict[str, Any]:
-        """Return the load as it was at the last report interval."""
-        if not self._reported or now - self._reported_at >= self.settings.load_lag_s:
-            previous, self._reported, self._reported_at = self._reported, self._sample(), now
-            return previous or self._reported
-        return self._reported
+        """Return the load as it was ``load_lag_s`` seconds ago."""
+        limit = now - self.settings.load_lag_s
+        old = [sample for taken_at, sample in self._samples if taken_at <= limit]
+        if old:
+            return old[-1]
+        return self._samples[0][1] if self._samples else self._sample()
 
     async def run(self) -> None:
         """Advance the batch step by step until cancelled."""
@@ -171,10 +187,12 @@
             self._advance(duration_s, now=time.monotonic())
 
     async def run_housekeeping(self) -> None:
-        """Cancel streams that have had no reader for a while, until cancelled."""
+        """Sample the load and cancel streams that lost their reader, until cancelled."""
         while True:
+            now = time.monotonic()
+            self._samples.append((now, self._sample()))
+            self.cancel_orphans(now=now)
             await asyncio.sleep(HOUSEKEEPING_S)
-            self.cancel_orphans(now=time.monotonic())
 
     def cancel_orphans(self, *, now: float) -> None:
         """Cancel unfinished streams without a reader."""
--- a/packages/standins/src/cornellead_standins/platform/_app.py
+++ b/packages/standins/src/cornellead_standins/platform/_app.py
@@ -16,6 +16,7 @@
 from litestar import get
 from litestar import post
 from litestar import put
+from litestar.params import FromPath
 
 from cornellead_standins.platform._host_registry import HostRegistry
 from cornellead_standins.platform._log_store import LogStore
@@ -103,7 +104,7 @@
     platform = _Platform(settings)
 
     @post("/log/{stream:str}")
-    async def append(stream: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def append(stream: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         try:
             body = msgspec.json.decode(await request.body(), type=_AppendBody)
         except msgspec.DecodeError as exc:
@@ -112,7 +113,7 @@
         return await platform.append(stream, body.records)
 
     @get("/log/{stream:str}")
-    async def read(stream: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def read(stream: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         query = request.query_params
         await asyncio.sleep(platform.faults.slow_s)
         return await platform.read(
@@ -132,18 +133,18 @@
         return _answer({"hosts": platform.hosts.view(now=time.monotonic(), lag_s=lag_s)})
 
     @put("/hosts/{name:str}")
-    async def put_host(name: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def put_host(name: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         entry = msgspec.json.decode(await request.body())
         platform.hosts.put(name, {**entry, "name": name}, now=time.monotonic())
         return _answer({})
 
     @delete("/hosts/{name:str}", status_code=200)
-    async def delete_host(name: str) -> Response[bytes]:
+    async def delete_host(name: FromPath[str]) -> Response[bytes]:
         known = platform.hosts.delete(name, now=time.monotonic())
         return _answer({}) if known else _error(404, f"host {name} is not listed")
 
     @get("/weights/{model:str}/{version:str}")
-    async def fetch_weights(model: str, version: str) -> Response[bytes]:
+    async def fetch_weights(model: FromPath[str], version: FromPath[str]) -> Response[bytes]:
         if platform.faults.weights_outage:
             return _error(503, "weight store outage")
         if not platform.weight_rate.take(now=time.monotonic()):
--- a/packages/standins/src/cornellead_standins/service/_app.py
+++ b/packages/standins/src/cornellead_standins/service/_app.py
@@ -16,6 +16,7 @@
 from litestar import get
 from litestar import post
 from litestar import put
+from litestar.params import FromPath
 
 from cornellead_standins.service._settings import ServiceFaults
 
@@ -86,7 +87,7 @@
     service = _Service(settings)
 
     @post("/v1/{operation:str}", status_code=200)
-    async def call(operation: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def call(operation: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         await request.body()
         service.running += 1
         try:
--- /dev/null
+++ b/tests/standins/test_engine_app.py
@@ -0,0 +1,163 @@
+"""The stand-in engine over HTTP."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import msgspec
+import pytest
+
+if TYPE_CHECKING:
+    from litestar import Litestar
+    from litestar.testing import TestClient
+    from tests.standins.conftest import EngineFactory
+
+QUESTION = [{"role": "user", "content": "which seats are free " * 20}]
+
+
+def _body(**fields: Any) -> dict[str, Any]:
+    return {"model": "chat", "messages": QUESTION, "max_tokens": 8, "stream": True, **fields}
+
+
+def _events(text: str) -> list[tuple[int, dict[str, Any]]]:
+    events = []
+    for block in text.split("\n\n"):
+        if block.startswith("id: "):
+            number, data = block.split("\n", 1)
+            events.append((int(number[4:]), msgspec.json.decode(data.removeprefix("data: "))))
+    return events
+
+
+def _text(events: list[tuple[int, dict[str, Any]]]) -> str:
+    return "".join(event["choices"][0]["delta"].get("content", "") for _, event in events)
+
+
+def _chat(engine: TestClient[Litestar], **fields: Any) -> httpx.Response:
+    return engine.post("/v1/chat/completions", json=_body(**fields))
+
+
+def test_stream_and_whole_answer_agree(make_engine: EngineFactory) -> None:
+    """Guards against a stream that cannot be compared with the whole answer."""
+    engine = make_engine()
+    streamed = _chat(engine).text
+    whole = _chat(engine, stream=False).json()
+    events = _events(streamed)
+    assert streamed.endswith("data: [DONE]\n\n")
+    assert [number for number, _ in events] == list(range(1, 10))
+    assert _text(events) == whole["choices"][0]["message"]["content"]
+    assert events[-1][1]["usage"]["completion_tokens"] == 8
+
+
+def test_resumed_stream_continues_on_another_engine(make_engine: EngineFactory) -> None:
+    """Guards against resumes that would repeat or skip tokens."""
+    complete = _events(_chat(make_engine()).text)
+    rest = _events(_chat(make_engine(), resume_from=3).text)
+    assert rest[0][0] == 4
+    assert _text(complete[:3]) + _text(rest) == _text(complete)
+
+
+def test_stream_resumes_and_cancels_on_the_same_engine(make_engine: EngineFactory) -> None:
+    """Guards against an engine that forgets a stream that broke."""
+    engine = make_engine()
+    engine.post("/v1/chat/completions", json=_body(), headers={"x-request-id": "r1"})
+    resumed = engine.get("/v1/streams/r1?from=7").text
+    assert [number for number, _ in _events(resumed)] == [8, 9]
+    assert engine.delete("/v1/streams/r1").status_code == 200
+    assert engine.get("/v1/streams/r1?from=7").status_code == 404
+
+
+def test_next_turn_reuses_the_cache(make_engine: EngineFactory) -> None:
+    """Guards against prompt reuse that is never visible in usage."""
+    engine = make_engine()
+    answer = _chat(engine, stream=False).json()
+    usage = answer["usage"]
+    messages = [*QUESTION, answer["choices"][0]["message"], {"role": "user", "content": "book"}]
+    again = _chat(engine, stream=False, messages=messages).json()["usage"]
+    assert usage["prompt_tokens_details"]["cached_tokens"] == 0
+    known = usage["prompt_tokens"] + 1 + usage["completion_tokens"]
+    assert again["prompt_tokens_details"]["cached_tokens"] == known // 16 * 16
+
+
+def test_exported_cache_is_used_after_import(make_engine: EngineFactory) -> None:
+    """Guards against a KV transfer without effect."""
+    source, target = make_engine(), make_engine()
+    source.post("/v1/chat/completions", json=_body(), headers={"x-cache-key": "00ab"})
+    target.put("/kv/00ab", json=source.get("/kv/00ab").json())
+    usage = _chat(target, stream=False).json()["usage"]
+    assert usage["prompt_tokens_details"]["cached_tokens"] > 0
+    assert target.get("/kv/00ac").status_code == 404
+
+
+@pytest.mark.parametrize("fault", ["duplicate", "reorder"])
+def test_distorted_stream_contains_every_event(make_engine: EngineFactory, fault: str) -> None:
+    """Guards against faults that lose events, which no receiver could repair."""
+    engine = make_engine()
+    engine.put("/faults", json={fault: 0.7})
+    numbers = [number for number, _ in _events(_chat(engine).text)]
+    assert numbers != list(range(1, 10))
+    assert sorted(set(numbers)) == list(range(1, 10))
+
+
+def test_truncated_stream_has_no_end(make_engine: EngineFactory) -> None:
+    """Guards against a truncation that looks complete."""
+    engine = make_engine()
+    engine.put("/faults", json={"truncate": 1.0})
+    with pytest.raises((httpx.HTTPError, AssertionError)):
+        assert "[DONE]" in _chat(engine).text
+
+
+def test_crash_changes_boot_id_and_empties_cache(make_engine: EngineFactory) -> None:
+    """Guards against a restart that an agent cannot notice."""
+    engine = make_engine(restart_s=0.0)
+    _chat(engine)
+    engine.put("/faults", json={"slow": 1.0, "crash": True})
+    answer = _chat(engine, stream=False, max_tokens=1)
+    assert answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"] == 0
+    load = engine.get("/load").json()
+    assert load["boot_id"] == answer.headers["x-engine-boot"]
+    assert load["restarts"] == 1
+
+
+def test_cold_engine_falls_over_under_full_load(make_engine: EngineFactory) -> None:
+    """Guards against a cold start that forgives any admission limit."""
+    engine = make_engine(cold_capacity=2, restart_s=0.0, token_interval_s=0.02)
+    with ThreadPoolExecutor(16) as pool:
+        answers = list(pool.map(lambda _: _chat(engine, stream=False).status_code, range(16)))
+    assert 500 in answers
+    assert engine.get("/load").json()["restarts"] > 0
+
+
+def test_warm_engine_bears_full_load(make_engine: EngineFactory) -> None:
+    """Guards against an engine that stays cold for ever."""
+    engine = make_engine(cold_capacity=4, token_interval_s=0.002)
+    for width in (2, 4, 8, 16):
+        with ThreadPoolExecutor(width) as pool:
+            answers = pool.map(lambda _: _chat(engine, stream=False).status_code, range(width))
+            assert list(answers) == [200] * width
+
+
+@pytest.mark.parametrize(("honours", "status", "fence"), [(True, 409, 5), (False, 200, 3)])
+def test_stale_fence(make_engine: EngineFactory, honours: bool, status: int, fence: int) -> None:
+    """Guards against an engine that treats fencing tokens other than it is set to."""
+    engine = make_engine(honours_fence=honours)
+    order = {"fence": 5, "kind": "load_model", "value": "draft"}
+    assert engine.post("/orders", json=order).status_code == 200
+    stale = {"fence": 3, "kind": "unload_model", "value": "draft"}
+    assert engine.post("/orders", json=stale).status_code == status
+    assert _chat(engine, model="draft").status_code == (200 if honours else 404)
+
+
+def test_cache_events_have_gaps(make_engine: EngineFactory) -> None:
+    """Guards against a feed without the gaps that an agent must bear."""
+    engine = make_engine()
+    engine.put("/faults", json={"cache_event_gap": 0.5})
+    for i in range(10):
+        _chat(engine, messages=[{"role": "user", "content": f"question {i}"}], max_tokens=20)
+    feed = engine.get("/cache/events?from=1&wait_ms=100").json()
+    seqs = [event["seq"] for event in feed["events"]]
+    assert seqs == sorted(seqs)
+    assert 0 < len(seqs) < 20
+    assert feed["next"] == seqs[-1] + 1
