--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -32,6 +32,7 @@
 from cornellead_core.config._reducer import reduce_record
 from cornellead_core.config._resolver import Resolver
 from cornellead_core.config._resolver import resolve_spec
+from cornellead_core.config._validation import check_state
 from cornellead_core.config._validation import find_object_problems
 from cornellead_core.config._validation import find_problems
 
@@ -57,6 +58,7 @@
     "Verdict",
     "apply_change",
     "check_documents",
+    "check_state",
     "decode_state",
     "digest_state",
     "encode_state",
--- a/packages/core/src/cornellead_core/config/_records.py
+++ b/packages/core/src/cornellead_core/config/_records.py
@@ -15,6 +15,7 @@
 from cornellead_core.config._config_state import digest_state
 from cornellead_core.config._config_state import encode_state
 from cornellead_core.config._object_name import split_name
+from cornellead_core.config._validation import check_state
 
 STREAM = "config"
 CHANGE = "change"
@@ -111,4 +112,7 @@
     state = decoded.unwrap()
     if state.offset != value.get("upto") or digest_state(state) != value.get("digest"):
         return Failure("snapshot does not match its digest")
+    problems = check_state(state)
+    if problems:
+        return Failure(f"snapshot is not valid: {problems[0]}")
     return Success(state)
--- a/packages/core/src/cornellead_core/config/_validation.py
+++ b/packages/core/src/cornellead_core/config/_validation.py
@@ -16,6 +16,7 @@
     from collections.abc import Mapping
 
     from cornellead_core.config._config_state import ConfigObject
+    from cornellead_core.config._config_state import ConfigState
 
 
 def find_problems(
@@ -25,6 +26,18 @@
     return [f"{name}: {problem}" for name, problem in find_object_problems(objects, changes)]
 
 
+def check_state(state: ConfigState) -> list[str]:
+    """Return what is wrong with a state that comes from elsewhere, as text."""
+    changes = {name: item.value for name, item in state.objects.items()}
+    problems = find_problems({}, changes)
+    problems += [
+        f"{name}: version {item.version} lies above the offset {state.offset}"
+        for name, item in state.objects.items()
+        if item.version > state.offset
+    ]
+    return problems
+
+
 def find_object_problems(
     objects: Mapping[str, ConfigObject], changes: Mapping[str, dict[str, Any] | None]
 ) -> list[tuple[str, Problem]]:
--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -10,9 +10,13 @@
 from returns.result import Success
 
 from cornellead_core.config import STREAM
+from cornellead_core.config import make_snapshot
 from cornellead_core.distribution._config_exchange import PROBE_OFFSET
 from cornellead_core.distribution._config_exchange import ConfigExchange
 from cornellead_core.distribution._config_store import ConfigStore
+from cornellead_core.distribution._log_duty import is_snapshot_due
+from cornellead_core.distribution._log_duty import retry_pause_s
+from cornellead_core.distribution._log_duty import snapshot_rank
 from cornellead_core.distribution._snapshot_search import PAGE_RECORDS
 from cornellead_core.distribution._snapshot_search import find_snapshot
 from cornellead_core.facts import HOSTS
@@ -33,16 +37,17 @@
     from cornellead_core.wire import Message
 
 COMPARE_INTERVAL_S = 1.0
-TAIL_WAIT_S = 5.0
-"""Longest wait of one read at the end of the log."""
-TAIL_CHECK_S = 0.5
-LOG_RETRY_S = 1.0
+COMPARE_MIN_INTERVAL_S = 0.1
+TAIL_WAIT_S = 1.0
+"""Longest wait of one read at the end of the log; the time in which an outage is noticed."""
+TAIL_CHECK_S = 0.25
+SNAPSHOT_RETRY_S = 5.0
+"""Pause after an append of a snapshot, in which it comes back with the records read."""
 START_RETRY_S = 0.5
 HOSTS_WAIT_S = 2.0
 START_PEERS = 3
 MAX_PUSHES = 16
 """Pushes in flight; a peer that does not answer holds one for the request timeout."""
-MAX_PULL_ROUNDS = 8
 
 
 class ConfigDistributor:
@@ -77,6 +82,8 @@
             store=self.store, name=settings.name, dc=settings.dc, rng=self._rng, now=clock()
         )
         self._hosts_revision = -1
+        self._snapshot_after = float("-inf")
+        self._gap = asyncio.Event()
         self._push_slots = asyncio.Semaphore(MAX_PUSHES)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -85,6 +92,8 @@
         self._refresh_peers()
         answer = self._exchange.answer(message, now=self._clock())
         self._send_pushes()
+        if self._exchange.take_gap():
+            self._gap.set()
         return answer
 
     async def pull(self, control_address: str) -> None:
@@ -92,36 +101,35 @@
 
         :param control_address: ``ip:port`` of the peer's control listener.
         """
-        for _ in range(MAX_PULL_ROUNDS):
-            answer = await self._client.request(control_address, self._exchange.compare())
-            if not isinstance(answer, Success):
-                return
-            if not self._take_answer(control_address, answer.unwrap()):
-                return
+        compare = self._exchange.compare(now=self._clock())
+        answer = await self._client.request(control_address, compare)
+        if isinstance(answer, Success):
+            self._take_answer(control_address, answer.unwrap())
 
     async def run(self) -> None:
         """Choose the first state, then follow the log and the peers until cancelled."""
-        await self._start()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_log())
-            group.create_task(self._compare_with_peers())
+        try:
+            await self._start()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._follow_log())
+                group.create_task(self._compare_with_peers())
+        finally:
+            for task in self._tasks:
+                task.cancel()
 
     async def _start(self) -> None:
         await self._board.wait_change(HOSTS, revision=0, timeout_s=HOSTS_WAIT_S)
         while True:
             self._refresh_peers()
-            from_log, from_peers = await asyncio.gather(self._read_first(), self._ask_peers())
-            if from_log is not None:
-                await self._catch_up(from_log)
-            if from_log is not None or from_peers:
+            log_answers, has_state = await asyncio.gather(self._probe_log(), self._ask_peers())
+            if (log_answers and await self._read_to_end(wait_s=0.0)) or has_state:
                 break
             await asyncio.sleep(START_RETRY_S)
         self._exchange.started = True
         self.store.publish()
 
-    async def _read_first(self) -> LogPage | None:
-        page = await self._log.read(STREAM, from_offset=0, limit=PAGE_RECORDS)
-        return page.unwrap() if isinstance(page, Success) else None
+    async def _probe_log(self) -> bool:
+        return isinstance(await self._log.read(STREAM, from_offset=0, limit=1), Success)
 
     async def _ask_peers(self) -> bool:
         """Adopt the highest state among a few peers."""
@@ -143,25 +151,47 @@
                 self._take_answer(address, state.unwrap())
         return self.store.offset >= 0
 
-    async def _catch_up(self, page: LogPage) -> bool:
-        """Apply a page of the log and all that follow it.
+    async def _read_to_end(self, *, wait_s: float) -> bool:
+        """Apply all records of the log above the state.
 
+        :param wait_s: Longest wait for the first record when there is none.
         :returns: Whether the end of the log was reached.
         """
         while True:
+            offset = self.store.offset
+            read = await self._log.read(
+                STREAM, from_offset=offset + 1, limit=PAGE_RECORDS, wait_s=wait_s
+            )
+            if not isinstance(read, Success):
+                return False
+            page = read.unwrap()
+            # A push may have moved the state during the read.
             if page.oldest_offset > self.store.offset + 1:
                 if not await self._adopt_snapshot():
                     return False
-            else:
-                self._exchange.take_page(page, now=self._clock())
-                self._send_pushes()
-            offset = self.store.offset
-            if offset + 1 >= page.end_offset:
+                continue
+            self._exchange.take_page(page, now=self._clock())
+            self._send_pushes()
+            if self.store.offset + 1 >= page.end_offset:
+                await self._offer_snapshot(page)
                 return True
-            read = await self._log.read(STREAM, from_offset=offset + 1, limit=PAGE_RECORDS)
-            if not isinstance(read, Success) or not read.unwrap().records:
+            if self.store.offset == offset:
                 return False
-            page = read.unwrap()
+
+    async def _offer_snapshot(self, page: LogPage) -> None:
+        """Append a snapshot if the log is about to drop records that a new process needs."""
+        now = self._clock()
+        if self.store.offset < 0 or now < self._snapshot_after:
+            return
+        if not is_snapshot_due(
+            needed_since_ms=self.store.needed_since_ms,
+            time_ms=page.time_ms,
+            retention_s=page.retention_s,
+            rank=snapshot_rank(self._exchange.peers),
+        ):
+            return
+        self._snapshot_after = now + SNAPSHOT_RETRY_S
+        await self._log.append(STREAM, [make_snapshot(self.store.state)])
 
     async def _adopt_snapshot(self) -> bool:
         found = await find_snapshot(self._log)
@@ -175,12 +205,8 @@
             self._refresh_peers()
             if not self._exchange.reads_log(now=self._clock()):
                 await asyncio.sleep(TAIL_CHECK_S)
-                continue
-            read = await self._log.read(
-                STREAM, from_offset=self.store.offset + 1, limit=PAGE_RECORDS, wait_s=TAIL_WAIT_S
-            )
-            if not isinstance(read, Success) or not await self._catch_up(read.unwrap()):
-                await asyncio.sleep(LOG_RETRY_S)
+            elif not await self._read_to_end(wait_s=TAIL_WAIT_S):
+                await asyncio.sleep(retry_pause_s(self._exchange.peers))
 
     async def _compare_with_peers(self) -> None:
         while True:
@@ -188,12 +214,21 @@
             peer = self._exchange.choose_peer()
             if peer is not None:
                 await self.pull(peer.control)
-            await asyncio.sleep(COMPARE_INTERVAL_S)
-
-    def _take_answer(self, address: str, answer: Message) -> bool:
-        moved = self._exchange.take_answer(address, answer, now=self._clock())
+            await self._sleep_until_gap()
+
+    async def _sleep_until_gap(self) -> None:
+        """Sleep for the interval, or less if a push shows that records are missing."""
+        await asyncio.sleep(COMPARE_MIN_INTERVAL_S)
+        remaining_s = COMPARE_INTERVAL_S - COMPARE_MIN_INTERVAL_S
+        try:
+            await asyncio.wait_for(self._gap.wait(), remaining_s)
+        except TimeoutError:
+            pass
+        self._gap.clear()
+
+    def _take_answer(self, address: str, answer: Message) -> None:
+        self._exchange.take_answer(address, answer, now=self._clock())
         self._send_pushes()
-        return moved
 
     def _refresh_peers(self) -> None:
         revision = self._board.revision(HOSTS)
--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -12,6 +12,7 @@
 from cornellead_core.config import SNAPSHOT
 from cornellead_core.config import ConfigState
 from cornellead_core.config import Resolver
+from cornellead_core.config import check_state
 from cornellead_core.config import digest_state
 from cornellead_core.config import reduce_record
 from cornellead_core.facts import CONFIG
@@ -57,8 +58,8 @@
         self._past: deque[_Past] = deque(maxlen=KEPT_STATES)
         self._records: deque[WireRecord] = deque(maxlen=KEPT_RECORDS)
         self._published = False
-        self.needed_since_ms: int | None = None
-        """Append time of the oldest record that a new process would need, if known."""
+        self.needed_since_ms = 0
+        """Append time of the oldest record on the log that a new process needs."""
         self.audits: deque[AuditRecord] = deque(maxlen=KEPT_AUDITS)
         """Latest decisions, for status and logs."""
         self.rejected = 0
@@ -102,7 +103,7 @@
             self._write_fact()
         return applied
 
-    def adopt(self, state: ConfigState, *, needed_since_ms: int | None) -> bool:
+    def adopt(self, state: ConfigState, *, needed_since_ms: int) -> bool:
         """Replace the state by a later one.
 
         :returns: Whether the given state was later.
@@ -185,7 +186,7 @@
     """A state on its way to a peer."""
 
     state: ConfigState
-    needed_since_ms: int | None
+    needed_since_ms: int
 
 
 _envelope_decoder = msgspec.json.Decoder(StateEnvelope)
@@ -197,8 +198,9 @@
 
 
 def decode_envelope(content: bytes) -> StateEnvelope | None:
-    """Decode a state from a peer, or return ``None`` if it is malformed."""
+    """Decode a state from a peer, or return ``None`` if it is not valid."""
     try:
-        return _envelope_decoder.decode(content)
+        envelope = _envelope_decoder.decode(content)
     except msgspec.DecodeError:
         return None
+    return None if check_state(envelope.state) else envelope
--- a/packages/core/src/cornellead_core/distribution/_host_list_watcher.py
+++ b/packages/core/src/cornellead_core/distribution/_host_list_watcher.py
@@ -14,6 +14,8 @@
     from cornellead_core.platform import HostList
 
 WATCH_INTERVAL_S = 0.5
+WATCH_INTERVAL_PER_HOST_S = 0.001
+"""Keeps the reads of a large list, which takes longer to decode, below one core in fifty."""
 
 
 class HostListWatcher:
@@ -27,10 +29,11 @@
         self.failures = 0
 
     async def run(self) -> None:
-        """Read the list at a fixed interval until cancelled."""
+        """Read the list until cancelled."""
         while True:
             await self.refresh()
-            await asyncio.sleep(WATCH_INTERVAL_S)
+            hosts = len(self._board.read(HOSTS))
+            await asyncio.sleep(max(WATCH_INTERVAL_S, hosts * WATCH_INTERVAL_PER_HOST_S))
 
     async def refresh(self) -> None:
         """Read the list once."""
