--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -26,6 +26,7 @@
 from cornellead_core.config._records import AuditRecord
 from cornellead_core.config._records import ChangeRecord
 from cornellead_core.config._records import make_snapshot
+from cornellead_core.config._records import parse_change
 from cornellead_core.config._records import parse_snapshot
 from cornellead_core.config._reducer import RECENT_CHANGES
 from cornellead_core.config._reducer import apply_change
@@ -66,6 +67,7 @@
     "find_problems",
     "load_documents",
     "make_snapshot",
+    "parse_change",
     "parse_snapshot",
     "reduce_record",
     "resolve_spec",
--- a/packages/core/src/cornellead_core/config/_documents.py
+++ b/packages/core/src/cornellead_core/config/_documents.py
@@ -121,6 +121,6 @@
     """Give a problem its file and line; one in a published object has the object as its file."""
     path = ".".join(problem.path)
     if document is None:
-        return SettingsError(name, 0, path, problem.message, problem.accepted)
+        return SettingsError(f"published {name}", 0, path, problem.message, problem.accepted)
     line = document.node.line_at(problem.path)
     return SettingsError(document.file, line, path, problem.message, problem.accepted)
--- a/packages/core/src/cornellead_core/config/_resolver.py
+++ b/packages/core/src/cornellead_core/config/_resolver.py
@@ -66,7 +66,7 @@
     ] or check_spec(spec)
     if problems:
         return problems
-    known = ", ".join(sorted(models)) or "publish a model object first"
+    known = ", ".join(sorted(models)) or "none; publish a model object first"
     return [
         Problem(("spec", "models"), f"model {name} does not exist", known)
         for name in spec.get("models", [])
--- a/packages/core/src/cornellead_core/config/_validation.py
+++ b/packages/core/src/cornellead_core/config/_validation.py
@@ -115,7 +115,7 @@
         template = self._value(template_name)
         if template is None:
             templates = [name[9:] for name in self._names if name.startswith("template/")]
-            help_text = ", ".join(templates) or "publish a template first"
+            help_text = ", ".join(templates) or "none; publish a template first"
             message = f"template {team['template']} does not exist"
             return [Problem(("template",), message, help_text)]
         return check_team(team, template, self._models)
@@ -128,5 +128,5 @@
             assert value is not None
             for model in value.get("models", []):
                 if model not in self._models:
-                    known = ", ".join(sorted(self._models)) or "publish a model object first"
+                    known = ", ".join(sorted(self._models)) or "none; publish a model object first"
                     yield name, Problem(("models",), f"model {model} does not exist", known)
--- a/packages/core/src/cornellead_core/settings/_settings_error.py
+++ b/packages/core/src/cornellead_core/settings/_settings_error.py
@@ -14,15 +14,14 @@
 
     file: str
     line: int
-    """Line number from 1; the enclosing mapping's line when a key is missing."""
+    """Line number from 1, the enclosing mapping's when a key is missing; 0 without a file."""
     path: str
     """Keys down to the value, separated by dots."""
     message: str
     accepted: str = ""
 
     def __str__(self) -> str:
-        where = (
-            f"{self.file}:{self.line}: {self.path}: " if self.path else f"{self.file}:{self.line}: "
-        )
+        where = f"{self.file}:{self.line}: " if self.line else f"{self.file}: "
+        path = f"{self.path}: " if self.path else ""
         hint = f" (accepted: {self.accepted})" if self.accepted else ""
-        return f"{where}{self.message}{hint}"
+        return f"{where}{path}{self.message}{hint}"
--- a/packages/router/src/cornellead/cli/_change.py
+++ b/packages/router/src/cornellead/cli/_change.py
@@ -64,7 +64,7 @@
         return outcome.failure().code
     audit = outcome.unwrap()
     if values.output == "json":
-        print_json(audit)
+        print_json(audit._asdict())
     else:
         _print_audit(audit)
     return ExitCode.OK if audit.accepted else ExitCode.FAILED
--- a/packages/router/src/cornellead/cli/_config_history.py
+++ b/packages/router/src/cornellead/cli/_config_history.py
@@ -11,7 +11,10 @@
 
 from cornellead_core.config import STREAM
 from cornellead_core.config import AuditRecord
+from cornellead_core.config import ChangeRecord
 from cornellead_core.config import ConfigState
+from cornellead_core.config import Verdict
+from cornellead_core.config import parse_change
 from cornellead_core.config import reduce_record
 from cornellead_core.distribution import find_snapshot
 from cornellead_core.platform import LogRecord
@@ -52,6 +55,7 @@
                 if not isinstance(found, Success):
                     return Failure(found.failure())
                 self.state = found.unwrap().state
+                await self._recall(page.oldest_offset)
                 continue
             for record in page.records:
                 self.state, audit = reduce_record(self.state, record)
@@ -60,8 +64,36 @@
             if self.state.offset + 1 >= page.end_offset or not page.records:
                 return Success(self.state)
 
+    async def _recall(self, offset: int) -> None:
+        """Add the decisions that the snapshot holds on changes before it, as far as kept."""
+        verdicts = {item.offset: item for item in self.state.recent}
+        while offset <= self.state.offset:
+            read = await self._log.read(STREAM, from_offset=offset, limit=PAGE_RECORDS)
+            if not isinstance(read, Success) or not read.unwrap().records:
+                return
+            for record in read.unwrap().records:
+                verdict = verdicts.get(record.offset)
+                parsed = parse_change(record.value, offset=record.offset).value_or(None)
+                if verdict is not None and parsed is not None:
+                    self.decided.append(Decided(record, _make_audit(record, parsed, verdict)))
+            offset = read.unwrap().next_offset
+
     def find(self, change_id: str) -> AuditRecord | None:
         """Return the first decision on a change, if it is on the log."""
         return next(
             (item.audit for item in self.decided if item.audit.change_id == change_id), None
         )
+
+
+def _make_audit(record: LogRecord, change: ChangeRecord, verdict: Verdict) -> AuditRecord:
+    return AuditRecord(
+        offset=record.offset,
+        time_ms=record.time_ms,
+        change_id=change.change_id,
+        author=change.author,
+        base=change.base,
+        objects=tuple(sorted(change.objects)),
+        previous=(),
+        accepted=not verdict.reason,
+        reason=verdict.reason,
+    )
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_diff.py
@@ -0,0 +1,111 @@
+"""``cornellead diff``: compare configuration files with the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from returns.result import Success
+
+from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._output import print_errors
+from cornellead.cli._output import print_json
+from cornellead.cli._read_state import read_state
+from cornellead.cli._verb_flags import VerbFlags
+from cornellead_core.config import load_documents
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cornellead_core.config import ConfigState
+    from cornellead_core.config import Document
+
+ABSENT = "(absent)"
+
+
+class Difference(NamedTuple):
+    """One value that differs."""
+
+    object: str
+    path: str
+    """Keys joined by dots; empty for the whole object."""
+    fleet: Any
+    files: Any
+    version: int
+    """Version of the object in force, -1 when there is none."""
+
+
+def run(argv: list[str]) -> int:
+    """Print the values in which files and fleet differ."""
+    verb = VerbFlags(
+        "diff",
+        usage="[flags] FILE_OR_DIRECTORY...",
+        summary="Compares configuration files with the configuration in force. Objects that are "
+        "only in\nthe fleet are left out unless --all is given.",
+        examples=["diff teams/", "diff --all --output=json fleet/"],
+    )
+    verb.platform()
+    verb.output()
+    verb.switch("all", "show objects that are only in the fleet, too")
+    values = verb.parse(argv)
+    if isinstance(values, ExitCode):
+        return values
+    if not verb.arguments:
+        return verb.fail("name a file or a directory")
+    loaded = load_documents(verb.arguments)
+    if not isinstance(loaded, Success):
+        print_errors(loaded.failure())
+        return ExitCode.FAILED
+    read = asyncio.run(read_state(values.platform))
+    if not isinstance(read, Success):
+        print_errors([read.failure().message])
+        return ExitCode.UNAVAILABLE
+    state = read.unwrap()
+    found = find_differences(state, loaded.unwrap(), show_all=values.all)
+    if values.output == "json":
+        print_json({"base": state.offset, "differences": [item._asdict() for item in found]})
+    else:
+        for item in found:
+            where = f"{item.object}: {item.path}" if item.path else item.object
+            print(f"{where}: {_show(item.fleet)} -> {_show(item.files)}")
+        same = "" if found else "no differences; "
+        print(f"{same}compared with offset {state.offset} (publish with --base={state.offset})")
+    return ExitCode.DIFFERENT if found else ExitCode.OK
+
+
+def find_differences(
+    state: ConfigState, documents: list[Document], *, show_all: bool
+) -> list[Difference]:
+    """Compare files with a state.
+
+    :param show_all: Whether to include objects that no file has.
+    """
+    found = []
+    for document in sorted(documents, key=lambda item: item.name):
+        known = state.objects.get(document.name)
+        version = -1 if known is None else known.version
+        value = None if known is None else known.value
+        for path, fleet, files in _compare(ABSENT if value is None else value, document.value, ""):
+            found.append(Difference(document.name, path, fleet, files, version))
+    names = {document.name for document in documents}
+    for name, item in sorted(state.objects.items()) if show_all else []:
+        if name not in names and item.value is not None:
+            found.append(Difference(name, "", item.value, ABSENT, item.version))
+    return found
+
+
+def _compare(old: Any, new: Any, path: str) -> Iterable[tuple[str, Any, Any]]:
+    if old == new and type(old) is type(new):
+        return
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        yield path, old, new
+        return
+    for key in sorted({*old, *new}):
+        child = f"{path}.{key}" if path else key
+        yield from _compare(old.get(key, ABSENT), new.get(key, ABSENT), child)
+
+
+def _show(value: Any) -> str:
+    return value if value == ABSENT else repr(value)
--- a/packages/router/src/cornellead/cli/_exit_code.py
+++ b/packages/router/src/cornellead/cli/_exit_code.py
@@ -1,4 +1,4 @@
-"""Exit codes of the operators' verbs."""
+"""Exit codes of the verbs."""
 
 from __future__ import annotations
 
@@ -10,12 +10,27 @@
 
     OK = 0
     FAILED = 1
-    """A file is not valid, or the change was rejected; nothing changed."""
     USAGE = 2
-    """The command line is wrong."""
     UNAVAILABLE = 3
-    """The platform did not answer; nothing changed."""
     UNKNOWN = 4
-    """The change may or may not be on the log; run the same command again to find out."""
     DIFFERENT = 5
-    """Files and fleet differ (`diff`)."""
+
+    @property
+    def meaning(self) -> str:
+        """Text for the help."""
+        return _MEANINGS[self]
+
+
+_MEANINGS = {
+    ExitCode.OK: "done",
+    ExitCode.FAILED: "a file is not valid or the change was rejected; nothing changed",
+    ExitCode.USAGE: "the command line is wrong",
+    ExitCode.UNAVAILABLE: "the platform or the fleet did not answer; nothing changed",
+    ExitCode.UNKNOWN: "the log did not confirm the change; run the same command again",
+    ExitCode.DIFFERENT: "files and fleet differ (diff)",
+}
+
+
+def describe_exit_codes() -> str:
+    """Return one line per exit code."""
+    return "\n".join(f"  {code.value}  {code.meaning}" for code in ExitCode)
--- a/packages/router/src/cornellead/cli/_main.py
+++ b/packages/router/src/cornellead/cli/_main.py
@@ -6,6 +6,7 @@
 import sys
 
 from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._exit_code import describe_exit_codes
 
 VERBS = {
     "serve": "run a router",
@@ -39,9 +40,8 @@
 
 def _help() -> str:
     rows = "\n".join(f"  {verb:<9} {text}" for verb, text in VERBS.items())
-    codes = "\n".join(f"  {code.value}  {code.name.lower()}" for code in ExitCode)
     return (
         f"usage: cornellead <verb> [flags]\n\n{rows}\n\n"
-        f"exit codes:\n{codes}\n\n"
+        f"exit codes:\n{describe_exit_codes()}\n\n"
         "cornellead <verb> --help shows flags and examples of a verb"
     )
--- a/packages/router/src/cornellead/cli/_publisher.py
+++ b/packages/router/src/cornellead/cli/_publisher.py
@@ -56,11 +56,12 @@
         """
         change = ChangeRecord(uuid.uuid4().hex, author, base, objects, time.time())
         deadline = time.monotonic() + self._timeout_s
-        maybe_stored, message = False, ""
+        stored, maybe_stored, message = False, False, ""
         while True:
-            appended = await self._log.append(STREAM, [change.to_record()])
-            if isinstance(appended, Success) or appended.failure() is AppendError.UNKNOWN:
-                maybe_stored = True
+            if not stored:
+                appended = await self._log.append(STREAM, [change.to_record()])
+                stored = isinstance(appended, Success)
+                maybe_stored = maybe_stored or stored or appended.failure() is AppendError.UNKNOWN
             refreshed = await self._history.refresh()
             audit = self._history.find(change.change_id)
             if audit is not None:
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_validate.py
@@ -0,0 +1,63 @@
+"""``cornellead validate``: check configuration files."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Success
+
+from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._output import print_errors
+from cornellead.cli._output import print_json
+from cornellead.cli._read_state import read_state
+from cornellead.cli._verb_flags import VerbFlags
+from cornellead_core.config import check_documents
+from cornellead_core.config import load_documents
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cornellead_core.config import ConfigObject
+    from cornellead_core.settings import SettingsError
+
+
+def run(argv: list[str]) -> int:
+    """Check files and print every error with file, line, path and accepted values."""
+    verb = VerbFlags(
+        "validate",
+        usage="[flags] FILE_OR_DIRECTORY...",
+        summary="Checks configuration files and publishes nothing. References must be met by the "
+        "files,\nor with --platform by the files and the fleet together.",
+        examples=["validate teams/", "validate --platform=http://10.0.0.1:7000 new-team.yaml"],
+    )
+    verb.platform(required=False)
+    verb.output()
+    values = verb.parse(argv)
+    if isinstance(values, ExitCode):
+        return values
+    if not verb.arguments:
+        return verb.fail("name a file or a directory")
+    objects: Mapping[str, ConfigObject] = {}
+    if values.platform:
+        read = asyncio.run(read_state(values.platform))
+        if not isinstance(read, Success):
+            print_errors([f"{read.failure().message}; leave out --platform to check files alone"])
+            return ExitCode.UNAVAILABLE
+        objects = read.unwrap().objects
+    loaded = load_documents(verb.arguments)
+    if not isinstance(loaded, Success):
+        return _report(loaded.failure(), 0, as_json=values.output == "json")
+    documents = loaded.unwrap()
+    errors = check_documents(documents, objects)
+    return _report(errors, len(documents), as_json=values.output == "json")
+
+
+def _report(errors: list[SettingsError], count: int, *, as_json: bool) -> int:
+    if as_json:
+        print_json({"valid": not errors, "errors": [error._asdict() for error in errors]})
+    elif errors:
+        print_errors(errors)
+    else:
+        print(f"valid: {count} objects")
+    return ExitCode.FAILED if errors else ExitCode.OK
--- a/packages/router/src/cornellead/cli/_verb_flags.py
+++ b/packages/router/src/cornellead/cli/_verb_flags.py
@@ -9,6 +9,7 @@
 from absl import flags
 
 from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._exit_code import describe_exit_codes
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -34,6 +35,8 @@
         self._notes = notes
         self._values = flags.FlagValues()  # type: ignore[no-untyped-call]
         self._names: list[str] = []
+        self._needs_platform = False
+        self.arguments: list[str] = []
         flags.DEFINE_bool("help", False, "show this help", flag_values=self._values)
 
     def string(self, name: str, default: str | None, help_text: str) -> None:
@@ -67,8 +70,9 @@
         flags.DEFINE_enum("output", "table", ["table", "json"], help_text, flag_values=self._values)
         self._names.append("output")
 
-    def platform(self) -> None:
+    def platform(self, *, required: bool = True) -> None:
         """Define ``--platform`` and ``--timeout``."""
+        self._needs_platform = required
         help_text = f"URL of the platform's service; by default ${PLATFORM_ENV}"
         self.string("platform", os.environ.get(PLATFORM_ENV), help_text)
         self.number("timeout", 10.0, "longest time to wait for the platform, in seconds")
@@ -91,7 +95,7 @@
         if self._values.help:
             print(self.help())
             return ExitCode.OK
-        if "platform" in self._names and not self._values.platform:
+        if self._needs_platform and not self._values.platform:
             return self.fail(f"give --platform=URL or set {PLATFORM_ENV}")
         return self._values
 
@@ -106,9 +110,10 @@
         """Return the help text."""
         rows = [f"  --{name}\n      {self._values[name].help}" for name in self._names]
         examples = "\n".join(f"  cornellead {example}" for example in self._examples)
-        codes = "\n".join(f"  {code.value}  {code.name.lower()}" for code in ExitCode)
         notes = f"\n{self._notes}\n" if self._notes else ""
         return (
             f"usage: cornellead {self._verb} {self._usage}\n\n{self._summary}\n{notes}\n"
-            f"flags:\n" + "\n".join(rows) + f"\n\nexamples:\n{examples}\n\nexit codes:\n{codes}"
+            f"flags:\n"
+            + "\n".join(rows)
+            + f"\n\nexamples:\n{examples}\n\nexit codes:\n{describe_exit_codes()}"
         )
