--- /dev/null
+++ b/tests/guarantees/claim_histories/__init__.py
@@ -0,0 +1,33 @@
+"""Seeded histories of agents that share one log, on a virtual clock."""
+
+from __future__ import annotations
+
+from tests.guarantees.claim_histories._checker import find_violations
+from tests.guarantees.claim_histories._fake_log import AgentLog
+from tests.guarantees.claim_histories._fake_log import FakeLog
+from tests.guarantees.claim_histories._fake_log import LogFaults
+from tests.guarantees.claim_histories._fake_service import Effect
+from tests.guarantees.claim_histories._fake_service import FakeService
+from tests.guarantees.claim_histories._fake_service import ServiceFaults
+from tests.guarantees.claim_histories._history import History
+from tests.guarantees.claim_histories._history import run_history
+from tests.guarantees.claim_histories._process import Process
+from tests.guarantees.claim_histories._virtual_loop import run_virtual
+from tests.guarantees.claim_histories._world import Attempt
+from tests.guarantees.claim_histories._world import World
+
+__all__ = [
+    "AgentLog",
+    "Attempt",
+    "Effect",
+    "FakeLog",
+    "FakeService",
+    "History",
+    "LogFaults",
+    "Process",
+    "ServiceFaults",
+    "World",
+    "find_violations",
+    "run_history",
+    "run_virtual",
+]
