--- a/tests/guarantees/claim_histories/__init__.py
+++ b/tests/guarantees/claim_histories/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.guarantees.claim_histories._checker import find_violations
+from tests.guarantees.claim_histories._checker import outcome_of
 from tests.guarantees.claim_histories._fake_log import AgentLog
 from tests.guarantees.claim_histories._fake_log import FakeLog
 from tests.guarantees.claim_histories._fake_log import LogFaults
@@ -28,6 +29,7 @@
     "ServiceFaults",
     "World",
     "find_violations",
+    "outcome_of",
     "run_history",
     "run_virtual",
 ]
--- a/tests/guarantees/claim_histories/_fake_service.py
+++ b/tests/guarantees/claim_histories/_fake_service.py
@@ -43,6 +43,8 @@
         self.rng = rng
         self.faults = faults
         self.effects: list[Effect] = []
+        self.unready: set[str] = set()
+        """Hosts whose agents do not answer probes with success."""
 
     def act(self, key: str, request_id: str, body: bytes) -> bytes:
         """Take effect and return the answer."""
@@ -62,6 +64,8 @@
         """Send one call with the faults of the history."""
         await self._process.gate()
         service, rng = self._service, self._service.rng
+        if request.method == "GET":
+            return httpx.Response(503 if request.url.host in service.unready else 200)
         faults, kind = service.faults, rng.random()
         if kind < faults.refused:
             await asyncio.sleep(0.001)
--- a/tests/guarantees/claim_histories/_history.py
+++ b/tests/guarantees/claim_histories/_history.py
@@ -42,6 +42,9 @@
     log_faults: LogFaults
     service_faults: ServiceFaults
     disturbances: int
+    keys_made_s: tuple[float, ...]
+    clocks_ahead_s: tuple[float, ...]
+    """By how much the clock that dates a key is ahead; below the allowance of 0.8 s."""
 
 
 def _draw_profile(rng: random.Random) -> _Profile:
@@ -54,8 +57,8 @@
         agents=rng.randint(1, 3),
         keys=rng.randint(1, len(KEYS)),
         callers=rng.randint(2, 10),
-        span_s=40.0 if short else 12.0,
-        pause_s=30.0 if short else 6.0,
+        span_s=60.0 if short else 12.0,
+        pause_s=45.0 if short else 6.0,
         validity_s=16.0 if short else 600.0,
         retention_s=18.0 if short else 700.0,
         log_faults=LogFaults(
@@ -69,34 +72,36 @@
             refused=share(), lost_before=share() / 2, lost_after=share() / 2, slow=share()
         ),
         disturbances=rng.choice((0, 2, 5, 9)),
+        keys_made_s=tuple(rng.uniform(0.0, 30.0 if short else 0.0) for _ in KEYS),
+        clocks_ahead_s=tuple(rng.choice((-0.7, 0.0, 0.7)) if short else 0.0 for _ in KEYS),
     )
 
 
 async def _call_and_retry(world: World, profile: _Profile) -> None:
     rng = world.rng
-    await asyncio.sleep(rng.uniform(0.0, profile.span_s / 2))
-    key = rng.choice(KEYS[: profile.keys])
+    number = rng.randrange(profile.keys)
+    made_s = profile.keys_made_s[number]
+    # Every retry of a key carries the same time.
+    key_time_s = made_s + profile.clocks_ahead_s[number]
+    await asyncio.sleep(made_s + rng.choice((0.0, 0.1, profile.span_s / 2)) * rng.random())
     body = b"order" if rng.random() < 0.85 else b"another order"
-    # Every retry of a key carries the same time; callers' clocks differ by up to the allowance.
-    ahead = (hash_of(key) % 100 / 100 - 0.5) * 0.09 * profile.validity_s
-    created_s = EPOCH_MS / 1000 + (0.0 if profile.validity_s > 100 else ahead)
     for _ in range(rng.randint(1, 4)):
         attempt = await world.call(
             rng.randrange(profile.agents),
-            key=key,
+            key=KEYS[number],
             body=body,
             deadline_s=rng.choice((0.05, 0.5, 2.0, 8.0)),
-            key_time_s=created_s,
+            key_time_s=EPOCH_MS / 1000 + key_time_s,
             leaves_after_s=rng.uniform(0.0, 0.5) if rng.random() < 0.1 else None,
         )
         if outcome_of(attempt) in ("ran", "replayed") and rng.random() < 0.5:
             return
-        await asyncio.sleep(rng.choice((0.0, 0.05, 1.0, profile.span_s / 5)) * rng.random())
-
-
-def hash_of(key: str) -> int:
-    """Return a number that depends on the key only."""
-    return sum(key.encode()) * 37
+        pause_s = rng.choice((0.0, 0.05, 1.0, profile.span_s / 5)) * rng.random()
+        if rng.random() < 0.2 and profile.validity_s < profile.span_s:
+            # Retries around the moment at which the key expires.
+            expires_s = key_time_s + profile.validity_s - asyncio.get_running_loop().time()
+            pause_s = max(0.0, expires_s - 0.8 * rng.random())
+        await asyncio.sleep(pause_s)
 
 
 async def _disturb(world: World, profile: _Profile) -> None:
--- /dev/null
+++ b/tests/guarantees/claim_histories/_mutants.py
@@ -0,0 +1,177 @@
+"""Removes one mechanism at a time, to show that the histories would notice."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cornellead_agent.services import _answers
+from cornellead_agent.services._call import Phase
+from cornellead_agent.services._partition import Partition
+from cornellead_agent.services._server_client import SendError
+from cornellead_core.claims import EpochRecord
+from cornellead_core.claims import KeyState
+from cornellead_core.claims import KeyView
+from cornellead_core.claims import Ledger
+from cornellead_core.claims import Verdict
+from cornellead_core.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import pytest
+
+    Patch = pytest.MonkeyPatch
+
+
+def _replace_verdict(patch: Patch, from_verdict: Verdict) -> None:
+    decide = Partition._decide
+
+    def mutant(self: Any, call: Any, verdict: Any) -> None:
+        decide(self, call, Verdict.LIVE if verdict is from_verdict else verdict)
+
+    patch.setattr(Partition, "_decide", mutant)
+
+
+def dispatch_before_read_back(patch: Patch) -> None:
+    """Takes a successful append for a live claim."""
+    send = Partition._send
+
+    async def mutant(self: Any) -> bool:
+        answered = await send(self)
+        for call in list(self._active.values()):
+            if call.phase is Phase.CLAIMING and self._outbox.awaiting_read:
+                self._outbox.drop(call.call_id)
+                self._dispatch(call)
+        return answered
+
+    patch.setattr(Partition, "_send", mutant)
+
+
+def ignore_later_epoch(patch: Patch) -> None:
+    """Dispatches a claim that was recorded after another agent's epoch."""
+    _replace_verdict(patch, Verdict.SUPERSEDED)
+
+
+def ignore_earlier_claim(patch: Patch) -> None:
+    """Claims and dispatches a key that has an open claim."""
+    _replace_verdict(patch, Verdict.TAKEN)
+    patch.setattr(Partition, "_meet_open", lambda self, call, view: self._claim(call))
+
+
+def ignore_expiry(patch: Patch) -> None:
+    """Dispatches a claim that was recorded after its key expired."""
+    _replace_verdict(patch, Verdict.EXPIRED)
+
+
+def assume_lost_append_failed(patch: Patch) -> None:
+    """Answers ``not_run`` when the answer to an append is lost and leaves the claim as it is."""
+    send = Partition._send
+
+    async def mutant(self: Any) -> bool:
+        must_read = self._must_read
+        answered = await send(self)
+        if answered and self._must_read and not must_read and not self._outbox.awaiting_read:
+            for call in self._active.values():
+                if call.phase is Phase.CLAIMING and call.claim_sent:
+                    call.answer(_answers.refuse_call(RefusalReason.LOG_UNAVAILABLE))
+        return answered
+
+    patch.setattr(Partition, "_send", mutant)
+
+
+def dispatch_withdrawn(patch: Patch) -> None:
+    """Lets a deadline answer ``not_run`` without withdrawing the claim."""
+    expire = Partition._expire
+
+    def mutant(self: Any, call: Any) -> None:
+        phase = call.phase
+        expire(self, call)
+        if phase is Phase.CLAIMING:
+            call.phase, call.deadline = phase, call.deadline + 60.0
+            self._active[call.key] = call
+
+    patch.setattr(Partition, "_expire", mutant)
+
+
+def refuse_after_dispatch(patch: Patch) -> None:
+    """Answers ``not_run`` at the deadline of a call that was dispatched."""
+    expire = Partition._expire
+
+    def mutant(self: Any, call: Any) -> None:
+        if call.phase is Phase.DISPATCHED:
+            call.answer(_answers.refuse_call(RefusalReason.DEADLINE))
+        else:
+            expire(self, call)
+
+    patch.setattr(Partition, "_expire", mutant)
+
+
+def cancel_after_lost_answer(patch: Patch) -> None:
+    """Treats a broken connection like one that was never made."""
+    settle = Partition._settle_failure
+
+    def mutant(self: Any, call: Any, error: SendError) -> None:
+        settle(self, call, SendError.NOT_SENT)
+
+    patch.setattr(Partition, "_settle_failure", mutant)
+
+
+def forget_open_claims_at_epoch(patch: Patch) -> None:
+    """Assumes that the former owner's open claims did not run."""
+    apply = Ledger.apply
+
+    def mutant(self: Any, record: Any, **position: int) -> Verdict | None:
+        if isinstance(record, EpochRecord):
+            self._open.clear()
+        return apply(self, record, **position)
+
+    patch.setattr(Ledger, "apply", mutant)
+
+
+def forget_done_keys(patch: Patch) -> None:
+    """Frees a key when its call is done."""
+    lookup = Ledger.lookup
+
+    def mutant(self: Any, key: bytes) -> KeyView:
+        view = lookup(self, key)
+        return KeyView(KeyState.FREE) if view.state is KeyState.DONE else view
+
+    patch.setattr(Ledger, "lookup", mutant)
+
+
+def forget_early(patch: Patch) -> None:
+    """Remembers keys for half their validity."""
+    patch.setattr(
+        Ledger, "_remembers", lambda self, time: self._time_ms <= time + self._memory_ms // 2
+    )
+
+
+def forget_without_allowance(patch: Patch) -> None:
+    """Remembers keys for their validity only, though callers' clocks may be ahead."""
+    patch.setattr(
+        Ledger,
+        "_remembers",
+        lambda self, time: self._time_ms <= time + self._memory_ms - self._allowance_ms,
+    )
+
+
+def keep_epoch_over_gap(patch: Patch) -> None:
+    """Goes on as owner although records were dropped unread."""
+    patch.setattr(Ledger, "skip_missing", lambda self: None)
+
+
+MUTANTS: list[Callable[[Patch], None]] = [
+    dispatch_before_read_back,
+    ignore_later_epoch,
+    ignore_earlier_claim,
+    ignore_expiry,
+    assume_lost_append_failed,
+    dispatch_withdrawn,
+    refuse_after_dispatch,
+    cancel_after_lost_answer,
+    forget_open_claims_at_epoch,
+    forget_done_keys,
+    forget_early,
+    forget_without_allowance,
+]
--- a/tests/guarantees/claim_histories/_world.py
+++ b/tests/guarantees/claim_histories/_world.py
@@ -52,6 +52,7 @@
         self.process = Process()
         self.log = AgentLog(log=world.log, process=self.process)
         transport = ServiceTransport(service=world.service, process=self.process)
+        self.board = Blackboard()
         settings = AgentSettings(
             process=ProcessSettings(name, "r", "d", "", "", "", "0123456789abcdef"),
             server=ServerSettings("http://service", service="booking"),
@@ -59,7 +60,7 @@
         )
         self.handler = ServiceHandler(
             settings=settings,
-            board=Blackboard(),
+            board=self.board,
             log=self.log,
             client=httpx.AsyncClient(transport=transport),
             incarnation=1,
