--- a/packages/core/src/cornellead_core/config/_validation.py
+++ b/packages/core/src/cornellead_core/config/_validation.py
@@ -16,6 +16,7 @@
     from collections.abc import Mapping
 
     from cornellead_core.config._config_state import ConfigObject
+    from cornellead_core.config._config_state import ConfigState
 
 
 def find_problems(
@@ -25,6 +26,18 @@
     return [f"{name}: {problem}" for name, problem in find_object_problems(objects, changes)]
 
 
+def check_state(state: ConfigState) -> list[str]:
+    """Return what is wrong with a state that comes from elsewhere, as text."""
+    changes = {name: item.value for name, item in state.objects.items()}
+    problems = find_problems({}, changes)
+    problems += [
+        f"{name}: version {item.version} lies above the offset {state.offset}"
+        for name, item in state.objects.items()
+        if item.version > state.offset
+    ]
+    return problems
+
+
 def find_object_problems(
     objects: Mapping[str, ConfigObject], changes: Mapping[str, dict[str, Any] | None]
 ) -> list[tuple[str, Problem]]:
@@ -102,7 +115,7 @@
         template = self._value(template_name)
         if template is None:
             templates = [name[9:] for name in self._names if name.startswith("template/")]
-            help_text = ", ".join(templates) or "publish a template first"
+            help_text = ", ".join(templates) or "none; publish a template first"
             message = f"template {team['template']} does not exist"
             return [Problem(("template",), message, help_text)]
         return check_team(team, template, self._models)
@@ -115,5 +128,5 @@
             assert value is not None
             for model in value.get("models", []):
                 if model not in self._models:
-                    known = ", ".join(sorted(self._models)) or "publish a model object first"
+                    known = ", ".join(sorted(self._models)) or "none; publish a model object first"
                     yield name, Problem(("models",), f"model {model} does not exist", known)
--- /dev/null
+++ b/tests/guarantees/claim_histories/_history.py
@@ -0,0 +1,167 @@
+"""Generates and runs one history from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from tests.guarantees.claim_histories._checker import find_violations
+from tests.guarantees.claim_histories._checker import outcome_of
+from tests.guarantees.claim_histories._fake_log import EPOCH_MS
+from tests.guarantees.claim_histories._fake_log import LogFaults
+from tests.guarantees.claim_histories._fake_service import ServiceFaults
+from tests.guarantees.claim_histories._virtual_loop import run_virtual
+from tests.guarantees.claim_histories._world import KEYS
+from tests.guarantees.claim_histories._world import World
+
+SETTLE_S = 40.0
+"""Longer than any late append, slow effect or pause still to come."""
+
+
+class History(NamedTuple):
+    """What happened, for the judgement and for the trace of a failure."""
+
+    seed: int
+    violations: list[str]
+    outcomes: Counter[str]
+    effects: int
+
+
+class _Profile(NamedTuple):
+    """Kind of a history, drawn from its seed."""
+
+    agents: int
+    keys: int
+    callers: int
+    span_s: float
+    pause_s: float
+    validity_s: float
+    retention_s: float
+    log_faults: LogFaults
+    service_faults: ServiceFaults
+    disturbances: int
+    keys_made_s: tuple[float, ...]
+    clocks_ahead_s: tuple[float, ...]
+    """By how much the clock that dates a key is ahead; below the allowance of 0.8 s."""
+
+
+def _draw_profile(rng: random.Random) -> _Profile:
+    def share() -> float:
+        return rng.choice((0.0, 0.0, 0.05, 0.25))
+
+    # A short validity lets keys expire and records be dropped within the history.
+    short = rng.random() < 0.3
+    return _Profile(
+        agents=rng.randint(1, 3),
+        keys=rng.randint(1, len(KEYS)),
+        callers=rng.randint(2, 10),
+        span_s=60.0 if short else 12.0,
+        pause_s=45.0 if short else 6.0,
+        validity_s=16.0 if short else 600.0,
+        retention_s=18.0 if short else 700.0,
+        log_faults=LogFaults(
+            lost_answer=share(),
+            late=rng.choice((0.0, 0.5, 1.0)),
+            rejected=share(),
+            failed_read=share(),
+            delay_s=rng.choice((0.005, 0.05, 0.4)),
+        ),
+        service_faults=ServiceFaults(
+            refused=share(), lost_before=share() / 2, lost_after=share() / 2, slow=share()
+        ),
+        disturbances=rng.choice((0, 2, 5, 9)),
+        keys_made_s=tuple(rng.uniform(0.0, 30.0 if short else 0.0) for _ in KEYS),
+        clocks_ahead_s=tuple(rng.choice((-0.7, 0.0, 0.7)) if short else 0.0 for _ in KEYS),
+    )
+
+
+async def _call_and_retry(world: World, profile: _Profile) -> None:
+    rng = world.rng
+    number = rng.randrange(profile.keys)
+    made_s = profile.keys_made_s[number]
+    # Every retry of a key carries the same time.
+    key_time_s = made_s + profile.clocks_ahead_s[number]
+    await asyncio.sleep(made_s + rng.choice((0.0, 0.1, profile.span_s / 2)) * rng.random())
+    body = b"order" if rng.random() < 0.85 else b"another order"
+    for _ in range(rng.randint(1, 4)):
+        attempt = await world.call(
+            rng.randrange(profile.agents),
+            key=KEYS[number],
+            body=body,
+            deadline_s=rng.choice((0.05, 0.5, 2.0, 8.0)),
+            key_time_s=EPOCH_MS / 1000 + key_time_s,
+            leaves_after_s=rng.uniform(0.0, 0.5) if rng.random() < 0.1 else None,
+        )
+        if outcome_of(attempt) in ("ran", "replayed") and rng.random() < 0.5:
+            return
+        pause_s = rng.choice((0.0, 0.05, 1.0, profile.span_s / 5)) * rng.random()
+        if rng.random() < 0.2 and profile.validity_s < profile.span_s:
+            # Retries around the moment at which the key expires.
+            expires_s = key_time_s + profile.validity_s - asyncio.get_running_loop().time()
+            pause_s = max(0.0, expires_s - 0.8 * rng.random())
+        await asyncio.sleep(pause_s)
+
+
+async def _disturb(world: World, profile: _Profile) -> None:
+    rng = world.rng
+    await asyncio.sleep(rng.uniform(0.0, profile.span_s * 0.8))
+    index = rng.randrange(profile.agents)
+    process = world.agents[index].process
+    duration_s = rng.choice((0.05, 1.0, 1.0)) * rng.uniform(0.1, profile.pause_s)
+    kind = rng.choice(("pause", "pause", "restart", "restart_paused", "cut_off", "outage"))
+    match kind:
+        case "pause":
+            process.pause()
+            await asyncio.sleep(duration_s)
+            process.resume()
+        case "restart":
+            world.restart(index)
+        case "restart_paused":
+            # The platform replaces a process that it believes dead; the old one wakes up later.
+            process.pause()
+            world.replace(index)
+            await asyncio.sleep(duration_s)
+            process.resume()
+        case "cut_off":
+            process.cut_off = True
+            await asyncio.sleep(duration_s)
+            process.cut_off = False
+        case "outage":
+            world.log.outage = True
+            await asyncio.sleep(min(duration_s, 6.0))
+            world.log.outage = False
+
+
+async def _play(world: World, profile: _Profile) -> None:
+    tasks = [world.start(_call_and_retry(world, profile)) for _ in range(profile.callers)]
+    tasks += [world.start(_disturb(world, profile)) for _ in range(profile.disturbances)]
+    await asyncio.wait(tasks)
+    await asyncio.sleep(SETTLE_S)
+
+
+def run_history(seed: int) -> History:
+    """Run and judge one history."""
+    rng = random.Random(seed)
+    profile = _draw_profile(rng)
+    worlds: list[World] = []
+
+    async def play() -> None:
+        world = World(
+            rng=rng,
+            agents=profile.agents,
+            validity_s=profile.validity_s,
+            retention_s=profile.retention_s,
+            log_faults=profile.log_faults,
+            service_faults=profile.service_faults,
+        )
+        worlds.append(world)
+        await _play(world, profile)
+
+    run_virtual(play())
+    world = worlds[0]
+    violations = find_violations(world.attempts, world.service.effects)
+    violations += [f"broken invariant: {exc!r}" for exc in world.broken]
+    outcomes = Counter(outcome_of(attempt) for attempt in world.attempts)
+    return History(seed, violations, outcomes, len(world.service.effects))
