--- a/packages/router/src/cornellead/api/_http_app.py
+++ b/packages/router/src/cornellead/api/_http_app.py
@@ -37,9 +37,16 @@
     """
 
     def __init__(
-        self, *, chat: ASGIApp, board: Blackboard, metrics: Metrics, status: Status
+        self,
+        *,
+        chat: ASGIApp,
+        services: ASGIApp,
+        board: Blackboard,
+        metrics: Metrics,
+        status: Status,
     ) -> None:
         self._chat = chat
+        self._services = services
         self._board = board
         self._metrics = metrics
         self._status = status
@@ -49,6 +56,9 @@
         return Litestar(
             route_handlers=[
                 asgi("/v1/chat/completions", copy_scope=False)(_only("POST", self._chat)),
+                asgi("/v1/services/{service:str}/{operation:str}", copy_scope=False)(
+                    _only("POST", self._services)
+                ),
                 asgi("/v1/models", copy_scope=False)(_only("GET", self._models)),
                 asgi("/healthz", copy_scope=False)(_only("GET", self._health)),
                 asgi("/readyz", copy_scope=False)(_only("GET", self._ready)),
--- /dev/null
+++ b/packages/router/src/cornellead/api/_service_handler.py
@@ -0,0 +1,143 @@
+"""Calls to plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+from typing import TYPE_CHECKING
+
+from cornellead.api._caller_connection import CallerConnection
+from cornellead.api._caller_request import CallerRequest
+from cornellead.api._caller_request import read_request
+from cornellead.dispatch import AgentRequest
+from cornellead.dispatch import Progress
+from cornellead.dispatch import ServiceJob
+from cornellead.errors import ApiError
+from cornellead.errors import invalid
+from cornellead.errors import lost
+
+if TYPE_CHECKING:
+    from litestar.types import Receive
+    from litestar.types import Scope
+    from litestar.types import Send
+
+    from cornellead.api._in_progress import InProgress
+    from cornellead.dispatch import ServiceDispatcher
+    from cornellead.stats import RouterStats
+    from cornellead_core.blackboard import Blackboard
+    from cornellead_core.retries import RetryBudget
+    from cornellead_core.settings import RouterSettings
+
+_PATH = re.compile(r"/v1/services/([A-Za-z0-9_.-]+)/([A-Za-z0-9_.-]+)/?")
+_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+FORWARDED_HEADERS = ("content-type", "idempotent-replayed", "retry-after")
+
+
+class ServiceHandler:
+    """Serves ``POST /v1/services/{service}/{operation}`` as raw ASGI."""
+
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        settings: RouterSettings,
+        dispatcher: ServiceDispatcher,
+        budget: RetryBudget,
+        stats: RouterStats,
+        in_progress: InProgress,
+    ) -> None:
+        self._board = board
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._budget = budget
+        self._stats = stats
+        self._in_progress = in_progress
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one call."""
+        conn = CallerConnection(scope=scope, receive=receive, send=send)
+        request_id = os.urandom(16).hex()
+        self._stats.in_progress += 1
+        self._in_progress.enter()
+        progress = Progress()
+        try:
+            error = await self._serve(conn, scope["path"], request_id, progress)
+        except asyncio.CancelledError:
+            if not conn.gone and not self._in_progress.expired:
+                raise
+            may_have_run = progress.may_have_run or progress.in_flight
+            text = "this router stops and the call took longer than the drain allows"
+            error = lost(text, may_have_run=may_have_run)
+        finally:
+            conn.unwatch()
+            self._in_progress.leave()
+            self._stats.in_progress -= 1
+        if error is None or conn.gone or conn.started:
+            return
+        self._stats.count_error(error.code)
+        self._stats.count_response("service", error.status)
+        await conn.fail(error, request_id)
+
+    async def _serve(
+        self, conn: CallerConnection, path: str, request_id: str, progress: Progress
+    ) -> ApiError | None:
+        req = await read_request(conn, board=self._board, settings=self._settings)
+        if isinstance(req, ApiError):
+            return req
+        job = self._parse(conn, req, path, request_id)
+        if isinstance(job, ApiError):
+            return job
+        # The call goes on when the caller of an operation that runs at most once leaves: the
+        # recorded answer is there for the retry with the same key.
+        if not job.at_most_once:
+            conn.watch()
+        self._budget.count_request(now=req.received_at)
+        answer = await self._dispatcher.run(job, progress)
+        if isinstance(answer, ApiError):
+            return answer
+        headers = [
+            (name.encode(), answer.headers[name].encode("latin-1"))
+            for name in FORWARDED_HEADERS
+            if name in answer.headers
+        ]
+        headers.append((b"x-request-id", request_id.encode()))
+        self._stats.count_response("service", answer.status)
+        await conn.respond(answer.status, headers, answer.body)
+        return None
+
+    def _parse(
+        self, conn: CallerConnection, req: CallerRequest, path: str, request_id: str
+    ) -> ServiceJob | ApiError:
+        match = _PATH.fullmatch(path)
+        if match is None:
+            return invalid("the path is not /v1/services/{service}/{operation}", status=404)
+        service, operation = match.groups()
+        policy = req.team.services.get(service)
+        if policy is None or operation not in policy.at_most_once | policy.idempotent:
+            message = f"team {req.team.name} may not call {service}/{operation}"
+            return invalid(message, status=404, code="operation_not_found")
+        at_most_once = operation in policy.at_most_once
+        key = conn.header("idempotency-key")
+        if key is None and at_most_once:
+            message = f"{operation} runs at most once; send an Idempotency-Key"
+            return invalid(message, code="idempotency_key_missing")
+        if key is not None and not _KEY.fullmatch(key):
+            message = "Idempotency-Key is not 1 to 255 visible ASCII characters"
+            return invalid(message, code="idempotency_key_invalid")
+        fields = {} if key is None else {"idempotency-key": key}
+        key_time = conn.header("idempotency-key-time")
+        if key_time is not None:
+            fields["idempotency-key-time"] = key_time
+        request = AgentRequest(
+            request_id=request_id,
+            path=f"/v1/services/{service}/{operation}",
+            body=req.body,
+            content_type=conn.header("content-type") or "application/json",
+            team=req.team.name,
+            priority=str(req.priority),
+            deadline=req.deadline,
+            headers=fields,
+            fresh_connection=at_most_once,
+        )
+        return ServiceJob(request, service, key, at_most_once, req.team, req.priority)
--- a/packages/router/src/cornellead/api/_status.py
+++ b/packages/router/src/cornellead/api/_status.py
@@ -46,6 +46,9 @@
     events: int
     hints: int
     refusals: dict[str, int]
+    """Errors to callers by code."""
+    agent_refusals: dict[str, int]
+    """Refusals of agents by reason; most lead to another placement."""
     control_bytes: int
     control_bytes_per_s: float
     added_first_token: Quantiles
@@ -101,6 +104,7 @@
             events=self._stats.tokens,
             hints=self._hints.sent,
             refusals=dict(self._stats.refusals),
+            agent_refusals=dict(self._caller.refusals),
             control_bytes=self._traffic.total_bytes,
             control_bytes_per_s=round(self._traffic.total_bytes / uptime_s, 1),
             added_first_token=_quantiles(self._stats.added),
--- a/packages/router/src/cornellead/dispatch/__init__.py
+++ b/packages/router/src/cornellead/dispatch/__init__.py
@@ -11,8 +11,11 @@
 from cornellead.dispatch._chat_dispatcher import ChatDispatcher
 from cornellead.dispatch._chat_dispatcher import ChatJob
 from cornellead.dispatch._chat_dispatcher import Placed
-from cornellead.dispatch._chat_dispatcher import Progress
 from cornellead.dispatch._hint_sender import HintSender
+from cornellead.dispatch._progress import Progress
+from cornellead.dispatch._service_dispatcher import ServiceDispatcher
+from cornellead.dispatch._service_job import ServiceAnswer
+from cornellead.dispatch._service_job import ServiceJob
 
 __all__ = [
     "AgentCaller",
@@ -26,4 +29,7 @@
     "Placed",
     "Progress",
     "Refused",
+    "ServiceAnswer",
+    "ServiceDispatcher",
+    "ServiceJob",
 ]
--- a/packages/router/src/cornellead/dispatch/_agent_caller.py
+++ b/packages/router/src/cornellead/dispatch/_agent_caller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
@@ -56,6 +57,8 @@
         self._key = key
         self._on_newer_config = on_newer_config
         self.attempts = 0
+        self.refusals: Counter[str] = Counter()
+        """Refusals of agents by reason."""
 
     async def call(
         self, host: HostEntry, req: AgentRequest, extra: Mapping[str, str]
@@ -99,6 +102,7 @@
             await exchange.read_all(limit=REFUSAL_BODY_LIMIT)
         finally:
             timer.cancel()
+        self.refusals[reason] += 1
         refusal = _read_refusal(reason, host.name, answer.headers)
         batch = req.priority == Priority.BATCH
         self._view.refused(host.name, refusal.reason, batch=batch, now=loop.time())
--- a/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
@@ -10,7 +10,6 @@
 from cornellead.dispatch._agent_reply import Refused
 from cornellead.dispatch._agent_request import AgentRequest
 from cornellead.errors import ApiError
-from cornellead.errors import busy
 from cornellead.errors import lost
 from cornellead.errors import too_late
 from cornellead.fleet import engines_for
@@ -30,9 +29,10 @@
 if TYPE_CHECKING:
     from cornellead.dispatch._agent_caller import AgentCaller
     from cornellead.dispatch._hint_sender import HintSender
+    from cornellead.dispatch._progress import Progress
     from cornellead.fleet import ServerView
     from cornellead.placement import Placement
-    from cornellead.waiting import WaitingRoom
+    from cornellead.waiting import Waiter
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.platform import HostEntry
     from cornellead_core.retries import RetryBudget
@@ -58,18 +58,6 @@
     exchange: Exchange
 
 
-class Progress:
-    """What the attempts of one request have led to so far."""
-
-    def __init__(self) -> None:
-        self.may_have_run = False
-        """Whether an attempt that ended may have run."""
-        self.in_flight = False
-        """Whether an attempt was sent and not refused."""
-        self.waited_s = 0.0
-        """Time in the wait queue, in seconds."""
-
-
 class ChatDispatcher:
     """Offers a request to servers in preference order, then lets it wait for its turn."""
 
@@ -79,7 +67,7 @@
         board: Blackboard,
         caller: AgentCaller,
         view: ServerView,
-        room: WaitingRoom,
+        waiter: Waiter,
         budget: RetryBudget,
         hints: HintSender,
         attempts: int,
@@ -87,7 +75,7 @@
         self._board = board
         self._caller = caller
         self._view = view
-        self._room = room
+        self._waiter = waiter
         self._budget = budget
         self._hints = hints
         self._attempts = attempts
@@ -100,44 +88,16 @@
         :param resume_from: Events already delivered to the caller, when a stream is resumed.
         :returns: The response, or the error for the caller once no attempt may follow.
         """
-        # A resumed stream was admitted before; it does not queue again behind new requests.
-        overtakes = resume_from is not None
-        if overtakes or not self._room.waits_before(job.model, job.priority):
-            found = await self._try_round(job, progress, resume_from)
-            if found is not None:
-                return found
-        return await self._wait(job, progress, resume_from)
-
-    async def _wait(
-        self, job: ChatJob, progress: Progress, resume_from: int | None
-    ) -> Placed | ApiError:
-        loop = asyncio.get_running_loop()
-        ticket = self._room.enter(
-            job.model,
-            team=job.team.name,
-            weight=max(1, job.team.concurrent_requests),
+        return await self._waiter.try_until(
+            lambda: self._try_round(job, progress, resume_from),
+            queue=f"model/{job.model}",
+            team=job.team,
             priority=job.priority,
+            deadline=job.request.deadline,
+            progress=progress,
+            # A resumed stream was admitted before; it does not queue behind new requests again.
+            overtakes=resume_from is not None,
         )
-        if ticket is None:
-            return self._overloaded(progress)
-        entered_at = loop.time()
-        found: Placed | ApiError | None = None
-        try:
-            while found is None:
-                deadline = job.request.deadline
-                if not await self._room.wait_turn(job.model, ticket, deadline=deadline):
-                    if loop.time() >= deadline:
-                        return too_late(may_have_run=progress.may_have_run)
-                    return self._overloaded(progress)
-                found = await self._try_round(job, progress, resume_from)
-        finally:
-            self._room.leave(job.model, ticket, served=found is not None)
-            progress.waited_s += loop.time() - entered_at
-        return found
-
-    def _overloaded(self, progress: Progress) -> ApiError:
-        error = busy("overloaded", "all servers are at their limits; retry later")
-        return error if not progress.may_have_run else lost(error.message, may_have_run=True)
 
     async def _try_round(
         self, job: ChatJob, progress: Progress, resume_from: int | None
--- a/packages/router/src/cornellead/errors/__init__.py
+++ b/packages/router/src/cornellead/errors/__init__.py
@@ -6,6 +6,7 @@
 from cornellead.errors._api_error import busy
 from cornellead.errors._api_error import invalid
 from cornellead.errors._api_error import lost
+from cornellead.errors._api_error import refused
 from cornellead.errors._api_error import too_late
 
-__all__ = ["ApiError", "busy", "invalid", "lost", "too_late"]
+__all__ = ["ApiError", "busy", "invalid", "lost", "refused", "too_late"]
--- a/packages/router/src/cornellead/errors/_api_error.py
+++ b/packages/router/src/cornellead/errors/_api_error.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from cornellead_core.outcomes import Outcome
+from cornellead_core.outcomes import Refusal
+from cornellead_core.outcomes import RefusalReason
 
 _TYPES = {
     400: "invalid_request_error",
@@ -24,6 +26,14 @@
 }
 
 
+_REFUSALS = {
+    RefusalReason.LOG_UNAVAILABLE: "calls cannot be recorded now; retry with the same key",
+    RefusalReason.DEADLINE: "the deadline passed before the call was sent; allow more time",
+    RefusalReason.KEY_CONFLICT: "the idempotency key belongs to another request; use a new key",
+    RefusalReason.KEY_EXPIRED: "the idempotency key is too old; use a new key",
+}
+
+
 class ApiError(NamedTuple):
     """What went wrong, and whether the request may have taken effect."""
 
@@ -68,6 +78,12 @@
     return ApiError(503, code, message, Outcome.NOT_RUN, retry_after_s)
 
 
+def refused(refusal: Refusal, status: int) -> ApiError:
+    """Return the error for a refusal of a server that no other server would lift."""
+    message = _REFUSALS.get(refusal.reason, refusal.message)
+    return ApiError(status, refusal.reason, message, Outcome.NOT_RUN, refusal.retry_after_s)
+
+
 def lost(message: str, *, may_have_run: bool) -> ApiError:
     """Return the error for a request whose response did not arrive."""
     outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import TYPE_CHECKING
 
@@ -82,6 +83,9 @@
         :returns: Number of requests that exceeded the drain time.
         :raises ExceptionGroup: when a controller breaks an invariant.
         """
+        # A full collection over the imported modules stops the loop for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stopping.set)
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -8,14 +8,17 @@
 from cornellead.api import ChatHandler
 from cornellead.api import HttpApp
 from cornellead.api import InProgress
+from cornellead.api import ServiceHandler
 from cornellead.api import Status
 from cornellead.dispatch import AgentCaller
 from cornellead.dispatch import ChatDispatcher
 from cornellead.dispatch import HintSender
+from cornellead.dispatch import ServiceDispatcher
 from cornellead.fleet import ServerView
 from cornellead.process._pool_janitor import PoolJanitor
 from cornellead.stats import RouterStats
 from cornellead.upstream import AgentPool
+from cornellead.waiting import Waiter
 from cornellead.waiting import WaitingRoom
 from cornellead_core.metrics import Metrics
 from cornellead_core.retries import RetryBudget
@@ -61,11 +64,12 @@
         caller = AgentCaller(
             board=board, pool=self.pool, view=view, key=key, on_newer_config=on_newer_config
         )
+        waiter = Waiter(room=self.room, waits=self.stats.wait)
         dispatcher = ChatDispatcher(
             board=board,
             caller=caller,
             view=view,
-            room=self.room,
+            waiter=waiter,
             budget=budget,
             hints=self.hints,
             attempts=settings.placement_attempts,
@@ -79,6 +83,21 @@
             stats=self.stats,
             in_progress=self.in_progress,
         )
+        services = ServiceHandler(
+            board=board,
+            settings=settings,
+            dispatcher=ServiceDispatcher(
+                board=board,
+                caller=caller,
+                view=view,
+                waiter=waiter,
+                budget=budget,
+                attempts=settings.placement_attempts,
+            ),
+            budget=budget,
+            stats=self.stats,
+            in_progress=self.in_progress,
+        )
         self.status = Status(
             process=settings.process,
             board=board,
@@ -90,7 +109,9 @@
             traffic=traffic,
             started_at=loop.time(),
         )
-        app = HttpApp(chat=chat, board=board, metrics=metrics, status=self.status)
+        app = HttpApp(
+            chat=chat, services=services, board=board, metrics=metrics, status=self.status
+        )
         self.app: Litestar = app.build()
 
     def controllers(self) -> list[Controller]:
