--- a/packages/core/src/cornellead_core/wire/_messages.py
+++ b/packages/core/src/cornellead_core/wire/_messages.py
@@ -73,6 +73,9 @@
     team: str
     requests_per_s: float
     concurrent: int
+    held_requests_per_s: float = 0.0
+    """Leased share that the router uses now; an answer to it may have been lost."""
+    held_concurrent: float = 0.0
 
 
 class Demand(NamedTuple):
