--- a/packages/router/src/cornellead/api/_caller_connection.py
+++ b/packages/router/src/cornellead/api/_caller_connection.py
@@ -100,7 +100,12 @@
         await self._send({"type": "http.response.body", "body": body, "more_body": False})
 
     async def fail(self, error: ApiError, request_id: str) -> None:
-        """Send an error response."""
+        """Send an error response, or an error event if the response has started."""
+        if self.started:
+            await self._send(
+                {"type": "http.response.body", "body": error.event(), "more_body": False}
+            )
+            return
         headers = [
             (b"content-type", b"application/json"),
             (b"x-request-id", request_id.encode()),
--- a/packages/router/src/cornellead/api/_chat_handler.py
+++ b/packages/router/src/cornellead/api/_chat_handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from typing import TYPE_CHECKING
 
 from cornellead.api._caller_connection import CallerConnection
@@ -29,9 +28,10 @@
     from litestar.types import Scope
     from litestar.types import Send
 
-    from cornellead.api._in_progress import InProgress
+    from cornellead.api._request_runner import RequestRunner
     from cornellead.dispatch import ChatDispatcher
     from cornellead.fleet import ServerView
+    from cornellead.limits import TeamGate
     from cornellead.stats import RouterStats
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.retries import RetryBudget
@@ -56,42 +56,27 @@
         dispatcher: ChatDispatcher,
         view: ServerView,
         budget: RetryBudget,
+        gate: TeamGate,
         stats: RouterStats,
-        in_progress: InProgress,
+        runner: RequestRunner,
     ) -> None:
         self._board = board
         self._settings = settings
         self._dispatcher = dispatcher
         self._view = view
         self._budget = budget
+        self._gate = gate
         self._stats = stats
-        self._in_progress = in_progress
+        self._runner = runner
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         conn = CallerConnection(scope=scope, receive=receive, send=send)
-        request_id = os.urandom(16).hex()
-        self._stats.in_progress += 1
-        self._in_progress.enter()
-        progress = Progress()
-        try:
-            error = await self._serve(conn, request_id, progress, send)
-        except asyncio.CancelledError:
-            if not conn.gone and not self._in_progress.expired:
-                raise
-            error = _stopped(progress)
-        finally:
-            conn.unwatch()
-            self._in_progress.leave()
-            self._stats.in_progress -= 1
-        if error is None or conn.gone:
-            return
-        self._stats.count_error(error.code)
-        if conn.started:
-            await send({"type": "http.response.body", "body": error.event(), "more_body": False})
-            return
-        self._stats.count_response("chat", error.status)
-        await conn.fail(error, request_id)
+        await self._runner.run(
+            conn,
+            lambda request_id, progress: self._serve(conn, request_id, progress, send),
+            kind="chat",
+        )
 
     async def _serve(
         self, conn: CallerConnection, request_id: str, progress: Progress, send: Send
@@ -104,6 +89,22 @@
         job = self._parse(conn, req, request_id)
         if isinstance(job, ApiError):
             return job
+        error = self._gate.enter(req.team, now=req.received_at)
+        if error is not None:
+            return error
+        try:
+            return await self._run(conn, job, progress, req, send)
+        finally:
+            self._gate.leave(req.team)
+
+    async def _run(
+        self,
+        conn: CallerConnection,
+        job: ChatJob,
+        progress: Progress,
+        req: CallerRequest,
+        send: Send,
+    ) -> ApiError | None:
         while True:
             placed = await self._dispatcher.place(job, progress)
             if isinstance(placed, ApiError):
@@ -264,8 +265,3 @@
                     placed.exchange.abort()
         except TimeoutError:
             pass
-
-
-def _stopped(progress: Progress) -> ApiError:
-    text = "this router stops and the request took longer than the drain allows"
-    return lost(text, may_have_run=progress.may_have_run or progress.in_flight)
--- a/packages/router/src/cornellead/api/_service_handler.py
+++ b/packages/router/src/cornellead/api/_service_handler.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import re
 from typing import TYPE_CHECKING
 
@@ -11,19 +9,19 @@
 from cornellead.api._caller_request import CallerRequest
 from cornellead.api._caller_request import read_request
 from cornellead.dispatch import AgentRequest
-from cornellead.dispatch import Progress
 from cornellead.dispatch import ServiceJob
 from cornellead.errors import ApiError
 from cornellead.errors import invalid
-from cornellead.errors import lost
 
 if TYPE_CHECKING:
     from litestar.types import Receive
     from litestar.types import Scope
     from litestar.types import Send
 
-    from cornellead.api._in_progress import InProgress
+    from cornellead.api._request_runner import RequestRunner
+    from cornellead.dispatch import Progress
     from cornellead.dispatch import ServiceDispatcher
+    from cornellead.limits import TeamGate
     from cornellead.stats import RouterStats
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.retries import RetryBudget
@@ -44,40 +42,26 @@
         settings: RouterSettings,
         dispatcher: ServiceDispatcher,
         budget: RetryBudget,
+        gate: TeamGate,
         stats: RouterStats,
-        in_progress: InProgress,
+        runner: RequestRunner,
     ) -> None:
         self._board = board
         self._settings = settings
         self._dispatcher = dispatcher
         self._budget = budget
+        self._gate = gate
         self._stats = stats
-        self._in_progress = in_progress
+        self._runner = runner
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one call."""
         conn = CallerConnection(scope=scope, receive=receive, send=send)
-        request_id = os.urandom(16).hex()
-        self._stats.in_progress += 1
-        self._in_progress.enter()
-        progress = Progress()
-        try:
-            error = await self._serve(conn, scope["path"], request_id, progress)
-        except asyncio.CancelledError:
-            if not conn.gone and not self._in_progress.expired:
-                raise
-            may_have_run = progress.may_have_run or progress.in_flight
-            text = "this router stops and the call took longer than the drain allows"
-            error = lost(text, may_have_run=may_have_run)
-        finally:
-            conn.unwatch()
-            self._in_progress.leave()
-            self._stats.in_progress -= 1
-        if error is None or conn.gone or conn.started:
-            return
-        self._stats.count_error(error.code)
-        self._stats.count_response("service", error.status)
-        await conn.fail(error, request_id)
+        await self._runner.run(
+            conn,
+            lambda request_id, progress: self._serve(conn, scope["path"], request_id, progress),
+            kind="service",
+        )
 
     async def _serve(
         self, conn: CallerConnection, path: str, request_id: str, progress: Progress
@@ -93,7 +77,13 @@
         if not job.at_most_once:
             conn.watch()
         self._budget.count_request(now=req.received_at)
-        answer = await self._dispatcher.run(job, progress)
+        error = self._gate.enter(req.team, now=req.received_at)
+        if error is not None:
+            return error
+        try:
+            answer = await self._dispatcher.run(job, progress)
+        finally:
+            self._gate.leave(req.team)
         if isinstance(answer, ApiError):
             return answer
         headers = [
--- /dev/null
+++ b/packages/router/src/cornellead/limits/__init__.py
@@ -0,0 +1,8 @@
+"""Limits of teams on this router."""
+
+from __future__ import annotations
+
+from cornellead.limits._share_controller import ShareController
+from cornellead.limits._team_gate import TeamGate
+
+__all__ = ["ShareController", "TeamGate"]
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from cornellead.limits import ShareController
 from cornellead.process._config_puller import ConfigPuller
 from cornellead.process._control_handler import ControlHandler
 from cornellead.process._drain import Drain
@@ -56,7 +57,8 @@
             control=self._control,
             on_newer_config=puller.request,
         )
-        handler = ControlHandler(distributor=distributor)
+        shares = ShareController(gate=self._parts.gate, client=self._control, router=process.name)
+        handler = ControlHandler(distributor=distributor, shares=shares)
         self._controllers: list[Controller] = [
             HostListWatcher(
                 board=board,
@@ -67,6 +69,7 @@
             ControlServer(
                 address=process.control, key=key, traffic=traffic, handler=handler.handle
             ),
+            shares,
             *self._parts.controllers(),
         ]
         self._server = HttpServer(app=self._parts.app, address=process.http)
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -8,6 +8,7 @@
 from cornellead.api import ChatHandler
 from cornellead.api import HttpApp
 from cornellead.api import InProgress
+from cornellead.api import RequestRunner
 from cornellead.api import ServiceHandler
 from cornellead.api import Status
 from cornellead.dispatch import AgentCaller
@@ -15,6 +16,7 @@
 from cornellead.dispatch import HintSender
 from cornellead.dispatch import ServiceDispatcher
 from cornellead.fleet import ServerView
+from cornellead.limits import TeamGate
 from cornellead.process._pool_janitor import PoolJanitor
 from cornellead.stats import RouterStats
 from cornellead.upstream import AgentPool
@@ -61,6 +63,7 @@
         self.stats = RouterStats(metrics=metrics)
         budget = RetryBudget(ratio=settings.retry_ratio, min_per_s=settings.retry_min_per_s)
         self.in_progress = InProgress()
+        self.gate = TeamGate(board=board, name=settings.process.name, started_at=loop.time())
         caller = AgentCaller(
             board=board, pool=self.pool, view=view, key=key, on_newer_config=on_newer_config
         )
@@ -74,14 +77,16 @@
             hints=self.hints,
             attempts=settings.placement_attempts,
         )
+        runner = RequestRunner(stats=self.stats, in_progress=self.in_progress)
         chat = ChatHandler(
             board=board,
             settings=settings,
             dispatcher=dispatcher,
             view=view,
             budget=budget,
+            gate=self.gate,
             stats=self.stats,
-            in_progress=self.in_progress,
+            runner=runner,
         )
         services = ServiceHandler(
             board=board,
@@ -95,8 +100,9 @@
                 attempts=settings.placement_attempts,
             ),
             budget=budget,
+            gate=self.gate,
             stats=self.stats,
-            in_progress=self.in_progress,
+            runner=runner,
         )
         self.status = Status(
             process=settings.process,
