--- a/packages/core/src/cornellead_core/limits/_team_share.py
+++ b/packages/core/src/cornellead_core/limits/_team_share.py
@@ -83,6 +83,10 @@
             floor_share(limit.concurrent, routers),
         )
 
+    def usable(self, *, now: float) -> bool:
+        """Return whether this router may use any share."""
+        return now >= self._floor_from or now < self._lease_until
+
     def held(self, *, now: float) -> tuple[float, float]:
         """Return the leased share in use, zero without a lease."""
         if self._lease is None or now >= self._lease_until:
--- a/packages/router/src/cornellead/api/_http_app.py
+++ b/packages/router/src/cornellead/api/_http_app.py
@@ -23,6 +23,7 @@
     from litestar.types import Send
 
     from cornellead.api._status import Status
+    from cornellead.limits import TeamGate
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.metrics import Metrics
 
@@ -41,12 +42,14 @@
         *,
         chat: ASGIApp,
         services: ASGIApp,
+        gate: TeamGate,
         board: Blackboard,
         metrics: Metrics,
         status: Status,
     ) -> None:
         self._chat = chat
         self._services = services
+        self._gate = gate
         self._board = board
         self._metrics = metrics
         self._status = status
@@ -91,6 +94,8 @@
             await conn.respond(503, _TEXT, b"stopping\n")
         elif self._board.read(CONFIG).offset < 0:
             await conn.respond(503, _TEXT, b"no configuration yet\n")
+        elif not self._gate.ready(now=asyncio.get_running_loop().time()):
+            await conn.respond(503, _TEXT, b"no shares of the team limits yet\n")
         else:
             await conn.respond(200, _TEXT, b"ready\n")
 
--- a/packages/router/src/cornellead/dispatch/_hint_sender.py
+++ b/packages/router/src/cornellead/dispatch/_hint_sender.py
@@ -8,7 +8,7 @@
 from cornellead_core.wire import Hint
 
 if TYPE_CHECKING:
-    from cornellead_core.wire import ControlClient
+    from cornellead_core.distribution import ControlRequester
 
 MAX_HINTS_PER_S = 10
 """A hint and its answer take about 130 bytes, so hints stay under half of the 3 KB/s budget."""
@@ -21,7 +21,7 @@
 
     name = "hint-sender"
 
-    def __init__(self, *, client: ControlClient) -> None:
+    def __init__(self, *, client: ControlRequester) -> None:
         self._client = client
         self._pending: asyncio.Queue[tuple[str, Hint]] = asyncio.Queue(MAX_PENDING)
         self.sent = 0
--- a/packages/router/src/cornellead/limits/_share_controller.py
+++ b/packages/router/src/cornellead/limits/_share_controller.py
@@ -9,6 +9,7 @@
 
 from returns.result import Success
 
+from cornellead_core.facts import CONFIG
 from cornellead_core.limits import CONTRIBUTION_S
 from cornellead_core.limits import IDLE_CONTRIBUTION_S
 from cornellead_core.limits import LEASE_S
@@ -23,6 +24,7 @@
     from collections.abc import Sequence
 
     from cornellead.limits._team_gate import TeamGate
+    from cornellead_core.blackboard import Blackboard
     from cornellead_core.distribution import ControlRequester
 
 REPORT_INTERVAL_S = 2.0
@@ -58,11 +60,13 @@
     def __init__(
         self,
         *,
+        board: Blackboard,
         gate: TeamGate,
         client: ControlRequester,
         router: str,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._board = board
         self._gate = gate
         self._client = client
         self._router = router
@@ -84,9 +88,11 @@
     async def run(self) -> None:
         """Report demand until cancelled."""
         while True:
+            revision = self._board.revision(CONFIG)
             await self.report()
             starting = self._clock() < self._started_at + START_S
-            await asyncio.sleep(START_INTERVAL_S if starting else REPORT_INTERVAL_S)
+            interval_s = START_INTERVAL_S if starting else REPORT_INTERVAL_S
+            await self._board.wait_change(CONFIG, revision=revision, timeout_s=interval_s)
 
     async def report(self) -> None:
         """Report the demand of all teams that are due, and take the answers."""
--- a/packages/router/src/cornellead/limits/_team_gate.py
+++ b/packages/router/src/cornellead/limits/_team_gate.py
@@ -48,6 +48,10 @@
         """Count an admitted request as ended."""
         self._states[team.name].finish()
 
+    def ready(self, *, now: float) -> bool:
+        """Return whether every team has a share on this router."""
+        return all(self.state(team, now=now).usable(now=now) for team in self.limits())
+
     def state(self, team: str, *, now: float) -> TeamShareState:
         """Return the share of one team."""
         state = self._states.get(team)
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -57,7 +57,9 @@
             control=self._control,
             on_newer_config=puller.request,
         )
-        shares = ShareController(gate=self._parts.gate, client=self._control, router=process.name)
+        shares = ShareController(
+            board=board, gate=self._parts.gate, client=self._control, router=process.name
+        )
         handler = ControlHandler(distributor=distributor, shares=shares)
         self._controllers: list[Controller] = [
             HostListWatcher(
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -33,8 +33,8 @@
     from cornellead_core.auth import FleetKey
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.blackboard import Controller
+    from cornellead_core.distribution import ControlRequester
     from cornellead_core.settings import RouterSettings
-    from cornellead_core.wire import ControlClient
     from cornellead_core.wire import Traffic
 
 
@@ -51,7 +51,7 @@
         board: Blackboard,
         key: FleetKey,
         traffic: Traffic,
-        control: ControlClient,
+        control: ControlRequester,
         on_newer_config: Callable[[str], None],
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -116,7 +116,12 @@
             started_at=loop.time(),
         )
         app = HttpApp(
-            chat=chat, services=services, board=board, metrics=metrics, status=self.status
+            chat=chat,
+            services=services,
+            gate=self.gate,
+            board=board,
+            metrics=metrics,
+            status=self.status,
         )
         self.app: Litestar = app.build()
 
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -116,6 +116,8 @@
             return
         exchange.finish(complete=True)
         self._exchange = None
+        # The rest of this read may hold another response; its headers must not change these.
+        self._headers = {}
         if not parser.should_keep_alive() or self.closed:
             self.close()
             return
--- /dev/null
+++ b/tests/guarantees/test_g4_complete_answers.py
@@ -0,0 +1,320 @@
+"""G4: each caller receives the complete response to its own request."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from tests.router.fake_agent import FakeAgent
+from tests.router.fake_agent import FakeRequest
+from tests.router.fake_agent import Script
+from tests.router.fake_agent import answer
+from tests.router.fake_agent import chunk
+from tests.router.fake_agent import done
+from tests.router.fake_agent import end
+from tests.router.fake_agent import event
+from tests.router.fake_agent import hang
+from tests.router.fake_agent import head
+from tests.router.fake_agent import stream_head
+from tests.router.fake_agent import stream_of
+from tests.router.harness import running
+
+from cornellead.relay import StreamCutter
+
+if TYPE_CHECKING:
+    from tests.router.harness import Caller
+
+TOTAL = 5
+COMPLETE = b"".join(event(n) for n in range(1, TOTAL + 1)) + done(TOTAL + 1)
+PREFIXES = {b"".join(event(n) for n in range(1, k + 1)) for k in range(TOTAL + 1)}
+
+cuts = st.lists(st.integers(1, 400), max_size=12)
+
+
+def split(data: bytes, sizes: list[int]) -> list[bytes]:
+    """Cut bytes into pieces of the given sizes and a rest."""
+    pieces = []
+    for size in sizes:
+        pieces.append(data[:size])
+        data = data[size:]
+    return [piece for piece in [*pieces, data] if piece]
+
+
+@given(
+    order=st.lists(st.integers(1, TOTAL + 2), max_size=10),
+    counted=st.integers(0, TOTAL + 2),
+    foreign=st.booleans(),
+    numbered=st.booleans(),
+    sizes=cuts,
+)
+@settings(max_examples=300, derandomize=True)
+def test_cutter_forwards_only_a_prefix_in_order(
+    order: list[int], counted: int, foreign: bool, numbered: bool, sizes: list[int]
+) -> None:
+    """Guards against gaps, duplicates and a false end, however the bytes are cut and ordered."""
+    final = done(TOTAL + 1) if numbered else b"data: [DONE]\n\n"
+    sent = b"".join(event(n) if n <= TOTAL else final for n in order)
+    comment = b": end %s %d\n\n" % (b"other" if foreign else b"mine", counted)
+    cutter = StreamCutter(request_id="mine")
+    out = b"".join(cutter.feed(piece) for piece in split(sent + comment, sizes))
+    body = out.removesuffix(final)
+    assert body == b"".join(event(n) for n in range(1, cutter.delivered + 1))
+    assert cutter.ended or body == out
+    if cutter.ended:
+        assert not foreign
+        assert counted in (cutter.delivered, cutter.delivered + 1)
+
+
+def faulty(fault: str, at: int) -> Script:
+    """Stream with one fault at an event."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        first = request.resume + 1
+        whole = [event(n) for n in range(first, TOTAL + 1)]
+        whole += [done(TOTAL + 1), end(request, TOTAL + 1)]
+        place = min(at, len(whole) - 1)
+        if fault == "truncated":
+            whole[place:] = [whole[place][: len(whole[place]) // 2]]
+        elif fault == "cut between events":
+            del whole[place:]
+        elif fault == "reordered":
+            whole[place : place + 2] = reversed(whole[place : place + 2])
+        elif fault == "duplicated":
+            whole.insert(place, whole[max(0, place - 1)])
+        elif fault == "missing event":
+            del whole[place]
+        elif fault == "end of another request":
+            whole[-1] = f": end {'0' * 32} {TOTAL + 1}\n\n".encode()
+        elif fault == "wrong request":
+            writer.write(stream_head(request, request_id="0" * 32) + chunk(b"".join(whole)))
+            writer.write(chunk(b""))
+            return
+        elif fault == "moved":
+            whole[place:] = [end(request, first - 1 + place, word="moved")]
+        writer.write(stream_head(request) + b"".join(chunk(part) for part in whole))
+        if fault in ("truncated", "cut between events") and at % 2:
+            await writer.drain()
+            writer.transport.abort()
+            raise ConnectionResetError
+        writer.write(chunk(b""))
+
+    return script
+
+
+FAULTS = (
+    "none",
+    "truncated",
+    "cut between events",
+    "reordered",
+    "duplicated",
+    "missing event",
+    "end of another request",
+    "wrong request",
+    "moved",
+)
+
+
+@given(
+    plan=st.lists(
+        st.tuples(st.sampled_from(FAULTS), st.integers(0, TOTAL + 1)), min_size=1, max_size=4
+    ),
+    retries=st.integers(0, 4),
+)
+@settings(max_examples=80, derandomize=True)
+def test_faulty_streams_are_resumed_or_reported(plan: list[tuple[str, int]], retries: int) -> None:
+    """Guards against presenting a broken stream as complete, and against mixing two attempts."""
+    left = list(plan)
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        fault, at = left.pop(0) if left else ("none", 0)
+        await faulty(fault, at)(request, writer)
+
+    async def run() -> Caller:
+        agents = [FakeAgent(name, script) for name in ("s1", "s2", "s3", "s4", "s5")]
+        async with running(agents, retry_ratio=float(retries), retry_min_per_s=0.0) as router:
+            return await router.caller().chat(x_deadline_ms="3000")
+
+    caller = asyncio.run(run())
+    assert caller.complete
+    if caller.ended:
+        assert caller.body == COMPLETE
+        return
+    text, separator, _ = caller.body.partition(b"event: error\n")
+    if separator:
+        assert text in PREFIXES
+        assert caller.error["outcome"] == "unknown"
+    else:
+        assert caller.status >= 500
+
+
+async def test_stream_resumes_where_it_broke() -> None:
+    """Guards against a resumed stream that repeats or skips events."""
+    agents = [FakeAgent(name, stream_of(TOTAL)) for name in ("s1", "s2")]
+    broken = False
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal broken
+        if broken:
+            await stream_of(TOTAL)(request, writer)
+            return
+        broken = True
+        writer.write(stream_head(request) + chunk(event(1) + event(2) + event(3)[:9]))
+        await writer.drain()
+        writer.transport.abort()
+        raise ConnectionResetError
+
+    for agent in agents:
+        agent.script = script
+    async with running(agents) as router:
+        caller = await router.caller().chat()
+    assert caller.body == COMPLETE
+    assert [request.resume for agent in agents for request in agent.requests].count(2) == 1
+
+
+async def test_connection_is_not_reused_after_a_cancel() -> None:
+    """Guards against the rest of a cancelled response reaching the next caller."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        if len(agent.requests) == 1:
+            writer.write(stream_head(request) + chunk(event(1)))
+            await writer.drain()
+            await agent.closed_by_router.wait()
+            raise ConnectionResetError
+        await stream_of(TOTAL)(request, writer)
+
+    agent = FakeAgent("s1", script)
+    async with running([agent]) as router:
+        first = router.caller()
+        task = asyncio.create_task(first.chat())
+        while not first.body:
+            first.progressed.clear()
+            await first.progressed.wait()
+        first.leave()
+        # The agent notices that its connection was closed only when it writes or reads.
+        await task
+        agent.closed_by_router.set()
+        second = await router.caller().chat()
+    assert not first.ended
+    assert second.body == COMPLETE
+    assert [request.connection for request in agent.requests] == [0, 1]
+
+
+@pytest.mark.parametrize("late", [b"", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"])
+async def test_late_bytes_never_reach_the_next_request(late: bytes) -> None:
+    """Guards against a late or duplicated response on a pooled connection."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        body = json.dumps({"id": request.id}).encode()
+        writer.write(head(request, content_length=str(len(body))) + body + late)
+
+    agent = FakeAgent("s1", script)
+    async with running([agent]) as router:
+        callers = [await router.caller().chat(stream=False) for _ in range(3)]
+    for caller in callers:
+        assert json.loads(caller.body)["id"] == caller.headers["x-request-id"]
+
+
+async def test_answer_of_another_request_is_not_delivered() -> None:
+    """Guards against an answer whose request id does not match."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(head(request, request_id="0" * 32, content_length="2") + b"hi")
+
+    async with running([FakeAgent("s1", script)], retry_ratio=0.0, retry_min_per_s=0.0) as router:
+        caller = await router.caller().chat(stream=False)
+    assert (caller.status, caller.error["outcome"]) == (502, "unknown")
+
+
+@given(kept=st.integers(0, 19), chunked=st.booleans())
+@settings(max_examples=25, derandomize=True)
+def test_truncated_answer_is_not_delivered(kept: int, chunked: bool) -> None:
+    """Guards against delivering a part of a whole response, or one without a length."""
+    body = b'{"text": "complete"}'
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        if chunked:
+            writer.write(head(request, transfer_encoding="chunked") + chunk(body) + chunk(b""))
+            return
+        writer.write(head(request, content_length=str(len(body))) + body[:kept])
+        await writer.drain()
+        writer.transport.abort()
+        raise ConnectionResetError
+
+    async def run() -> Caller:
+        agents = [FakeAgent("s1", script)]
+        async with running(agents, retry_ratio=0.0, retry_min_per_s=0.0) as router:
+            return await router.caller().chat(stream=False)
+
+    caller = asyncio.run(run())
+    assert (caller.status, caller.error["outcome"]) == (502, "unknown")
+
+
+async def test_two_requests_with_the_same_text_get_their_own_answers() -> None:
+    """Guards against matching responses by content."""
+    first_may_answer = asyncio.Event()
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        if len(agent.requests) == 1:
+            await first_may_answer.wait()
+        else:
+            first_may_answer.set()
+        body = json.dumps({"id": request.id}).encode()
+        writer.write(head(request, content_length=str(len(body))) + body)
+
+    agent = FakeAgent("s1", script)
+    async with running([agent]) as router:
+        callers = [router.caller() for _ in range(2)]
+        await asyncio.gather(*(caller.chat(stream=False, text="same") for caller in callers))
+    ids = [json.loads(caller.body)["id"] for caller in callers]
+    assert ids == [caller.headers["x-request-id"] for caller in callers]
+    assert ids[0] != ids[1]
+
+
+async def test_slow_caller_stops_the_router_reading() -> None:
+    """Guards against holding a whole stream in memory while the caller does not read."""
+    large = "x" * 40_000
+    written = 0
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal written
+        writer.transport.set_write_buffer_limits(high=0)
+        writer.write(stream_head(request))
+        for number in range(1, 401):
+            writer.write(chunk(event(number, large)))
+            await writer.drain()
+            written = number
+        writer.write(chunk(done(401)) + chunk(end(request, 401)) + chunk(b""))
+
+    async with running([FakeAgent("s1", script)]) as router:
+        caller = router.caller()
+        caller.reading.clear()
+        task = asyncio.create_task(caller.chat())
+        stalled_at = -1
+        while stalled_at != written or written == 0:
+            stalled_at = written
+            await asyncio.sleep(0.2)
+        assert written < 400
+        caller.reading.set()
+        await task
+    assert caller.ended
+    assert caller.body.count(b"\nid: ") == 400
+
+
+async def test_caller_that_leaves_while_waiting_frees_its_place() -> None:
+    """Guards against work for callers that are gone."""
+    agent = FakeAgent("s1", hang)
+    async with running([agent]) as router:
+        caller = router.caller()
+        task = asyncio.create_task(caller.chat())
+        while not agent.requests:
+            await asyncio.sleep(0.01)
+        caller.leave()
+        await task
+        assert len(router.parts.in_progress) == 0
+        agent.script = answer(b"{}")
+        assert (await router.caller().chat(stream=False)).status == 200
--- /dev/null
+++ b/tests/router/fake_agent.py
@@ -0,0 +1,187 @@
+"""Fake agents at the HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+from typing import TypeAlias
+
+from cornellead_core import headers
+from cornellead_core.platform import HostEntry
+from cornellead_core.platform import HostKind
+
+
+class FakeRequest(NamedTuple):
+    """A request as the agent received it."""
+
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    connection: int
+    """Number of the connection, from 0."""
+
+    @property
+    def id(self) -> str:
+        """Request id."""
+        return self.headers[headers.REQUEST]
+
+    @property
+    def resume(self) -> int:
+        """Events that the caller already has."""
+        return int(self.headers.get(headers.RESUME, "0"))
+
+
+Script: TypeAlias = Callable[[FakeRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+class FakeAgent:
+    """Serves each request with a script; the next request on a connection follows the last."""
+
+    def __init__(self, name: str, script: Script, *, dc: str = "dc-a", service: str = "") -> None:
+        self.name = name
+        self.script = script
+        self.dc = dc
+        self.service = service
+        self.requests: list[FakeRequest] = []
+        self.connections = 0
+        self.closed_by_router = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def entry(self) -> HostEntry:
+        """Entry of the host list."""
+        assert self._server is not None
+        port = self._server.sockets[0].getsockname()[1]
+        models = () if self.service else ("m",)
+        return HostEntry(
+            self.name,
+            HostKind.AGENT,
+            "region",
+            self.dc,
+            f"127.0.0.1:{port}",
+            f"control-{self.name}",
+            service=self.service,
+            models=models,
+            capacity=4.0,
+        )
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = self.connections
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                fields = dict(line.split(": ", 1) for line in head[1:] if line)
+                body = await reader.readexactly(int(fields["content-length"]))
+                request = FakeRequest(head[0].split(" ")[1], fields, body, number)
+                self.requests.append(request)
+                await self.script(request, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed_by_router.set()
+        except asyncio.CancelledError:
+            pass  # The event loop of the test closes.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+
+def head(
+    request: FakeRequest, *, status: int = 200, request_id: str | None = None, **fields: str
+) -> bytes:
+    """Make status line and headers; ``a_b`` becomes ``a-b``."""
+    lines = [f"HTTP/1.1 {status} X", f"{headers.REQUEST}: {request_id or request.id}"]
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def stream_head(request: FakeRequest, *, request_id: str | None = None) -> bytes:
+    """Make the head of an event stream."""
+    return head(
+        request,
+        request_id=request_id,
+        content_type="text/event-stream",
+        transfer_encoding="chunked",
+    )
+
+
+def event(number: int, text: str = "") -> bytes:
+    """Make an event; the content depends on its number only."""
+    data = json.dumps({"choices": [{"delta": {"content": text or f"t{number} "}}]})
+    return f"id: {number}\ndata: {data}\n\n".encode()
+
+
+def done(number: int) -> bytes:
+    """Make the final event."""
+    return b"id: %d\ndata: [DONE]\n\n" % number
+
+
+def end(request: FakeRequest, events: int, *, word: str = "end") -> bytes:
+    """Make the end or moved comment."""
+    return f": {word} {request.id} {events}\n\n".encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Make a chunk of a chunked body; no data makes the last one."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def stream_of(total: int) -> Script:
+    """Stream ``total`` events, after those already delivered, and the final event."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(stream_head(request))
+        for number in range(request.resume + 1, total + 1):
+            writer.write(chunk(event(number)))
+        writer.write(chunk(done(total + 1)) + chunk(end(request, total + 1)) + chunk(b""))
+
+    return script
+
+
+def refuse(reason: str, *, hint: str = "", status: int = 503) -> Script:
+    """Refuse every request."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        fields = {headers.REFUSAL: reason, "content-length": "0"}
+        if hint:
+            fields[headers.HINT] = hint
+        writer.write(head(request, status=status, **fields))
+
+    return script
+
+
+def answer(body: bytes, *, status: int = 200) -> Script:
+    """Answer every request with the same body."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        fields = {"content-length": str(len(body)), "content-type": "application/json"}
+        writer.write(head(request, status=status, **fields) + body)
+
+    return script
+
+
+async def hang_up(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+    """Close the connection after the request was read."""
+    writer.transport.abort()
+    raise ConnectionResetError
+
+
+async def hang(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+    """Never answer."""
+    await asyncio.Event().wait()
--- /dev/null
+++ b/tests/router/harness.py
@@ -0,0 +1,222 @@
+"""A router without listeners, called through ASGI."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+from returns.result import Failure
+from returns.result import Result
+
+from cornellead.limits import ShareController
+from cornellead.process import TrafficParts
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.blackboard import run_controllers
+from cornellead_core.config import EMPTY_CONFIG
+from cornellead_core.config import FleetConfig
+from cornellead_core.config import Priority
+from cornellead_core.config import ServicePolicy
+from cornellead_core.config import TeamPolicy
+from cornellead_core.facts import CONFIG
+from cornellead_core.facts import HOSTS
+from cornellead_core.settings import ProcessSettings
+from cornellead_core.settings import RouterSettings
+from cornellead_core.wire import Traffic
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Sequence
+
+    from tests.router.fake_agent import FakeAgent
+
+    from cornellead_core.wire import Message
+
+KEY = "0123456789abcdef"
+SERVICES = {
+    "booking": ServicePolicy(idempotent=frozenset({"look"}), at_most_once=frozenset({"hold"}))
+}
+
+
+def make_team(name: str, **changes: Any) -> TeamPolicy:
+    """Make a team whose token is its name."""
+    team = TeamPolicy(
+        name=name,
+        models=frozenset({"m"}),
+        token_digests=frozenset({hashlib.sha256(name.encode()).hexdigest()}),
+        default_priority=Priority.INTERACTIVE,
+        allowed_priorities=frozenset(Priority),
+        requests_per_s=1000.0,
+        concurrent_requests=1000,
+        load_bound=1.25,
+        services=SERVICES,
+        key_validity_s=3600.0,
+    )
+    return team._replace(**changes)
+
+
+def make_config(*teams: TeamPolicy, **changes: Any) -> FleetConfig:
+    """Make a configuration in force."""
+    cfg = EMPTY_CONFIG._replace(
+        offset=0,
+        teams={team.name: team for team in teams},
+        teams_by_token={digest: team for team in teams for digest in team.token_digests},
+        models=frozenset({"m"}),
+    )
+    return cfg._replace(**changes)
+
+
+class FakeControl:
+    """Records control messages; no peer answers."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Message]] = []
+
+    async def request(self, address: str, message: Message) -> Result[Message, str]:
+        """Record a message."""
+        self.sent.append((address, message))
+        return Failure("no peer")
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+        self._gone = asyncio.Event()
+        self.reading = asyncio.Event()
+        self.reading.set()
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.complete = False
+        self.progressed = asyncio.Event()
+
+    async def send(
+        self,
+        path: str,
+        body: bytes | None,
+        *,
+        team: str = "a",
+        method: str = "POST",
+        **fields: str,
+    ) -> Caller:
+        """Send a request and wait for the whole response.
+
+        :param body: ``None`` for a body that never arrives.
+        :param fields: Headers; ``a_b`` becomes ``a-b``.
+        """
+        sent = {"authorization": f"Bearer {team}", **fields}
+        scope = {
+            "type": "http",
+            "asgi": {"version": "3.0"},
+            "http_version": "1.1",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "root_path": "",
+            "scheme": "http",
+            "headers": [
+                (name.replace("_", "-").encode(), text.encode()) for name, text in sent.items()
+            ],
+            "client": ("127.0.0.1", 1),
+            "server": ("127.0.0.1", 2),
+        }
+        received = False
+
+        async def receive() -> dict[str, Any]:
+            nonlocal received
+            if not received and body is not None:
+                received = True
+                return {"type": "http.request", "body": body, "more_body": False}
+            await self._gone.wait()
+            return {"type": "http.disconnect"}
+
+        await self._app(scope, receive, self._take)
+        return self
+
+    async def chat(self, *, stream: bool = True, text: str = "hello", **fields: Any) -> Caller:
+        """Send a chat request."""
+        content: dict[str, Any] = {"model": "m", "stream": stream}
+        content["messages"] = [{"role": "user", "content": text}]
+        return await self.send("/v1/chat/completions", json.dumps(content).encode(), **fields)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self._gone.set()
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """Error of the response or of its last event."""
+        _, _, data = self.body.rpartition(b"event: error\ndata: ")
+        found: dict[str, Any] = json.loads(data)["error"]
+        return found
+
+    @property
+    def ended(self) -> bool:
+        """Whether the stream is presented as complete."""
+        return self.body.endswith(b"data: [DONE]\n\n")
+
+    async def _take(self, message: Any) -> None:
+        await self.reading.wait()
+        if message["type"] == "http.response.start":
+            self.status = message["status"]
+            self.headers = {name.decode(): text.decode() for name, text in message["headers"]}
+        else:
+            assert not self.complete
+            self.body += message["body"]
+            self.complete = not message["more_body"]
+        self.progressed.set()
+
+
+class Harness:
+    """A router with fake agents."""
+
+    def __init__(self, parts: TrafficParts, board: Blackboard, control: FakeControl) -> None:
+        self.parts = parts
+        self.board = board
+        self.control = control
+
+    def caller(self) -> Caller:
+        """Return a new caller."""
+        return Caller(self.parts.app)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    agents: Sequence[FakeAgent],
+    *,
+    cfg: FleetConfig | None = None,
+    **settings: Any,
+) -> AsyncIterator[Harness]:
+    """Run a router in front of agents."""
+    board = Blackboard()
+    board.write(CONFIG, cfg or make_config(make_team("a"), make_team("b")))
+    for agent in agents:
+        await agent.start()
+    board.write(HOSTS, tuple(agent.entry() for agent in agents))
+    process = ProcessSettings("r", "region", "dc-a", "", "", "", KEY)
+    control = FakeControl()
+    parts = TrafficParts(
+        settings=RouterSettings(process, default_deadline_s=10.0)._replace(**settings),
+        board=board,
+        key=FleetKey(secret=KEY.encode()),
+        traffic=Traffic(),
+        control=control,
+        on_newer_config=lambda _: None,
+    )
+    shares = ShareController(board=board, gate=parts.gate, client=control, router="r")
+    await shares.report()
+    background = asyncio.create_task(run_controllers([shares, *parts.controllers()]))
+    try:
+        yield Harness(parts, board, control)
+    finally:
+        background.cancel()
+        parts.pool.close()
+        for agent in agents:
+            await agent.stop()
