Keep the sum of leased shares within the limit under lost answers and two coordinators

A state machine found a share of zero for a router that reported after another one's part had lapsed. The floor of a reporting router is now always granted: it was kept back from all earlier leases. A test also found that the second request of a team within a millisecond was refused, because the rate bucket started with one token; it starts full.

--- a/packages/core/src/cornellead_core/limits/_share_pool.py
+++ b/packages/core/src/cornellead_core/limits/_share_pool.py
@@ -72,12 +72,18 @@
         # A share granted earlier is in use only if the router says so; a lost answer never is.
         known = max((lease.until for lease in self._leases.get(router, ())), default=now + lease_s)
         self._leases[router] = [_Lease(held, known)] if held > 0 else []
-        pool = limit * len(self._members) / count
+        part = limit / count
+        pool = part * len(self._members)
         free = pool - sum(self._used(member, floor) for member in self._members if member != router)
-        free -= sum(self._used(other, 0.0) for other in self._leases if other not in self._members)
-        share = min(self._fair(router, pool, floor), free)
-        share = max(0.0, share)
-        if self._whole and share >= floor:
+        # A router that no longer lends still covers its last lease with its own part.
+        free -= sum(
+            max(0.0, self._used(other, 0.0) - part)
+            for other in self._leases
+            if other not in self._members
+        )
+        # The floor is free: it was kept back from all earlier leases, or the part is new.
+        share = max(floor, min(self._fair(router, pool, floor), free))
+        if self._whole:
             share = max(float(math.floor(share)), min(1.0, free) if demand > 0 else 0.0, floor)
         if not settled and len(self._members) < routers:
             share = min(share, max(held, floor))
--- a/packages/core/src/cornellead_core/limits/_team_share.py
+++ b/packages/core/src/cornellead_core/limits/_team_share.py
@@ -28,7 +28,8 @@
         self._floor_from = floor_from
         self._lease: TeamShare | None = None
         self._lease_until = 0.0
-        self._tokens = 1.0
+        # Cut to one burst at the first request.
+        self._tokens = math.inf
         self._filled_at = now
         self._arrivals = 0.0
         self._peak = 0
--- a/tests/guarantees/test_g4_complete_answers.py
+++ b/tests/guarantees/test_g4_complete_answers.py
@@ -270,6 +270,7 @@
     async with running([agent]) as router:
         callers = [router.caller() for _ in range(2)]
         await asyncio.gather(*(caller.chat(stream=False, text="same") for caller in callers))
+    assert [caller.status for caller in callers] == [200, 200], [c.body for c in callers]
     ids = [json.loads(caller.body)["id"] for caller in callers]
     assert ids == [caller.headers["x-request-id"] for caller in callers]
     assert ids[0] != ids[1]
