--- a/packages/router/src/cornellead/api/_http_app.py
+++ b/packages/router/src/cornellead/api/_http_app.py
@@ -4,9 +4,12 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 from litestar import Litestar
+from litestar import Request
+from litestar import Response
 from litestar import asgi
 
 from cornellead.api._caller_connection import CallerConnection
@@ -59,7 +62,8 @@
         return Litestar(
             route_handlers=[
                 asgi("/v1/chat/completions", copy_scope=False)(_only("POST", self._chat)),
-                asgi("/v1/services/{service:str}/{operation:str}", copy_scope=False)(
+                # A mount, because the framework finds no raw handler for a path with parameters.
+                asgi("/v1/services", is_mount=True, copy_scope=False)(
                     _only("POST", self._services)
                 ),
                 asgi("/v1/models", copy_scope=False)(_only("GET", self._models)),
@@ -68,6 +72,7 @@
                 asgi("/metrics", copy_scope=False)(_only("GET", self._show_metrics)),
                 asgi("/status", copy_scope=False)(_only("GET", self._show_status)),
             ],
+            exception_handlers={404: _not_found},
             openapi_config=None,
             logging_config=None,
         )
@@ -109,6 +114,11 @@
         await conn.respond(200, _JSON, msgspec.json.encode(body))
 
 
+def _not_found(request: Request[Any, Any, Any], exc: Exception) -> Response[bytes]:
+    error = invalid("no such path; see the documentation of the API", status=404, code="not_found")
+    return Response(error.body(), status_code=404, media_type="application/json")
+
+
 def _only(method: str, app: ASGIApp) -> ASGIApp:
     async def serve(scope: Scope, receive: Receive, send: Send) -> None:
         if scope.get("method") == method:
--- a/packages/router/src/cornellead/api/_service_handler.py
+++ b/packages/router/src/cornellead/api/_service_handler.py
@@ -27,7 +27,8 @@
     from cornellead_core.retries import RetryBudget
     from cornellead_core.settings import RouterSettings
 
-_PATH = re.compile(r"/v1/services/([A-Za-z0-9_.-]+)/([A-Za-z0-9_.-]+)/?")
+_PATH = re.compile(r"/([A-Za-z0-9_.-]+)/([A-Za-z0-9_.-]+)/?")
+"""Path below the mount point."""
 _KEY = re.compile(r"[\x21-\x7e]{1,255}")
 FORWARDED_HEADERS = ("content-type", "idempotent-replayed", "retry-after")
 
--- a/packages/router/src/cornellead/process/_drain.py
+++ b/packages/router/src/cornellead/process/_drain.py
@@ -23,10 +23,18 @@
 class Drain:
     """Waits for requests in progress and reports those that exceed the drain time."""
 
-    def __init__(self, *, board: Blackboard, in_progress: InProgress, timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        in_progress: InProgress,
+        timeout_s: float,
+        notice_s: float = NOTICE_S,
+    ) -> None:
         self._board = board
         self._in_progress = in_progress
         self._timeout_s = timeout_s
+        self._notice_s = notice_s
 
     async def run(self) -> int:
         """Refuse new requests and finish the others.
@@ -38,7 +46,7 @@
         log.info("drain started", in_progress=len(self._in_progress))
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        await self._wait(started_at + self._timeout_s, not_before=started_at + NOTICE_S)
+        await self._wait(started_at + self._timeout_s, not_before=started_at + self._notice_s)
         exceeded = self._in_progress.expire() if len(self._in_progress) else 0
         await self._wait(loop.time() + REPORT_TIMEOUT_S, not_before=0.0)
         log.info("drain finished", exceeded=exceeded)
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -56,7 +56,7 @@
     ) -> None:
         loop = asyncio.get_running_loop()
         metrics = Metrics()
-        view = ServerView()
+        self.view = view = ServerView()
         self.pool = AgentPool(loop=loop)
         self.room = WaitingRoom(max_waiting=settings.max_waiting)
         self.hints = HintSender(client=control)
--- /dev/null
+++ b/tests/guarantees/test_g8_router_drain.py
@@ -0,0 +1,121 @@
+"""G8: a planned stop cuts no request in progress; the router's part."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.router.fake_agent import FakeAgent
+from tests.router.fake_agent import FakeRequest
+from tests.router.fake_agent import chunk
+from tests.router.fake_agent import done
+from tests.router.fake_agent import end
+from tests.router.fake_agent import event
+from tests.router.fake_agent import hang
+from tests.router.fake_agent import refuse
+from tests.router.fake_agent import stream_head
+from tests.router.fake_agent import stream_of
+from tests.router.harness import Caller
+from tests.router.harness import Harness
+from tests.router.harness import running
+
+from cornellead.process import Drain
+
+TOTAL = 4
+COMPLETE = b"".join(event(n) for n in range(1, TOTAL + 1)) + done(TOTAL + 1)
+
+
+async def begin(router: Harness, agent: FakeAgent) -> tuple[Caller, asyncio.Task[Caller]]:
+    """Start a stream and wait until the agent has the request."""
+    caller = router.caller()
+    task = asyncio.create_task(caller.chat())
+    while not agent.requests:
+        await asyncio.sleep(0.01)
+    return caller, task
+
+
+def drain_of(router: Harness, timeout_s: float) -> Drain:
+    """Make the drain of a router."""
+    return Drain(
+        board=router.board, in_progress=router.parts.in_progress, timeout_s=timeout_s, notice_s=0.0
+    )
+
+
+async def test_drain_finishes_streams_and_refuses_new_requests() -> None:
+    """Guards against cutting a stream, and against new work during a planned stop."""
+    go_on = asyncio.Event()
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(stream_head(request) + chunk(event(1)))
+        await go_on.wait()
+        for number in range(2, TOTAL + 1):
+            writer.write(chunk(event(number)))
+        writer.write(chunk(done(TOTAL + 1)) + chunk(end(request, TOTAL + 1)) + chunk(b""))
+
+    agent = FakeAgent("s1", script)
+    async with running([agent]) as router:
+        caller, task = await begin(router, agent)
+        draining = asyncio.create_task(drain_of(router, 30.0).run())
+        await asyncio.sleep(0)
+        ready = await router.caller().send("/readyz", b"", method="GET")
+        refused = await router.caller().chat()
+        go_on.set()
+        assert await draining == 0
+        await task
+    assert ready.status == 503
+    assert (refused.status, refused.error["outcome"]) == (503, "not_run")
+    assert "retry-after" in refused.headers
+    assert caller.body == COMPLETE
+
+
+async def test_drain_reports_requests_that_exceed_it() -> None:
+    """Guards against a silent cut when the drain time is over."""
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(stream_head(request) + chunk(event(1)))
+        await writer.drain()
+        await hang(request, writer)
+
+    agent = FakeAgent("s1", script)
+    async with running([agent]) as router:
+        caller, task = await begin(router, agent)
+        while not caller.body:
+            await asyncio.sleep(0.01)
+        assert await drain_of(router, 0.0).run() == 1
+        await task
+    assert caller.complete
+    assert not caller.ended
+    assert caller.body.startswith(event(1))
+    assert caller.error["outcome"] == "unknown"
+
+
+async def test_drain_reports_a_waiting_request_as_not_run() -> None:
+    """Guards against an unknown outcome for a request that no server accepted."""
+    agent = FakeAgent("s1", refuse("over_bound"))
+    async with running([agent]) as router:
+        caller, task = await begin(router, agent)
+        while not len(router.parts.room):
+            await asyncio.sleep(0.01)
+        await drain_of(router, 0.0).run()
+        await task
+    assert (caller.status, caller.error["outcome"]) == (502, "not_run")
+
+
+async def test_stream_moves_when_its_agent_stops() -> None:
+    """Guards against losing a stream, or spending the retry budget, on a planned stop."""
+    movers = 0
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal movers
+        if movers == 2:
+            await stream_of(TOTAL)(request, writer)
+            return
+        movers += 1
+        number = request.resume + 1
+        moved = end(request, number, word="moved")
+        writer.write(stream_head(request) + chunk(event(number)) + chunk(moved) + chunk(b""))
+
+    agents = [FakeAgent(name, script) for name in ("s1", "s2", "s3")]
+    async with running(agents, retry_ratio=0.0, retry_min_per_s=0.0) as router:
+        caller = await router.caller().chat()
+    assert caller.body == COMPLETE
+    assert sorted(len(agent.requests) for agent in agents) == [1, 1, 1]
--- /dev/null
+++ b/tests/router/test_chat_api.py
@@ -0,0 +1,256 @@
+"""Chat completions: errors, deadlines, placement and retries as callers see them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from tests.router.fake_agent import FakeAgent
+from tests.router.fake_agent import FakeRequest
+from tests.router.fake_agent import Script
+from tests.router.fake_agent import answer
+from tests.router.fake_agent import hang
+from tests.router.fake_agent import hang_up
+from tests.router.fake_agent import head
+from tests.router.fake_agent import refuse
+from tests.router.harness import make_config
+from tests.router.harness import make_team
+from tests.router.harness import running
+
+from cornellead_core import headers
+from cornellead_core.config import Priority
+from cornellead_core.config import ServerConfig
+from cornellead_core.facts import CONFIG
+from cornellead_core.facts import HOSTS
+from cornellead_core.load import Digest
+from cornellead_core.load import LoadReport
+from cornellead_core.load import ServerState
+from cornellead_core.load import encode_digest
+from cornellead_core.platform import HostState
+from cornellead_core.wire import Hint
+
+CHAT = "/v1/chat/completions"
+BODY = json.dumps({"model": "m", "messages": [{"role": "user", "content": "x"}]}).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "fields", "status"),
+    [
+        (BODY, {"team": "nobody"}, 401),
+        (b"{", {}, 400),
+        (b'{"model": "m", "messages": []}', {}, 400),
+        (BODY.replace(b'"m"', b'"other"'), {}, 404),
+        (BODY, {"x_priority": "urgent"}, 400),
+        (BODY, {"x_deadline_ms": "soon"}, 400),
+        (BODY, {"method": "GET"}, 405),
+        (BODY, {"path": "/v1/other"}, 404),
+        (b"x" * 2000, {}, 413),
+        (b"x", {"content_length": "2000"}, 413),
+        (None, {}, 408),
+    ],
+)
+async def test_invalid_requests_are_refused(
+    body: bytes | None, fields: dict[str, str], status: int
+) -> None:
+    """Guards against forwarding what cannot succeed, and against a missing outcome."""
+    agent = FakeAgent("s1", answer(b"{}"))
+    async with running([agent], max_body_bytes=1000, body_timeout_s=0.05) as router:
+        caller = await router.caller().send(body=body, **{"path": CHAT, **fields})
+    assert caller.status == status
+    assert caller.error["outcome"] == "not_run"
+    assert set(caller.error) == {"message", "type", "code", "outcome"}
+    assert not agent.requests
+
+
+async def test_priority_outside_the_policy_is_refused() -> None:
+    """Guards against a batch team that jumps the queue."""
+    team = make_team(
+        "a", default_priority=Priority.BATCH, allowed_priorities=frozenset({Priority.BATCH})
+    )
+    agent = FakeAgent("s1", answer(b"{}"))
+    async with running([agent], cfg=make_config(team)) as router:
+        refused = await router.caller().chat(stream=False, x_priority="interactive")
+        served = await router.caller().chat(stream=False)
+    assert (refused.status, served.status) == (403, 200)
+    assert agent.requests[0].headers[headers.PRIORITY] == "batch"
+
+
+async def test_models_lists_those_of_the_team() -> None:
+    """Guards against showing a team the models of others."""
+    cfg = make_config(make_team("a", models=frozenset({"m", "n"})), make_team("b"))
+    async with running([], cfg=cfg) as router:
+        caller = await router.caller().send("/v1/models", b"", method="GET", team="a")
+        stranger = await router.caller().send("/v1/models", b"", method="GET", team="c")
+    assert [model["id"] for model in json.loads(caller.body)["data"]] == ["m", "n"]
+    assert stranger.status == 401
+
+
+async def test_status_and_metrics_count_requests() -> None:
+    """Guards against counters that are not wired."""
+    async with running([FakeAgent("s1", answer(b"{}"))]) as router:
+        await router.caller().chat(stream=False)
+        status = await router.caller().send("/status", b"", method="GET")
+        metrics = await router.caller().send("/metrics", b"", method="GET")
+        ready = await router.caller().send("/readyz", b"", method="GET")
+    found = json.loads(status.body)
+    assert (found["attempts"], found["in_progress"], ready.status) == (1, 0, 200)
+    assert b'cornellead_requests_total{kind="chat",status="200"} 1.0' in metrics.body
+
+
+async def test_deadline_shrinks_at_each_attempt() -> None:
+    """Guards against a second attempt that outlives the caller's patience."""
+
+    async def slow(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.05)
+        await refuse("over_bound")(request, writer)
+
+    agents = [FakeAgent(name, slow) for name in ("s1", "s2")]
+    async with running(agents) as router:
+        caller = await router.caller().chat(x_deadline_ms="400")
+    left = [
+        int(request.headers[headers.DEADLINE_MS]) for agent in agents for request in agent.requests
+    ]
+    assert (caller.status, caller.error["outcome"]) == (504, "not_run")
+    assert max(left) <= 400
+    assert min(left) < 360
+
+
+async def test_deadline_after_dispatch_is_unknown() -> None:
+    """Guards against `not_run` for a request that an engine may still run."""
+    async with running([FakeAgent("s1", hang)]) as router:
+        caller = await router.caller().chat(x_deadline_ms="100")
+    assert (caller.status, caller.error["outcome"]) == (504, "unknown")
+
+
+async def test_outcome_stays_unknown_after_later_refusals() -> None:
+    """Guards against `not_run` when an earlier attempt may have run."""
+    calls = 0
+
+    async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal calls
+        calls += 1
+        await (hang_up if calls == 1 else refuse("over_bound"))(request, writer)
+
+    agents = [FakeAgent(name, script) for name in ("s1", "s2")]
+    async with running(agents) as router:
+        caller = await router.caller().chat(x_deadline_ms="300")
+    assert calls > 1
+    assert caller.error["outcome"] == "unknown"
+
+
+async def test_retries_after_failures_keep_to_the_budget() -> None:
+    """Guards against a retry storm when every server fails."""
+    agents = [FakeAgent(f"s{n}", hang_up) for n in range(40)]
+    async with running(agents, retry_ratio=0.25, retry_min_per_s=0.0) as router:
+        for n in range(20):
+            caller = await router.caller().chat(text=str(n))
+            assert caller.error["outcome"] == "unknown"
+    assert sum(len(agent.requests) for agent in agents) == 20 + 5
+
+
+@pytest.mark.parametrize("reason", ["over_bound", "cold", "draining", "server_down"])
+async def test_refused_request_goes_down_the_order(reason: str) -> None:
+    """Guards against giving up, or spending the retry budget, after a refusal."""
+    agents = [FakeAgent(f"s{n}", refuse(reason)) for n in range(3)]
+    agents.append(FakeAgent("s3", answer(b"{}")))
+    async with running(agents, retry_ratio=0.0, retry_min_per_s=0.0) as router:
+        callers = [await router.caller().chat(stream=False, text=str(n)) for n in range(8)]
+    assert [caller.status for caller in callers] == [200] * 8
+
+
+async def test_moved_chat_follows_the_hint_and_spill_leaves_one() -> None:
+    """Guards against losing a chat's cache after it was placed elsewhere."""
+    agents = [FakeAgent(f"s{n}", answer(b"{}")) for n in range(4)]
+    async with running(agents) as router:
+        await router.caller().chat(stream=False)
+        first = next(agent for agent in agents if agent.requests)
+        first.script = refuse("over_bound")
+        await router.caller().chat(stream=False)
+        second = next(agent for agent in agents if agent.requests and agent is not first)
+        while not (sent := [item for item in router.control.sent if isinstance(item[1], Hint)]):
+            await asyncio.sleep(0.01)
+        others = [agent for agent in agents if agent not in (first, second)]
+        router.parts.view.finished(first.name)
+        first.script = refuse("moved", hint=others[0].name)
+        await router.caller().chat(stream=False)
+    chat = int(first.requests[0].headers[headers.CHAT], 16)
+    assert sent == [(f"control-{first.name}", Hint(chat, second.name))]
+    assert len(others[0].requests) == 1
+    assert not others[1].requests
+
+
+async def test_returning_chat_is_adopted_at_the_last_try_only() -> None:
+    """Guards against joining servers that take returning chats while another has the cache."""
+    agents = [FakeAgent(f"s{n}", refuse("no_cache")) for n in range(3)]
+
+    async def adopt(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+        adopted = headers.ADOPT in request.headers
+        await (answer(b"{}") if adopted else refuse("no_cache"))(request, writer)
+
+    for agent in agents:
+        agent.script = adopt
+    body = {"model": "m", "messages": [{"role": role, "content": "x"} for role in ("user", "x")]}
+    body["messages"] = [
+        {"role": "user", "content": "x"},
+        {"role": "assistant", "content": "y"},
+        {"role": "user", "content": "z"},
+    ]
+    async with running(agents) as router:
+        caller = await router.caller().send(CHAT, json.dumps(body).encode())
+    requests = [request for agent in agents for request in agent.requests]
+    assert caller.status == 200
+    assert all(request.headers[headers.RETURNING] == "1" for request in requests)
+    assert len(requests) == 3
+    assert sum(headers.ADOPT in request.headers for request in requests) == 1
+
+
+async def test_all_full_falls_back_to_the_least_loaded() -> None:
+    """Guards against refusing while the exact bound still admits a request."""
+
+    def loaded(load: int) -> Script:
+        async def script(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+            if headers.FALLBACK in request.headers:
+                await answer(b"{}")(request, writer)
+                return
+            name = next(agent.name for agent in agents if request in agent.requests)
+            report = LoadReport(name, 1, 1, 0, load, 4.0, 4, ServerState.SERVING)
+            fields = {headers.LOAD: encode_digest(Digest([], report)), "content-length": "0"}
+            fields[headers.REFUSAL] = "over_bound"
+            writer.write(head(request, status=429, **fields))
+
+        return script
+
+    agents = [FakeAgent(f"s{load}", loaded(load)) for load in (7, 5, 6)]
+    async with running(agents) as router:
+        caller = await router.caller().chat(stream=False)
+    chosen = [
+        agent.name
+        for agent in agents
+        for request in agent.requests
+        if headers.FALLBACK in request.headers
+    ]
+    assert (caller.status, chosen) == (200, ["s5"])
+
+
+async def test_servers_that_must_get_no_work_are_not_asked() -> None:
+    """Guards against work for leaving or draining servers and data centres out of service."""
+    agents = [
+        FakeAgent("leaving", answer(b"{}")),
+        FakeAgent("draining", answer(b"{}")),
+        FakeAgent("out", answer(b"{}"), dc="dc-b"),
+        FakeAgent("open", answer(b"{}")),
+    ]
+    async with running(agents) as router:
+        hosts = [
+            host._replace(state=HostState.LEAVING) if host.name == "leaving" else host
+            for host in router.board.read(HOSTS)
+        ]
+        router.board.write(HOSTS, tuple(hosts))
+        cfg = router.board.read(CONFIG)._replace(
+            out_of_service=frozenset({"dc-b"}), servers={"draining": ServerConfig(draining=True)}
+        )
+        router.board.write(CONFIG, cfg)
+        for n in range(8):
+            assert (await router.caller().chat(stream=False, text=str(n))).status == 200
+    assert [len(agent.requests) for agent in agents] == [0, 0, 0, 8]
