--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -19,8 +19,8 @@
 _buffer = memoryview(bytearray(READ_BYTES))
 """Shared by all connections: one read is parsed before the next one starts.
 
-Without it, each read allocates 256 KiB and shrinks it to the bytes that arrived, which fragments the
-heap by several megabytes with hundreds of streams.
+Without it, each read allocates 256 KiB and shrinks it to the bytes that arrived, which fragments
+the heap.
 """
 
 
