--- a/packages/core/src/cornellead_core/limits/_team_share.py
+++ b/packages/core/src/cornellead_core/limits/_team_share.py
@@ -54,7 +54,8 @@
         """
         self._count(now)
         rate, slots = self.share(limit=limit, routers=routers, now=now)
-        self._fill(rate, now)
+        if rate > 0:
+            self._fill(rate, now)
         # A refused request is demand too: it is what a larger share would admit.
         self._peak = max(self._peak, self.in_progress + 1)
         # A share below one still admits one request, or small limits would admit none anywhere.
--- a/packages/router/src/cornellead/api/_chat_handler.py
+++ b/packages/router/src/cornellead/api/_chat_handler.py
@@ -85,13 +85,13 @@
         if isinstance(req, ApiError):
             return req
         conn.watch()
-        self._budget.count_request(now=req.received_at)
         job = self._parse(conn, req, request_id)
         if isinstance(job, ApiError):
             return job
         error = self._gate.enter(req.team, now=req.received_at)
         if error is not None:
             return error
+        self._budget.count_request(now=req.received_at)
         try:
             return await self._run(conn, job, progress, req, send)
         finally:
@@ -114,8 +114,7 @@
                     return await self._stream(conn, job, placed, progress, req, send)
                 error = await self._answer(conn, placed, job, progress)
             finally:
-                placed.exchange.abort()
-                self._view.finished(placed.server)
+                self._dispatcher.release(job, placed)
             if error is None:
                 return None
             now = asyncio.get_running_loop().time()
@@ -212,8 +211,7 @@
                 if placed is first:
                     self._record_added(req, progress, placed, relay)
                 else:
-                    placed.exchange.abort()
-                    self._view.finished(placed.server)
+                    self._dispatcher.release(job, placed)
             placed.exchange.abort()
             progress.may_have_run = True
             now = loop.time()
--- a/packages/router/src/cornellead/api/_service_handler.py
+++ b/packages/router/src/cornellead/api/_service_handler.py
@@ -77,10 +77,10 @@
         # recorded answer is there for the retry with the same key.
         if not job.at_most_once:
             conn.watch()
-        self._budget.count_request(now=req.received_at)
         error = self._gate.enter(req.team, now=req.received_at)
         if error is not None:
             return error
+        self._budget.count_request(now=req.received_at)
         try:
             answer = await self._dispatcher.run(job, progress)
         finally:
--- a/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
@@ -90,7 +90,7 @@
         """
         return await self._waiter.try_until(
             lambda: self._try_round(job, progress, resume_from),
-            queue=f"model/{job.model}",
+            queue=_queue_of(job),
             team=job.team,
             priority=job.priority,
             deadline=job.request.deadline,
@@ -99,6 +99,12 @@
             overtakes=resume_from is not None,
         )
 
+    def release(self, job: ChatJob, placed: Placed) -> None:
+        """Take note that a response ended, and let a waiting request try the server."""
+        placed.exchange.abort()
+        self._view.finished(placed.server)
+        self._waiter.wake(_queue_of(job))
+
     async def _try_round(
         self, job: ChatJob, progress: Progress, resume_from: int | None
     ) -> Placed | ApiError | None:
@@ -148,10 +154,16 @@
         return None
 
     def _send_hint(self, job: ChatJob, first: HostEntry, server: str) -> None:
-        if first.name != server:
+        # A server that is down cannot take the hint.
+        now = asyncio.get_running_loop().time()
+        if first.name != server and self._view.available(first.name, now=now):
             self._hints.offer(first.control, chat=job.key.value, server=server)
 
 
+def _queue_of(job: ChatJob) -> str:
+    return f"model/{job.model}"
+
+
 def _extra(placement: Placement, resume_from: int | None) -> dict[str, str]:
     fields = {}
     if placement.adopt:
--- a/packages/router/src/cornellead/dispatch/_service_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_service_dispatcher.py
@@ -65,7 +65,7 @@
         """Run the call and read its whole response."""
         return await self._waiter.try_until(
             lambda: self._try_round(job, progress),
-            queue=f"service/{job.service}",
+            queue=_queue_of(job),
             team=job.team,
             priority=job.priority,
             deadline=job.request.deadline,
@@ -129,6 +129,7 @@
         finally:
             timer.cancel()
             self._view.finished(server)
+            self._waiter.wake(_queue_of(job))
         fields = reply.head.headers
         if body is None or fields.get("content-length") != str(len(body)):
             reply.exchange.abort()
@@ -137,6 +138,10 @@
         return ServiceAnswer(reply.head.status, fields, body)
 
 
+def _queue_of(job: ServiceJob) -> str:
+    return f"service/{job.service}"
+
+
 def _order(job: ServiceJob, servers: Iterable[str]) -> list[str]:
     if job.key is None:
         return rank_members(job.request.request_id, servers)
--- a/packages/router/src/cornellead/waiting/_waiter.py
+++ b/packages/router/src/cornellead/waiting/_waiter.py
@@ -31,6 +31,10 @@
         self._room = room
         self._waits = waits
 
+    def wake(self, queue: str) -> None:
+        """Give the first request of a queue its turn, because a server may have become free."""
+        self._room.wake(queue)
+
     async def try_until(
         self,
         attempt: Callable[[], Awaitable[T | None]],
