--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -28,6 +28,7 @@
 from cornellead_core.config._records import make_snapshot
 from cornellead_core.config._records import parse_change
 from cornellead_core.config._records import parse_snapshot
+from cornellead_core.config._records import snapshot_digest
 from cornellead_core.config._reducer import RECENT_CHANGES
 from cornellead_core.config._reducer import apply_change
 from cornellead_core.config._reducer import reduce_record
@@ -71,5 +72,6 @@
     "parse_snapshot",
     "reduce_record",
     "resolve_spec",
+    "snapshot_digest",
     "split_name",
 ]
--- a/packages/core/src/cornellead_core/config/_records.py
+++ b/packages/core/src/cornellead_core/config/_records.py
@@ -84,6 +84,11 @@
     return Success(ChangeRecord(str(change_id), str(author), base, objects, time))
 
 
+def snapshot_digest(value: dict[str, Any]) -> str | None:
+    """Return the digest of a snapshot record, or ``None`` if its state does not match it."""
+    return parse_snapshot(value).map(digest_state).value_or(None)
+
+
 def _is_id(value: object) -> bool:
     return isinstance(value, str) and 0 < len(value) <= MAX_ID_CHARS
 
--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -14,9 +14,12 @@
 from cornellead_core.distribution._config_exchange import PROBE_OFFSET
 from cornellead_core.distribution._config_exchange import ConfigExchange
 from cornellead_core.distribution._config_store import ConfigStore
-from cornellead_core.distribution._log_duty import is_snapshot_due
+from cornellead_core.distribution._log_duty import SNAPSHOT_STEP_S
+from cornellead_core.distribution._log_duty import TAILS_PER_DC
 from cornellead_core.distribution._log_duty import retry_pause_s
+from cornellead_core.distribution._log_duty import snapshot_due_ms
 from cornellead_core.distribution._log_duty import snapshot_rank
+from cornellead_core.distribution._log_duty import tail_rank
 from cornellead_core.distribution._snapshot_search import PAGE_RECORDS
 from cornellead_core.distribution._snapshot_search import find_snapshot
 from cornellead_core.facts import HOSTS
@@ -87,6 +90,11 @@
         self._push_slots = asyncio.Semaphore(MAX_PUSHES)
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def reads_log_by_rank(self) -> bool:
+        """Whether this process is one of those of its data centre that always read the log."""
+        return tail_rank(self._exchange.peers) < TAILS_PER_DC
+
     async def handle(self, message: Message) -> Message | None:
         """Answer a control message, or return ``None`` if it is not about configuration."""
         self._refresh_peers()
@@ -183,12 +191,12 @@
         now = self._clock()
         if self.store.offset < 0 or now < self._snapshot_after:
             return
-        if not is_snapshot_due(
-            needed_since_ms=self.store.needed_since_ms,
-            time_ms=page.time_ms,
-            retention_s=page.retention_s,
-            rank=snapshot_rank(self._exchange.peers),
-        ):
+        due_at_ms = snapshot_due_ms(
+            needed_since_ms=self.store.needed_since_ms, retention_s=page.retention_s
+        )
+        if page.time_ms < due_at_ms:
+            return
+        if page.time_ms < due_at_ms + 1000 * SNAPSHOT_STEP_S * snapshot_rank(self._exchange.peers):
             return
         self._snapshot_after = now + SNAPSHOT_RETRY_S
         await self._log.append(STREAM, [make_snapshot(self.store.state)])
--- a/packages/core/src/cornellead_core/distribution/_config_exchange.py
+++ b/packages/core/src/cornellead_core/distribution/_config_exchange.py
@@ -148,7 +148,7 @@
         return self._records_message(records, now=now)
 
     def _take_records(self, message: ConfigRecords, *, now: float) -> None:
-        applied = self._store.apply(decode_records(message.records))
+        applied = self._store.apply(decode_records(message.records), from_peer=True)
         self._gap = self._gap or message.offset > self._store.offset
         self._hear_log_age(message, now=now)
         self._spread(applied, now=now)
--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -15,6 +15,7 @@
 from cornellead_core.config import check_state
 from cornellead_core.config import digest_state
 from cornellead_core.config import reduce_record
+from cornellead_core.config import snapshot_digest
 from cornellead_core.facts import CONFIG
 from cornellead_core.platform import LogRecord
 
@@ -89,16 +90,16 @@
         self._published = True
         self._write_fact()
 
-    def apply(self, records: Iterable[LogRecord]) -> list[LogRecord]:
+    def apply(self, records: Iterable[LogRecord], *, from_peer: bool = False) -> list[LogRecord]:
         """Apply the records that continue the state.
 
-        :returns: The records that were new.
+        :param from_peer: Whether a peer read the records and verified the content of snapshots.
+        :returns: The records that were new, as peers get them.
         """
         applied = []
         for record in records:
             if record.offset == self.offset + 1:
-                self._apply_one(record)
-                applied.append(record)
+                applied.append(self._apply_one(record, from_peer=from_peer))
         if applied:
             self._write_fact()
         return applied
@@ -130,25 +131,28 @@
         records = [record for record in self._records if record.offset > offset]
         return records if sum(len(record.value) for record in records) <= max_bytes else None
 
-    def _apply_one(self, record: LogRecord) -> None:
+    def _apply_one(self, record: LogRecord, *, from_peer: bool) -> LogRecord:
         if self.offset == -1:
             self.needed_since_ms = record.time_ms
             self._past.append(_Past(self._state, record.time_ms))
         if record.value.get("kind") == SNAPSHOT:
-            self._verify_snapshot(record)
+            digest = record.value.get("digest") if from_peer else snapshot_digest(record.value)
+            self._verify_snapshot(record, digest)
+            record = record._replace(value=_strip_snapshot(record, digest))
         self._state, audit = reduce_record(self._state, record)
         self._past.append(_Past(self._state, record.time_ms))
         self._records.append(encode_record(record))
         if audit is not None:
             self.audits.append(audit)
             self.rejected += not audit.accepted
+        return record
 
-    def _verify_snapshot(self, record: LogRecord) -> None:
-        """Note that records up to a snapshot are no longer needed, if its digest is right."""
+    def _verify_snapshot(self, record: LogRecord, digest: object) -> None:
+        """Note that records up to a snapshot are no longer needed, if its state is right."""
         upto = record.value.get("upto")
         past = {item.state.offset: item for item in self._past}
         known = past.get(upto) if isinstance(upto, int) else None
-        if known is None or digest_state(known.state) != record.value.get("digest"):
+        if known is None or digest_state(known.state) != digest:
             self.snapshots_ignored += 1
             return
         following = past.get(known.state.offset + 1)
@@ -160,14 +164,16 @@
 
 
 def encode_record(record: LogRecord) -> WireRecord:
-    """Encode a record for peers; a snapshot travels without its state.
+    """Encode a record for peers."""
+    return WireRecord(record.offset, record.time_ms, msgspec.json.encode(record.value))
+
+
+def _strip_snapshot(record: LogRecord, digest: object) -> dict[str, Any]:
+    """Return a snapshot without its state.
 
     Peers need only the digest to verify it, and the state would exceed the traffic budget.
     """
-    value: dict[str, Any] = record.value
-    if value.get("kind") == SNAPSHOT:
-        value = {"kind": SNAPSHOT, "upto": value.get("upto"), "digest": value.get("digest")}
-    return WireRecord(record.offset, record.time_ms, msgspec.json.encode(value))
+    return {"kind": SNAPSHOT, "upto": record.value.get("upto"), "digest": digest}
 
 
 def decode_records(records: Sequence[tuple[int, int, bytes]]) -> list[LogRecord]:
--- a/packages/core/src/cornellead_core/distribution/_log_duty.py
+++ b/packages/core/src/cornellead_core/distribution/_log_duty.py
@@ -69,17 +69,14 @@
     return len(tails) + tail_rank(peers)
 
 
-def is_snapshot_due(*, needed_since_ms: int, time_ms: int, retention_s: float, rank: int) -> bool:
-    """Return whether to append a snapshot.
+def snapshot_due_ms(*, needed_since_ms: int, retention_s: float) -> int:
+    """Return from when a snapshot is due, by the clock of the log.
+
+    Each process waits `SNAPSHOT_STEP_S` per rank longer, so that usually one appends.
 
     :param needed_since_ms: Append time of the oldest record that a new process needs.
-    :param time_ms: Present time by the clock of the log.
-    :param rank: Position from `snapshot_rank`.
 
-    >>> is_snapshot_due(needed_since_ms=0, time_ms=61_000, retention_s=100.0, rank=0)
-    True
-    >>> is_snapshot_due(needed_since_ms=0, time_ms=61_000, retention_s=100.0, rank=1)
-    False
+    >>> snapshot_due_ms(needed_since_ms=5_000, retention_s=100.0)
+    65000
     """
-    due_ms = needed_since_ms + 1000 * (SNAPSHOT_AGE * retention_s + SNAPSHOT_STEP_S * rank)
-    return time_ms >= due_ms
+    return needed_since_ms + round(1000 * SNAPSHOT_AGE * retention_s)
--- a/packages/core/src/cornellead_core/membership/_peers.py
+++ b/packages/core/src/cornellead_core/membership/_peers.py
@@ -28,6 +28,7 @@
         self.dc = dc
         self._by_name = {host.name: host for host in hosts}
         self._live = [host for host in hosts if host.state is HostState.LIVE]
+        self._ranks: dict[tuple[str, str | None], int] = {}
         self.near = [host for host in self._live if host.dc == dc and host.name != name]
         """Live processes of the same data centre, without this one."""
         self.far = [host for host in self._live if host.dc != dc]
@@ -54,10 +55,13 @@
         A process that is not listed comes after all others, so that it never takes a role from
         one that the rest of the fleet can reach.
         """
-        names = [host.name for host in self.members(dc=dc)]
-        if self.name not in names:
-            return len(names)
-        return rank_members(key, names).index(self.name)
+        known = self._ranks.get((key, dc))
+        if known is None:
+            names = [host.name for host in self.members(dc=dc)]
+            listed = self.name in names
+            known = rank_members(key, names).index(self.name) if listed else len(names)
+            self._ranks[key, dc] = known
+        return known
 
     def sample(self, rng: random.Random, *, near: int, far: int) -> list[HostEntry]:
         """Choose random live peers; a missing kind is made up from the other.
--- /dev/null
+++ b/tests/guarantees/fake_fleet.py
@@ -0,0 +1,345 @@
+"""Processes that distribute configuration over a fake log and a fake network in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from typing import TYPE_CHECKING
+from typing import Any
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.config import STREAM
+from cornellead_core.config import ChangeRecord
+from cornellead_core.config import ConfigState
+from cornellead_core.config import reduce_record
+from cornellead_core.distribution import ConfigDistributor
+from cornellead_core.facts import CONFIG
+from cornellead_core.facts import HOSTS
+from cornellead_core.platform import AppendError
+from cornellead_core.platform import HostEntry
+from cornellead_core.platform import HostKind
+from cornellead_core.platform import LogPage
+from cornellead_core.platform import LogRecord
+from cornellead_core.platform import PlatformError
+from cornellead_core.settings import ProcessSettings
+from cornellead_core.wire import Ack
+from cornellead_core.wire import Message
+from cornellead_core.wire import Traffic
+from cornellead_core.wire import decode_message
+from cornellead_core.wire import encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+START_MS = 1_000_000
+REQUEST_TIMEOUT_S = 0.5
+KEY = FleetKey(secret=b"0123456789abcdef")
+
+
+class _VirtualSelector(selectors.SelectSelector):
+    """Advances the clock of its loop instead of waiting."""
+
+    now = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        assert timeout is not None, "all tasks wait for something that never happens"
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes only while all tasks sleep."""
+
+    def __init__(self) -> None:
+        self._virtual = _VirtualSelector()
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._virtual.now
+
+
+class FakeLog:
+    """The log service; records appended before ``retention_s`` are dropped."""
+
+    def __init__(self, *, loop: VirtualLoop, retention_s: float = 1e9) -> None:
+        self._loop = loop
+        self.retention_s = retention_s
+        self.kept: list[LogRecord] = []
+        self.all: list[LogRecord] = []
+        self.states: dict[int, ConfigState] = {-1: ConfigState()}
+        """State that the reducer gives at every offset."""
+        self.down = False
+        self.lost_answers = 0
+        """Number of next appends that are stored without an answer."""
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    @property
+    def time_ms(self) -> int:
+        """Clock of the log."""
+        return START_MS + round(self._loop.time() * 1000)
+
+    def store(self, value: Mapping[str, Any]) -> int:
+        """Append a record directly."""
+        record = LogRecord(len(self.all), self.time_ms, dict(value))
+        self.all.append(record)
+        self.kept.append(record)
+        self.states[record.offset] = reduce_record(self.states[record.offset - 1], record)[0]
+        for fut in self._waiters:
+            if not fut.done():
+                fut.set_result(None)
+        self._waiters.clear()
+        return record.offset
+
+    async def append(
+        self, stream: str, values: Sequence[Mapping[str, Any]]
+    ) -> Result[int, AppendError]:
+        """Append records."""
+        assert stream == STREAM
+        await asyncio.sleep(0.002)
+        if self.down:
+            return Failure(AppendError.REJECTED)
+        first, *_ = [self.store(value) for value in values]
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Failure(AppendError.UNKNOWN)
+        return Success(first)
+
+    async def read(
+        self, stream: str, *, from_offset: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogPage, PlatformError]:
+        """Read records."""
+        assert stream == STREAM
+        await asyncio.sleep(0.002)
+        if not self.down and wait_s and from_offset >= len(self.all):
+            fut = self._loop.create_future()
+            self._waiters.add(fut)
+            await asyncio.wait([fut], timeout=wait_s)
+            self._waiters.discard(fut)
+        if self.down:
+            return Failure(PlatformError("outage"))
+        oldest_ms = self.time_ms - self.retention_s * 1000
+        self.kept = [record for record in self.kept if record.time_ms >= oldest_ms]
+        end = len(self.all)
+        oldest = self.kept[0].offset if self.kept else end
+        records = [record for record in self.kept if record.offset >= from_offset][:limit]
+        following = records[-1].offset + 1 if records else max(from_offset, oldest)
+        page = LogPage(records, following, oldest, end, self.retention_s, self.time_ms)
+        return Success(page)
+
+
+class _NodeLog:
+    """The log as one process reaches it."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self._log = log
+        self.cut = False
+
+    async def append(
+        self, stream: str, values: Sequence[Mapping[str, Any]]
+    ) -> Result[int, AppendError]:
+        if self.cut:
+            return Failure(AppendError.REJECTED)
+        return await self._log.append(stream, values)
+
+    async def read(
+        self, stream: str, *, from_offset: int, limit: int = 1000, wait_s: float = 0.0
+    ) -> Result[LogPage, PlatformError]:
+        if not self.cut:
+            page = await self._log.read(stream, from_offset=from_offset, limit=limit, wait_s=wait_s)
+            if not self.cut:
+                return page
+        return Failure(PlatformError("cut off"))
+
+
+class _CheckedBoard(Blackboard):
+    """Fails when the configuration in force goes back."""
+
+    def write(self, fact: Any, value: Any) -> None:
+        if fact is CONFIG:
+            assert value.offset > self.read(CONFIG).offset, "configuration went back"
+        super().write(fact, value)
+
+
+class FakeNode:
+    """One process."""
+
+    def __init__(self, fleet: FakeFleet, entry: HostEntry, *, seed: int) -> None:
+        self._fleet = fleet
+        self.entry = entry
+        self.traffic = Traffic()
+        self.board = _CheckedBoard()
+        self.log = _NodeLog(fleet.log)
+        settings = ProcessSettings(
+            entry.name, entry.region, entry.dc, entry.http, entry.control, "", "k" * 16
+        )
+        self.distributor = ConfigDistributor(
+            board=self.board,
+            log=self.log,
+            client=self,
+            settings=settings,
+            clock=fleet.loop.time,
+            rng=random.Random(seed),
+        )
+        self.task = fleet.loop.create_task(self.distributor.run())
+
+    @property
+    def offset(self) -> int:
+        """Offset of the configuration in force."""
+        return self.board.read(CONFIG).offset
+
+    async def request(self, address: str, message: Message) -> Result[Message, str]:
+        """Send a message to another process."""
+        return await self._fleet.network.request(self, address, message)
+
+
+class FakeNetwork:
+    """Delivers messages late, reordered, twice or not at all."""
+
+    def __init__(self, *, fleet: FakeFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.max_delay_s = 0.004
+        self.sides: dict[str, int] = {}
+        """Partition: processes on different sides do not reach each other."""
+        self._late: set[asyncio.Task[Message | None]] = set()
+
+    async def request(
+        self, sender: FakeNode, address: str, message: Message
+    ) -> Result[Message, str]:
+        """Carry a request and its answer, or time out."""
+        sealed = encode_message(message, key=KEY)
+        sender.traffic.count_sent(sealed)
+        await asyncio.sleep(self._rng.uniform(0.0005, self.max_delay_s))
+        receiver = self._fleet.by_address.get(address)
+        if receiver is None or self._lost(sender, receiver):
+            return await self._time_out()
+        answer = await self._deliver(receiver, sealed)
+        if self._rng.random() < self.duplicates:
+            self._late.add(asyncio.create_task(self._deliver_late(receiver, sealed)))
+        await asyncio.sleep(self._rng.uniform(0.0005, self.max_delay_s))
+        if self._lost(sender, receiver):
+            return await self._time_out()
+        reply = encode_message(answer, key=KEY)
+        receiver.traffic.count_sent(reply)
+        sender.traffic.count_received(reply)
+        return decode_message(reply, key=KEY)
+
+    def _lost(self, sender: FakeNode, receiver: FakeNode) -> bool:
+        sides = [self.sides.get(node.entry.name, 0) for node in (sender, receiver)]
+        return sides[0] != sides[1] or self._rng.random() < self.loss
+
+    async def _time_out(self) -> Result[Message, str]:
+        await asyncio.sleep(REQUEST_TIMEOUT_S)
+        return Failure("timed out")
+
+    async def _deliver(self, receiver: FakeNode, sealed: bytes) -> Message:
+        receiver.traffic.count_received(sealed)
+        message = decode_message(sealed, key=KEY).unwrap()
+        return await receiver.distributor.handle(message) or Ack()
+
+    async def _deliver_late(self, receiver: FakeNode, sealed: bytes) -> Message | None:
+        await asyncio.sleep(self._rng.uniform(0.1, 5.0))
+        return await self._deliver(receiver, sealed) if not receiver.task.done() else None
+
+
+class FakeFleet:
+    """Processes in several data centres; time passes only in `run`.
+
+    :param sizes: Number of processes by data centre.
+    """
+
+    def __init__(
+        self, sizes: Mapping[str, int], *, seed: int = 1, retention_s: float = 1e9
+    ) -> None:
+        self.loop = VirtualLoop()
+        self.rng = random.Random(seed)
+        self.log = FakeLog(loop=self.loop, retention_s=retention_s)
+        self.network = FakeNetwork(fleet=self, seed=seed)
+        self.hosts_down = False
+        self.hosts: dict[str, HostEntry] = {}
+        self.nodes: dict[str, FakeNode] = {}
+        self.by_address: dict[str, FakeNode] = {}
+        for dc, size in sizes.items():
+            for index in range(size):
+                name = f"{dc}-{index}"
+                address = f"{name}:1"
+                self.hosts[name] = HostEntry(name, HostKind.AGENT, "region", dc, address, address)
+        for name in self.hosts:
+            self.start(name)
+
+    def start(self, name: str) -> FakeNode:
+        """Start a process that is in the host list, in place of any former one."""
+        self.stop(name)
+        entry = self.hosts[name]
+        node = FakeNode(self, entry, seed=self.rng.getrandbits(32))
+        self.nodes[name] = self.by_address[entry.control] = node
+        if not self.hosts_down:
+            node.board.write(HOSTS, tuple(self.hosts.values()))
+        return node
+
+    def stop(self, name: str) -> None:
+        """End a process without notice."""
+        node = self.nodes.pop(name, None)
+        if node is not None:
+            self.by_address.pop(node.entry.control, None)
+            node.task.cancel()
+
+    def publish_hosts(self) -> None:
+        """Let every process see the present host list."""
+        for node in self.nodes.values():
+            node.board.write(HOSTS, tuple(self.hosts.values()))
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.complete(asyncio.sleep(seconds))
+        for node in self.nodes.values():
+            if node.task.done():
+                node.task.result()
+
+    def complete(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine to its end."""
+        return self.loop.run_until_complete(work)
+
+    def run_until_all_at(self, offset: int, *, limit_s: float) -> float:
+        """Let time pass until the offset is in force everywhere and return the time it took."""
+        start = self.loop.time()
+        while self.lowest_offset < offset:
+            behind = {n: node.offset for n, node in self.nodes.items() if node.offset < offset}
+            assert self.loop.time() - start <= limit_s, f"not at {offset}: {behind}"
+            self.run(0.01)
+        return self.loop.time() - start
+
+    @property
+    def lowest_offset(self) -> int:
+        """Lowest offset in force at any process."""
+        return min(node.offset for node in self.nodes.values())
+
+    def publish(
+        self, objects: dict[str, Any], *, base: int | None = None, author: str = "a"
+    ) -> int:
+        """Append a change to the log and return its offset."""
+        offset = len(self.log.all)
+        base = offset - 1 if base is None else base
+        change = ChangeRecord(f"{author}-{offset}", author, base, objects)
+        return self.log.store(change.to_record())
+
+    def close(self) -> None:
+        """End all processes."""
+        for name in list(self.nodes):
+            self.stop(name)
+        pending = asyncio.all_tasks(self.loop)
+        for task in pending:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        self.loop.close()
