--- a/tests/guarantees/fake_fleet.py
+++ b/tests/guarantees/fake_fleet.py
@@ -40,6 +40,7 @@
     from collections.abc import Sequence
 
 START_MS = 1_000_000
+MODEL = "m"
 REQUEST_TIMEOUT_S = 0.5
 KEY = FleetKey(secret=b"0123456789abcdef")
 
@@ -274,7 +275,9 @@
             for index in range(size):
                 name = f"{dc}-{index}"
                 address = f"{name}:1"
-                self.hosts[name] = HostEntry(name, HostKind.AGENT, "region", dc, address, address)
+                self.hosts[name] = HostEntry(
+                    name, HostKind.AGENT, "region", dc, address, address, models=(MODEL,)
+                )
         for name in self.hosts:
             self.start(name)
 
--- /dev/null
+++ b/tests/guarantees/test_g3_data_centre_out.py
@@ -0,0 +1,144 @@
+"""G3: a data centre that operators have taken out of service receives no new work."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from tests.guarantees.fake_fleet import MODEL
+from tests.guarantees.fake_fleet import FakeFleet
+from tests.guarantees.gates import CAPACITY
+from tests.guarantees.gates import choose_engines
+from tests.guarantees.gates import make_gate
+
+from cornellead_agent.admission import AdmissionRequest
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.config import EMPTY_CONFIG
+from cornellead_core.facts import CONFIG
+from cornellead_core.load import DEFAULT_BOUND
+from cornellead_core.load import LoadTable
+from cornellead_core.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+LIMIT_S = 3.0
+SETTLE_S = 5.0
+
+
+@pytest.fixture
+def fleet(request: pytest.FixtureRequest) -> Iterator[FakeFleet]:
+    """Return a fleet in three data centres with one change in force."""
+    fleet = FakeFleet({"a": 5, "b": 5, "c": 5}, seed=getattr(request, "param", 1))
+    fleet.publish({f"model/{MODEL}": {}})
+    fleet.run(SETTLE_S)
+    assert fleet.lowest_offset == 0
+    yield fleet
+    fleet.close()
+
+
+def _check_no_new_work(fleet: FakeFleet, dc: str) -> None:
+    for name, node in fleet.nodes.items():
+        chosen = choose_engines(node.board)
+        assert not [engine for engine, host in chosen.items() if host.dc == dc], name
+        if node.entry.dc == dc:
+            gate = make_gate(node.board, name=name, dc=dc)
+            refusal = gate.admit(AdmissionRequest(), chat=None, now=0.0)
+            assert refusal is not None and refusal.reason is RefusalReason.OUT_OF_SERVICE, name
+
+
+@pytest.mark.parametrize("fleet", range(6), indirect=True)
+def test_out_with_half_the_processes_cut_off_from_the_log(fleet: FakeFleet) -> None:
+    """Guards against routers or agents that go on because they cannot read the log themselves."""
+    for name in fleet.rng.sample(sorted(fleet.nodes), len(fleet.nodes) // 2):
+        fleet.nodes[name].log.cut = True
+    fleet.publish({"data_centre/b": {"state": "out"}})
+    fleet.run(LIMIT_S)
+    _check_no_new_work(fleet, "b")
+
+
+@pytest.mark.parametrize("delay_s", [0.01, 0.1, 1.0])
+@pytest.mark.parametrize("fleet", range(3), indirect=True)
+def test_out_with_log_and_host_list_out_just_after(fleet: FakeFleet, delay_s: float) -> None:
+    """Guards against a change that only its first readers know when the platform fails."""
+    fleet.publish({"data_centre/b": {"state": "out"}})
+    fleet.run(delay_s)
+    fleet.log.down = fleet.hosts_down = True
+    fleet.run(LIMIT_S - delay_s)
+    _check_no_new_work(fleet, "b")
+
+
+@pytest.mark.parametrize("fleet", range(3), indirect=True)
+def test_out_with_messages_lost(fleet: FakeFleet) -> None:
+    """Guards against a change that depends on every single message."""
+    fleet.network.loss = 0.3
+    fleet.publish({"data_centre/b": {"state": "out"}})
+    fleet.run(LIMIT_S)
+    _check_no_new_work(fleet, "b")
+
+
+def test_agent_that_lags_learns_from_a_request(fleet: FakeFleet) -> None:
+    """Guards against an agent, cut off from log and peers, that admits what a router forbids."""
+    node = fleet.nodes["b-0"]
+    node.log.cut = True
+    fleet.network.sides["b-0"] = 1
+    offset = fleet.publish({"data_centre/b": {"state": "out"}})
+    fleet.run(LIMIT_S)
+    gate = make_gate(node.board, name="b-0", dc="b")
+    refusal = gate.admit(AdmissionRequest(config_offset=offset), chat=None, now=0.0)
+    assert refusal is not None and refusal.reason is RefusalReason.STALE_CONFIG
+    fleet.network.sides.clear()
+    fleet.complete(node.distributor.pull(fleet.nodes["a-0"].entry.control))
+    refusal = gate.admit(AdmissionRequest(config_offset=offset), chat=None, now=0.0)
+    assert refusal is not None and refusal.reason is RefusalReason.OUT_OF_SERVICE
+
+
+@pytest.mark.parametrize("fleet", range(3), indirect=True)
+def test_return_is_in_force_everywhere(fleet: FakeFleet) -> None:
+    """Guards against a data centre that some processes still hold to be out."""
+    fleet.publish({"data_centre/b": {"state": "out"}})
+    fleet.run(LIMIT_S)
+    offset = fleet.publish({"data_centre/b": {"state": "in"}})
+    fleet.run_until_all_at(offset, limit_s=LIMIT_S)
+    for node in fleet.nodes.values():
+        chosen = choose_engines(node.board)
+        assert {"b-0", "b-1", "b-2", "b-3", "b-4"} <= set(chosen)
+
+
+@given(
+    loads=st.lists(st.integers(0, CAPACITY), min_size=2, max_size=8),
+    returning=st.integers(1, 4),
+    earned=st.integers(1, CAPACITY),
+    arrivals=st.lists(st.integers(0, 3), max_size=60),
+)
+@settings(derandomize=True, max_examples=200)
+def test_return_without_a_surge(
+    loads: list[int], returning: int, earned: int, arrivals: list[int]
+) -> None:
+    """Guards against idle engines that take all work at once when their data centre returns."""
+    table = LoadTable()
+    board_in = Blackboard()
+    board_in.write(CONFIG, EMPTY_CONFIG._replace(offset=1))
+    gates = []
+    for index, load in enumerate(loads):
+        gate = make_gate(board_in, name=f"a-{index}", dc="a", table=table)
+        gate.in_flight = load
+        gates.append(gate)
+    back = [
+        make_gate(board_in, name=f"b-{index}", dc="b", table=table, cold_limit=earned)
+        for index in range(returning)
+    ]
+    for gate in [*gates, *back]:
+        table.merge_summary(gate.summary(), now=0.0)
+    for arrival in arrivals:
+        gate = back[arrival % returning]
+        if gate.admit(AdmissionRequest(fallback=True), chat=None, now=0.0) is not None:
+            continue
+        total = sum(other.in_flight for other in [*gates, *back])
+        mean = total / (len(gates) + returning)
+        assert gate.in_flight <= max(1, math.ceil(DEFAULT_BOUND * mean - 1e-9))
+        assert gate.in_flight <= earned
--- /dev/null
+++ b/tests/guarantees/test_g7_leaving_server.py
@@ -0,0 +1,142 @@
+"""G7: a server that is leaving receives no new work."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+from tests.guarantees.fake_fleet import MODEL
+from tests.guarantees.fake_fleet import FakeFleet
+from tests.guarantees.fake_fleet import VirtualLoop
+from tests.guarantees.gates import choose_engines
+from tests.guarantees.gates import make_gate
+
+from cornellead.fleet import ServerView
+from cornellead_agent.admission import AdmissionRequest
+from cornellead_agent.process._drainer import Drainer
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.distribution import HostListWatcher
+from cornellead_core.facts import HOSTS
+from cornellead_core.outcomes import RefusalReason
+from cornellead_core.platform import HostEntry
+from cornellead_core.platform import HostKind
+from cornellead_core.platform import HostState
+from cornellead_core.platform import PlatformError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cornellead_agent.admission import Gate
+
+LIMIT_S = 3.0
+SETTLE_S = 5.0
+
+
+class FakeHostList:
+    """Host list that answers late or not at all."""
+
+    def __init__(self, hosts: list[HostEntry]) -> None:
+        self.hosts = hosts
+        self.down = False
+        self.delay_s = 0.01
+
+    async def fetch(self) -> Result[list[HostEntry], PlatformError]:
+        """Return the hosts."""
+        answer = list(self.hosts)
+        await asyncio.sleep(self.delay_s)
+        return Failure(PlatformError("outage")) if self.down else Success(answer)
+
+
+def _entry(name: str, *, state: HostState = HostState.LIVE) -> HostEntry:
+    address = f"{name}:1"
+    return HostEntry(name, HostKind.AGENT, "r", "a", address, address, state, models=(MODEL,))
+
+
+def _is_refused(gate: Gate) -> bool:
+    refusal = gate.admit(AdmissionRequest(fallback=True), chat=None, now=0.0)
+    return refusal is not None and refusal.reason is RefusalReason.DRAINING
+
+
+@pytest.fixture
+def loop() -> Iterator[VirtualLoop]:
+    """Return an event loop in virtual time."""
+    loop = VirtualLoop()
+    yield loop
+    loop.close()
+
+
+@pytest.mark.parametrize("hosts", [3, 1330])
+@pytest.mark.parametrize("delay_s", [0.01, 0.8])
+def test_leaving_in_the_host_list(loop: VirtualLoop, hosts: int, delay_s: float) -> None:
+    """Guards against work for a host that the platform is about to remove."""
+    host_list = FakeHostList([_entry(f"s-{index}") for index in range(hosts)])
+    host_list.delay_s = delay_s
+    board = Blackboard()
+    gate = make_gate(board, name="s-1", dc="a")
+    watching = loop.create_task(HostListWatcher(board=board, host_list=host_list).run())
+    loop.run_until_complete(asyncio.sleep(SETTLE_S))
+    assert not _is_refused(gate)
+    host_list.hosts[1] = _entry("s-1", state=HostState.LEAVING)
+    loop.run_until_complete(asyncio.sleep(LIMIT_S))
+    chosen = choose_engines(board)
+    assert "s-1" not in chosen and "s-0" in chosen
+    assert _is_refused(gate)
+    watching.cancel()
+
+
+def test_host_list_outage_keeps_the_last_list(loop: VirtualLoop) -> None:
+    """Guards against a fleet without servers, or a leaving server that is forgotten."""
+    leaving = _entry("s-1", state=HostState.LEAVING)
+    host_list = FakeHostList([_entry("s-0"), leaving])
+    board = Blackboard()
+    watching = loop.create_task(HostListWatcher(board=board, host_list=host_list).run())
+    loop.run_until_complete(asyncio.sleep(SETTLE_S))
+    before = board.read(HOSTS)
+    host_list.down = True
+    loop.run_until_complete(asyncio.sleep(SETTLE_S))
+    host_list.down, host_list.hosts = False, []
+    loop.run_until_complete(asyncio.sleep(SETTLE_S))
+    assert board.read(HOSTS) == before
+    watching.cancel()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_draining_in_the_configuration(seed: int) -> None:
+    """Guards against work for a server that operators drain while half cannot read the log."""
+    fleet = FakeFleet({"a": 4, "b": 4, "c": 4}, seed=seed)
+    fleet.publish({f"model/{MODEL}": {}})
+    fleet.run(SETTLE_S)
+    gate = make_gate(fleet.nodes["b-1"].board, name="b-1", dc="b")
+    assert not _is_refused(gate)
+    for name in fleet.rng.sample(sorted(fleet.nodes), len(fleet.nodes) // 2):
+        fleet.nodes[name].log.cut = True
+    fleet.publish({"server/b-1": {"state": "draining"}})
+    fleet.run(LIMIT_S)
+    assert _is_refused(gate)
+    for node in fleet.nodes.values():
+        chosen = choose_engines(node.board)
+        assert "b-1" not in chosen and "b-0" in chosen
+    fleet.close()
+
+
+def test_stop_signal(loop: VirtualLoop) -> None:
+    """Guards against an agent that admits work, or looks available to routers, during its stop."""
+    board = Blackboard()
+    gate = make_gate(board, name="s-1", dc="a")
+    view = ServerView()
+    assert gate.admit(AdmissionRequest(), chat=None, now=0.0) is None
+    view.merge(gate.digest(now=0.0), now=0.0)
+    assert view.available("s-1", now=0.0)
+    draining = loop.create_task(Drainer(board=board, gate=gate, timeout_s=30.0).drain())
+    loop.run_until_complete(asyncio.sleep(0.01))
+    assert _is_refused(gate)
+    view.merge(gate.digest(now=0.1), now=0.1)
+    assert not view.available("s-1", now=0.1)
+    assert not draining.done()
+    gate.finish()
+    loop.run_until_complete(asyncio.sleep(LIMIT_S))
+    assert draining.done()
