--- a/packages/core/src/cornellead_core/config/_checks.py
+++ b/packages/core/src/cornellead_core/config/_checks.py
@@ -82,7 +82,7 @@
 
 
 def _names(value: Any, path: Path) -> Iterable[Problem]:
-    if _is_deferred(value):
+    if has_reference(value):
         return
     if not isinstance(value, list) or len(value) > MAX_LIST_ITEMS:
         yield Problem(path, "expected a list of names", f"at most {MAX_LIST_ITEMS} names")
@@ -92,7 +92,7 @@
 
 
 def _name(value: Any, path: Path) -> Iterable[Problem]:
-    if not _is_deferred(value) and not is_name(value):
+    if not has_reference(value) and not is_name(value):
         yield Problem(path, f"{_show(value)} is not a name", NAME_HELP)
 
 
@@ -104,7 +104,7 @@
 
 def _choice(choices: tuple[str, ...]) -> Check:
     def check(value: Any, path: Path) -> Iterable[Problem]:
-        if not _is_deferred(value) and value not in choices:
+        if not has_reference(value) and value not in choices:
             yield Problem(path, f"{_show(value)} is not accepted", ", ".join(choices))
 
     return check
@@ -112,7 +112,7 @@
 
 def _choices(choices: tuple[str, ...]) -> Check:
     def check(value: Any, path: Path) -> Iterable[Problem]:
-        if _is_deferred(value):
+        if has_reference(value):
             return
         if not isinstance(value, list) or not value:
             yield Problem(path, "expected a list", f"some of {', '.join(choices)}")
@@ -128,7 +128,7 @@
     word = "a whole number" if whole else "a number"
 
     def check(value: Any, path: Path) -> Iterable[Problem]:
-        if _is_deferred(value):
+        if has_reference(value):
             return
         if isinstance(value, bool) or not isinstance(value, kinds) or not least <= value <= most:
             accepted = f"{word} from {least:g} to {most:g}"
@@ -138,7 +138,7 @@
 
 
 def _duration(value: Any, path: Path) -> Iterable[Problem]:
-    if not _is_deferred(value) and not parse_duration(value):
+    if not has_reference(value) and not parse_duration(value):
         yield Problem(path, f"{_show(value)} is not a duration above 0", DURATION_HELP)
 
 
@@ -208,7 +208,7 @@
     default, allowed = value.get("default"), value.get("allowed")
     if default is None or not isinstance(allowed, list):
         return
-    if not any(map(_is_deferred, [default, *allowed])) and default not in allowed:
+    if not any(map(has_reference, [default, *allowed])) and default not in allowed:
         yield Problem((*path, "default"), f"{default} is not allowed", ", ".join(allowed))
 
 
@@ -264,7 +264,8 @@
 }
 
 
-def _is_deferred(value: object) -> bool:
+def has_reference(value: object) -> bool:
+    """Return whether a value is a string with a ``${parameter}``."""
     return isinstance(value, str) and REFERENCE.search(value) is not None
 
 
--- a/packages/core/src/cornellead_core/config/_records.py
+++ b/packages/core/src/cornellead_core/config/_records.py
@@ -115,7 +115,8 @@
     if not isinstance(decoded, Success):
         return decoded
     state = decoded.unwrap()
-    if state.offset != value.get("upto") or digest_state(state) != value.get("digest"):
+    upto = value.get("upto")
+    if type(upto) is not int or state.offset != upto or digest_state(state) != value.get("digest"):
         return Failure("snapshot does not match its digest")
     problems = check_state(state)
     if problems:
--- a/packages/core/src/cornellead_core/config/_validation.py
+++ b/packages/core/src/cornellead_core/config/_validation.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from cornellead_core.config._checks import check_object
+from cornellead_core.config._checks import has_reference
 from cornellead_core.config._object_name import ObjectKind
 from cornellead_core.config._object_name import split_name
 from cornellead_core.config._problem import Problem
@@ -84,6 +85,7 @@
             name.startswith("model/") and value is None for name, value in self._changes.items()
         )
         if ObjectKind.TEAM in kinds or ObjectKind.TEMPLATE in kinds or deletes_model:
+            yield from self._check_templates(all_templates=deletes_model)
             yield from self._check_teams(all_teams=deletes_model)
         if ObjectKind.SERVER in kinds or deletes_model:
             yield from self._check_servers()
@@ -120,6 +122,23 @@
             return [Problem(("template",), message, help_text)]
         return check_team(team, template, self._models)
 
+    def _check_templates(self, *, all_templates: bool) -> Iterable[tuple[str, Problem]]:
+        for name in self._names:
+            if not name.startswith("template/") or not (all_templates or name in self._changes):
+                continue
+            template = self._value(name)
+            assert template is not None
+            models = template["spec"].get("models", [])
+            for index, model in enumerate(models if isinstance(models, list) else []):
+                if model not in self._models and not has_reference(model):
+                    message = f"model {model} does not exist"
+                    path = ("spec", "models", str(index))
+                    yield name, Problem(path, message, self._known_models)
+
+    @property
+    def _known_models(self) -> str:
+        return ", ".join(sorted(self._models)) or "none; publish a model object first"
+
     def _check_servers(self) -> Iterable[tuple[str, Problem]]:
         for name in self._names:
             if not name.startswith("server/"):
@@ -128,5 +147,5 @@
             assert value is not None
             for model in value.get("models", []):
                 if model not in self._models:
-                    known = ", ".join(sorted(self._models)) or "none; publish a model object first"
-                    yield name, Problem(("models",), f"model {model} does not exist", known)
+                    message = f"model {model} does not exist"
+                    yield name, Problem(("models",), message, self._known_models)
--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -151,7 +151,7 @@
         """Note that records up to a snapshot are no longer needed, if its state is right."""
         upto = record.value.get("upto")
         past = {item.state.offset: item for item in self._past}
-        known = past.get(upto) if isinstance(upto, int) else None
+        known = past.get(upto) if type(upto) is int else None
         if known is None or digest_state(known.state) != digest:
             self.snapshots_ignored += 1
             return
--- a/packages/core/src/cornellead_core/membership/_peers.py
+++ b/packages/core/src/cornellead_core/membership/_peers.py
@@ -64,15 +64,13 @@
         return known
 
     def sample(self, rng: random.Random, *, near: int, far: int) -> list[HostEntry]:
-        """Choose random live peers; a missing kind is made up from the other.
+        """Choose random live peers; peers that one kind lacks come from the other.
 
         :param near: Number of peers of this data centre.
         :param far: Number of peers of other data centres.
         """
-        near_count = min(near, len(self.near))
-        far_count = min(far, len(self.far))
-        if near_count == 0:
-            far_count = min(near + far, len(self.far))
-        elif far_count == 0:
-            near_count = min(near + far, len(self.near))
+        near_missing = max(0, near - len(self.near))
+        far_missing = max(0, far - len(self.far))
+        near_count = min(near + far_missing, len(self.near))
+        far_count = min(far + near_missing, len(self.far))
         return rng.sample(self.near, near_count) + rng.sample(self.far, far_count)
--- /dev/null
+++ b/tests/core/settings/test_load_settings.py
@@ -0,0 +1,161 @@
+"""Settings files: what is accepted, and how faults are reported."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornellead_core.settings import load_agent_settings
+from cornellead_core.settings import load_router_settings
+from cornellead_core.settings import parse_duration
+from cornellead_core.settings import parse_size
+from cornellead_core.settings import parse_yaml
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+PROCESS = """\
+process:
+  name: node-1
+  region: east
+  dc: kigali-1
+  http: 127.0.0.1:7100
+  control: 127.0.0.1:7200
+  platform_url: http://127.0.0.1:7000
+  fleet_key: "0123456789abcdef"
+"""
+SERVER = """\
+server:
+  url: http://127.0.0.1:8000
+  models: [imi-7b]
+"""
+
+
+def _write(tmp_path: Path, text: str) -> str:
+    path = tmp_path / "settings.yaml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_router_settings_with_units(tmp_path: Path) -> None:
+    """Guards against units that are read as plain numbers."""
+    text = PROCESS + "  drain_timeout_s: 2m\nmax_body_bytes: 1MiB\ndefault_deadline_s: 500ms\n"
+    settings = load_router_settings(_write(tmp_path, text)).unwrap()
+    assert settings.process.drain_timeout_s == 120.0
+    assert settings.max_body_bytes == 1 << 20
+    assert settings.default_deadline_s == 0.5
+    assert settings.placement_attempts == 4
+
+
+def test_agent_settings(tmp_path: Path) -> None:
+    """Guards against nested settings that keep their defaults."""
+    text = PROCESS + SERVER + "  capacity: 8\ncold_start_limit: 1\njoin_grace_s: 0\n"
+    settings = load_agent_settings(_write(tmp_path, text)).unwrap()
+    assert settings.server.models == ("imi-7b",)
+    assert (settings.server.capacity, settings.cold_start_limit) == (8, 1)
+    assert settings.join_grace_s == 0.0
+
+
+@pytest.mark.parametrize(
+    ("line", "path", "number", "accepted"),
+    [
+        ("placement_atempts: 3", "placement_atempts", 9, "placement_attempts"),
+        ("body_timeout_s: 4MiB", "body_timeout_s", 9, "500ms, 30s"),
+        ("max_body_bytes: 30s", "max_body_bytes", 9, "4MiB"),
+        ("max_body_bytes: 1.5", "max_body_bytes", 9, "4MiB"),
+        ("body_timeout_s: -1", "body_timeout_s", 9, "30s"),
+        ("body_timeout_s: 0", "body_timeout_s", 9, "30s"),
+        ("placement_attempts: 2.5", "placement_attempts", 9, "whole number"),
+        ("placement_attempts: true", "placement_attempts", 9, "whole number"),
+        ("placement_attempts: [1]", "placement_attempts", 9, "whole number"),
+        ("retry_ratio: .inf", "retry_ratio", 9, "a number"),
+        ("  log_format: xml", "process.log_format", 9, "json, console"),
+        ("max_waiting: 1\nmax_waiting: 2", "max_waiting", 10, ""),
+        ("max_waiting: 2026-01-01", "max_waiting", 9, "quotes"),
+    ],
+)
+def test_faults_name_file_line_path_and_accepted_values(
+    tmp_path: Path, line: str, path: str, number: int, accepted: str
+) -> None:
+    """Guards against a fault that is accepted, or reported without its place."""
+    file = _write(tmp_path, PROCESS + line + "\n")
+    errors = load_router_settings(file).failure()
+    assert [(error.file, error.path, error.line) for error in errors] == [(file, path, number)]
+    assert accepted in errors[0].accepted
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "path"),
+    [
+        ("  name: node-1\n", "", "process.name"),
+        ("127.0.0.1:7100", "localhost:7100", "process.http"),
+        ("127.0.0.1:7200", "127.0.0.1:70000", "process.control"),
+        ("http://127.0.0.1:7000", "127.0.0.1:7000", "process.platform_url"),
+        ('"0123456789abcdef"', "short", "process.fleet_key"),
+        ("kigali-1", "kigali 1", "process.dc"),
+    ],
+)
+def test_faulty_process_settings(tmp_path: Path, old: str, new: str, path: str) -> None:
+    """Guards against a process that starts with an address or a key that cannot work."""
+    errors = load_router_settings(_write(tmp_path, PROCESS.replace(old, new))).failure()
+    assert [error.path for error in errors] == [path]
+    assert errors[0].accepted
+
+
+def test_fleet_key_is_not_shown(tmp_path: Path) -> None:
+    """Guards against a secret in an error message."""
+    text = PROCESS.replace('"0123456789abcdef"', "secret")
+    errors = load_router_settings(_write(tmp_path, text)).failure()
+    assert "secret" not in str(errors[0])
+
+
+def test_every_fault_is_reported(tmp_path: Path) -> None:
+    """Guards against an operator who must start the process once per fault."""
+    text = PROCESS.replace("region: east", "regoin: east") + "max_waiting: x\n"
+    errors = load_router_settings(_write(tmp_path, text)).failure()
+    assert {error.path for error in errors} == {"process.regoin", "process.region", "max_waiting"}
+
+
+@pytest.mark.parametrize(
+    "text", ["", "a: [", "- 1", "a: 1\n---\nb: 2", "? [a]\n: 1", "!!python/x 1"]
+)
+def test_files_that_are_no_mapping(tmp_path: Path, text: str) -> None:
+    """Guards against an exception instead of an error."""
+    assert load_router_settings(_write(tmp_path, text)).failure()
+
+
+def test_missing_file() -> None:
+    """Guards against an exception instead of an error."""
+    assert "cannot read" in load_agent_settings("/nowhere/x.yaml").failure()[0].message
+
+
+@given(st.text(alphabet=" :-[]{}&*!|>'\"%@`#,?\n\tab01.", max_size=60))
+def test_no_text_raises(text: str) -> None:
+    """Guards against input that makes the parser raise."""
+    parse_yaml(text, file="x")
+
+
+def test_aliases_do_not_expand_without_bound() -> None:
+    """Guards against a small file that fills the memory."""
+    lines = ["a0: &a0 [x, x, x, x, x, x, x, x, x, x]"]
+    lines += [f"a{i}: &a{i} [{', '.join([f'*a{i - 1}'] * 10)}]" for i in range(1, 8)]
+    assert parse_yaml("\n".join(lines), file="x").failure()
+
+
+@given(st.integers(0, 10**6), st.sampled_from(["ms", "s", "m", "h", "d"]))
+def test_durations(value: int, unit: str) -> None:
+    """Guards against a wrong factor."""
+    factors = {"ms": 0.001, "s": 1, "m": 60, "h": 3600, "d": 86400}
+    assert parse_duration(f"{value}{unit}") == pytest.approx(value * factors[unit])
+
+
+@pytest.mark.parametrize(
+    "value", ["", "s", "-1s", "1S", "1 minute", "1e3s", True, None, [], "\u0661s"]
+)
+def test_values_that_are_no_quantity(value: object) -> None:
+    """Guards against guesses at what a value means."""
+    assert parse_duration(value) is None
+    assert parse_size(value) is None
