--- a/packages/router/src/cornellead/cli/_status.py
+++ b/packages/router/src/cornellead/cli/_status.py
@@ -88,7 +88,7 @@
     host, body = status.host, status.body
     if host.dc != MISSING or not status.answered:
         return status
-    is_router = "server" not in body
+    is_router = "server" not in body and "in_progress" in body
     name = body.get("name" if is_router else "server", host.name)
     kind = HostKind.ROUTER if is_router else HostKind.AGENT
     dc = str(body.get("dc", MISSING))
