--- a/packages/router/src/cornellead/cli/_change.py
+++ b/packages/router/src/cornellead/cli/_change.py
@@ -12,6 +12,7 @@
 
 from cornellead.cli._config_history import ConfigHistory
 from cornellead.cli._exit_code import ExitCode
+from cornellead.cli._fleet_status import wait_in_force
 from cornellead.cli._output import print_errors
 from cornellead.cli._output import print_json
 from cornellead.cli._publisher import Publisher
@@ -38,7 +39,7 @@
 ) -> int:
     """Plan a change against the present configuration, publish it and print the outcome.
 
-    :param values: Flags with ``platform``, ``timeout``, ``author`` and ``output``.
+    :param values: Flags from `VerbFlags.change`.
     :param base: Offset that the change is based on; the present one by default.
     """
     async with httpx.AsyncClient() as client:
@@ -55,18 +56,26 @@
             return ExitCode.FAILED
         if not objects:
             return _print_unchanged(state.offset, as_json=values.output == "json")
+        behind: list[str] = []
         publisher = Publisher(log=log, history=history, timeout_s=values.timeout)
         outcome = await publisher.publish(
             objects, author=values.author, base=state.offset if base is None else base
         )
+        if isinstance(outcome, Success) and outcome.unwrap().accepted and values.wait:
+            behind = await wait_in_force(
+                client, values.platform, outcome.unwrap().offset, timeout_s=values.timeout
+            )
     if not isinstance(outcome, Success):
         print(outcome.failure().message, file=sys.stderr)
         return outcome.failure().code
     audit = outcome.unwrap()
     if values.output == "json":
-        print_json(audit._asdict())
+        print_json({**audit._asdict(), "behind": behind})
     else:
         _print_audit(audit)
+    if behind:
+        print(f"not yet confirmed by: {', '.join(behind)}", file=sys.stderr)
+        return ExitCode.PENDING
     return ExitCode.OK if audit.accepted else ExitCode.FAILED
 
 
--- a/packages/router/src/cornellead/cli/_drain.py
+++ b/packages/router/src/cornellead/cli/_drain.py
@@ -14,6 +14,6 @@
         usage="[flags] TARGET...",
         summary=f"Takes targets out of service: {TARGET_HELP}.\n"
         "They receive no new work; requests in progress go on to their end.",
-        examples=["drain data_centre/kigali-2", "drain server/gpu-3 router/entry-1"],
+        examples=["drain --wait data_centre/kigali-2", "drain server/gpu-3 router/entry-1"],
     )
     return run_service_state(argv, verb, data_centre_state="out", server_state="draining")
--- a/packages/router/src/cornellead/cli/_exit_code.py
+++ b/packages/router/src/cornellead/cli/_exit_code.py
@@ -14,6 +14,7 @@
     UNAVAILABLE = 3
     UNKNOWN = 4
     DIFFERENT = 5
+    PENDING = 6
 
     @property
     def meaning(self) -> str:
@@ -28,6 +29,7 @@
     ExitCode.UNAVAILABLE: "the platform or the fleet did not answer; nothing changed",
     ExitCode.UNKNOWN: "the log did not confirm the change; run the same command again",
     ExitCode.DIFFERENT: "files and fleet differ (diff)",
+    ExitCode.PENDING: "accepted, but some processes did not confirm it in time (--wait)",
 }
 
 
--- a/packages/router/src/cornellead/cli/_fleet_status.py
+++ b/packages/router/src/cornellead/cli/_fleet_status.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 import httpx
 import msgspec
+from returns.result import Success
 
 from cornellead_core.platform import HostEntry
 from cornellead_core.platform import HostKind
+from cornellead_core.platform import HttpHostList
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
 
 CONCURRENT_REQUESTS = 32
+ASK_TIMEOUT_S = 2.0
+WAIT_POLL_S = 0.2
 
 
 class ProcessStatus(NamedTuple):
@@ -68,6 +73,27 @@
     return ProcessStatus(host, resp.status_code == 200, body)
 
 
+async def wait_in_force(
+    client: httpx.AsyncClient, platform_url: str, offset: int, *, timeout_s: float
+) -> list[str]:
+    """Wait until every listed process has a configuration in force.
+
+    :returns: Names of the processes that did not report the offset in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while True:
+        fetched = await HttpHostList(client=client, url=platform_url).fetch()
+        if not isinstance(fetched, Success):
+            behind = ["every process (the host list does not answer)"]
+        else:
+            statuses = await collect_status(client, fetched.unwrap(), timeout_s=ASK_TIMEOUT_S)
+            offsets = {item.host.name: item.number("config_offset") for item in statuses}
+            behind = [name for name, n in sorted(offsets.items()) if n is None or n < offset]
+        if not behind or time.monotonic() >= deadline:
+            return behind
+        await asyncio.sleep(WAIT_POLL_S)
+
+
 def total(statuses: Iterable[ProcessStatus], key: str) -> float | None:
     """Sum a number over the processes that report it, ``None`` if none does."""
     numbers = [value for status in statuses if (value := status.number(key)) is not None]
--- a/packages/router/src/cornellead/cli/_publish.py
+++ b/packages/router/src/cornellead/cli/_publish.py
@@ -31,15 +31,13 @@
         "and\nreports whether the change was accepted.",
         examples=[
             "publish --platform=http://10.0.0.1:7000 teams/",
-            "publish --base=118 teams/imigongo.yaml",
+            "publish --wait --base=118 teams/imigongo.yaml",
             "publish --delete=team/imigongo",
         ],
         notes="A change is rejected if one of its objects was changed after the base. Unknown "
         "(code 4)\nmeans that the log did not confirm the change.",
     )
-    verb.platform()
-    verb.output()
-    verb.author()
+    verb.change()
     verb.integer("base", None, "offset that the files are based on; by default the present one")
     verb.strings("delete", "name such as team/imigongo of an object to delete; repeatable")
     values = verb.parse(argv)
--- a/packages/router/src/cornellead/cli/_service_state.py
+++ b/packages/router/src/cornellead/cli/_service_state.py
@@ -33,9 +33,7 @@
     argv: list[str], verb: VerbFlags, *, data_centre_state: str, server_state: str
 ) -> int:
     """Change the state of the targets on the command line as one change."""
-    verb.platform()
-    verb.output()
-    verb.author()
+    verb.change()
     verb.switch("force", "accept names that are not in the host list")
     values = verb.parse(argv)
     if isinstance(values, ExitCode):
--- a/packages/router/src/cornellead/cli/_validate.py
+++ b/packages/router/src/cornellead/cli/_validate.py
@@ -21,6 +21,17 @@
     from cornellead_core.config import ConfigObject
     from cornellead_core.settings import SettingsError
 
+FORMAT = """\
+A file holds YAML documents, each with kind, name and:
+  model        description
+  data_centre  state (in, out)
+  server       state (serving, draining), models, adapters, version, role
+  template     parameters (name: default, null if every team must give it) and spec: models,
+               priorities {default, allowed}, limits {requests_per_second, concurrent_requests},
+               load_bound, services {NAME: {idempotent, at_most_once}}, key_validity
+  team         template, parameters, token_sha256 (one or a list)
+In a spec, ${name} stands for the value of a parameter."""
+
 
 def run(argv: list[str]) -> int:
     """Check files and print every error with file, line, path and accepted values."""
@@ -29,6 +40,7 @@
         usage="[flags] FILE_OR_DIRECTORY...",
         summary="Checks configuration files and publishes nothing. References must be met by the "
         "files,\nor with --platform by the files and the fleet together.",
+        notes=FORMAT,
         examples=["validate teams/", "validate --platform=http://10.0.0.1:7000 new-team.yaml"],
     )
     verb.platform(required=False)
--- a/packages/router/src/cornellead/cli/_verb_flags.py
+++ b/packages/router/src/cornellead/cli/_verb_flags.py
@@ -77,8 +77,11 @@
         self.string("platform", os.environ.get(PLATFORM_ENV), help_text)
         self.number("timeout", 10.0, "longest time to wait for the platform, in seconds")
 
-    def author(self) -> None:
-        """Define ``--author``."""
+    def change(self) -> None:
+        """Define the flags of verbs that change the configuration."""
+        self.platform()
+        self.output()
+        self.switch("wait", "wait until the change is in force on every listed process")
         author = os.environ.get("USER") or os.environ.get("LOGNAME") or "operator"
         self.string("author", author, "name recorded in the audit trail")
 
--- a/tests/router/cli/test_verbs.py
+++ b/tests/router/cli/test_verbs.py
@@ -240,6 +240,30 @@
     assert asked["servers"][0]["load"] == 3 and asked["config_offset"] is None
 
 
+def test_wait_until_the_change_is_in_force(operator: Operator) -> None:
+    """Guards against a report that a change is in force while a process lags or is silent."""
+    _add_hosts(operator)
+    platform = operator.transport
+    offsets = {"gpu-1": 0, "gpu-2": 0, "entry-1": 0}
+
+    async def answer(request: httpx.Request) -> httpx.Response:
+        if request.url.host == "platform":
+            return await platform.handle_async_request(request)
+        offset = offsets.get(request.url.host)
+        return httpx.Response(200 if offset is not None else 503, json={"config_offset": offset})
+
+    operator.transport = httpx.MockTransport(answer)
+    file = operator.write(FLEET)
+    assert operator.run("publish", "--wait", file).code == ExitCode.OK
+    offsets.update({"gpu-1": 1, "entry-1": 1})
+    pending = operator.run("drain", "--wait", "--timeout=0.1", "data_centre/kg-1")
+    assert pending.code == ExitCode.PENDING and "accepted at offset 1" in pending.out
+    assert "not yet confirmed by: gpu-2" in pending.err
+    del offsets["gpu-2"]
+    silent = operator.run("restore", "--wait", "--timeout=0", "--output=json", "data_centre/kg-1")
+    assert silent.code == ExitCode.PENDING and silent.json["behind"][-1] == "gpu-2"
+
+
 @pytest.mark.parametrize("verb", sorted(set(VERBS) - {"serve", "version"}))
 def test_help_has_examples_and_exit_codes(operator: Operator, verb: str) -> None:
     """Guards against a verb that does not explain itself."""
