--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 
 import msgspec
-import structlog
 
 from cornellead_core.config import SNAPSHOT
 from cornellead_core.config import ConfigState
@@ -56,7 +55,6 @@
     def __init__(self, *, board: Blackboard) -> None:
         self._board = board
         self._resolver = Resolver()
-        self._log = structlog.get_logger()
         self._state = ConfigState()
         self._past: deque[_Past] = deque(maxlen=KEPT_STATES)
         self._records: deque[WireRecord] = deque(maxlen=KEPT_RECORDS)
@@ -147,8 +145,6 @@
         if audit is not None:
             self.audits.append(audit)
             self.rejected += not audit.accepted
-            if self._published:
-                self._log.info("configuration_decided", **audit._asdict())
         return record
 
     def _verify_snapshot(self, record: LogRecord, digest: object) -> None:
