Start the tests of lost log readers from a steady state

A process reads the log for 10 s after its own start, which hid the time that a takeover needs. Measured in virtual time with 3 to 6 processes in each of 3 data centres: at most 1.5 s.

--- a/packages/core/src/cornellead_core/distribution/_log_duty.py
+++ b/packages/core/src/cornellead_core/distribution/_log_duty.py
@@ -11,8 +11,11 @@
 
 TAILS_PER_DC = 2
 TAKEOVER_S = 1.2
-"""Age of the last read of the log's end at which the next in rank reads too; a read at the end
-waits 1 s, so an age below this is normal."""
+"""Age of the last read of the log's end at which the next in rank reads too.
+
+A change must be in force within 2 s even if all designated readers have just lost the log. The
+price at six processes a data centre is one or two more that read at a time; at 95 there are none.
+"""
 TAKEOVER_PER_PEER_S = 0.05
 """Added per process of the data centre: word of a read takes longer to reach more of them."""
 TAKEOVER_HOLD_S = 10.0
--- a/tests/guarantees/test_g3_data_centre_out.py
+++ b/tests/guarantees/test_g3_data_centre_out.py
@@ -27,7 +27,8 @@
     from collections.abc import Iterator
 
 LIMIT_S = 3.0
-SETTLE_S = 5.0
+SETTLE_S = 30.0
+"""Time after which no process still reads the log because of its own start."""
 
 
 @pytest.fixture
--- a/tests/guarantees/test_g9_configuration.py
+++ b/tests/guarantees/test_g9_configuration.py
@@ -27,6 +27,8 @@
 TARGET_LIMIT_S = 8.0
 MAX_BYTES_PER_S = 3000
 SETTLE_S = 5.0
+STEADY_S = 30.0
+"""Time after which no process still reads the log because of its own start."""
 
 
 @pytest.fixture
@@ -34,11 +36,13 @@
     """Return a function that starts a fleet with one change in force."""
     fleets = []
 
-    def make(sizes: dict[str, int] = TODAY, **options: float) -> FakeFleet:
+    def make(
+        sizes: dict[str, int] = TODAY, *, settle_s: float = STEADY_S, **options: float
+    ) -> FakeFleet:
         fleet = FakeFleet(sizes, **options)  # type: ignore[arg-type]
         fleets.append(fleet)
         fleet.publish({"model/first": {}})
-        fleet.run(SETTLE_S)
+        fleet.run(settle_s)
         assert fleet.lowest_offset == 0
         return fleet
 
@@ -65,7 +69,7 @@
 
 def test_change_is_in_force_in_time_at_target_size(make_fleet: Callable[..., FakeFleet]) -> None:
     """Guards against spreading that slows down or grows in traffic with 1,330 processes."""
-    fleet = make_fleet(TARGET)
+    fleet = make_fleet(TARGET, settle_s=SETTLE_S)
     before = {name: node.traffic.total_bytes for name, node in fleet.nodes.items()}
     started = fleet.loop.time()
     fleet.run_until_all_at(fleet.publish({"model/m": {}}), limit_s=TARGET_LIMIT_S)
@@ -86,12 +90,17 @@
     fleet.run_until_all_at(fleet.publish({"model/m": {}}), limit_s=TODAY_LIMIT_S)
 
 
-def test_readers_of_the_log_cut_off(make_fleet: Callable[..., FakeFleet]) -> None:
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("size", [3, 4, 6])
+@pytest.mark.parametrize("wait_s", [0.0, 0.7, 60.0])
+def test_readers_of_the_log_cut_off(
+    make_fleet: Callable[..., FakeFleet], wait_s: float, size: int, seed: int
+) -> None:
     """Guards against a fleet that stands still because its designated readers fail."""
-    fleet = make_fleet()
+    fleet = make_fleet(dict.fromkeys("abc", size), seed=seed)
     for node in fleet.nodes.values():
         node.log.cut = node.distributor.reads_log_by_rank
-    fleet.run(SETTLE_S)
+    fleet.run(wait_s)
     fleet.run_until_all_at(fleet.publish({"model/m": {}}), limit_s=TODAY_LIMIT_S)
 
 
