--- a/packages/router/src/cornellead/cli/_verb_flags.py
+++ b/packages/router/src/cornellead/cli/_verb_flags.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import sys
 from typing import TYPE_CHECKING
 
@@ -100,6 +101,8 @@
             return ExitCode.OK
         if self._needs_platform and not self._values.platform:
             return self.fail(f"give --platform=URL or set {PLATFORM_ENV}")
+        if "platform" in self._names and not _is_url(self._values.platform or ""):
+            return self.fail("--platform: use a URL such as http://10.0.0.1:7000")
         return self._values
 
     def fail(self, message: str) -> ExitCode:
@@ -120,3 +123,7 @@
             + "\n".join(rows)
             + f"\n\nexamples:\n{examples}\n\nexit codes:\n{describe_exit_codes()}"
         )
+
+
+def _is_url(value: str) -> bool:
+    return value == "" or re.fullmatch(r"https?://[A-Za-z0-9.:\[\]_-]+(/\S*)?", value) is not None
