End tasks whose cancellation the transport library swallows

An operation of the control protocol that completed while its task was being cancelled returned its result; the listener then waited for the next request for good and the process did not stop.

--- a/packages/core/src/cornellead_core/wire/_control_client.py
+++ b/packages/core/src/cornellead_core/wire/_control_client.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 from returns.result import Result
 
+from cornellead_core.wire._cancellation import raise_if_cancelled
 from cornellead_core.wire._codec import decode_message
 from cornellead_core.wire._codec import encode_message
 
@@ -44,7 +45,9 @@
                 reply = await ctx.arecv()
         except pynng.NNGException as exc:
             self._close(address)
+            raise_if_cancelled()
             return Failure(f"control request to {address} failed: {exc}")
+        raise_if_cancelled()
         self._traffic.count_received(reply)
         return decode_message(reply, key=self._key)
 
--- a/packages/core/src/cornellead_core/wire/_control_server.py
+++ b/packages/core/src/cornellead_core/wire/_control_server.py
@@ -9,6 +9,7 @@
 import pynng
 from returns.result import Success
 
+from cornellead_core.wire._cancellation import raise_if_cancelled
 from cornellead_core.wire._codec import decode_message
 from cornellead_core.wire._codec import encode_message
 
@@ -57,6 +58,7 @@
                 except pynng.NNGException:
                     self._traffic.messages_rejected += 1
                     await asyncio.sleep(0)
+                raise_if_cancelled()
 
     async def _serve_one(self, ctx: pynng.Context) -> None:
         request = await ctx.arecv()
