Start only with the state of a peer or the end of the log

A process whose log failed while it read its first pages started with what it had read by then, because any state counted as that of a peer.

--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -140,7 +140,10 @@
         return isinstance(await self._log.read(STREAM, from_offset=0, limit=1), Success)
 
     async def _ask_peers(self) -> bool:
-        """Adopt the highest state among a few peers."""
+        """Adopt the highest state among a few peers.
+
+        :returns: Whether a peer has a state, and this process one that is at least as high.
+        """
         peers = self._exchange.peers.sample(self._rng, near=START_PEERS - 1, far=1)
         probe = ConfigOffset(PROBE_OFFSET)
         answers = await asyncio.gather(
@@ -157,7 +160,8 @@
             state = await self._client.request(address, ConfigStateRequest())
             if isinstance(state, Success):
                 self._take_answer(address, state.unwrap())
-        return self.store.offset >= 0
+        highest = max((offset for offset, _ in offsets), default=-1)
+        return 0 <= highest <= self.store.offset
 
     async def _read_to_end(self, *, wait_s: float) -> bool:
         """Apply all records of the log above the state.
--- a/tests/core/distribution/test_config_store.py
+++ b/tests/core/distribution/test_config_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cornellead_core.blackboard import Blackboard
+from cornellead_core.config import digest_state
 from cornellead_core.config import make_snapshot
 from cornellead_core.distribution import ConfigStore
 from cornellead_core.distribution._config_store import KEPT_RECORDS
@@ -119,3 +120,13 @@
     store.apply([LogRecord(2, 2000, {**make_snapshot(store.state), field: value})])
     assert (store.needed_since_ms, store.snapshots_ignored) == (0, 1)
     assert store.state == before._replace(offset=2)
+
+
+def test_digest_from_a_peer_needs_a_proper_offset(store: ConfigStore) -> None:
+    """Guards against an offset of true, which equals 1, in a snapshot that a peer passes on."""
+    store.apply([_record(0, a={}), _record(1, b={})])
+    stub = {"kind": "snapshot", "upto": True, "digest": digest_state(store.state)}
+    store.apply([LogRecord(2, 2000, stub)], from_peer=True)
+    assert (store.needed_since_ms, store.snapshots_ignored) == (0, 1)
+    store.apply([LogRecord(3, 3000, {**stub, "upto": 1})], from_peer=True)
+    assert store.needed_since_ms == 2000
--- a/tests/guarantees/test_g9_configuration.py
+++ b/tests/guarantees/test_g9_configuration.py
@@ -162,6 +162,22 @@
     fleet.run_until_all_at(0, limit_s=SETTLE_S)
 
 
+def test_start_waits_for_the_end_of_the_log() -> None:
+    """Guards against a process that serves what it had read when the log failed."""
+    fleet = FakeFleet({"a": 1})
+    for _ in range(700):
+        fleet.publish({"model/m": {}})
+    while fleet.nodes["a-0"].distributor.store.offset < 0:
+        fleet.run(0.001)
+    fleet.log.down = True
+    assert fleet.nodes["a-0"].distributor.store.offset < 699
+    fleet.run(SETTLE_S)
+    assert fleet.lowest_offset == -1
+    fleet.log.down = False
+    fleet.run_until_all_at(699, limit_s=TODAY_LIMIT_S)
+    fleet.close()
+
+
 def test_start_takes_the_highest_of_stale_peers(make_fleet: Callable[..., FakeFleet]) -> None:
     """Guards against a start from the first peer that answers, although another knows more."""
     fleet = make_fleet({"a": 3, "b": 1})
