--- a/packages/core/src/cornellead_core/distribution/_config_exchange.py
+++ b/packages/core/src/cornellead_core/distribution/_config_exchange.py
@@ -9,7 +9,7 @@
 from cornellead_core.distribution._config_store import decode_records
 from cornellead_core.distribution._config_store import encode_envelope
 from cornellead_core.distribution._config_store import encode_record
-from cornellead_core.distribution._log_duty import LogDuty
+from cornellead_core.distribution._log_read_policy import LogReadPolicy
 from cornellead_core.membership import Peers
 from cornellead_core.wire import UNKNOWN_AGE_MS
 from cornellead_core.wire import Ack
@@ -68,14 +68,14 @@
         self._gap = False
         self._contact_at = now
         self._log_end_at = float("-inf")
-        self._duty = LogDuty()
+        self._read_policy = LogReadPolicy()
         self._outbox: list[Push] = []
 
     def answer(self, message: Message, *, now: float) -> Message | None:
         """Answer a message of a peer, or return ``None`` if it is not about configuration."""
         if isinstance(message, ConfigOffset):
             self._contact_at = now
-            self._hear_log_age(message, now=now)
+            self._merge_log_age(message, now=now)
             return self._answer_offset(message.offset, now=now)
         if isinstance(message, ConfigRecords):
             self._contact_at = now
@@ -101,7 +101,7 @@
         """Take a peer's answer to `compare` or to a request for its state."""
         self._contact_at = now
         if isinstance(answer, ConfigRecords):
-            self._hear_log_age(answer, now=now)
+            self._merge_log_age(answer, now=now)
             if answer.offset < self._store.offset:
                 self._push_missing(address, answer.offset, now=now)
             else:
@@ -119,7 +119,7 @@
         applied = self._store.apply(page.records)
         if self._store.offset + 1 >= page.end_offset:
             self._log_end_at = now
-        self._spread(applied, now=now)
+        self._push_to_peers(applied, now=now)
         return applied
 
     def take_pushes(self) -> list[Push]:
@@ -139,7 +139,7 @@
         """Return whether this process should read the log now."""
         if now - self._contact_at > ISOLATED_S:
             return True
-        return self._duty.reads(self.peers, log_age_s=now - self._log_end_at, now=now)
+        return self._read_policy.reads(self.peers, log_age_s=now - self._log_end_at, now=now)
 
     def _answer_offset(self, offset: int, *, now: float) -> Message:
         records = self._store.records_above(offset, max_bytes=MAX_ANSWER_BYTES)
@@ -150,8 +150,8 @@
     def _take_records(self, message: ConfigRecords, *, now: float) -> None:
         applied = self._store.apply(decode_records(message.records), from_peer=True)
         self._gap = self._gap or message.offset > self._store.offset
-        self._hear_log_age(message, now=now)
-        self._spread(applied, now=now)
+        self._merge_log_age(message, now=now)
+        self._push_to_peers(applied, now=now)
 
     def _records_message(self, records: Sequence[WireRecord], *, now: float) -> ConfigRecords:
         return ConfigRecords(list(records), self._store.offset, self._log_age_ms(now))
@@ -159,7 +159,7 @@
     def _log_age_ms(self, now: float) -> int:
         return round(min(UNKNOWN_AGE_MS, 1000 * (now - self._log_end_at)))
 
-    def _hear_log_age(self, message: ConfigOffset | ConfigRecords, *, now: float) -> None:
+    def _merge_log_age(self, message: ConfigOffset | ConfigRecords, *, now: float) -> None:
         """Take over what a peer knows of the log's end, if this process has its records."""
         if message.offset <= self._store.offset and message.log_age_ms >= 0:
             self._log_end_at = max(self._log_end_at, now - message.log_age_ms / 1000)
@@ -169,7 +169,7 @@
         if records and len(records) <= MAX_PUSH_RECORDS:
             self._outbox.append(Push(address, self._records_message(records, now=now)))
 
-    def _spread(self, applied: Sequence[LogRecord], *, now: float) -> None:
+    def _push_to_peers(self, applied: Sequence[LogRecord], *, now: float) -> None:
         if not applied or not self.started or len(applied) > MAX_PUSH_RECORDS:
             return
         message = self._records_message(list(map(encode_record, applied)), now=now)
--- a/packages/core/src/cornellead_core/distribution/_log_duty.py
+++ b/packages/core/src/cornellead_core/distribution/_log_read_policy.py
@@ -28,7 +28,7 @@
 """Wait per rank, in which the snapshot of a process before this one appears."""
 
 
-class LogDuty:
+class LogReadPolicy:
     """Decides whether this process reads the log; all times are monotonic seconds."""
 
     def __init__(self) -> None:
@@ -42,8 +42,8 @@
         rank = tail_rank(peers)
         if rank < TAILS_PER_DC:
             return True
-        patience_s = TAKEOVER_S + TAKEOVER_PER_PEER_S * (len(peers.near) + rank)
-        if log_age_s > patience_s:
+        takeover_after_s = TAKEOVER_S + TAKEOVER_PER_PEER_S * (len(peers.near) + rank)
+        if log_age_s > takeover_after_s:
             self._hold_until = now + TAKEOVER_HOLD_S
         return now < self._hold_until
 
--- a/packages/router/src/cornellead/cli/_config_history.py
+++ b/packages/router/src/cornellead/cli/_config_history.py
@@ -55,7 +55,7 @@
                 if not isinstance(found, Success):
                     return Failure(found.failure())
                 self.state = found.unwrap().state
-                await self._recall(page.oldest_offset)
+                await self._read_earlier(page.oldest_offset)
                 continue
             for record in page.records:
                 self.state, audit = reduce_record(self.state, record)
@@ -64,7 +64,7 @@
             if self.state.offset + 1 >= page.end_offset or not page.records:
                 return Success(self.state)
 
-    async def _recall(self, offset: int) -> None:
+    async def _read_earlier(self, offset: int) -> None:
         """Add the decisions that the snapshot holds on changes before it, as far as kept."""
         verdicts = {item.offset: item for item in self.state.recent}
         while offset <= self.state.offset:
--- a/packages/router/src/cornellead/cli/_publisher.py
+++ b/packages/router/src/cornellead/cli/_publisher.py
@@ -71,10 +71,10 @@
             if time.monotonic() >= deadline:
                 break
             await asyncio.sleep(RETRY_S)
-        return Failure(_give_up(maybe_stored=maybe_stored, message=message))
+        return Failure(_describe_failure(maybe_stored=maybe_stored, message=message))
 
 
-def _give_up(*, maybe_stored: bool, message: str) -> PublishFailure:
+def _describe_failure(*, maybe_stored: bool, message: str) -> PublishFailure:
     reason = f" ({message})" if message else ""
     if maybe_stored:
         return PublishFailure(
--- a/tests/core/distribution/test_config_exchange.py
+++ b/tests/core/distribution/test_config_exchange.py
@@ -12,9 +12,9 @@
 from cornellead_core.distribution import ConfigStore
 from cornellead_core.distribution._config_exchange import ISOLATED_S
 from cornellead_core.distribution._config_exchange import PROBE_OFFSET
-from cornellead_core.distribution._log_duty import TAILS_PER_DC
-from cornellead_core.distribution._log_duty import snapshot_rank
-from cornellead_core.distribution._log_duty import tail_rank
+from cornellead_core.distribution._log_read_policy import TAILS_PER_DC
+from cornellead_core.distribution._log_read_policy import snapshot_rank
+from cornellead_core.distribution._log_read_policy import tail_rank
 from cornellead_core.membership import Peers
 from cornellead_core.platform import HostEntry
 from cornellead_core.platform import HostKind
@@ -152,7 +152,7 @@
 
 
 def test_age_of_a_peer_that_knows_more_counts_only_with_its_records() -> None:
-    """Guards against a process that feels up to date because another one is."""
+    """Guards against a process that is taken for up to date because another one is."""
     exchange, _ = _make(_tails(6)[2])
     exchange.answer(ConfigOffset(7, 0), now=1.0)
     assert exchange.reads_log(now=1.0)
--- a/tests/guarantees/test_g9_configuration.py
+++ b/tests/guarantees/test_g9_configuration.py
@@ -198,8 +198,8 @@
 def test_isolated_process_reads_the_log(make_fleet: Callable[..., FakeFleet]) -> None:
     """Guards against a process that relies on peers which it cannot reach."""
     fleet = make_fleet()
-    lonely = [name for name, node in fleet.nodes.items() if not node.distributor.reads_log_by_rank]
-    fleet.network.sides[lonely[0]] = 1
+    others = [name for name, node in fleet.nodes.items() if not node.distributor.reads_log_by_rank]
+    fleet.network.sides[others[0]] = 1
     fleet.run(10.0)
     fleet.run_until_all_at(fleet.publish({"model/m": {}}), limit_s=TODAY_LIMIT_S)
 
@@ -236,9 +236,9 @@
     assert len(fleet.log.all) <= 2 + 600 / 60 + 1, "more than one snapshot at a time"
     for name in list(fleet.nodes):
         fleet.stop(name)
-    lone = fleet.start("a-0")
+    node = fleet.start("a-0")
     fleet.run(SETTLE_S)
-    assert lone.board.read(CONFIG).out_of_service == {"b"}
+    assert node.board.read(CONFIG).out_of_service == {"b"}
 
 
 def test_snapshot_with_a_wrong_digest_is_ignored(make_fleet: Callable[..., FakeFleet]) -> None:
