--- a/tests/router/cli/conftest.py
+++ b/tests/router/cli/conftest.py
@@ -61,14 +61,18 @@
         self._monkeypatch = monkeypatch
         self._capsys = capsys
         self._directory = directory
-        self.transport: httpx.AsyncBaseTransport = httpx.ASGITransport(
-            app=build_app(PlatformSettings(listen="", host_lag_s=0.0))  # type: ignore[arg-type]
-        )
+        self.transport: httpx.AsyncBaseTransport
+        self.replace_platform()
         monkeypatch.setattr(
             httpx, "AsyncClient", functools.partial(_make_client, httpx.AsyncClient, self)
         )
         monkeypatch.setenv("CORNELLEAD_PLATFORM", URL)
 
+    def replace_platform(self, **settings: int) -> None:
+        """Start with a new, empty platform."""
+        app = build_app(PlatformSettings(listen="", host_lag_s=0.0, **settings))
+        self.transport = httpx.ASGITransport(app=app)  # type: ignore[arg-type]
+
     def run(self, *argv: str) -> Outcome:
         """Run a verb."""
         self._monkeypatch.setattr(sys, "argv", ["cornellead", *argv])
--- a/tests/router/cli/test_verbs.py
+++ b/tests/router/cli/test_verbs.py
@@ -13,6 +13,11 @@
 
 from cornellead.cli._exit_code import ExitCode
 from cornellead.cli._main import VERBS
+from cornellead_core.config import ConfigState
+from cornellead_core.config import make_snapshot
+from cornellead_core.config import reduce_record
+from cornellead_core.platform import HttpLog
+from cornellead_core.platform import LogRecord
 
 BAD_URL = ["audit", "--platform=10.0.0.1:7000"]
 HOSTS = {
@@ -105,6 +110,35 @@
     assert operator.run("audit", "--output=json").json == []
 
 
+def test_change_and_audit_after_records_were_dropped(operator: Operator) -> None:
+    """Guards against verbs that need the whole log, or forget decisions on changes it still has."""
+    operator.replace_platform(retention_records=3)
+    for text in ("one", "two", "three"):
+        file = operator.write(f"kind: model\nname: m\ndescription: {text}\n")
+        assert operator.run("publish", f"--author={text}", file).code == ExitCode.OK
+    stale = operator.run(
+        "publish", "--author=old", "--base=0", operator.write("kind: model\nname: m")
+    )
+    assert stale.code == ExitCode.FAILED
+
+    async def append_snapshot() -> None:
+        async with httpx.AsyncClient() as client:
+            log = HttpLog(client=client, url=URL)
+            state = ConfigState()
+            for record in [*kept, *(await log.read("config", from_offset=1)).unwrap().records]:
+                state, _ = reduce_record(state, record)
+            await log.append("config", [make_snapshot(state)])
+
+    first = {"change_id": "0", "author": "one", "base": -1, "objects": {"model/m": {}}}
+    kept = [LogRecord(0, 0, {"kind": "change", **first})]
+    asyncio.run(append_snapshot())
+    audit = operator.run("audit", "--output=json").json
+    assert [(item["offset"], item["accepted"]) for item in audit] == [(2, True), (3, False)]
+    assert "changed by three at version 2" in audit[1]["reason"]
+    added = operator.run("publish", operator.write("kind: model\nname: n\n"))
+    assert added.out == "accepted at offset 5: model/n\n"
+
+
 def test_validate_against_files_alone_or_with_the_fleet(operator: Operator) -> None:
     """Guards against references that are checked against the wrong objects."""
     operator.run("publish", operator.write(FLEET))
