Distribute changes of the host list among processes

Every process read the whole list twice a second: at 1,330 hosts of about 200 bytes that is over 500 KB/s a node against a budget of 3 KB/s. Now two processes of each data centre read it, with conditional requests, and push changes to peers; others take over when the list grows old.

Ruled out: choosing the list that was read later, which took over 3 s to repair a lost push because all ages are alike; the age of the last change decides instead. Changes are differences between successive reads, so that a lagging replica of the list does not undo them.

--- a/packages/core/src/cornellead_core/distribution/__init__.py
+++ b/packages/core/src/cornellead_core/distribution/__init__.py
@@ -6,7 +6,11 @@
 from cornellead_core.distribution._config_exchange import ConfigExchange
 from cornellead_core.distribution._config_store import ConfigStore
 from cornellead_core.distribution._control_requester import ControlRequester
+from cornellead_core.distribution._host_distributor import HostDistributor
 from cornellead_core.distribution._host_list_watcher import HostListWatcher
+from cornellead_core.distribution._host_view import HostView
+from cornellead_core.distribution._host_view import Taken
+from cornellead_core.distribution._host_view import digest_hosts
 from cornellead_core.distribution._snapshot_search import FoundSnapshot
 from cornellead_core.distribution._snapshot_search import find_snapshot
 
@@ -16,6 +20,10 @@
     "ConfigStore",
     "ControlRequester",
     "FoundSnapshot",
+    "HostDistributor",
     "HostListWatcher",
+    "HostView",
+    "Taken",
+    "digest_hosts",
     "find_snapshot",
 ]
--- a/packages/core/src/cornellead_core/platform/_http_host_list.py
+++ b/packages/core/src/cornellead_core/platform/_http_host_list.py
@@ -39,17 +39,24 @@
     def __init__(self, *, client: httpx.AsyncClient, url: str) -> None:
         self._client = client
         self._url = url.rstrip("/")
+        self._etag = ""
+        self._hosts: list[HostEntry] = []
 
     async def fetch(self) -> Result[list[HostEntry], PlatformError]:
-        """Read the whole list."""
+        """Read the list; the platform sends it only if it changed since the last read."""
+        headers = {"if-none-match": self._etag} if self._etag else {}
         try:
-            resp = await self._client.get(f"{self._url}/hosts", timeout=TIMEOUT_S)
+            resp = await self._client.get(f"{self._url}/hosts", headers=headers, timeout=TIMEOUT_S)
         except httpx.HTTPError as exc:
             return Failure(PlatformError(f"host list failed: {exc!r}"))
+        if resp.status_code == 304 and self._etag:
+            return Success(list(self._hosts))
         if resp.status_code != 200:
             return Failure(PlatformError(f"host list answered status {resp.status_code}"))
         try:
             body = msgspec.json.decode(resp.content, type=_ListBody)
         except msgspec.DecodeError as exc:
             return Failure(PlatformError(f"host list is malformed: {exc}"))
-        return Success([HostEntry(**msgspec.structs.asdict(host)) for host in body.hosts])
+        self._hosts = [HostEntry(**msgspec.structs.asdict(host)) for host in body.hosts]
+        self._etag = resp.headers.get("etag", "")
+        return Success(list(self._hosts))
--- a/packages/core/src/cornellead_core/wire/__init__.py
+++ b/packages/core/src/cornellead_core/wire/__init__.py
@@ -14,6 +14,9 @@
 from cornellead_core.wire._messages import ConfigStateRequest
 from cornellead_core.wire._messages import Demand
 from cornellead_core.wire._messages import Hint
+from cornellead_core.wire._messages import HostChanges
+from cornellead_core.wire._messages import HostDigest
+from cornellead_core.wire._messages import HostSnapshot
 from cornellead_core.wire._messages import LoadExchange
 from cornellead_core.wire._messages import Message
 from cornellead_core.wire._messages import Report
@@ -33,6 +36,9 @@
     "ControlServer",
     "Demand",
     "Hint",
+    "HostChanges",
+    "HostDigest",
+    "HostSnapshot",
     "LoadExchange",
     "Message",
     "Report",
--- a/packages/core/src/cornellead_core/wire/_codec.py
+++ b/packages/core/src/cornellead_core/wire/_codec.py
@@ -27,6 +27,9 @@
     _messages.Hint,
     _messages.Demand,
     _messages.Shares,
+    _messages.HostDigest,
+    _messages.HostChanges,
+    _messages.HostSnapshot,
 )
 _TYPE_BYTES = {message_type: bytes([index]) for index, message_type in enumerate(_TYPES)}
 _DECODERS = [msgspec.msgpack.Decoder(message_type) for message_type in _TYPES]
--- a/packages/core/src/cornellead_core/wire/_messages.py
+++ b/packages/core/src/cornellead_core/wire/_messages.py
@@ -7,6 +7,7 @@
 
 from cornellead_core.load import DcSummary
 from cornellead_core.load import LoadReport
+from cornellead_core.platform import HostEntry
 
 UNKNOWN_AGE_MS = 1 << 31
 
@@ -97,6 +98,33 @@
     teams: list[TeamShare]
 
 
+class HostDigest(NamedTuple):
+    """Digest of the sender's host list; answered with `HostDigest` or `HostSnapshot`."""
+
+    digest: int
+    """64-bit hash, 0 when the sender has no list."""
+    changed_ms: int
+    """Time since a read of the platform showed the last change of the list."""
+    read_ms: int
+    """Time since a process read this list from the platform."""
+
+
+class HostChanges(NamedTuple):
+    """Difference between two host lists; answered with `HostDigest`."""
+
+    digest: HostDigest
+    """Digest after the changes."""
+    upserts: list[HostEntry]
+    removed: list[str]
+
+
+class HostSnapshot(NamedTuple):
+    """Whole host list of the sender."""
+
+    digest: HostDigest
+    hosts: list[HostEntry]
+
+
 Message: TypeAlias = (
     Ack
     | Report
@@ -108,4 +136,7 @@
     | Hint
     | Demand
     | Shares
+    | HostDigest
+    | HostChanges
+    | HostSnapshot
 )
--- a/packages/standins/src/cornellead_standins/platform/_app.py
+++ b/packages/standins/src/cornellead_standins/platform/_app.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+import xxhash
 from litestar import Litestar
 from litestar import Request
 from litestar import Response
@@ -124,13 +125,19 @@
         )
 
     @get("/hosts")
-    async def list_hosts() -> Response[bytes]:
+    async def list_hosts(request: Request[Any, Any, Any]) -> Response[bytes]:
         faults = platform.faults
         await asyncio.sleep(faults.slow_s)
         if faults.hosts_outage:
             return _error(503, "host list outage")
         lag_s = settings.host_lag_s if faults.host_lag_s is None else faults.host_lag_s
-        return _answer({"hosts": platform.hosts.view(now=time.monotonic(), lag_s=lag_s)})
+        content = msgspec.json.encode(
+            {"hosts": platform.hosts.view(now=time.monotonic(), lag_s=lag_s)}
+        )
+        etag = f'"{xxhash.xxh3_64_hexdigest(content)}"'
+        if request.headers.get("if-none-match") == etag:
+            return Response(b"", status_code=304, headers={"etag": etag})
+        return Response(content, media_type="application/json", headers={"etag": etag})
 
     @put("/hosts/{name:str}")
     async def put_host(name: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
