--- a/packages/standins/src/cornellead_standins/engine/__init__.py
+++ b/packages/standins/src/cornellead_standins/engine/__init__.py
@@ -11,6 +11,7 @@
 from cornellead_standins.engine._sequence import Sequence
 from cornellead_standins.engine._settings import EngineFaults
 from cornellead_standins.engine._settings import EngineSettings
+from cornellead_standins.engine._text import answer_text
 from cornellead_standins.engine._text import generate_word
 from cornellead_standins.engine._text import tokenize
 
@@ -23,6 +24,7 @@
     "EngineSettings",
     "PrefixCache",
     "Sequence",
+    "answer_text",
     "build_app",
     "generate_word",
     "tokenize",
--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -82,6 +82,10 @@
             return _error(503, "engine is starting")
         return _answer(engine.load(now=now))
 
+    @get("/history")
+    async def read_history() -> Response[bytes]:
+        return _answer({"changes": engine.history})
+
     @get("/cache/events")
     async def read_cache_events(request: Request[Any, Any, Any]) -> Response[bytes]:
         first = int(request.query_params.get("from", 1))
@@ -141,6 +145,7 @@
         complete,
         resume,
         report_load,
+        read_history,
         read_cache_events,
         export_kv,
         import_kv,
--- a/packages/standins/src/cornellead_standins/engine/_engine.py
+++ b/packages/standins/src/cornellead_standins/engine/_engine.py
@@ -32,6 +32,7 @@
 
 CRASH_MULTIPLE = 2
 """A cold engine crashes when it was offered more than this multiple of what it bears."""
+HISTORY_KEPT = 500_000
 FAILURE_WINDOW_S = 1.0
 """Time for which failed requests count as offered load."""
 HOUSEKEEPING_S = 0.05
@@ -46,6 +47,13 @@
     message: str
 
 
+class LoadChange(NamedTuple):
+    """A request started (+1) or ended (-1); the clock is shared by all processes of a host."""
+
+    at_s: float
+    change: int
+
+
 class Engine:
     """One engine process: batch, cache, streams and loaded models."""
 
@@ -68,6 +76,8 @@
         self._served_since_cold = 0 if settings.cold_start else settings.slots
         self._restarting_until = 0.0
         self._stalled_until = 0.0
+        self.history: deque[LoadChange] = deque(maxlen=HISTORY_KEPT)
+        """Starts and ends of requests, for an exact comparison of the load of engines."""
         self._failed_at: deque[float] = deque()
         self._work = asyncio.Event()
         self._samples: deque[tuple[float, dict[str, Any]]] = deque(maxlen=SAMPLES_KEPT)
@@ -108,6 +118,7 @@
         if seq.finished:
             stream.finish()
             return Success(stream)
+        self.history.append(LoadChange(now, 1))
         self.batch.submit(seq)
         self._work.set()
         return Success(stream)
@@ -128,6 +139,8 @@
         stream = self.streams.pop(request_id, None)
         if stream is None:
             return False
+        if not stream.last:
+            self.history.append(LoadChange(time.monotonic(), -1))
         self.batch.cancel(request_id)
         stream.fail()
         return True
@@ -220,6 +233,7 @@
                 self.publish(self.cache.store(seq.cache_key, seq.tokens()), now=now)
                 self._served += 1
                 self._served_since_cold += 1
+                self.history.append(LoadChange(now, -1))
                 stream.finish()
 
     def _sample(self) -> dict[str, Any]:
--- a/packages/standins/src/cornellead_standins/engine/_stream.py
+++ b/packages/standins/src/cornellead_standins/engine/_stream.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from cornellead_standins.engine._text import answer_text
+
 if TYPE_CHECKING:
     from cornellead_standins.engine._sequence import Sequence
 
@@ -63,7 +65,7 @@
 
     def text(self) -> str:
         """Return the whole answer."""
-        return " ".join(self.seq.word(n) for n in range(1, self.seq.length + 1))
+        return answer_text(self.seq.model, self.seq.prompt, self.seq.length)
 
     async def next_event(self, number: int) -> bytes | None:
         """Wait for an event; ``None`` when it will never exist."""
--- a/packages/standins/src/cornellead_standins/engine/_text.py
+++ b/packages/standins/src/cornellead_standins/engine/_text.py
@@ -48,3 +48,13 @@
     """
     digest = xxhash.xxh3_64_intdigest(f"{seed}:{position}".encode())
     return f"{_VOCABULARY[digest % len(_VOCABULARY)]}{(digest >> 16) % 1000}"
+
+
+def answer_text(model: str, prompt: Iterable[str], length: int) -> str:
+    """Return the whole answer to a prompt.
+
+    :param prompt: Tokens as `tokenize` returns them.
+    :param length: Number of tokens.
+    """
+    seed = hash_prompt(model, prompt)
+    return " ".join(generate_word(seed, position) for position in range(1, length + 1))
--- /dev/null
+++ b/scripts/traffic/_conversation.py
@@ -0,0 +1,54 @@
+"""A chat that returns, with the answers and the reuse that are expected of it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cornellead_standins.engine import answer_text
+from cornellead_standins.engine import tokenize
+
+BLOCK_TOKENS = 16
+
+
+class Conversation:
+    """Messages of one chat.
+
+    :param opening: First message of the user.
+
+    >>> chat = Conversation(name="c", team="tours", model="chat", opening="two seats", length=3)
+    >>> chat.add_answer(chat.expected_answer())
+    >>> chat.add_question("and a window?")
+    >>> [message["role"] for message in chat.messages], chat.reusable_tokens
+    (['user', 'assistant', 'user'], 0)
+    """
+
+    def __init__(self, *, name: str, team: str, model: str, opening: str, length: int) -> None:
+        self.name = name
+        self.team = team
+        self.model = model
+        self.length = length
+        self.messages: list[dict[str, Any]] = [{"role": "user", "content": opening}]
+        self.reusable_tokens = 0
+        """Prompt tokens that an engine can have cached since the last turn."""
+
+    def body(self, *, stream: bool) -> dict[str, Any]:
+        """Return the request of the next turn."""
+        return {
+            "model": self.model,
+            "messages": self.messages,
+            "max_tokens": self.length,
+            "stream": stream,
+        }
+
+    def expected_answer(self) -> str:
+        """Return the answer that the stand-in engine gives to the next turn."""
+        return answer_text(self.model, tokenize(self.messages), self.length)
+
+    def add_answer(self, text: str) -> None:
+        """Take over the answer of a turn."""
+        self.messages.append({"role": "assistant", "content": text})
+        self.reusable_tokens = len(tokenize(self.messages)) // BLOCK_TOKENS * BLOCK_TOKENS
+
+    def add_question(self, text: str) -> None:
+        """Add the next message of the user."""
+        self.messages.append({"role": "user", "content": text})
