--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -26,12 +26,14 @@
 from cornellead_core.config._records import AuditRecord
 from cornellead_core.config._records import ChangeRecord
 from cornellead_core.config._records import make_snapshot
+from cornellead_core.config._records import parse_change
 from cornellead_core.config._records import parse_snapshot
 from cornellead_core.config._reducer import RECENT_CHANGES
 from cornellead_core.config._reducer import apply_change
 from cornellead_core.config._reducer import reduce_record
 from cornellead_core.config._resolver import Resolver
 from cornellead_core.config._resolver import resolve_spec
+from cornellead_core.config._validation import check_state
 from cornellead_core.config._validation import find_object_problems
 from cornellead_core.config._validation import find_problems
 
@@ -57,6 +59,7 @@
     "Verdict",
     "apply_change",
     "check_documents",
+    "check_state",
     "decode_state",
     "digest_state",
     "encode_state",
@@ -64,6 +67,7 @@
     "find_problems",
     "load_documents",
     "make_snapshot",
+    "parse_change",
     "parse_snapshot",
     "reduce_record",
     "resolve_spec",
