--- a/packages/standins/src/cornellead_standins/engine/_engine.py
+++ b/packages/standins/src/cornellead_standins/engine/_engine.py
@@ -33,6 +33,8 @@
 CRASH_MULTIPLE = 2
 """A cold engine crashes when it was offered more than this multiple of what it bears."""
 HISTORY_KEPT = 500_000
+MAX_CATCH_UP_S = 0.05
+"""A loop that is further behind, on a busy host, does not make up for it with a burst."""
 FAILURE_WINDOW_S = 1.0
 """Time for which failed requests count as offered load."""
 HOUSEKEEPING_S = 0.05
@@ -187,16 +189,19 @@
 
     async def run(self) -> None:
         """Advance the batch step by step until cancelled."""
+        due_at = 0.0
         while True:
             if self.batch.running + self.batch.waiting == 0:
                 self._work.clear()
                 await self._work.wait()
-            started_at = time.monotonic()
+            now = time.monotonic()
+            # Steps follow each other without the time that this loop itself takes.
+            started_at = due_at if now - due_at < MAX_CATCH_UP_S else now
             for seq in self.batch.admit():
                 self._prepare(seq)
             duration_s = self.batch.step_s(slow=self.faults.slow)
-            pause_s = max(duration_s, self._stalled_until - started_at)
-            await asyncio.sleep(pause_s)
+            due_at = max(started_at + duration_s, self._stalled_until)
+            await asyncio.sleep(max(0.0, due_at - now))
             self._advance(duration_s, now=time.monotonic())
 
     async def run_housekeeping(self) -> None:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -29,6 +29,8 @@
 BOOKINGS = 6
 """Callers that book one trip after the other."""
 TRAFFIC_S = 40.0
+FINISH_S = 40.0
+"""Longest time for requests and events in progress to end after the traffic."""
 KILL_AT_S = 12.0
 RESTART_AFTER_S = 3.0
 DRAIN_AT_S = 24.0
@@ -62,6 +64,15 @@
         self._started_at = time.monotonic()
         self._stop_at = self._started_at + self._seconds
         control = asyncio.create_task(self._watch_control())
+        try:
+            async with asyncio.timeout(self._seconds + FINISH_S):
+                await self._send_traffic()
+        except TimeoutError:
+            self._tally.broken.append("requests did not end in time")
+        control.cancel()
+        return self._tally, await self._summarize()
+
+    async def _send_traffic(self) -> None:
         async with asyncio.TaskGroup() as group:
             for number in range(CHATS):
                 group.create_task(self._hold_chat(number))
@@ -69,8 +80,6 @@
                 group.create_task(self._book_trips(number))
             group.create_task(self._disturb())
             group.create_task(self._show_progress())
-        control.cancel()
-        return self._tally, await self._summarize()
 
     def _caller(self) -> Caller:
         return Caller(
--- a/scripts/fleet/_fleet.py
+++ b/scripts/fleet/_fleet.py
@@ -108,25 +108,33 @@
 
         :raises FleetError: when a process is not ready in time.
         """
-        shutil.rmtree(self.directory, ignore_errors=True)
-        self.directory.mkdir(parents=True)
-        self._add_stand_ins()
-        for process in self.processes.values():
-            process.start()
+        self.write_settings()
+        for name in ("platform", *self.listeners):
+            self.processes[name].start()
         self._wait_ready("platform", f"{self.platform_url}/healthz")
-        for server in self.plan.servers:
-            self._wait_ready(server.name, f"{self.server_url(server.name)}/load")
+        for name in self.listeners:
+            self._wait_ready(name, f"{self.server_url(name)}/load")
         self.publish(read_objects(self.plan.user), author="launcher", base=-1)
         if self._stand_ins_only:
             return
         for host in self.plan.hosts:
             self.list_host(host.name)
-        added = self._add_system()
-        for name in added:
+        system = [name for name, process in self.processes.items() if not process.pid]
+        for name in system:
             self.processes[name].start()
-        for name in added:
+        for name in system:
             self.wait_ready(name)
 
+    def write_settings(self) -> list[str]:
+        """Write the settings files of all processes; returns the names of the processes."""
+        shutil.rmtree(self.directory, ignore_errors=True)
+        self.directory.mkdir(parents=True)
+        self._add_stand_ins()
+        if not self._stand_ins_only:
+            self._add_agents()
+            self._add_routers()
+        return list(self.processes)
+
     def wait_ready(self, name: str) -> None:
         """Wait until a router or ``agent-<server>`` is ready for requests."""
         host = name.removeprefix("agent-")
@@ -256,8 +264,7 @@
             module = "service" if server.service else "engine"
             self._add(server.name, f"cornellead_standins.{module}", settings)
 
-    def _add_system(self) -> list[str]:
-        added: list[str] = []
+    def _add_agents(self) -> None:
         for server in self.plan.servers:
             settings = agent_settings(
                 self.plan,
@@ -266,19 +273,19 @@
                 platform=self.platform,
                 listen=self.listeners[server.name],
             )
-            added.append(f"agent-{server.name}")
-            self._add_command(added[-1], ["-c", AGENT_COMMAND], settings)
+            self._add_command(f"agent-{server.name}", ["-c", AGENT_COMMAND], settings)
+
+    def _add_routers(self) -> None:
         for router in self.plan.routers:
-            process = process_settings(
+            settings = process_settings(
                 self.plan,
                 name=router.name,
                 dc=router.dc,
                 addresses=self.addresses[router.name],
                 platform=self.platform,
             )
-            added.append(router.name)
-            self._add_command(router.name, ["-c", ROUTER_COMMAND, "serve"], {"process": process})
-        return added
+            command = ["-c", ROUTER_COMMAND, "serve"]
+            self._add_command(router.name, command, {"process": settings})
 
     def _platform_settings(self) -> dict[str, Any]:
         return {"listen": self.platform, "host_lag_s": self.plan.host_lag_s}
--- a/scripts/traffic/_caller.py
+++ b/scripts/traffic/_caller.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import AsyncIterator
     from collections.abc import Sequence
 
     from scripts.traffic._conversation import Conversation
@@ -23,8 +24,10 @@
 MAX_ATTEMPTS = 8
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
-DEADLINE_MS = 20_000
-TIMEOUT_S = 25.0
+DEADLINE_S = 20.0
+"""Time for a request with all its attempts; each attempt passes on what is left."""
+GRACE_S = 5.0
+"""Time beyond the deadline after which a caller stops waiting for an answer."""
 DATA = "data: "
 DONE = "[DONE]"
 
@@ -61,9 +64,10 @@
         """Send the next turn of a conversation; returns whether it completed."""
         expected = conversation.expected_answer()
         outcomes: set[str] = set()
-        for url in self._rotate_routers():
+        give_up_at = time.monotonic() + DEADLINE_S
+        async for url in self._attempt_urls(give_up_at):
             send = self._chat_stream if stream else self._chat_whole
-            attempt = await send(url, conversation)
+            attempt = await send(url, conversation, give_up_at)
             outcomes.add(attempt.outcome)
             self._tally.attempts += 1
             self._tally.cut += attempt.outcome == "cut"
@@ -71,7 +75,6 @@
                 self._check_answer(conversation, attempt, expected)
                 self._tally.count_final("completed")
                 return True
-            await self._pause(len(outcomes))
         self._tally.count_final("not_run" if outcomes == {"not_run"} else "unknown")
         return False
 
@@ -83,39 +86,45 @@
         headers = _headers(team) | ({"idempotency-key": key} if key else {})
         outcomes: set[str] = set()
         final = ""
-        for url in self._rotate_routers():
+        give_up_at = time.monotonic() + DEADLINE_S
+        async for url in self._attempt_urls(give_up_at):
             path = f"{url}/v1/services/{service}/{operation}"
-            outcome, _ = await self._post(path, body, headers)
+            outcome, _ = await self._post(path, body, headers, give_up_at)
             outcomes.add(outcome)
             self._tally.attempts += 1
             if outcome == "completed":
                 final = outcome
                 break
-            await self._pause(len(outcomes))
         final = final or ("not_run" if outcomes == {"not_run"} else "unknown")
         self._tally.count_final(final)
         if key:
             self._tally.keys[name] = final
         return final == "completed"
 
-    async def _chat_whole(self, url: str, conversation: Conversation) -> Attempt:
+    async def _chat_whole(self, url: str, conversation: Conversation, give_up_at: float) -> Attempt:
         path = f"{url}/v1/chat/completions"
         headers = _headers(conversation.team) | {"x-chat-id": conversation.name}
-        outcome, resp = await self._post(path, conversation.body(stream=False), headers)
+        outcome, resp = await self._post(path, conversation.body(stream=False), headers, give_up_at)
         if resp is None or outcome != "completed":
             return Attempt(outcome)
         answer = resp.json()
         text = answer["choices"][0]["message"]["content"]
         return Attempt(outcome, text, answer.get("usage"))
 
-    async def _chat_stream(self, url: str, conversation: Conversation) -> Attempt:
+    async def _chat_stream(
+        self, url: str, conversation: Conversation, give_up_at: float
+    ) -> Attempt:
         path = f"{url}/v1/chat/completions"
         headers = _headers(conversation.team) | {"x-chat-id": conversation.name}
         started_at = time.monotonic()
         body = conversation.body(stream=True)
         try:
             async with self._client.stream(
-                "POST", path, json=body, headers=headers, timeout=TIMEOUT_S
+                "POST",
+                path,
+                json=body,
+                headers=headers | _deadline(give_up_at),
+                timeout=_timeout_s(give_up_at),
             ) as resp:
                 if resp.status_code != 200:
                     await resp.aread()
@@ -146,10 +155,15 @@
         return Attempt("cut")
 
     async def _post(
-        self, url: str, body: dict[str, Any], headers: dict[str, str]
+        self, url: str, body: dict[str, Any], headers: dict[str, str], give_up_at: float
     ) -> tuple[str, httpx.Response | None]:
         try:
-            resp = await self._client.post(url, json=body, headers=headers, timeout=TIMEOUT_S)
+            resp = await self._client.post(
+                url,
+                json=body,
+                headers=headers | _deadline(give_up_at),
+                timeout=_timeout_s(give_up_at),
+            )
         except httpx.ConnectError:
             return "not_run", None
         except httpx.HTTPError as exc:
@@ -180,17 +194,25 @@
             tally.cached_tokens += min(cached, conversation.reusable_tokens)
         conversation.add_answer(expected)
 
-    def _rotate_routers(self) -> list[str]:
+    async def _attempt_urls(self, give_up_at: float) -> AsyncIterator[str]:
+        """Yield the router of each attempt, with a pause between attempts."""
         first = self._rng.randrange(len(self._routers))
-        return [self._routers[(first + i) % len(self._routers)] for i in range(MAX_ATTEMPTS)]
-
-    async def _pause(self, failures: int) -> None:
-        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**failures)
-        await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+        for i in range(MAX_ATTEMPTS):
+            if i > 0:
+                pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**i)
+                await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
+            if i > 0 and time.monotonic() >= give_up_at:
+                return
+            yield self._routers[(first + i) % len(self._routers)]
 
 
 def _headers(team: str) -> dict[str, str]:
-    return {
-        "authorization": f"Bearer {team_token(team)}",
-        "x-deadline-ms": str(DEADLINE_MS),
-    }
+    return {"authorization": f"Bearer {team_token(team)}"}
+
+
+def _deadline(give_up_at: float) -> dict[str, str]:
+    return {"x-deadline-ms": str(max(1, round((give_up_at - time.monotonic()) * 1000)))}
+
+
+def _timeout_s(give_up_at: float) -> float:
+    return max(0.0, give_up_at - time.monotonic()) + GRACE_S
