--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -84,7 +84,7 @@
 
     @get("/history")
     async def read_history() -> Response[bytes]:
-        return _answer({"changes": engine.history})
+        return _answer({"changes": list(engine.history)})
 
     @get("/cache/events")
     async def read_cache_events(request: Request[Any, Any, Any]) -> Response[bytes]:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -17,6 +17,7 @@
 from scripts.fleet import Fleet
 from scripts.fleet import plan_imigongo
 from scripts.traffic import Caller
+from scripts.traffic import ControlRate
 from scripts.traffic import Conversation
 from scripts.traffic import Tally
 from scripts.traffic import measure_skew
@@ -25,7 +26,8 @@
     from scripts.traffic import Skew
 
 SEED = 20
-CHATS = 40
+CHATS = 90
+TOKEN_INTERVAL_S = 0.02
 BOOKINGS = 6
 """Callers that book one trip after the other."""
 TRAFFIC_S = 40.0
@@ -56,7 +58,7 @@
         self._stop_at = 0.0
         self._started_at = 0.0
         self._absent: dict[str, list[tuple[float, float]]] = {}
-        self._control: dict[str, float] = {}
+        self._control = ControlRate()
 
     async def run(self) -> tuple[Tally, dict[str, Any]]:
         """Run the traffic and return what was seen."""
@@ -104,7 +106,7 @@
     def _new_chat(self, number: int, opened: int) -> Conversation:
         team = CHAT_TEAMS[number % len(CHAT_TEAMS)]
         opening = f"We are party {number}-{opened} of {team} and plan a trip. " * 20
-        length = self._rng.randint(15, 45)
+        length = self._rng.randint(20, 80)
         name = f"chat-{number}-{opened}"
         return Conversation(name=name, team=team, model="chat", opening=opening, length=length)
 
@@ -171,9 +173,7 @@
                     body = (await self._client.get(f"{url}/status")).json()
                 except (httpx.HTTPError, ValueError):
                     continue
-                rate = float(body["control_bytes_per_s"])
-                if time.monotonic() - self._started_at > 5.0:
-                    self._control[name] = max(self._control.get(name, 0.0), rate)
+                self._control.add(name, body["control_bytes"], at_s=time.monotonic())
             await asyncio.sleep(1.0)
 
     def _status_urls(self) -> dict[str, str]:
@@ -199,12 +199,12 @@
             f"engines: {skew.starts} starts, {skew.above_bound} above the bound, "
             f"load over mean {skew.mean_over_mean:.2f} on average"
         )
-        control = max(self._control.values(), default=0.0)
         if skew.above_bound:
             tally.broken.append(f"{skew.above_bound} starts above the load bound")
-        if control > CONTROL_BUDGET_BYTES_PER_S:
-            worst = max(self._control, key=lambda name: self._control[name])
-            tally.broken.append(f"control traffic of {worst} is {control:.0f} B/s")
+        control = self._control.highest
+        for name, rate in control.items():
+            if rate > CONTROL_BUDGET_BYTES_PER_S:
+                tally.broken.append(f"control traffic of {name} reached {rate:.0f} B/s")
         if not tally.completed:
             tally.broken.append("no request completed")
         return {
@@ -217,14 +217,14 @@
             "duplicate_effects": duplicates,
             "prompt_reuse": round(tally.prompt_reuse, 4),
             "max_over_mean_load": round(skew.max_over_mean, 3),
-            "control_bytes_per_second_max": round(control),
+            "control_bytes_per_second_max": round(max(control.values(), default=0.0)),
             "first_token_ms_p95": round(tally.first_token_ms(0.95), 1),
             "processes": len(self._fleet.processes),
         }
 
 
 async def _run(seconds: float) -> int:
-    fleet = Fleet(plan=plan_imigongo())
+    fleet = Fleet(plan=plan_imigongo()._replace(token_interval_s=TOKEN_INTERVAL_S))
     _show(f"start the fleet; settings and logs are in {fleet.directory.name}")
     started_at = time.monotonic()
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=CHATS)
