--- a/scripts/traffic/_caller.py
+++ b/scripts/traffic/_caller.py
@@ -24,6 +24,8 @@
 MAX_ATTEMPTS = 8
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
+MAX_UNKNOWN = 3
+"""A call that runs at most once stays unknown when its answer was lost; more retries are vain."""
 DEADLINE_S = 20.0
 """Time for a request with all its attempts; each attempt passes on what is left."""
 GRACE_S = 5.0
@@ -85,15 +87,17 @@
         name = f"{operation}/{key}"
         headers = _headers(team) | ({"idempotency-key": key} if key else {})
         outcomes: set[str] = set()
-        final = ""
+        final, unknown = "", 0
         give_up_at = time.monotonic() + DEADLINE_S
         async for url in self._attempt_urls(give_up_at):
             path = f"{url}/v1/services/{service}/{operation}"
             outcome, _ = await self._post(path, body, headers, give_up_at)
             outcomes.add(outcome)
             self._tally.attempts += 1
+            unknown += outcome == "unknown"
             if outcome == "completed":
                 final = outcome
+            if final or unknown >= MAX_UNKNOWN:
                 break
         final = final or ("not_run" if outcomes == {"not_run"} else "unknown")
         self._tally.count_final(final)
