--- a/packages/core/src/cornellead_core/config/_records.py
+++ b/packages/core/src/cornellead_core/config/_records.py
@@ -84,6 +84,11 @@
     return Success(ChangeRecord(str(change_id), str(author), base, objects, time))
 
 
+def snapshot_digest(value: dict[str, Any]) -> str | None:
+    """Return the digest of a snapshot record, or ``None`` if its state does not match it."""
+    return parse_snapshot(value).map(digest_state).value_or(None)
+
+
 def _is_id(value: object) -> bool:
     return isinstance(value, str) and 0 < len(value) <= MAX_ID_CHARS
 
@@ -110,7 +115,8 @@
     if not isinstance(decoded, Success):
         return decoded
     state = decoded.unwrap()
-    if state.offset != value.get("upto") or digest_state(state) != value.get("digest"):
+    upto = value.get("upto")
+    if type(upto) is not int or state.offset != upto or digest_state(state) != value.get("digest"):
         return Failure("snapshot does not match its digest")
     problems = check_state(state)
     if problems:
