--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -16,7 +16,6 @@
 from cornellead_agent.services._recorded_answer import record_answer
 from cornellead_agent.services._recorded_answer import replay_answer
 from cornellead_agent.services._server_client import SendError
-from cornellead_agent.services._service_response import ServiceResponse
 from cornellead_agent.services._stream_reader import StreamReader
 from cornellead_core.claims import CancelRecord
 from cornellead_core.claims import ClaimRecord
@@ -31,6 +30,7 @@
 
     from cornellead_agent.services._identity import AgentIdentity
     from cornellead_agent.services._server_client import ServerClient
+    from cornellead_agent.services._service_response import ServiceResponse
     from cornellead_agent.services._stream_reader import ReadRecord
     from cornellead_core.claims import KeyView
     from cornellead_core.platform import Log
@@ -434,7 +434,7 @@
 
     async def _replay(self, call: Call, offset: int) -> None:
         result = await self._reader.fetch_record(offset)
-        call.close(replay_answer(call, result.value_or(None)))
+        call.close(replay_answer(call, result.unwrap() if isinstance(result, Success) else None))
 
 
 def _now() -> float:
