--- a/packages/agent/src/cornellead_agent/services/_answers.py
+++ b/packages/agent/src/cornellead_agent/services/_answers.py
@@ -23,7 +23,8 @@
 _MESSAGES = {
     RefusalReason.NOT_OWNER: "another agent owns the partition of this key; ask that agent",
     RefusalReason.LOG_UNAVAILABLE: (
-        "the log cannot be read, so this attempt was not run; retry with the same key"
+        "the log does not answer, so this attempt was not run, whatever became of earlier ones;"
+        " retry with the same key"
     ),
     RefusalReason.DEADLINE: "the deadline passed before this attempt was dispatched",
     RefusalReason.SERVER_DOWN: "the server does not accept connections; retry with the same key",
@@ -36,9 +37,10 @@
 _RETRY_AFTER_S = {RefusalReason.LOG_UNAVAILABLE: 1.0, RefusalReason.SERVER_DOWN: 1.0}
 
 
-def refuse_call(reason: RefusalReason, *, hint: str = "") -> ServiceResponse:
+def refuse_call(reason: RefusalReason, *, hint: str = "", detail: str = "") -> ServiceResponse:
     """Refuse a call under an idempotency key."""
-    return refuse(Refusal(reason, _MESSAGES[reason], hint, _RETRY_AFTER_S.get(reason)))
+    message = f"{_MESSAGES[reason]} ({detail})" if detail else _MESSAGES[reason]
+    return refuse(Refusal(reason, message, hint, _RETRY_AFTER_S.get(reason)))
 
 
 def refuse(refusal: Refusal) -> ServiceResponse:
--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -47,6 +47,7 @@
 HOLDOFF_S = 1.0
 """After another agent took the partition; two agents with different host lists would alternate."""
 IDLE_READ_S = 60.0
+"""Longest time for which an idle owner keeps expired keys in memory."""
 SERVER_TIMEOUT_S = 60.0
 """A server's answer is awaited and recorded for this long, also after the caller's deadline."""
 
@@ -83,6 +84,7 @@
         self._must_read = True
         self._landed_below = 0
         self._failing_since: float | None = None
+        self._log_error = ""
         self._superseded_at = -HOLDOFF_S
         self._new_owner = ""
 
@@ -96,11 +98,6 @@
         """Whether nothing is queued, in progress or still to be recorded."""
         return not (self._queue or self._active or self._tasks or len(self._outbox))
 
-    @property
-    def log_time_ms(self) -> int:
-        """Latest time of the log that was seen."""
-        return self._reader.ledger.time_ms
-
     async def execute(self, call: Call) -> ServiceResponse:
         """Run a call and return its answer by its deadline.
 
@@ -203,6 +200,7 @@
             self._landed_below = first + len(batch)
             return True
         if result.failure() is AppendError.REJECTED:
+            self._log_error = "the log refused an append"
             return False
         self._must_read = True
         return True
@@ -215,6 +213,7 @@
         while True:
             result = await self._reader.read(wait_s=READ_WAIT_S if self._reader.at_end else 0.0)
             if not isinstance(result, Success):
+                self._log_error = result.failure()
                 return False
             for read in result.unwrap():
                 self._follow(read)
@@ -379,7 +378,8 @@
             call.answer(_answers.unresolved())
             return
         hint = self._new_owner if reason is RefusalReason.NOT_OWNER else ""
-        call.answer(_answers.refuse_call(reason, hint=hint))
+        detail = self._log_error if reason is RefusalReason.LOG_UNAVAILABLE else ""
+        call.answer(_answers.refuse_call(reason, hint=hint, detail=detail))
 
     def _expire(self, call: Call) -> None:
         """Answer a call whose deadline passed."""
--- a/packages/agent/src/cornellead_agent/services/_service_handler.py
+++ b/packages/agent/src/cornellead_agent/services/_service_handler.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from returns.result import Result
 from returns.result import Success
 
 from cornellead_agent.services import _answers
@@ -17,6 +18,7 @@
 from cornellead_agent.services._server_client import ServerClient
 from cornellead_core.claims import PARTITIONS
 from cornellead_core.claims import body_digest
+from cornellead_core.claims import check_retention
 from cornellead_core.claims import key_digest
 from cornellead_core.claims import partition_of
 from cornellead_core.claims import stream_name
@@ -61,6 +63,8 @@
         service = settings.server.service
         self._validity_s = settings.key_validity_s
         self._board = board
+        self._log = log
+        self._service = service
         self._server = ServerClient(client=client, url=settings.server.url)
         self._probe = PeerProbe(
             server=settings.process.name, service=service, board=board, client=client
@@ -96,6 +100,21 @@
         """Whether no call is in progress and every result is recorded; for a graceful stop."""
         return all(partition.idle for partition in self._partitions)
 
+    async def check_log(self) -> Result[None, str]:
+        """Check at the start that the log keeps claims for as long as keys are valid.
+
+        Every later read checks it again, so a log that does not answer now is no failure.
+
+        :returns: What to change in the settings, or success.
+        """
+        page = await self._log.read(
+            stream_name(service=self._service, partition=0), from_offset=0, limit=1
+        )
+        if not isinstance(page, Success):
+            return Success(None)
+        retention_s = page.unwrap().retention_s
+        return check_retention(validity_s=self._validity_s, retention_s=retention_s)
+
     async def handle(self, request: ServiceRequest) -> ServiceResponse:
         """Answer a call by its deadline."""
         if not request.at_most_once:
