--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from cornellead_agent.services._append_pacer import AppendPacer
     from cornellead_agent.services._identity import AgentIdentity
     from cornellead_agent.services._server_client import ServerClient
     from cornellead_agent.services._service_response import ServiceResponse
@@ -68,6 +69,7 @@
         stream: str,
         identity: AgentIdentity,
         log: Log,
+        pacer: AppendPacer,
         server: ServerClient,
         validity_s: float,
     ) -> None:
@@ -75,6 +77,7 @@
         self._stream = stream
         self._identity = identity
         self._log = log
+        self._pacer = pacer
         self._server = server
         self._reader = StreamReader(log=log, stream=stream, validity_s=validity_s)
         self._outbox = Outbox()
@@ -190,6 +193,11 @@
     # Appending
 
     async def _send(self) -> bool:
+        if not len(self._outbox):
+            return True
+        now = _now()
+        await asyncio.sleep(self._pacer.take_slot(now=now) - now)
+        self._admit()
         batch = self._outbox.next_batch()
         if not batch:
             return True
@@ -198,6 +206,7 @@
                 self._active[record.key].claim_sent = True
         result = await self._log.append(self._stream, encode_batch(batch))
         if isinstance(result, Success):
+            self._pacer.note_accepted()
             first = result.unwrap()
             self._outbox.mark_recorded(batch, first_offset=first)
             if EPOCH in batch:
@@ -205,6 +214,7 @@
             self._landed_below = first + len(batch)
             return True
         if result.failure() is AppendError.REJECTED:
+            self._pacer.note_refused(now=_now())
             self._log_error = "the log refused an append"
             return False
         self._must_read = True
--- a/packages/agent/src/cornellead_agent/services/_service_handler.py
+++ b/packages/agent/src/cornellead_agent/services/_service_handler.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from cornellead_agent.services import _answers
+from cornellead_agent.services._append_pacer import AppendPacer
 from cornellead_agent.services._call import Call
 from cornellead_agent.services._identity import AgentIdentity
 from cornellead_agent.services._partition import Partition
@@ -74,12 +75,14 @@
             incarnation=incarnation,
             token=token or secrets.token_hex(8),
         )
+        pacer = AppendPacer()
         self._partitions = [
             Partition(
                 number=number,
                 stream=stream_name(service=service, partition=number),
                 identity=identity,
                 log=log,
+                pacer=pacer,
                 server=self._server,
                 validity_s=self._validity_s,
             )
--- /dev/null
+++ b/scripts/measurements/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of single parts."""
+
+from __future__ import annotations
