--- /dev/null
+++ b/tests/agent/services/conftest.py
@@ -0,0 +1,31 @@
+"""Worlds of agents on a virtual clock."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.guarantees.claim_histories import World
+from tests.guarantees.claim_histories import run_virtual
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Play = Callable[[Callable[[World], Awaitable[None]]], None]
+
+
+@pytest.fixture
+def play() -> Play:
+    """Run a scenario in a world of two agents, and fail if a task broke."""
+
+    def run(scenario: Callable[[World], Awaitable[None]]) -> None:
+        async def main() -> None:
+            world = World(rng=random.Random(3), agents=2)
+            await scenario(world)
+            assert not world.broken
+
+        run_virtual(main())
+
+    return run
--- a/tests/guarantees/claim_histories/_virtual_loop.py
+++ b/tests/guarantees/claim_histories/_virtual_loop.py
@@ -40,9 +40,9 @@
     loop = VirtualLoop()
     try:
         loop.run_until_complete(coro)
+    finally:
         left = asyncio.all_tasks(loop)
         for task in left:
             task.cancel()
         loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
-    finally:
         loop.close()
