--- /dev/null
+++ b/tests/agent/services/test_handler_over_http.py
@@ -0,0 +1,91 @@
+"""The handler against the HTTP interfaces of the stand-in platform and service."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+
+from cornellead_agent.services import ServiceHandler
+from cornellead_agent.services import ServiceRequest
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.platform import HttpLog
+from cornellead_core.settings import AgentSettings
+from cornellead_core.settings import ProcessSettings
+from cornellead_core.settings import ServerSettings
+from cornellead_standins.platform import PlatformSettings
+from cornellead_standins.platform import build_app as build_platform
+from cornellead_standins.service import ServiceSettings
+from cornellead_standins.service import build_app as build_service
+
+if TYPE_CHECKING:
+    from cornellead_agent.services import ServiceResponse
+
+
+def make_client() -> httpx.AsyncClient:
+    """Return a client that reaches new stand-ins without sockets."""
+    platform: Any = build_platform(PlatformSettings(listen=""))
+    service: Any = build_service(ServiceSettings(listen="", work_s=0.0))
+    return httpx.AsyncClient(
+        mounts={
+            "http://platform": httpx.ASGITransport(app=platform),
+            "http://service": httpx.ASGITransport(app=service),
+        }
+    )
+
+
+def make_handler(client: httpx.AsyncClient, name: str) -> ServiceHandler:
+    """Return one agent's handler."""
+    return ServiceHandler(
+        settings=AgentSettings(
+            process=ProcessSettings(name, "r", "d", "", "", "http://platform", "0123456789abcdef"),
+            server=ServerSettings("http://service", service="booking"),
+        ),
+        board=Blackboard(),
+        log=HttpLog(client=client, url="http://platform"),
+        client=client,
+        incarnation=1,
+    )
+
+
+async def call(handler: ServiceHandler, number: int, attempt: int) -> ServiceResponse:
+    """Make one attempt at a booking."""
+    return await handler.handle(
+        ServiceRequest(
+            operation="book",
+            team="shop",
+            key=f"order-{number}",
+            key_time_s=None,
+            body=b"{}",
+            content_type="application/json",
+            deadline_s=30.0,
+            request_id=f"{number:016x}{attempt:016x}",
+            at_most_once=True,
+        )
+    )
+
+
+async def test_retries_through_two_agents() -> None:
+    """Guards against records or answers that do not survive the published formats."""
+    client = make_client()
+    handlers = [make_handler(client, name) for name in ("a0", "a1")]
+    tasks = [
+        asyncio.create_task(controller.run())
+        for handler in handlers
+        for controller in handler.controllers()
+    ]
+    first = await asyncio.gather(*(call(handlers[0], number, 0) for number in range(20)))
+    while not handlers[0].idle:
+        await asyncio.sleep(0.01)
+    second = await asyncio.gather(*(call(handlers[1], number, 1) for number in range(20)))
+    assert [response.status for response in first] == [200] * 20
+    assert [response.body for response in second] == [response.body for response in first]
+    assert all(("idempotent-replayed", "true") in response.headers for response in second)
+    effects = (await client.get("http://service/effects")).json()["effects"]
+    assert effects == {f"book/order-{number}": 1 for number in range(20)}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await client.aclose()
