--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import TYPE_CHECKING
 
 import httpx
 
+from cornellead.limits import ShareController
 from cornellead.process._config_puller import ConfigPuller
 from cornellead.process._control_handler import ControlHandler
 from cornellead.process._drain import Drain
@@ -55,7 +57,10 @@
             control=self._control,
             on_newer_config=puller.request,
         )
-        handler = ControlHandler(distributor=distributor)
+        shares = ShareController(
+            board=board, gate=self._parts.gate, client=self._control, router=process.name
+        )
+        handler = ControlHandler(distributor=distributor, shares=shares)
         self._controllers: list[Controller] = [
             HostListWatcher(
                 board=board,
@@ -66,6 +71,7 @@
             ControlServer(
                 address=process.control, key=key, traffic=traffic, handler=handler.handle
             ),
+            shares,
             *self._parts.controllers(),
         ]
         self._server = HttpServer(app=self._parts.app, address=process.http)
@@ -82,6 +88,9 @@
         :returns: Number of requests that exceeded the drain time.
         :raises ExceptionGroup: when a controller breaks an invariant.
         """
+        # A full collection over the imported modules stops the loop for tens of milliseconds.
+        gc.collect()
+        gc.freeze()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stopping.set)
