--- a/packages/agent/src/cornellead_agent/admission/_decision.py
+++ b/packages/agent/src/cornellead_agent/admission/_decision.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 from cornellead_core.load import BATCH_SHARE
@@ -13,6 +14,8 @@
 
 RETRY_OVER_BOUND_S = 0.1
 """Suggested wait after a refusal for load: one exchange interval."""
+PROGRESS_AGE_S = 0.5
+"""Age of the estimate from which the least loaded server may admit up to the last known mean."""
 RETRY_STALE_S = 0.05
 
 
@@ -41,6 +44,10 @@
     """Mean load per unit of capacity, including the request to decide on."""
     capacity: int
     cold_limit: int
+    stale_rho: float = 0.0
+    """Mean load per unit of capacity at the time of the summaries, without the request."""
+    estimate_age_s: float = 0.0
+    """Age of the oldest summary."""
     hint: str = ""
     """Server that has the chat's cache, when this one has not."""
     no_cache: bool = False
@@ -108,6 +115,10 @@
         fallback=request.fallback,
         margin=DEFAULT_MARGIN,
     )
+    if request.fallback and view.bound is not None and view.estimate_age_s > PROGRESS_AGE_S:
+        # Old summaries make the estimate so low that no server could admit. A server that holds no
+        # more than the last known mean breaks the bound only if the mean fell by a fifth since.
+        limit = max(limit, min(view.capacity, math.floor(view.capacity * view.stale_rho) + 1))
     reason = RefusalReason.OVER_BOUND
     if view.cold_limit < limit:
         limit, reason = view.cold_limit, RefusalReason.COLD
--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -12,7 +12,9 @@
 from cornellead_core.facts import CONFIG
 from cornellead_core.facts import DRAINING
 from cornellead_core.facts import HOSTS
+from cornellead_core.load import DEFAULT_BOUND
 from cornellead_core.load import DEFAULT_MARGIN
+from cornellead_core.load import HORIZON_S
 from cornellead_core.load import DcSummary
 from cornellead_core.load import Digest
 from cornellead_core.load import LoadReport
@@ -25,10 +27,18 @@
     from cornellead_agent.admission._decision import AdmissionRequest
     from cornellead_agent.chats import ChatIndex
     from cornellead_core.blackboard import Blackboard
+    from cornellead_core.load import LoadEstimate
     from cornellead_core.load import LoadTable
     from cornellead_core.outcomes import Refusal
     from cornellead_core.settings import AgentSettings
 
+DURATION_WEIGHT = 0.05
+"""Weight of the newest request in the moving mean of their time."""
+MIN_HORIZON_S = 0.5
+MAX_HORIZON_S = 12.0
+"""Bounds on the time in which the load of a fleet that gets no requests is taken to end."""
+SEQ_EPOCH_S = 1_767_225_600
+"""Unix time from which summaries are numbered, so that the numbers fit into 32 bits."""
 DIGEST_AGE_S = 3.0
 """Older summaries are not passed on: they count for nothing in the estimate."""
 
@@ -54,8 +64,18 @@
         self._chats = chats
         self._incarnation = incarnation
         self._started_at = started_at
-        self._seq = 0
+        # Numbers continue above those of the process before, at up to 16 summaries a second.
+        self.first_seq = max(0, incarnation // 1000 - SEQ_EPOCH_S) * 16
+        self._seq = self.first_seq
         self._group = server_group(settings.process.name)
+        self._horizon_s = HORIZON_S
+        self._hosts_revision = -1
+        self._live_hosts: set[str] = set()
+        self._leaving_hosts: set[str] = set()
+        self._config_revision = -1
+        self._load_bound = DEFAULT_BOUND
+        self.alone = True
+        """Whether this server is summarised alone, as in a small fleet, or with its group."""
         self.in_flight = 0
         self.admissions = 0
         self.refusals: dict[str, int] = {}
@@ -77,10 +97,8 @@
         process = self._settings.process
         cfg = self._board.read(CONFIG)
         server = cfg.servers.get(process.name)
-        leaving = any(
-            host.name == process.name and host.state is HostState.LEAVING
-            for host in self._board.read(HOSTS)
-        )
+        self._index_hosts()
+        leaving = process.name in self._leaving_hosts
         if self._board.read(DRAINING) or leaving or (server is not None and server.draining):
             return ServerState.DRAINING
         if process.dc in cfg.out_of_service:
@@ -98,16 +116,22 @@
         self.in_flight += 1
         self.admissions += 1
         if self.is_engine:
-            rho = self._rho(now, added=0)
+            rho = self.estimate(now=now).rho
             self.max_over_mean = max(
                 self.max_over_mean,
                 self.in_flight / self.limit(now=now, rho=rho, fallback=True),
             )
         return None
 
-    def finish(self) -> None:
-        """Count a request as no longer in flight."""
+    def finish(self, *, duration_s: float) -> None:
+        """Count a request as no longer in flight.
+
+        :param duration_s: Time since its admission, in seconds.
+        """
         self.in_flight -= 1
+        weight = DURATION_WEIGHT
+        self._horizon_s += weight * (duration_s - self._horizon_s)
+        self._horizon_s = min(MAX_HORIZON_S, max(MIN_HORIZON_S, self._horizon_s))
 
     def count_refusal(self, reason: str) -> None:
         """Count a refusal by its reason."""
@@ -116,9 +140,9 @@
     def limit(self, *, now: float, rho: float | None = None, fallback: bool = False) -> int:
         """Return the present limit for interactive requests."""
         limit = bound_limit(
-            bound=self._board.read(CONFIG).load_bound if self.is_engine else None,
+            bound=self._bound(),
             capacity=self.capacity,
-            rho=self._rho(now, added=1) if rho is None else rho,
+            rho=self.estimate(now=now, added=1).rho if rho is None else rho,
             fallback=fallback,
             margin=DEFAULT_MARGIN,
         )
@@ -128,14 +152,13 @@
         """Return the summary of this server alone."""
         self._seq += 1
         live = self.state is ServerState.SERVING or not self._board.read(ANNOUNCED)
-        capacity = float(self.capacity) if live else 0.0
         return DcSummary(
             self._settings.process.dc,
             self._group,
             self._seq,
             0,
             self.in_flight if live else 0,
-            capacity,
+            self.capacity if live else 0,
             1 if live else 0,
         )
 
@@ -155,15 +178,26 @@
 
     def digest(self, *, now: float) -> Digest:
         """Return what a response tells a router of the load."""
-        if self.is_engine:
-            self._table.merge_summary(self.summary(), now=now)
+        self._refresh(now)
         return Digest(self._table.summaries(now=now, max_age_s=DIGEST_AGE_S), self.report(now=now))
 
-    def _rho(self, now: float, *, added: int) -> float:
-        if self.is_engine:
+    def estimate(self, *, now: float, added: int = 0) -> LoadEstimate:
+        """Estimate the mean load of the fleet.
+
+        :param added: Requests to count besides those in flight.
+        """
+        self._refresh(now)
+        return self._table.estimate(
+            now=now,
+            excluded=self._board.read(CONFIG).out_of_service,
+            added=added,
+            at_least=self.in_flight,
+            horizon_s=self._horizon_s,
+        )
+
+    def _refresh(self, now: float) -> None:
+        if self.is_engine and self.alone:
             self._table.merge_summary(self.summary(), now=now)
-        excluded = self._board.read(CONFIG).out_of_service
-        return self._table.estimate(now=now, excluded=excluded, added=added).rho
 
     def _view(self, chat: int | None, returning: bool, now: float) -> AdmissionView:
         cfg = self._board.read(CONFIG)
@@ -171,12 +205,15 @@
         if chat is not None and returning and not self._chats.holds(chat):
             hint = self._known_hint(chat, now)
             no_cache = now - self._started_at < self._settings.join_grace_s
+        estimate = self.estimate(now=now, added=1)
         return AdmissionView(
             state=self.state,
             config_offset=cfg.offset,
             in_flight=self.in_flight,
-            bound=cfg.load_bound if self.is_engine else None,
-            rho=self._rho(now, added=1),
+            bound=self._bound(),
+            rho=estimate.rho,
+            stale_rho=estimate.stale_rho,
+            estimate_age_s=estimate.oldest_s,
             capacity=self.capacity,
             cold_limit=self._cold_limit.value,
             hint=hint,
@@ -185,5 +222,23 @@
 
     def _known_hint(self, chat: int, now: float) -> str:
         hint = self._chats.find_hint(chat, now=now)
-        known = {host.name for host in self._board.read(HOSTS) if host.state is HostState.LIVE}
-        return hint if hint in known else ""
+        return hint if hint in self._live_hosts else ""
+
+    def _index_hosts(self) -> None:
+        # A decision must not scan the list, which has 1,330 entries at the target size.
+        revision = self._board.revision(HOSTS)
+        if revision == self._hosts_revision:
+            return
+        self._hosts_revision = revision
+        hosts = self._board.read(HOSTS)
+        self._live_hosts = {host.name for host in hosts if host.state is HostState.LIVE}
+        self._leaving_hosts = {host.name for host in hosts if host.state is HostState.LEAVING}
+
+    def _bound(self) -> float | None:
+        if not self.is_engine:
+            return None
+        revision = self._board.revision(CONFIG)
+        if revision != self._config_revision:
+            self._config_revision = revision
+            self._load_bound = self._board.read(CONFIG).load_bound
+        return self._load_bound
--- a/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -94,7 +94,7 @@
         try:
             await relay.run(receive, send, stream=parsed.stream)
         finally:
-            self._gate.finish()
+            self._gate.finish(duration_s=self._clock.monotonic() - now)
 
     async def _reject(self, send: Any, context: Any, status: int, message: str) -> None:
         fields = self._endpoint.common_headers(context)
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -61,14 +61,15 @@
                 outcome=Outcome.NOT_RUN,
             )
             return
-        refusal = self._gate.admit(context.admission, chat=None, now=self._clock.monotonic())
+        now = self._clock.monotonic()
+        refusal = self._gate.admit(context.admission, chat=None, now=now)
         if refusal is not None:
             await send_refusal(send, refusal, self._endpoint.common_headers(context))
             return
         try:
             await self._forward(scope, send, context, content.unwrap())
         finally:
-            self._gate.finish()
+            self._gate.finish(duration_s=self._clock.monotonic() - now)
 
     async def _forward(self, scope: Any, send: Any, context: Any, body: bytes) -> None:
         operation = scope["path"].rsplit("/", 1)[-1]
--- a/packages/agent/src/cornellead_agent/api/_status_view.py
+++ b/packages/agent/src/cornellead_agent/api/_status_view.py
@@ -16,7 +16,6 @@
     from cornellead_agent.api._relay_counters import RelayCounters
     from cornellead_agent.chats import ChatIndex
     from cornellead_core.blackboard import Blackboard
-    from cornellead_core.load import LoadTable
     from cornellead_core.settings import AgentSettings
     from cornellead_core.wire import Traffic
 
@@ -32,7 +31,6 @@
         settings: AgentSettings,
         board: Blackboard,
         gate: Gate,
-        table: LoadTable,
         cold_limit: ColdLimit,
         chats: ChatIndex,
         counters: RelayCounters,
@@ -42,7 +40,6 @@
         self._settings = settings
         self._board = board
         self._gate = gate
-        self._table = table
         self._cold_limit = cold_limit
         self._chats = chats
         self._counters = counters
@@ -54,7 +51,7 @@
         """Return the present state."""
         now = self._clock.monotonic()
         cfg = self._board.read(CONFIG)
-        estimate = self._table.estimate(now=now, excluded=cfg.out_of_service)
+        estimate = self._gate.estimate(now=now)
         server = self._board.read(SERVER)
         counters = self._counters
         return {
--- a/packages/agent/src/cornellead_agent/exchange/_load_exchanger.py
+++ b/packages/agent/src/cornellead_agent/exchange/_load_exchanger.py
@@ -1,4 +1,4 @@
-"""Exchange of load summaries between agents."""
+"""Exchange of load with the agents of the fleet."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 from returns.result import Success
 
-from cornellead_agent.exchange._interval import round_interval_s
+from cornellead_agent.exchange._load_node import LoadNode
+from cornellead_agent.exchange._round_plan import Member
 from cornellead_agent.facts import ANNOUNCED
 from cornellead_core.facts import HOSTS
-from cornellead_core.load import Digest
 from cornellead_core.platform import HostKind
 from cornellead_core.wire import LoadExchange
 
@@ -19,17 +19,17 @@
     from cornellead_agent.admission import Gate
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.load import LoadTable
-    from cornellead_core.platform import HostEntry
     from cornellead_core.settings import AgentSettings
     from cornellead_core.wire import ControlClient
     from cornellead_core.wire import Message
+    from cornellead_core.wire import Report
 
-ANNOUNCE_S = 0.6
+ANNOUNCE_S = 1.0
 """Time between the first exchange and the first admission, in which peers learn the capacity."""
 
 
 class LoadExchanger:
-    """Controller that sends this agent's load to peers and merges theirs."""
+    """Controller that runs the rounds of the load exchange."""
 
     name = "load-exchanger"
 
@@ -44,39 +44,46 @@
     ) -> None:
         self._settings = settings
         self._board = board
-        self._table = table
-        self._gate = gate
         self._client = client
+        process = settings.process
+        self._node = LoadNode(name=process.name, dc=process.dc, gate=gate, table=table)
 
-    def handle(self, message: LoadExchange) -> Message:
-        """Merge a peer's summaries and answer with this agent's."""
-        self._table.merge(Digest(message.summaries), now=time.monotonic())
-        return LoadExchange([self._gate.summary()])
+    def handle(self, message: LoadExchange | Report) -> LoadExchange:
+        """Answer a peer."""
+        return self._node.handle(message, now=time.monotonic())
 
     async def run(self) -> None:
         """Exchange until cancelled."""
         started_at = time.monotonic()
         while True:
-            peers = self._peers()
-            await asyncio.gather(*(self._exchange(peer.control) for peer in peers))
+            if not self._settings.server.service:
+                await self._run_round()
             if not self._board.read(ANNOUNCED) and time.monotonic() - started_at >= ANNOUNCE_S:
                 self._board.write(ANNOUNCED, True)
-            await asyncio.sleep(round_interval_s(exchanges=len(peers)))
+            await asyncio.sleep(self._node.interval_s)
 
-    async def _exchange(self, address: str) -> None:
-        sent_at = time.monotonic()
-        reply = await self._client.request(address, LoadExchange([self._gate.summary()]))
-        if not isinstance(reply, Success):
-            return
-        message = reply.unwrap()
-        if isinstance(message, LoadExchange):
-            # Dated from the request, so that the time on the wire counts as age.
-            self._table.merge(Digest(message.summaries), now=sent_at)
-
-    def _peers(self) -> list[HostEntry]:
-        name = self._settings.process.name
-        return [
-            host
+    async def _run_round(self) -> None:
+        engines = {
+            host.name: host
             for host in self._board.read(HOSTS)
-            if host.kind is HostKind.AGENT and not host.service and host.name > name
-        ]
+            if host.kind is HostKind.AGENT and not host.service
+        }
+        members = [Member(host.name, host.dc) for host in engines.values()]
+        messages = self._node.start_round(members, now=time.monotonic())
+        await asyncio.gather(
+            *(
+                self._exchange(peer, engines[peer].control, message)
+                for peer, message in messages
+                if peer in engines
+            )
+        )
+
+    async def _exchange(self, peer: str, address: str, message: Message) -> None:
+        sent_at = time.monotonic()
+        reply = await self._client.request(address, message)
+        if isinstance(reply, Success):
+            answer = reply.unwrap()
+            if isinstance(answer, LoadExchange):
+                self._node.record_answer(peer, answer, sent_at=sent_at)
+                return
+        self._node.record_failure(peer, now=time.monotonic())
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -37,6 +37,7 @@
 from cornellead_core.wire import ControlServer
 from cornellead_core.wire import Hint
 from cornellead_core.wire import LoadExchange
+from cornellead_core.wire import Report
 from cornellead_core.wire import Traffic
 
 if TYPE_CHECKING:
@@ -111,7 +112,6 @@
                 settings=settings,
                 board=self._board,
                 gate=self._gate,
-                table=self._table,
                 cold_limit=self._cold_limit,
                 chats=self._chats,
                 counters=counters,
@@ -164,7 +164,7 @@
         ]
 
     async def _handle(self, message: Message) -> Message:
-        if isinstance(message, LoadExchange):
+        if isinstance(message, LoadExchange | Report):
             return self._exchanger.handle(message)
         if isinstance(message, Hint):
             self._chats.hint(message.chat, message.server, now=time.monotonic())
--- a/packages/core/src/cornellead_core/load/__init__.py
+++ b/packages/core/src/cornellead_core/load/__init__.py
@@ -12,6 +12,8 @@
 from cornellead_core.load._digest import ServerState
 from cornellead_core.load._digest import decode_digest
 from cornellead_core.load._digest import encode_digest
+from cornellead_core.load._load_table import HORIZON_S
+from cornellead_core.load._load_table import TOTAL
 from cornellead_core.load._load_table import LoadEstimate
 from cornellead_core.load._load_table import LoadTable
 from cornellead_core.load._load_table import server_group
@@ -20,6 +22,8 @@
     "BATCH_SHARE",
     "DEFAULT_BOUND",
     "DEFAULT_MARGIN",
+    "HORIZON_S",
+    "TOTAL",
     "DcSummary",
     "Digest",
     "LoadEstimate",
