--- /dev/null
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -0,0 +1,105 @@
+"""One router process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+import httpx
+
+from cornellead.process._config_puller import ConfigPuller
+from cornellead.process._control_handler import ControlHandler
+from cornellead.process._drain import Drain
+from cornellead.process._http_server import HttpServer
+from cornellead.process._traffic_parts import TrafficParts
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.blackboard import run_controllers
+from cornellead_core.distribution import ConfigDistributor
+from cornellead_core.distribution import HostListWatcher
+from cornellead_core.platform import HttpHostList
+from cornellead_core.platform import HttpLog
+from cornellead_core.wire import ControlClient
+from cornellead_core.wire import ControlServer
+from cornellead_core.wire import Traffic
+
+if TYPE_CHECKING:
+    from cornellead_core.blackboard import Controller
+    from cornellead_core.settings import RouterSettings
+
+
+class RouterProcess:
+    """Builds a router and runs it until a planned stop; must be created on the event loop."""
+
+    def __init__(self, *, settings: RouterSettings) -> None:
+        process = settings.process
+        board = Blackboard()
+        key = FleetKey(secret=process.fleet_key.encode())
+        traffic = Traffic()
+        # The platform is met over plain HTTP; a TLS context would cost several megabytes.
+        self._http = httpx.AsyncClient(verify=False, trust_env=False)
+        self._control = ControlClient(key=key, traffic=traffic)
+        distributor = ConfigDistributor(
+            board=board,
+            log=HttpLog(client=self._http, url=process.platform_url),
+            client=self._control,
+            settings=process,
+        )
+        puller = ConfigPuller(distributor=distributor)
+        self._parts = TrafficParts(
+            settings=settings,
+            board=board,
+            key=key,
+            traffic=traffic,
+            control=self._control,
+            on_newer_config=puller.request,
+        )
+        handler = ControlHandler(distributor=distributor)
+        self._controllers: list[Controller] = [
+            HostListWatcher(
+                board=board,
+                host_list=HttpHostList(client=self._http, url=process.platform_url),
+            ),
+            distributor,
+            puller,
+            ControlServer(
+                address=process.control, key=key, traffic=traffic, handler=handler.handle
+            ),
+            *self._parts.controllers(),
+        ]
+        self._server = HttpServer(app=self._parts.app, address=process.http)
+        self._drain = Drain(
+            board=board,
+            in_progress=self._parts.in_progress,
+            timeout_s=process.drain_timeout_s,
+        )
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> int:
+        """Serve until a planned stop is complete.
+
+        :returns: Number of requests that exceeded the drain time.
+        :raises ExceptionGroup: when a controller breaks an invariant.
+        """
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._stopping.set)
+        background = asyncio.create_task(run_controllers(self._controllers))
+        serving = asyncio.create_task(self._server.serve())
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait([background, serving, stopping], return_when=asyncio.FIRST_COMPLETED)
+        exceeded = await self._drain.run() if self._stopping.is_set() else 0
+        self._server.should_exit = True
+        self._server.force_exit = True
+        await serving
+        stopping.cancel()
+        background.cancel()
+        self._parts.pool.close()
+        self._control.close()
+        await self._http.aclose()
+        try:
+            await background
+        except asyncio.CancelledError:
+            pass
+        return exceeded
--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -16,14 +16,15 @@
 from litestar import get
 from litestar import post
 from litestar import put
+from litestar.params import FromPath
 from litestar.types import Receive
 from litestar.types import Scope
 from litestar.types import Send
 
 from cornellead_standins.engine._chat_api import ChatApi
+from cornellead_standins.engine._commands import Command
+from cornellead_standins.engine._commands import CommandExecutor
 from cornellead_standins.engine._engine import Engine
-from cornellead_standins.engine._orders import Order
-from cornellead_standins.engine._orders import OrderDesk
 from cornellead_standins.engine._settings import EngineFaults
 
 if TYPE_CHECKING:
@@ -53,7 +54,7 @@
     """Build the application; each one is an engine of its own."""
     engine = Engine(settings=settings)
     chat_api = ChatApi(engine=engine)
-    orders = OrderDesk(engine=engine)
+    commands = CommandExecutor(engine=engine)
 
     @asynccontextmanager
     async def run_engine(_: Litestar) -> AsyncGenerator[None]:
@@ -69,7 +70,8 @@
     async def complete(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.complete(scope, receive, send)
 
-    @asgi("/v1/streams/{request_id:str}", copy_scope=False)
+    # A mount, because raw handlers of Litestar 2.25 answer 500 on a path with parameters.
+    @asgi("/v1/streams", is_mount=True, copy_scope=False)
     async def resume(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.resume(scope, receive, send)
 
@@ -97,7 +99,7 @@
         return _answer({"events": listed, "next": following, "oldest": oldest})
 
     @get("/kv/{key:str}")
-    async def export_kv(key: str) -> Response[bytes]:
+    async def export_kv(key: FromPath[str]) -> Response[bytes]:
         blocks = engine.cache.export_blocks(key)
         if blocks is None:
             return _error(404, "chat is not cached")
@@ -105,7 +107,7 @@
         return _answer({"blocks": blocks})
 
     @put("/kv/{key:str}")
-    async def import_kv(key: str, request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def import_kv(key: FromPath[str], request: Request[Any, Any, Any]) -> Response[bytes]:
         try:
             body = msgspec.json.decode(await request.body(), type=_KvBody)
         except msgspec.DecodeError as exc:
@@ -115,15 +117,15 @@
         return _answer({"blocks": len(body.blocks)})
 
     @post("/orders", status_code=200)
-    async def accept_order(request: Request[Any, Any, Any]) -> Response[bytes]:
+    async def accept_command(request: Request[Any, Any, Any]) -> Response[bytes]:
         if not engine.available(now=time.monotonic()):
             return _error(503, "engine is starting")
         try:
-            order = msgspec.json.decode(await request.body(), type=Order)
+            command = msgspec.json.decode(await request.body(), type=Command)
         except msgspec.DecodeError as exc:
             return _error(400, str(exc))
-        if not orders.accept(order):
-            return _error(409, f"fence {order.fence} is older than {engine.fence}")
+        if not commands.accept(command):
+            return _error(409, f"fence {command.fence} is older than {engine.fence}")
         return _answer({"fence": engine.fence})
 
     @put("/faults")
@@ -142,7 +144,7 @@
         read_cache_events,
         export_kv,
         import_kv,
-        accept_order,
+        accept_command,
         set_faults,
     ]
     return Litestar(handlers, lifespan=[run_engine], openapi_config=None)
