--- a/packages/agent/src/cornellead_agent/exchange/_interval.py
+++ b/packages/agent/src/cornellead_agent/exchange/_interval.py
@@ -5,18 +5,20 @@
 MIN_INTERVAL_S = 0.1
 LOAD_BUDGET_BYTES_PER_S = 2000.0
 """Part of the 3 KB/s for control that load may use; configuration uses the rest."""
-EXCHANGE_BYTES = 104
-"""Bytes of a request and an answer with one summary each, with MAC and framing."""
+PAIR_BYTES = 112
+"""Request and answer with the summary of one server each, with MAC and framing."""
+LINK_BYTES = 172
+"""Report and answer with two summaries; a test compares both with the codec."""
 
 
-def round_interval_s(*, exchanges: int) -> float:
+def round_interval_s(*, exchanges: int, exchange_bytes: int) -> float:
     """Return the time between rounds in seconds.
 
-    :param exchanges: Exchanges of a round in which this process takes part, on either side.
+    :param exchanges: Exchanges of a round in which a process takes part, on either side.
 
-    >>> round_interval_s(exchanges=1)
+    >>> round_interval_s(exchanges=1, exchange_bytes=PAIR_BYTES)
     0.1
-    >>> round_interval_s(exchanges=5)
-    0.26
+    >>> round_interval_s(exchanges=5, exchange_bytes=PAIR_BYTES)
+    0.28
     """
-    return max(MIN_INTERVAL_S, exchanges * EXCHANGE_BYTES / LOAD_BUDGET_BYTES_PER_S)
+    return max(MIN_INTERVAL_S, exchanges * exchange_bytes / LOAD_BUDGET_BYTES_PER_S)
