Run service calls at most once in the agent and follow the shared configuration

The agent forwarded service calls without claims and never read the configuration, so it refused every request as stale. It now runs the claims handler, the configuration and host distributors, and a puller for a configuration that a router has and it has not. A planned stop waits until the results of calls are on the log.

--- a/packages/agent/src/cornellead_agent/cli/_main.py
+++ b/packages/agent/src/cornellead_agent/cli/_main.py
@@ -34,8 +34,7 @@
         return _fail("\n".join(str(error) for error in loaded.failure()))
     settings = loaded.unwrap()
     configure_logs(process=settings.process.name, as_json=settings.process.log_format == "json")
-    asyncio.run(Agent(settings=settings).run())
-    return 0
+    return asyncio.run(Agent(settings=settings).run())
 
 
 def _fail(message: str) -> int:
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING
 
 import httpx
+import structlog
 import uvicorn
+from returns.result import Success
 
 from cornellead_agent.admission import ColdLimit
 from cornellead_agent.admission import Gate
@@ -22,16 +24,20 @@
 from cornellead_agent.chats import ChatIndex
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.exchange import LoadExchanger
+from cornellead_agent.process._config_puller import ConfigPuller
 from cornellead_agent.process._drainer import Drainer
-from cornellead_agent.process._host_poller import HostPoller
 from cornellead_agent.relay import EngineClient
 from cornellead_agent.relay import Upstream
+from cornellead_agent.services import ServiceHandler
 from cornellead_core.auth import FleetKey
 from cornellead_core.blackboard import Blackboard
 from cornellead_core.blackboard import run_controllers
+from cornellead_core.distribution import ConfigDistributor
+from cornellead_core.distribution import HostDistributor
 from cornellead_core.load import LoadTable
 from cornellead_core.metrics import Metrics
 from cornellead_core.platform import HttpHostList
+from cornellead_core.platform import HttpLog
 from cornellead_core.wire import Ack
 from cornellead_core.wire import ControlClient
 from cornellead_core.wire import ControlServer
@@ -51,6 +57,7 @@
 
     def __init__(self, *, settings: AgentSettings) -> None:
         self._settings = settings
+        self._logger = structlog.get_logger()
         process = settings.process
         clock = SystemClock()
         key = FleetKey(secret=process.fleet_key.encode())
@@ -59,7 +66,8 @@
         self._table = LoadTable()
         self._chats = ChatIndex()
         self._metrics = Metrics()
-        self._http = httpx.AsyncClient()
+        # The platform and the server are met over plain HTTP; a TLS context costs megabytes.
+        self._http = httpx.AsyncClient(verify=False, trust_env=False)
         self._engine = EngineClient(url=settings.server.url)
         self._control = ControlClient(key=key, traffic=self._traffic)
         self._cold_limit = ColdLimit(
@@ -67,13 +75,33 @@
             capacity=settings.server.capacity,
             ceiling_s=settings.first_token_ceiling_s,
         )
+        log = HttpLog(client=self._http, url=process.platform_url)
+        self._distributor = ConfigDistributor(
+            board=self._board, log=log, client=self._control, settings=process
+        )
+        self._hosts = HostDistributor(
+            board=self._board,
+            host_list=HttpHostList(client=self._http, url=process.platform_url),
+            client=self._control,
+            settings=process,
+        )
+        incarnation = clock.unix_ms()
+        self._services: ServiceHandler | None = None
+        if settings.server.service:
+            self._services = ServiceHandler(
+                settings=settings,
+                board=self._board,
+                log=log,
+                client=self._http,
+                incarnation=incarnation,
+            )
         self._gate = Gate(
             settings=settings,
             board=self._board,
             table=self._table,
             cold_limit=self._cold_limit,
             chats=self._chats,
-            incarnation=clock.unix_ms(),
+            incarnation=incarnation,
             started_at=clock.monotonic(),
         )
         self._exchanger = LoadExchanger(
@@ -104,8 +132,9 @@
             service=ServiceEndpoint(
                 endpoint=endpoint,
                 gate=self._gate,
+                board=self._board,
                 cold_limit=self._cold_limit,
-                client=self._engine,
+                handler=self._services,
                 clock=clock,
             ),
             status=StatusView(
@@ -122,12 +151,20 @@
             metrics=self._metrics,
         )
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain and return."""
+    async def run(self) -> int:
+        """Serve until SIGTERM or SIGINT, then drain and return.
+
+        :returns: Exit status; 1 when the settings do not fit the platform's log.
+        """
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)
+        if self._services is not None:
+            checked = await self._services.check_log()
+            if not isinstance(checked, Success):
+                self._logger.error("settings_do_not_fit_the_log", problem=checked.failure())
+                return 1
         server = self._make_server()
         serving = asyncio.create_task(server._serve())
         controlling = asyncio.create_task(run_controllers(self._controllers()))
@@ -138,6 +175,7 @@
                 board=self._board,
                 gate=self._gate,
                 timeout_s=self._settings.process.drain_timeout_s,
+                results_recorded=self._results_recorded,
             )
             await drainer.drain()
         server.should_exit = True
@@ -148,11 +186,18 @@
         self._control.close()
         self._engine.close()
         await self._http.aclose()
+        return 0
 
     def _controllers(self) -> list[Controller]:
-        hosts = HttpHostList(client=self._http, url=self._settings.process.platform_url)
+        services = [] if self._services is None else self._services.controllers()
         return [
-            HostPoller(board=self._board, hosts=hosts),
+            self._hosts,
+            self._distributor,
+            ConfigPuller(
+                board=self._board,
+                distributor=self._distributor,
+                dc=self._settings.process.dc,
+            ),
             ServerMonitor(
                 board=self._board,
                 client=self._engine,
@@ -161,14 +206,22 @@
             ),
             self._control_server,
             self._exchanger,
+            *services,
         ]
 
+    def _results_recorded(self) -> bool:
+        return self._services is None or self._services.idle
+
     async def _handle(self, message: Message) -> Message:
         if isinstance(message, LoadExchange | Report):
             return self._exchanger.handle(message)
         if isinstance(message, Hint):
             self._chats.hint(message.chat, message.server, now=time.monotonic())
-        return Ack()
+            return Ack()
+        answer = await self._hosts.handle(message)
+        if answer is None:
+            answer = await self._distributor.handle(message)
+        return Ack() if answer is None else answer
 
     def _make_server(self) -> uvicorn.Server:
         host, _, port = self._settings.process.http.rpartition(":")
--- a/packages/agent/src/cornellead_agent/process/_drainer.py
+++ b/packages/agent/src/cornellead_agent/process/_drainer.py
@@ -11,6 +11,8 @@
 from cornellead_core.facts import DRAINING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornellead_agent.admission import Gate
     from cornellead_core.blackboard import Blackboard
 
@@ -25,12 +27,21 @@
     """Waits for requests in progress, then moves what is left.
 
     :param timeout_s: Longest wait before streams are moved, in seconds.
+    :param results_recorded: Whether the results of all calls that ran are on the log.
     """
 
-    def __init__(self, *, board: Blackboard, gate: Gate, timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        gate: Gate,
+        timeout_s: float,
+        results_recorded: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._board = board
         self._gate = gate
         self._timeout_s = timeout_s
+        self._results_recorded = results_recorded
         self._log = structlog.get_logger()
 
     async def drain(self) -> None:
@@ -47,7 +58,7 @@
     async def _wait_idle(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
-                while self._gate.in_flight:
+                while self._gate.in_flight or not self._results_recorded():
                     await asyncio.sleep(POLL_S)
         except TimeoutError:
             return False
--- a/packages/core/src/cornellead_core/wire/_control_client.py
+++ b/packages/core/src/cornellead_core/wire/_control_client.py
@@ -39,8 +39,8 @@
         sealed = encode_message(message, key=self._key)
         try:
             with self._socket(address).new_context() as ctx:
-                await ctx.asend(sealed)
                 self._traffic.count_sent(sealed)
+                await ctx.asend(sealed)
                 reply = await ctx.arecv()
         except pynng.NNGException as exc:
             self._close(address)
--- a/packages/core/src/cornellead_core/wire/_control_server.py
+++ b/packages/core/src/cornellead_core/wire/_control_server.py
@@ -67,5 +67,6 @@
             self._traffic.messages_rejected += 1
             return
         reply = encode_message(await self._handler(decoded.unwrap()), key=self._key)
-        await ctx.asend(reply)
+        # Counted first, so that a peer that has the answer finds it in the counters.
         self._traffic.count_sent(reply)
+        await ctx.asend(reply)
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -19,7 +19,7 @@
 from cornellead_core.blackboard import Blackboard
 from cornellead_core.blackboard import run_controllers
 from cornellead_core.distribution import ConfigDistributor
-from cornellead_core.distribution import HostListWatcher
+from cornellead_core.distribution import HostDistributor
 from cornellead_core.platform import HttpHostList
 from cornellead_core.platform import HttpLog
 from cornellead_core.wire import ControlClient
@@ -60,12 +60,15 @@
         shares = ShareController(
             board=board, gate=self._parts.gate, client=self._control, router=process.name
         )
-        handler = ControlHandler(distributor=distributor, shares=shares)
+        hosts = HostDistributor(
+            board=board,
+            host_list=HttpHostList(client=self._http, url=process.platform_url),
+            client=self._control,
+            settings=process,
+        )
+        handler = ControlHandler(distributor=distributor, hosts=hosts, shares=shares)
         self._controllers: list[Controller] = [
-            HostListWatcher(
-                board=board,
-                host_list=HttpHostList(client=self._http, url=process.platform_url),
-            ),
+            hosts,
             distributor,
             puller,
             ControlServer(
--- a/tests/guarantees/test_g7_leaving_server.py
+++ b/tests/guarantees/test_g7_leaving_server.py
@@ -137,6 +137,6 @@
     view.merge(gate.digest(now=0.1), now=0.1)
     assert not view.available("s-1", now=0.1)
     assert not draining.done()
-    gate.finish()
+    gate.finish(duration_s=0.0)
     loop.run_until_complete(asyncio.sleep(LIMIT_S))
     assert draining.done()
