--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -9,7 +9,6 @@
 import random
 import sys
 import time
-from typing import TYPE_CHECKING
 from typing import Any
 
 import httpx
@@ -17,13 +16,10 @@
 from scripts.fleet import Fleet
 from scripts.fleet import plan_imigongo
 from scripts.traffic import Caller
-from scripts.traffic import ControlRate
-from scripts.traffic import Conversation
+from scripts.traffic import ChatLoad
+from scripts.traffic import ChatShape
 from scripts.traffic import Tally
-from scripts.traffic import measure_skew
-
-if TYPE_CHECKING:
-    from scripts.traffic import Skew
+from scripts.traffic import Watcher
 
 SEED = 20
 CHATS = 90
@@ -39,11 +35,11 @@
 DRAIN_TIMEOUT_S = 15.0
 KILLED = "engine-2"
 DRAINED = "engine-5"
-BOUND = 1.25
 CONTROL_BUDGET_BYTES_PER_S = 3000.0
 CUT_ANSWERS = 0.1
 """Share of answers of one booking server that are cut short after the effect."""
 CHAT_TEAMS = ("tours", "lodges", "flights", "transfers", "galleries", "events", "support")
+SHAPE = ChatShape(teams=CHAT_TEAMS, model="chat")
 
 
 class Demo:
@@ -57,27 +53,26 @@
         self._tally = Tally()
         self._stop_at = 0.0
         self._started_at = 0.0
-        self._absent: dict[str, list[tuple[float, float]]] = {}
-        self._control = ControlRate()
+        self._watcher = Watcher(fleet=fleet, client=client)
 
     async def run(self) -> tuple[Tally, dict[str, Any]]:
         """Run the traffic and return what was seen."""
         self._fleet.set_faults("booking-1", cut_after=CUT_ANSWERS)
         self._started_at = time.monotonic()
         self._stop_at = self._started_at + self._seconds
-        control = asyncio.create_task(self._watch_control())
+        watching = asyncio.create_task(self._watcher.run())
         try:
             async with asyncio.timeout(self._seconds + FINISH_S):
                 await self._send_traffic()
         except TimeoutError:
             self._tally.broken.append("requests did not end in time")
-        control.cancel()
+        watching.cancel()
         return self._tally, await self._summarize()
 
     async def _send_traffic(self) -> None:
         async with asyncio.TaskGroup() as group:
-            for number in range(CHATS):
-                group.create_task(self._hold_chat(number))
+            chats = ChatLoad(caller=self._caller(), shape=SHAPE, rng=self._rng)
+            group.create_task(chats.run(chats=CHATS, stop_at=self._stop_at))
             for number in range(BOOKINGS):
                 group.create_task(self._book_trips(number))
             group.create_task(self._disturb())
@@ -88,28 +83,6 @@
             client=self._client, routers=self._fleet.router_urls, tally=self._tally, rng=self._rng
         )
 
-    async def _hold_chat(self, number: int) -> None:
-        caller = self._caller()
-        conversation = self._new_chat(number, 0)
-        await asyncio.sleep(self._rng.uniform(0, 6.0))
-        opened = 0
-        while time.monotonic() < self._stop_at:
-            if not await caller.chat(conversation, stream=self._rng.random() < 0.7):
-                return
-            if len(conversation.messages) > 12:
-                opened += 1
-                conversation = self._new_chat(number, opened)
-            else:
-                conversation.add_question(f"and what about day {len(conversation.messages)}?")
-            await asyncio.sleep(self._rng.uniform(0.1, 0.8))
-
-    def _new_chat(self, number: int, opened: int) -> Conversation:
-        team = CHAT_TEAMS[number % len(CHAT_TEAMS)]
-        opening = f"We are party {number}-{opened} of {team} and plan a trip. " * 20
-        length = self._rng.randint(20, 80)
-        name = f"chat-{number}-{opened}"
-        return Conversation(name=name, team=team, model="chat", opening=opening, length=length)
-
     async def _book_trips(self, number: int) -> None:
         caller = self._caller()
         team = CHAT_TEAMS[number % len(CHAT_TEAMS)]
@@ -134,7 +107,7 @@
         self._fleet.kill(f"agent-{KILLED}")
         await asyncio.sleep(RESTART_AFTER_S)
         await asyncio.to_thread(self._fleet.restart, f"agent-{KILLED}")
-        self._absent[KILLED] = [(killed_at, time.monotonic())]
+        self._watcher.absent[KILLED] = [(killed_at, time.monotonic())]
         _show(f"the agent of {KILLED} is back")
         await asyncio.sleep((DRAIN_AT_S - KILL_AT_S) * scale - RESTART_AFTER_S)
         await self._drain()
@@ -152,7 +125,7 @@
             self._tally.broken.append("a planned stop cut a request in progress")
         _show(f"the agent of {DRAINED} stopped after {time.monotonic() - stopped_at:.1f} s")
         await asyncio.to_thread(self._fleet.restart, name)
-        self._absent[DRAINED] = [(stopped_at, time.monotonic())]
+        self._watcher.absent[DRAINED] = [(stopped_at, time.monotonic())]
         _show(f"the agent of {DRAINED} is back")
 
     async def _show_progress(self) -> None:
@@ -165,43 +138,19 @@
                 f"reuse {tally.prompt_reuse:.2f}"
             )
 
-    async def _watch_control(self) -> None:
-        """Record the control traffic of every process, also of those that are stopped later."""
-        while True:
-            for name, url in self._status_urls().items():
-                try:
-                    body = (await self._client.get(f"{url}/status")).json()
-                except (httpx.HTTPError, ValueError):
-                    continue
-                self._control.add(name, body["control_bytes"], at_s=time.monotonic())
-            await asyncio.sleep(1.0)
-
-    def _status_urls(self) -> dict[str, str]:
-        fleet = self._fleet
-        urls = {f"agent-{each.name}": fleet.agent_url(each.name) for each in fleet.plan.servers}
-        names = (router.name for router in fleet.plan.routers)
-        return urls | dict(zip(names, fleet.router_urls, strict=True))
-
-    async def _skew(self) -> Skew:
-        histories = {}
-        for engine in self._fleet.plan.engines:
-            resp = await self._client.get(f"{self._fleet.server_url(engine.name)}/history")
-            histories[engine.name] = [(at_s, change) for at_s, change in resp.json()["changes"]]
-        return measure_skew(histories, bound=BOUND, absent=self._absent)
-
     async def _summarize(self) -> dict[str, Any]:
         tally = self._tally
         effects = await asyncio.to_thread(self._fleet.effects)
         booked = {name: count for name, count in effects.items() if name in tally.keys}
         duplicates = tally.check_effects(effects)
-        skew = await self._skew()
+        skew = await self._watcher.skew()
         _show(
             f"engines: {skew.starts} starts, {skew.above_bound} above the bound, "
             f"load over mean {skew.mean_over_mean:.2f} on average"
         )
         if skew.above_bound:
             tally.broken.append(f"{skew.above_bound} starts above the load bound")
-        control = self._control.highest
+        control = self._watcher.control.highest
         for name, rate in control.items():
             if rate > CONTROL_BUDGET_BYTES_PER_S:
                 tally.broken.append(f"control traffic of {name} reached {rate:.0f} B/s")
--- a/scripts/traffic/__init__.py
+++ b/scripts/traffic/__init__.py
@@ -3,10 +3,23 @@
 from __future__ import annotations
 
 from scripts.traffic._caller import Caller
+from scripts.traffic._chat_load import ChatLoad
+from scripts.traffic._chat_load import ChatShape
 from scripts.traffic._control_rate import ControlRate
 from scripts.traffic._conversation import Conversation
 from scripts.traffic._skew import Skew
 from scripts.traffic._skew import measure_skew
 from scripts.traffic._tally import Tally
+from scripts.traffic._watcher import Watcher
 
-__all__ = ["Caller", "ControlRate", "Conversation", "Skew", "Tally", "measure_skew"]
+__all__ = [
+    "Caller",
+    "ChatLoad",
+    "ChatShape",
+    "ControlRate",
+    "Conversation",
+    "Skew",
+    "Tally",
+    "Watcher",
+    "measure_skew",
+]
