--- a/scripts/fleet/__init__.py
+++ b/scripts/fleet/__init__.py
@@ -5,6 +5,7 @@
 from scripts.fleet._examples import read_objects
 from scripts.fleet._examples import team_token
 from scripts.fleet._examples import teams
+from scripts.fleet._fleet import BUILD
 from scripts.fleet._fleet import STATE_DIRECTORY
 from scripts.fleet._fleet import Fleet
 from scripts.fleet._fleet import FleetError
@@ -19,6 +20,7 @@
 from scripts.fleet._port_block import PortBlock
 
 __all__ = [
+    "BUILD",
     "STATE_DIRECTORY",
     "Fleet",
     "FleetError",
--- /dev/null
+++ b/scripts/measure.py
@@ -0,0 +1,57 @@
+"""Measures fleets against the requirements and writes ``build/measurements.json``.
+
+Run all or some: ``python -m scripts.measure [--only NAME ...]``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+
+from scripts.fleet import BUILD
+from scripts.measurements import measure_churn
+from scripts.measurements import measure_data_centre
+from scripts.measurements import measure_router
+from scripts.measurements import measure_skew_and_control
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+MEASUREMENTS: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
+    "reuse_under_churn": measure_churn,
+    "skew_and_control": measure_skew_and_control,
+    "data_centre_out_and_back": measure_data_centre,
+    "one_router": measure_router,
+}
+
+
+async def _run(names: list[str]) -> int:
+    path = BUILD / "measurements.json"
+    found: dict[str, Any] = json.loads(path.read_text()) if path.exists() else {}
+    missed = 0
+    for name in names:
+        sys.stdout.write(f"measure {name}\n")
+        sys.stdout.flush()
+        result = await MEASUREMENTS[name]()
+        found[name] = result
+        missed += not result["met"]
+        sys.stdout.write(json.dumps(result, indent=2) + "\n")
+        path.write_text(json.dumps(found, indent=2) + "\n")
+    sys.stdout.write(f"{len(names) - missed} of {len(names)} met; see build/{path.name}\n")
+    return 0
+
+
+def main() -> int:
+    """Run the measurements; a target that is missed is reported, not an error."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--only", nargs="*", choices=sorted(MEASUREMENTS))
+    return asyncio.run(_run(parser.parse_args().only or list(MEASUREMENTS)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scripts/traffic/__init__.py
+++ b/scripts/traffic/__init__.py
@@ -7,6 +7,7 @@
 from scripts.traffic._chat_load import ChatShape
 from scripts.traffic._control_rate import ControlRate
 from scripts.traffic._conversation import Conversation
+from scripts.traffic._skew import LoadChanges
 from scripts.traffic._skew import Skew
 from scripts.traffic._skew import measure_skew
 from scripts.traffic._tally import Tally
@@ -18,6 +19,7 @@
     "ChatShape",
     "ControlRate",
     "Conversation",
+    "LoadChanges",
     "Skew",
     "Tally",
     "Watcher",
--- a/scripts/traffic/_skew.py
+++ b/scripts/traffic/_skew.py
@@ -9,10 +9,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
-    LoadChanges: TypeAlias = Sequence[tuple[float, int]]
-    Spans: TypeAlias = Sequence[tuple[float, float]]
+LoadChanges: TypeAlias = list[tuple[float, int]]
+"""Time and change (+1 or -1) of each start and end at one engine."""
+Spans: TypeAlias = list[tuple[float, float]]
+"""Starts and ends of times, in monotonic seconds."""
 
 
 class Skew(NamedTuple):
@@ -56,9 +57,9 @@
     starts, above, highest, total = 0, 0, 0.0, 0.0
     for at_s, change, engine in changes:
         loads[engine] += change
-        if change < 0 or _is_within(at_s, absent.get(engine, ())):
+        if change < 0 or _is_within(at_s, absent.get(engine, [])):
             continue
-        live = [name for name in loads if not _is_within(at_s, absent.get(name, ()))]
+        live = [name for name in loads if not _is_within(at_s, absent.get(name, []))]
         mean = sum(loads[name] for name in live) / len(live)
         limit = max(1, math.ceil(bound * mean - 1e-9))
         starts += 1
