--- a/scripts/measurements/_router.py
+++ b/scripts/measurements/_router.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import time
+from collections import Counter
 from typing import Any
 from typing import NamedTuple
 
-import httpx
-
 from scripts.fleet import FleetPlan
 from scripts.fleet import RouterPlan
 from scripts.fleet import ServerPlan
+from scripts.fleet import read_objects
 from scripts.fleet import team_token
+from scripts.measurements._counting_stream import CountingStream
+from scripts.measurements._counting_stream import encode_request
 from scripts.measurements._session import Session
 from scripts.measurements._session import open_session
 
@@ -25,25 +27,30 @@
 TOKENS = round(TOKENS_PER_S / REQUESTS_PER_S)
 WARM_UP_S = 15.0
 MEASURED_S = 20.0
-EVENT = b"\nid: "
-DONE = b"data: [DONE]"
-TAIL_BYTES = 200
-"""End of a stream that holds the last event and the comment after it."""
-TEAMS = ("tours", "lodges", "flights", "transfers", "galleries", "events", "support")
+TIMEOUT_S = 60.0
+TEAMS = ("transfers", "galleries", "events", "support")
+"""Teams that use the parameters of their template."""
+UNLIMITED = 10_000
 
 
 class _Sample(NamedTuple):
     requests: int
     tokens: int
     cpu_s: float
+    sender_cpu_s: float
     at_s: float
 
 
-class _Counter:
+class _Counts:
     def __init__(self) -> None:
         self.completed = 0
-        self.failed = 0
-        self.events = 0
+        self.failures: Counter[str] = Counter()
+        self.open: set[CountingStream] = set()
+        self.closed_events = 0
+
+    @property
+    def events(self) -> int:
+        return self.closed_events + sum(stream.events for stream in self.open)
 
 
 def _plan() -> FleetPlan:
@@ -63,8 +70,9 @@
 async def measure_router() -> dict[str, Any]:
     """Send requests at the target rate and read the router's processor time and added delay."""
     async with open_session(_plan()) as session:
-        counter = _Counter()
-        first, last = await _send(session, counter)
+        await asyncio.to_thread(_raise_limits, session)
+        counts = _Counts()
+        first, last = await _send(session, counts)
         status = (await session.client.get(f"{session.fleet.router_urls[0]}/status")).json()
         added = status["added_first_token"]["p99_ms"]
         span_s = last.at_s - first.at_s
@@ -78,18 +86,27 @@
                 and tokens >= 0.95 * TOKENS_PER_S
                 and added < ADDED_TARGET_MS
                 and resident < MEMORY_TARGET_MB
-                and not counter.failed
+                and not counts.failures
             ),
             "requests_per_second": round(requests, 1),
             "tokens_per_second": round(tokens),
-            "failed": counter.failed,
+            "failures": counts.failures,
             "router_cores": round(cores, 3),
+            "sender_cores": round((last.sender_cpu_s - first.sender_cpu_s) / span_s, 3),
             "added_first_token_ms_p99": added,
             "resident_mb": round(resident, 1),
         }
 
 
-async def _send(session: Session, counter: _Counter) -> tuple[_Sample, _Sample]:
+def _raise_limits(session: Session) -> None:
+    name = "template/traveller"
+    template = read_objects("imigongo")[name]
+    limits = {"requests_per_second": UNLIMITED, "concurrent_requests": UNLIMITED}
+    template["parameters"] |= limits
+    session.fleet.publish({name: template}, author="measure", base=0)
+
+
+async def _send(session: Session, counts: _Counts) -> tuple[_Sample, _Sample]:
     started_at = time.monotonic()
     end_at = started_at + WARM_UP_S + MEASURED_S
     first: _Sample | None = None
@@ -97,43 +114,48 @@
         number, due_at = 0, started_at
         while due_at < end_at:
             await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-            group.create_task(_chat(session, counter, number))
+            group.create_task(_chat(session, counts, number))
             number += 1
             due_at += session.rng.expovariate(REQUESTS_PER_S)
             if first is None and due_at > started_at + WARM_UP_S:
-                first = _sample(session, counter)
-        last = _sample(session, counter)
+                first = _sample(session, counts)
+        last = _sample(session, counts)
     assert first is not None
     return first, last
 
 
-def _sample(session: Session, counter: _Counter) -> _Sample:
+def _sample(session: Session, counts: _Counts) -> _Sample:
     cpu_s = session.fleet.processes["router-1"].usage().cpu_s
-    return _Sample(counter.completed, counter.events, cpu_s, time.monotonic())
+    return _Sample(
+        counts.completed, counts.events, cpu_s, time.process_time(), time.monotonic()
+    )
 
 
-async def _chat(session: Session, counter: _Counter, number: int) -> None:
+async def _chat(session: Session, counts: _Counts, number: int) -> None:
     body = {
         "model": "chat",
         "messages": [{"role": "user", "content": f"question {number} " * 20}],
         "max_tokens": TOKENS,
         "stream": True,
     }
-    headers = {"authorization": f"Bearer {team_token(TEAMS[number % len(TEAMS)])}"}
-    url = f"{session.fleet.router_urls[0]}/v1/chat/completions"
-    tail = b""
+    address = session.fleet.addresses["router-1"].http
+    token = team_token(TEAMS[number % len(TEAMS)])
+    request = encode_request(host=address, token=token, body=body)
+    ip, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    transport, stream = await loop.create_connection(
+        lambda: CountingStream(request=request), ip, int(port)
+    )
+    counts.open.add(stream)
     try:
-        async with session.client.stream(
-            "POST", url, json=body, headers=headers, timeout=60.0
-        ) as resp:
-            # Events are counted without parsing, so that the sender keeps up on one core.
-            async for chunk in resp.aiter_raw():
-                counter.events += chunk.count(EVENT) + chunk.startswith(EVENT[1:])
-                tail = (tail + chunk)[-TAIL_BYTES:]
-    except httpx.HTTPError:
-        counter.failed += 1
-        return
-    if resp.status_code == 200 and DONE in tail:
-        counter.completed += 1
+        await asyncio.wait_for(stream.closed, TIMEOUT_S)
+    except TimeoutError:
+        counts.failures["timeout"] += 1
+    finally:
+        transport.close()
+        counts.open.discard(stream)
+        counts.closed_events += stream.events
+    if stream.failure:
+        counts.failures[stream.failure] += 1
     else:
-        counter.failed += 1
+        counts.completed += 1
