--- a/packages/standins/src/cornellead_standins/engine/_app.py
+++ b/packages/standins/src/cornellead_standins/engine/_app.py
@@ -70,7 +70,8 @@
     async def complete(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.complete(scope, receive, send)
 
-    # A mount, because raw handlers of Litestar 2.25 answer 500 on a path with parameters.
+    # A mount, because raw handlers of Litestar 2.25 answer 500 on a path with parameters. In it,
+    # scope["path"] is only the rest of the path, with a slash at its end.
     @asgi("/v1/streams", is_mount=True, copy_scope=False)
     async def resume(scope: Scope, receive: Receive, send: Send) -> None:
         await chat_api.resume(scope, receive, send)
