--- a/packages/agent/src/cornellead_agent/services/_outbox.py
+++ b/packages/agent/src/cornellead_agent/services/_outbox.py
@@ -13,6 +13,8 @@
 
     from cornellead_core.claims import ClaimsRecord
 
+EPOCH = "epoch"
+"""Name of the one epoch record that may be waiting."""
 MAX_BATCH_RECORDS = 256
 MAX_BATCH_BYTES = 512 << 10
 
--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -6,24 +6,23 @@
 from typing import TYPE_CHECKING
 from typing import assert_never
 
+import structlog
 from returns.result import Success
 
 from cornellead_agent.services import _answers
 from cornellead_agent.services._call import Call
 from cornellead_agent.services._call import Phase
-from cornellead_agent.services._outbox import Outbox
-from cornellead_agent.services._outbox import encode_batch
+from cornellead_agent.services._outbox import EPOCH
+from cornellead_agent.services._partition_log import PartitionLog
 from cornellead_agent.services._recorded_answer import record_answer
 from cornellead_agent.services._recorded_answer import replay_answer
 from cornellead_agent.services._server_client import SendError
-from cornellead_agent.services._stream_reader import StreamReader
 from cornellead_core.claims import CancelRecord
 from cornellead_core.claims import ClaimRecord
 from cornellead_core.claims import EpochRecord
 from cornellead_core.claims import KeyState
 from cornellead_core.claims import Verdict
 from cornellead_core.outcomes import RefusalReason
-from cornellead_core.platform import AppendError
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -32,15 +31,14 @@
     from cornellead_agent.services._identity import AgentIdentity
     from cornellead_agent.services._server_client import ServerClient
     from cornellead_agent.services._service_response import ServiceResponse
+    from cornellead_agent.services._service_stats import ServiceStats
     from cornellead_agent.services._stream_reader import ReadRecord
+    from cornellead_core.claims import ClaimsRecord
     from cornellead_core.claims import KeyView
     from cornellead_core.platform import Log
 
-EPOCH = "epoch"
 LOG_PATIENCE_S = 3.0
 """A call is refused when the log has failed for this long; one lost append answer takes 2 s."""
-READ_WAIT_S = 0.2
-"""Wait for a record that was appended and is not visible yet."""
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 1.0
 FOREIGN_WAIT_S = 1.0
@@ -71,26 +69,24 @@
         log: Log,
         pacer: AppendPacer,
         server: ServerClient,
+        stats: ServiceStats,
         validity_s: float,
     ) -> None:
         self.name = f"claims-{number}"
-        self._stream = stream
         self._identity = identity
-        self._log = log
-        self._pacer = pacer
         self._server = server
-        self._reader = StreamReader(log=log, stream=stream, validity_s=validity_s)
-        self._outbox = Outbox()
+        self._stats = stats
+        self._events = structlog.get_logger().bind(stream=stream)
+        self._io = PartitionLog(log=log, stream=stream, pacer=pacer, validity_s=validity_s)
+        self._reader = self._io.reader
+        self._outbox = self._io.outbox
         self._queue: list[Call] = []
         self._active: dict[bytes, Call] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._epoch = -1
         self._renewal_s = max(RENEWAL_MIN_S, RENEWAL_SHARE * validity_s)
         self._wake = asyncio.Event()
-        self._must_read = True
-        self._landed_below = 0
         self._failing_since: float | None = None
-        self._log_error = ""
         self._superseded_at = -HOLDOFF_S
         self._new_owner = ""
 
@@ -143,8 +139,7 @@
         partition that is not owned is read again from the log when it is needed.
         """
         if self._epoch < 0 and not self._active:
-            self._reader.reset()
-            self._must_read = True
+            self._io.reset()
             await self._wake.wait()
             return
         try:
@@ -168,7 +163,7 @@
 
         :returns: Whether the log answered.
         """
-        if self._must_read and not await self._catch_up():
+        if self._io.must_read and not await self._catch_up():
             return False
         self._admit()
         if not await self._send():
@@ -176,7 +171,9 @@
         polls = any(
             call.phase is Phase.BLOCKED and call.key not in self._active for call in self._queue
         )
-        if (self._must_read or self._outbox.awaiting_read or polls) and not await self._catch_up():
+        if (
+            self._io.must_read or self._outbox.awaiting_read or polls
+        ) and not await self._catch_up():
             return False
         self._admit()
         return True
@@ -190,60 +187,33 @@
         for call in [*self._queue, *self._active.values()]:
             self._refuse(call, RefusalReason.LOG_UNAVAILABLE)
 
-    # Appending
+    # Appending and reading
 
     async def _send(self) -> bool:
-        if not len(self._outbox):
-            return True
-        now = _now()
-        await asyncio.sleep(self._pacer.take_slot(now=now) - now)
+        return await self._io.send(self._prepare)
+
+    def _prepare(self) -> dict[str, ClaimsRecord]:
         self._admit()
         batch = self._outbox.next_batch()
-        if not batch:
-            return True
         for record in batch.values():
             if isinstance(record, ClaimRecord):
                 self._active[record.key].claim_sent = True
-        result = await self._log.append(self._stream, encode_batch(batch))
-        if isinstance(result, Success):
-            self._pacer.note_accepted()
-            first = result.unwrap()
-            self._outbox.mark_recorded(batch, first_offset=first)
-            if EPOCH in batch:
-                self._must_read = True
-            self._landed_below = first + len(batch)
-            return True
-        if result.failure() is AppendError.REJECTED:
-            self._pacer.note_refused(now=_now())
-            self._log_error = "the log refused an append"
-            return False
-        self._must_read = True
-        return True
-
-    # Reading
+        return batch
 
     async def _catch_up(self) -> bool:
-        """Read to the end of the stream, at least past what is known to be recorded."""
-        self._must_read = True
-        while True:
-            result = await self._reader.read(wait_s=READ_WAIT_S if self._reader.at_end else 0.0)
-            if not isinstance(result, Success):
-                self._log_error = result.failure()
-                return False
-            for read in result.unwrap():
-                self._follow(read)
-            if self._reader.ledger.epoch is None and self._epoch >= 0:
-                self._lose_ownership("")
-            if self._reader.at_end and self._reader.next_offset >= self._landed_below:
-                break
-        self._must_read = False
-        for name in self._outbox.missing_before(self._reader.next_offset):
-            self._outbox.drop(name)
+        if not await self._io.catch_up(self._follow_page):
+            return False
+        for name in self._io.take_dropped():
             for call in [call for call in self._active.values() if call.call_id == name]:
-                # The claim was dropped by the log's retention before it was read back.
                 self._refuse(call, RefusalReason.LOG_UNAVAILABLE)
         return True
 
+    def _follow_page(self, page: list[ReadRecord]) -> None:
+        for read in page:
+            self._follow(read)
+        if self._reader.ledger.epoch is None and self._epoch >= 0:
+            self._lose_ownership("")
+
     def _follow(self, read: ReadRecord) -> None:
         match read.record:
             case EpochRecord():
@@ -257,6 +227,9 @@
 
     def _follow_epoch(self, record: EpochRecord, offset: int) -> None:
         if record.token == self._identity.token:
+            if self._epoch < 0:
+                self._stats.ownerships += 1
+                self._events.info("partition_taken", epoch=offset)
             self._epoch = offset
             self._outbox.drop(EPOCH)
         elif self._epoch >= 0:
@@ -266,6 +239,8 @@
         self._epoch = -1
         self._superseded_at = _now()
         self._new_owner = new_owner
+        self._stats.ownerships_lost += 1
+        self._events.info("partition_lost", owner=new_owner)
         for call in list(self._active.values()):
             if call.phase is Phase.CLAIMING and not call.claim_sent:
                 self._requeue(call)
@@ -308,6 +283,7 @@
         call.claim_sent = False
         call.call_id = self._identity.next_call_id()
         self._active[call.key] = call
+        self._stats.claims += 1
         key_time_s = call.request.key_time_s
         record = ClaimRecord(
             epoch=self._epoch,
@@ -329,6 +305,7 @@
         self._block(call, view.request)
         if call.phase is Phase.BLOCKED and _now() - call.arrived_at >= FOREIGN_WAIT_S:
             self._queue.remove(call)
+            self._stats.unresolved += 1
             call.close(_answers.unresolved())
 
     def _meet_done(self, call: Call, view: KeyView) -> None:
@@ -337,6 +314,7 @@
             return
         self._queue.remove(call)
         call.phase = Phase.REPLAYING
+        self._stats.replayed += 1
         self._start(self._replay(call, view.done_offset))
 
     def _decide(self, call: Call, verdict: Verdict | None) -> None:
@@ -356,6 +334,7 @@
                 self._cancel(call)
                 call.close(_answers.key_time_ahead())
             case _:
+                self._stats.claims_void += 1
                 self._requeue(call)
 
     def _requeue(self, call: Call) -> None:
@@ -369,6 +348,7 @@
         self._active.pop(call.key, None)
         self._outbox.drop(call.call_id)
         if call.claim_sent:
+            self._stats.claims_cancelled += 1
             record = CancelRecord(key=call.key, call=call.call_id)
             self._outbox.put(f"cancel {call.call_id}", record)
         self._wake.set()
@@ -393,7 +373,7 @@
             call.answer(_answers.unresolved())
             return
         hint = self._new_owner if reason is RefusalReason.NOT_OWNER else ""
-        detail = self._log_error if reason is RefusalReason.LOG_UNAVAILABLE else ""
+        detail = self._io.error if reason is RefusalReason.LOG_UNAVAILABLE else ""
         call.answer(_answers.refuse_call(reason, hint=hint, detail=detail))
 
     def _expire(self, call: Call) -> None:
@@ -412,6 +392,7 @@
 
     def _dispatch(self, call: Call) -> None:
         call.phase = Phase.DISPATCHED
+        self._stats.dispatched += 1
         self._start(self._run_call(call))
 
     def _start(self, coro: Coroutine[None, None, None]) -> None:
--- a/packages/agent/src/cornellead_agent/services/_service_handler.py
+++ b/packages/agent/src/cornellead_agent/services/_service_handler.py
@@ -17,6 +17,7 @@
 from cornellead_agent.services._peer_probe import PeerProbe
 from cornellead_agent.services._server_client import SendError
 from cornellead_agent.services._server_client import ServerClient
+from cornellead_agent.services._service_stats import ServiceStats
 from cornellead_core.claims import PARTITIONS
 from cornellead_core.claims import body_digest
 from cornellead_core.claims import check_retention
@@ -76,6 +77,7 @@
             token=token or secrets.token_hex(8),
         )
         pacer = AppendPacer()
+        self.stats = ServiceStats()
         self._partitions = [
             Partition(
                 number=number,
@@ -84,6 +86,7 @@
                 log=log,
                 pacer=pacer,
                 server=self._server,
+                stats=self.stats,
                 validity_s=self._validity_s,
             )
             for number in range(PARTITIONS)
--- a/tests/guarantees/claim_histories/_mutants.py
+++ b/tests/guarantees/claim_histories/_mutants.py
@@ -70,9 +70,9 @@
     send = Partition._send
 
     async def mutant(self: Any) -> bool:
-        must_read = self._must_read
+        must_read = self._io.must_read
         answered = await send(self)
-        if answered and self._must_read and not must_read and not self._outbox.awaiting_read:
+        if answered and self._io.must_read and not must_read and not self._outbox.awaiting_read:
             for call in self._active.values():
                 if call.phase is Phase.CLAIMING and call.claim_sent:
                     call.answer(_answers.refuse_call(RefusalReason.LOG_UNAVAILABLE))
