--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -47,12 +47,15 @@
         self, request: ServiceRequest, *, timeout_s: float
     ) -> Result[ServiceResponse, SendError]:
         """Send a call once and read its whole answer."""
-        fields = {"content-type": request.content_type, "x-request-id": request.request_id}
+        fields = {
+            "content-type": request.content_type,
+            "x-request-id": request.request_id,
+            # On a kept connection that the server closes just then, a call that never reached the
+            # service would look like one whose answer was lost.
+            "connection": "close",
+        }
         if request.key is not None:
             fields["idempotency-key"] = request.key
-        if request.at_most_once:
-            # A connection that the server closes while idle would lose the call without a trace.
-            fields["connection"] = "close"
         timeout = httpx.Timeout(timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s))
         url = f"{self._url}/v1/{quote(request.operation, safe='')}"
         try:
--- /dev/null
+++ b/tests/agent/services/test_server_client.py
@@ -0,0 +1,122 @@
+"""What a failed call says about whether the server may have run it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import httpx
+import pytest
+from returns.result import Success
+
+from cornellead_agent.services import ServiceRequest
+from cornellead_agent.services._server_client import MAX_RESPONSE_BYTES
+from cornellead_agent.services._server_client import SendError
+from cornellead_agent.services._server_client import ServerClient
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+REQUEST = ServiceRequest(
+    operation="book/seat",
+    team="shop",
+    key="order-1",
+    key_time_s=None,
+    body=b"{}" * 1000,
+    content_type="application/json",
+    deadline_s=1.0,
+    request_id="r1",
+    at_most_once=True,
+)
+
+
+async def close_at_once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Accept and close."""
+    writer.close()
+
+
+async def close_after_request(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read a part of the request and close."""
+    await reader.read(100)
+    writer.close()
+
+
+async def cut_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Declare more bytes than are sent."""
+    await reader.read(100)
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")
+    writer.close()
+
+
+async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read for ever."""
+    while await reader.read(1000):
+        pass
+    writer.close()
+
+
+async def trickle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send an answer that never ends, each part within the client's read time-out."""
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n")
+    while not writer.is_closing():
+        writer.write(b".")
+        await asyncio.sleep(0.01)
+
+
+async def answer_too_much(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer with a body over the limit."""
+    # Unread bytes at the close would reset the connection before the client has read the answer.
+    await reader.readuntil(b"{}" * 1000)
+    size = MAX_RESPONSE_BYTES + 1
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size + bytes(size))
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("serve", "timeout_s", "error"),
+    [
+        (close_at_once, 10.0, SendError.LOST),
+        (close_after_request, 10.0, SendError.LOST),
+        (cut_answer, 10.0, SendError.LOST),
+        (never_answer, 0.3, SendError.LOST),
+        (trickle, 0.3, SendError.LOST),
+        (answer_too_much, 10.0, SendError.TOO_LARGE),
+    ],
+)
+async def test_failure_after_a_connection(
+    serve: Serve, timeout_s: float, error: SendError, free_address: Callable[[], str]
+) -> None:
+    """Guards against a call that the server may have run and that is reported as not sent."""
+    address = free_address()
+    host, port = address.split(":")
+    server = await asyncio.start_server(serve, host, int(port))
+    async with server, httpx.AsyncClient() as client:
+        sender = ServerClient(client=client, url=f"http://{address}")
+        assert (await sender.send(REQUEST, timeout_s=timeout_s)).failure() is error
+
+
+async def test_no_connection_is_not_sent(free_address: Callable[[], str]) -> None:
+    """Guards against a key that stays claimed although the server is down."""
+    async with httpx.AsyncClient() as client:
+        sender = ServerClient(client=client, url=f"http://{free_address()}")
+        assert (await sender.send(REQUEST, timeout_s=0.3)).failure() is SendError.NOT_SENT
+
+
+async def test_request_as_sent() -> None:
+    """Guards against a lost key, an operation that leaves its path and a kept connection."""
+    seen: list[httpx.Request] = []
+
+    def answer(request: httpx.Request) -> httpx.Response:
+        seen.append(request)
+        return httpx.Response(201, text="booked")
+
+    async with httpx.AsyncClient(transport=httpx.MockTransport(answer)) as client:
+        result = await ServerClient(client=client, url="http://s/").send(REQUEST, timeout_s=1.0)
+    assert isinstance(result, Success)
+    assert (result.unwrap().status, result.unwrap().body) == (201, b"booked")
+    assert seen[0].url.raw_path == b"/v1/book%2Fseat"
+    wanted = {"idempotency-key": "order-1", "x-request-id": "r1", "connection": "close"}
+    assert wanted.items() <= dict(seen[0].headers).items()
