--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -270,7 +270,9 @@
 
     def _meet_free(self, call: Call) -> None:
         call.phase = Phase.QUEUED
-        if self._epoch >= 0:
+        if call.expires_ms is not None and self._reader.ledger.time_ms > call.expires_ms:
+            self._refuse(call, RefusalReason.KEY_EXPIRED)
+        elif self._epoch >= 0:
             self._claim(call)
         elif _now() - self._superseded_at < HOLDOFF_S:
             self._refuse(call, RefusalReason.NOT_OWNER)
