Find the service handler of the agent and verify the whole path of a call

The framework answered every service call with 500: it finds no raw handler for a path with parameters. A mount is found, but strips its prefix from the path, on which the signature is checked, so the path now comes from the raw request target.

--- a/packages/agent/src/cornellead_agent/api/_build_app.py
+++ b/packages/agent/src/cornellead_agent/api/_build_app.py
@@ -36,7 +36,8 @@
     async def post_chat(scope: Scope, receive: Receive, send: Send) -> None:
         await chat.handle(scope, receive, send)
 
-    @asgi("/v1/services/{service:str}/{operation:str}", copy_scope=False)
+    # A mount, because the framework finds no raw handler for a path with parameters.
+    @asgi("/v1/services", is_mount=True, copy_scope=False)
     async def post_service(scope: Scope, receive: Receive, send: Send) -> None:
         await service.handle(scope, receive, send)
 
--- a/packages/agent/src/cornellead_agent/api/_request_context.py
+++ b/packages/agent/src/cornellead_agent/api/_request_context.py
@@ -30,6 +30,12 @@
     return {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
 
 
+def read_path(scope: Mapping[str, Any]) -> str:
+    """Return the whole path of an ASGI scope; below a mount, ``path`` holds only the rest."""
+    raw: bytes = scope["raw_path"]
+    return raw.partition(b"?")[0].decode("latin-1")
+
+
 def read_context(fields: Mapping[str, str], *, now: float) -> RequestContext:
     """Parse the internal headers; a malformed number counts as absent.
 
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -10,6 +10,7 @@
 
 from cornellead_agent.api._body import read_body
 from cornellead_agent.api._request_context import read_headers
+from cornellead_agent.api._request_context import read_path
 from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.api._responses import send_whole
@@ -84,7 +85,7 @@
             self._gate.finish(duration_s=self._clock.monotonic() - now)
 
     async def _run(self, scope: Any, send: Any, context: RequestContext, body: bytes) -> None:
-        service, operation = scope["path"].rsplit("/", 2)[-2:]
+        service, operation = read_path(scope).rsplit("/", 2)[-2:]
         request = self._make_request(read_headers(scope), context, service, operation, body)
         if self._handler is None or request is None:
             refusal = Refusal(
--- a/scripts/measurements/_router.py
+++ b/scripts/measurements/_router.py
@@ -126,9 +126,7 @@
 
 def _sample(session: Session, counts: _Counts) -> _Sample:
     cpu_s = session.fleet.processes["router-1"].usage().cpu_s
-    return _Sample(
-        counts.completed, counts.events, cpu_s, time.process_time(), time.monotonic()
-    )
+    return _Sample(counts.completed, counts.events, cpu_s, time.process_time(), time.monotonic())
 
 
 async def _chat(session: Session, counts: _Counts, number: int) -> None:
