--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -14,12 +14,12 @@
 from cornellead_core.distribution._config_exchange import PROBE_OFFSET
 from cornellead_core.distribution._config_exchange import ConfigExchange
 from cornellead_core.distribution._config_store import ConfigStore
-from cornellead_core.distribution._log_duty import SNAPSHOT_STEP_S
-from cornellead_core.distribution._log_duty import TAILS_PER_DC
-from cornellead_core.distribution._log_duty import retry_pause_s
-from cornellead_core.distribution._log_duty import snapshot_due_ms
-from cornellead_core.distribution._log_duty import snapshot_rank
-from cornellead_core.distribution._log_duty import tail_rank
+from cornellead_core.distribution._log_read_policy import SNAPSHOT_STEP_S
+from cornellead_core.distribution._log_read_policy import TAILS_PER_DC
+from cornellead_core.distribution._log_read_policy import retry_pause_s
+from cornellead_core.distribution._log_read_policy import snapshot_due_ms
+from cornellead_core.distribution._log_read_policy import snapshot_rank
+from cornellead_core.distribution._log_read_policy import tail_rank
 from cornellead_core.distribution._snapshot_search import PAGE_RECORDS
 from cornellead_core.distribution._snapshot_search import find_snapshot
 from cornellead_core.facts import HOSTS
@@ -140,7 +140,10 @@
         return isinstance(await self._log.read(STREAM, from_offset=0, limit=1), Success)
 
     async def _ask_peers(self) -> bool:
-        """Adopt the highest state among a few peers."""
+        """Adopt the highest state among a few peers.
+
+        :returns: Whether a peer has a state, and this process one that is at least as high.
+        """
         peers = self._exchange.peers.sample(self._rng, near=START_PEERS - 1, far=1)
         probe = ConfigOffset(PROBE_OFFSET)
         answers = await asyncio.gather(
@@ -157,7 +160,8 @@
             state = await self._client.request(address, ConfigStateRequest())
             if isinstance(state, Success):
                 self._take_answer(address, state.unwrap())
-        return self.store.offset >= 0
+        highest = max((offset for offset, _ in offsets), default=-1)
+        return 0 <= highest <= self.store.offset
 
     async def _read_to_end(self, *, wait_s: float) -> bool:
         """Apply all records of the log above the state.
