--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -12,54 +12,66 @@
 from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.api._responses import send_whole
+from cornellead_agent.services import ServiceRequest
 from cornellead_core import headers
+from cornellead_core.facts import CONFIG
 from cornellead_core.outcomes import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cornellead_agent.admission import ColdLimit
     from cornellead_agent.admission import Gate
     from cornellead_agent.api._clock import Clock
     from cornellead_agent.api._endpoint import Endpoint
-    from cornellead_agent.relay import EngineClient
+    from cornellead_agent.api._request_context import RequestContext
+    from cornellead_agent.services import ServiceHandler
+    from cornellead_core.blackboard import Blackboard
 
-DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_DEADLINE_S = 30.0
+SERVER_ERROR = 500
 
 
 class ServiceEndpoint:
-    """Raw ASGI handler of ``POST /v1/services/{service}/{operation}``."""
+    """Raw ASGI handler of ``POST /v1/services/{service}/{operation}``.
+
+    :param service: Name of the service beside this agent, or empty for an engine.
+    """
 
     def __init__(
         self,
         *,
+        service: str,
         endpoint: Endpoint,
+        board: Blackboard,
         gate: Gate,
         cold_limit: ColdLimit,
-        client: EngineClient,
+        handler: ServiceHandler | None,
         clock: Clock,
     ) -> None:
+        self._service = service
         self._endpoint = endpoint
+        self._board = board
         self._gate = gate
         self._cold_limit = cold_limit
-        self._client = client
+        self._handler = handler
         self._clock = clock
 
     async def handle(self, scope: Any, receive: Any, send: Any) -> None:
-        """Admit and forward one call."""
+        """Admit one call and hand it to the service handler."""
         context = await self._endpoint.accept(scope, send)
         if context is None:
             return
+        _, _, path = scope["path"].partition("/v1/services/")
+        service, _, operation = path.rstrip("/").partition("/")
+        if self._handler is None or service != self._service or not operation:
+            message = f"this agent serves {self._service or 'models'}; refresh the host list"
+            await self._reject(send, context, 404, message)
+            return
         content = await read_body(receive)
         if not isinstance(content, Success):
             error = content.failure()
-            fields = self._endpoint.common_headers(context)
-            await send_error(
-                send,
-                error.status,
-                fields,
-                message=error.message,
-                code="bad_request",
-                outcome=Outcome.NOT_RUN,
-            )
+            await self._reject(send, context, error.status, error.message)
             return
         now = self._clock.monotonic()
         refusal = self._gate.admit(context.admission, chat=None, now=now)
@@ -67,42 +79,63 @@
             await send_refusal(send, refusal, self._endpoint.common_headers(context))
             return
         try:
-            await self._forward(scope, send, context, content.unwrap())
+            request = self._make_request(
+                operation, context, read_headers(scope), content.unwrap(), now
+            )
+            response = await self._handler.handle(request)
         finally:
             self._gate.finish(duration_s=self._clock.monotonic() - now)
+        if response.status >= SERVER_ERROR:
+            self._count_failure(response.headers)
+        else:
+            self._cold_limit.record_success(first_token_s=0.0)
+        fields = [*self._endpoint.common_headers(context), *response.headers]
+        await send_whole(send, response.status, fields, response.body)
 
-    async def _forward(self, scope: Any, send: Any, context: Any, body: bytes) -> None:
-        operation = scope["path"].rsplit("/", 1)[-1]
-        fields = read_headers(scope)
-        upstream = [("x-request-id", context.request_id), ("content-type", "application/json")]
-        if "idempotency-key" in fields:
-            upstream.append(("idempotency-key", fields["idempotency-key"]))
-        started_at = self._clock.monotonic()
-        fetched = await self._client.fetch(
-            "POST",
-            f"/v1/{operation}",
-            headers=upstream,
+    def _make_request(
+        self,
+        operation: str,
+        context: RequestContext,
+        fields: Mapping[str, str],
+        body: bytes,
+        now: float,
+    ) -> ServiceRequest:
+        deadline_at = context.admission.deadline_at
+        return ServiceRequest(
+            operation=operation,
+            team=context.team,
+            key=fields.get("idempotency-key"),
+            key_time_s=_parse_seconds(fields.get("idempotency-key-time", "")),
             body=body,
-            timeout_s=context.remaining_s or DEFAULT_TIMEOUT_S,
+            content_type=fields.get("content-type", "application/json"),
+            deadline_s=DEFAULT_DEADLINE_S if deadline_at is None else deadline_at - now,
+            request_id=context.request_id,
+            at_most_once=not self._repeatable(context.team, operation),
         )
-        common = self._endpoint.common_headers(context)
-        if not isinstance(fetched, Success):
+
+    def _repeatable(self, team: str, operation: str) -> bool:
+        # An operation that the configuration does not name as idempotent may not run twice.
+        policy = self._board.read(CONFIG).teams.get(team)
+        if policy is None or self._service not in policy.services:
+            return False
+        return operation in policy.services[self._service].idempotent
+
+    def _count_failure(self, fields: list[tuple[str, str]]) -> None:
+        reason = next((value for name, value in fields if name == headers.REFUSAL), None)
+        if reason is None:
             self._cold_limit.record_error()
-            failure = fetched.failure()
-            if not failure.sent:
-                common.append((headers.REFUSAL, "server_down"))
-            await send_error(
-                send,
-                502 if failure.sent else 503,
-                common,
-                message=failure.message,
-                code="service_failed",
-                outcome=Outcome.UNKNOWN if failure.sent else Outcome.NOT_RUN,
-            )
             return
-        response = fetched.unwrap()
-        self._cold_limit.record_success(first_token_s=self._clock.monotonic() - started_at)
-        content_type = response.headers.get("content-type", "application/json")
-        await send_whole(
-            send, response.status, [*common, ("content-type", content_type)], response.body
+        self._gate.count_refusal(reason)
+
+    async def _reject(self, send: Any, context: RequestContext, status: int, message: str) -> None:
+        fields = self._endpoint.common_headers(context)
+        await send_error(
+            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
         )
+
+
+def _parse_seconds(text: str) -> float | None:
+    try:
+        return float(text)
+    except ValueError:
+        return None
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -22,16 +22,20 @@
 from cornellead_agent.chats import ChatIndex
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.exchange import LoadExchanger
+from cornellead_agent.process._config_puller import ConfigPuller
 from cornellead_agent.process._drainer import Drainer
-from cornellead_agent.process._host_poller import HostPoller
 from cornellead_agent.relay import EngineClient
 from cornellead_agent.relay import Upstream
+from cornellead_agent.services import ServiceHandler
 from cornellead_core.auth import FleetKey
 from cornellead_core.blackboard import Blackboard
 from cornellead_core.blackboard import run_controllers
+from cornellead_core.distribution import ConfigDistributor
+from cornellead_core.distribution import HostListWatcher
 from cornellead_core.load import LoadTable
 from cornellead_core.metrics import Metrics
 from cornellead_core.platform import HttpHostList
+from cornellead_core.platform import HttpLog
 from cornellead_core.wire import Ack
 from cornellead_core.wire import ControlClient
 from cornellead_core.wire import ControlServer
@@ -86,6 +90,19 @@
         self._control_server = ControlServer(
             address=process.control, key=key, traffic=self._traffic, handler=self._handle
         )
+        log = HttpLog(client=self._http, url=process.platform_url)
+        self._distributor = ConfigDistributor(
+            board=self._board, log=log, client=self._control, settings=process
+        )
+        self._services: ServiceHandler | None = None
+        if settings.server.service:
+            self._services = ServiceHandler(
+                settings=settings,
+                board=self._board,
+                log=log,
+                client=self._http,
+                incarnation=clock.unix_ms(),
+            )
         counters = RelayCounters()
         endpoint = Endpoint(
             key=key, board=self._board, table=self._table, gate=self._gate, clock=clock
@@ -102,10 +119,12 @@
                 clock=clock,
             ),
             service=ServiceEndpoint(
+                service=settings.server.service,
                 endpoint=endpoint,
+                board=self._board,
                 gate=self._gate,
                 cold_limit=self._cold_limit,
-                client=self._engine,
+                handler=self._services,
                 clock=clock,
             ),
             status=StatusView(
@@ -137,6 +156,7 @@
             drainer = Drainer(
                 board=self._board,
                 gate=self._gate,
+                services=self._services,
                 timeout_s=self._settings.process.drain_timeout_s,
             )
             await drainer.drain()
@@ -151,8 +171,16 @@
 
     def _controllers(self) -> list[Controller]:
         hosts = HttpHostList(client=self._http, url=self._settings.process.platform_url)
+        services = self._services.controllers() if self._services is not None else []
         return [
-            HostPoller(board=self._board, hosts=hosts),
+            *services,
+            HostListWatcher(board=self._board, host_list=hosts),
+            self._distributor,
+            ConfigPuller(
+                board=self._board,
+                distributor=self._distributor,
+                settings=self._settings.process,
+            ),
             ServerMonitor(
                 board=self._board,
                 client=self._engine,
@@ -168,7 +196,9 @@
             return self._exchanger.handle(message)
         if isinstance(message, Hint):
             self._chats.hint(message.chat, message.server, now=time.monotonic())
-        return Ack()
+            return Ack()
+        answer = await self._distributor.handle(message)
+        return Ack() if answer is None else answer
 
     def _make_server(self) -> uvicorn.Server:
         host, _, port = self._settings.process.http.rpartition(":")
--- a/packages/agent/src/cornellead_agent/process/_drainer.py
+++ b/packages/agent/src/cornellead_agent/process/_drainer.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import Gate
+    from cornellead_agent.services import ServiceHandler
     from cornellead_core.blackboard import Blackboard
 
 POLL_S = 0.05
@@ -27,9 +28,17 @@
     :param timeout_s: Longest wait before streams are moved, in seconds.
     """
 
-    def __init__(self, *, board: Blackboard, gate: Gate, timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        board: Blackboard,
+        gate: Gate,
+        services: ServiceHandler | None,
+        timeout_s: float,
+    ) -> None:
         self._board = board
         self._gate = gate
+        self._services = services
         self._timeout_s = timeout_s
         self._log = structlog.get_logger()
 
@@ -44,10 +53,13 @@
                 self._log.error("requests_cut", in_flight=self._gate.in_flight)
         await asyncio.sleep(LINGER_S)
 
+    def _results_recorded(self) -> bool:
+        return self._services is None or self._services.idle
+
     async def _wait_idle(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
-                while self._gate.in_flight:
+                while self._gate.in_flight or not self._results_recorded():
                     await asyncio.sleep(POLL_S)
         except TimeoutError:
             return False
