--- a/packages/agent/src/cornellead_agent/api/_chat_relay.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -173,7 +173,7 @@
 
     async def _resume(self, assembler: EventAssembler) -> bool:
         assert self._conn is not None
-        self._conn.abort()
+        self._upstream.release(self._conn)
         assembler.restart()
         self._counters.resumes += 1
         for _ in range(MAX_RESUMES):
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -65,6 +65,7 @@
         self._metrics = Metrics()
         self._http = httpx.AsyncClient()
         self._engine = EngineClient(url=settings.server.url)
+        self._upstream = Upstream(client=self._engine)
         self._control = ControlClient(key=key, traffic=self._traffic)
         self._cold_limit = ColdLimit(
             start=settings.cold_start_limit,
@@ -114,7 +115,7 @@
                 board=self._board,
                 chats=self._chats,
                 cold_limit=self._cold_limit,
-                upstream=Upstream(client=self._engine),
+                upstream=self._upstream,
                 counters=counters,
                 clock=clock,
             ),
@@ -157,6 +158,7 @@
                 board=self._board,
                 gate=self._gate,
                 services=self._services,
+                active=self._upstream.active,
                 timeout_s=self._settings.process.drain_timeout_s,
             )
             await drainer.drain()
--- a/packages/agent/src/cornellead_agent/process/_drainer.py
+++ b/packages/agent/src/cornellead_agent/process/_drainer.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import Gate
+    from cornellead_agent.relay import ActiveConnections
     from cornellead_agent.services import ServiceHandler
     from cornellead_core.blackboard import Blackboard
 
@@ -34,11 +35,13 @@
         board: Blackboard,
         gate: Gate,
         services: ServiceHandler | None,
+        active: ActiveConnections,
         timeout_s: float,
     ) -> None:
         self._board = board
         self._gate = gate
         self._services = services
+        self._active = active
         self._timeout_s = timeout_s
         self._log = structlog.get_logger()
 
@@ -49,6 +52,7 @@
         if not await self._wait_idle(self._timeout_s):
             self._log.warning("drain_limit_passed", in_flight=self._gate.in_flight)
             self._board.write(MOVING, True)
+            self._active.abort_all()
             if not await self._wait_idle(MOVE_TIMEOUT_S):
                 self._log.error("requests_cut", in_flight=self._gate.in_flight)
         await asyncio.sleep(LINGER_S)
--- a/packages/agent/src/cornellead_agent/relay/__init__.py
+++ b/packages/agent/src/cornellead_agent/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornellead_agent.relay._active_connections import ActiveConnections
 from cornellead_agent.relay._engine_client import EngineClient
 from cornellead_agent.relay._engine_client import ExchangeError
 from cornellead_agent.relay._engine_client import WholeResponse
@@ -12,6 +13,7 @@
 from cornellead_agent.relay._upstream import Upstream
 
 __all__ = [
+    "ActiveConnections",
     "ChatRequest",
     "EngineClient",
     "EngineConnection",
--- a/packages/agent/src/cornellead_agent/relay/_upstream.py
+++ b/packages/agent/src/cornellead_agent/relay/_upstream.py
@@ -10,6 +10,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_agent.relay._active_connections import ActiveConnections
 from cornellead_agent.relay._engine_client import ExchangeError
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 
     def __init__(self, *, client: EngineClient) -> None:
         self._client = client
+        self.active = ActiveConnections()
 
     async def open(
         self, request: ChatRequest, *, resume_from: int
@@ -49,20 +51,20 @@
         ]
         if request.chat is not None:
             fields.append(("x-cache-key", f"{request.chat:016x}"))
-        return await self._client.open("POST", CHAT_PATH, headers=fields, body=body)
+        return self._track(await self._client.open("POST", CHAT_PATH, headers=fields, body=body))
 
     async def resume(
         self, request: ChatRequest, *, resume_from: int
     ) -> Result[EngineConnection, ExchangeError]:
         """Continue a stream that the engine still runs, or start it again after its last event."""
         target = f"/v1/streams/{request.request_id}?from={resume_from}"
-        opened = await self._client.open("GET", target)
+        opened = self._track(await self._client.open("GET", target))
         if isinstance(opened, Success):
             conn = opened.unwrap()
             head = await self.head(conn)
             if isinstance(head, Success) and head.unwrap() == 200:
                 return opened
-            conn.abort()
+            self.release(conn)
         return await self.open(request, resume_from=resume_from)
 
     async def head(self, conn: EngineConnection) -> Result[int, ExchangeError]:
@@ -82,8 +84,16 @@
 
     def release(self, conn: EngineConnection) -> None:
         """Give a connection back."""
+        self.active.remove(conn)
         self._client.release(conn)
 
+    def _track(
+        self, opened: Result[EngineConnection, ExchangeError]
+    ) -> Result[EngineConnection, ExchangeError]:
+        if isinstance(opened, Success):
+            self.active.add(opened.unwrap())
+        return opened
+
 
 def with_resume(body: bytes, resume_from: int) -> bytes:
     """Add the event to continue after to a JSON object.
--- /dev/null
+++ b/tests/agent/harness.py
@@ -0,0 +1,198 @@
+"""An agent's chat endpoint without a listener, in front of a scripted engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cornellead_agent.admission import ColdLimit
+from cornellead_agent.admission import Gate
+from cornellead_agent.admission import ServerSample
+from cornellead_agent.api import ChatEndpoint
+from cornellead_agent.api import Endpoint
+from cornellead_agent.api import RelayCounters
+from cornellead_agent.chats import ChatIndex
+from cornellead_agent.facts import ANNOUNCED
+from cornellead_agent.facts import SERVER
+from cornellead_agent.facts import ServerView
+from cornellead_agent.relay import EngineClient
+from cornellead_agent.relay import Upstream
+from cornellead_core.auth import FleetKey
+from cornellead_core.blackboard import Blackboard
+from cornellead_core.load import LoadTable
+from cornellead_core.settings import AgentSettings
+from cornellead_core.settings import ProcessSettings
+from cornellead_core.settings import ServerSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+KEY = FleetKey(secret=b"0123456789abcdef")
+REQUEST_ID = "00112233445566aa"
+PATH = "/v1/chat/completions"
+
+
+class ScriptedEngine:
+    """Answers each connection with the next prepared bytes, then closes or keeps it open."""
+
+    def __init__(self) -> None:
+        self.answers: list[tuple[list[bytes], bool]] = []
+        self.requests: list[bytes] = []
+        self.received = asyncio.Event()
+        self.disconnects = 0
+        self.port = 0
+
+    def answer(self, *parts: bytes, close: bool = True) -> None:
+        """Prepare the answer to the next request."""
+        self.answers.append((list(parts), close))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = 0
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"content-length:"):
+                length = int(line.split(b":")[1])
+        self.requests.append(head + await reader.readexactly(length))
+        self.received.set()
+        parts, close = (
+            self.answers.pop(0)
+            if self.answers
+            else ([b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"], True)
+        )
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+        if not close:
+            await reader.read()
+            self.disconnects += 1
+        writer.close()
+
+
+def sse_head() -> bytes:
+    """Return the head of a chunked event stream."""
+    return (
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+
+
+def chunk(content: bytes) -> bytes:
+    """Return one HTTP chunk."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+def event(number: int, *, usage: bool = False) -> bytes:
+    """Return one stream event."""
+    data = b'{"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}'
+    return b"id: %d\ndata: %s\n\n" % (number, data if usage else b'{"choices":[%d]}' % number)
+
+
+DONE = b"data: [DONE]\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+class FakeClock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        """Return the time that the test set."""
+        return self.now
+
+    def unix_ms(self) -> int:
+        """Return the same time as Unix time."""
+        return round(self.now * 1000)
+
+
+class Harness:
+    """The endpoint, its state and the messages that it sent."""
+
+    def __init__(self, *, port: int) -> None:
+        self.board = Blackboard()
+        self.board.write(SERVER, ServerView(up=True))
+        self.board.write(ANNOUNCED, True)
+        self.clock = FakeClock()
+        self.chats = ChatIndex()
+        self.counters = RelayCounters()
+        self.cold_limit = ColdLimit(start=2, capacity=16, ceiling_s=0.6)
+        self.cold_limit.observe(ServerSample("boot", 0, 16, 0))
+        self.table = LoadTable()
+        process = ProcessSettings("m0", "r", "dc0", "", "", "", "0123456789abcdef")
+        server = ServerSettings(f"http://127.0.0.1:{port}")
+        self.gate = Gate(
+            settings=AgentSettings(process, server, join_grace_s=600.0),
+            board=self.board,
+            table=self.table,
+            cold_limit=self.cold_limit,
+            chats=self.chats,
+            incarnation=1_800_000_000_000,
+            started_at=self.clock.now - 1000,
+        )
+        endpoint = Endpoint(
+            key=KEY, board=self.board, table=self.table, gate=self.gate, clock=self.clock
+        )
+        self.client = EngineClient(url=server.url)
+        self.upstream = Upstream(client=self.client)
+        self.endpoint = ChatEndpoint(
+            endpoint=endpoint,
+            gate=self.gate,
+            board=self.board,
+            chats=self.chats,
+            cold_limit=self.cold_limit,
+            upstream=self.upstream,
+            counters=self.counters,
+            clock=self.clock,
+        )
+        self.messages: list[dict[str, Any]] = []
+        self.gone = asyncio.Event()
+
+    async def ask(
+        self,
+        *,
+        body: bytes = b'{"model":"chat","stream":true}',
+        fields: Sequence[tuple[str, str]] = (),
+        authentic: bool = True,
+    ) -> None:
+        """Send one request through the endpoint."""
+        token = KEY.sign_request(
+            now_ms=self.clock.unix_ms(), method="POST", path=PATH, request_id=REQUEST_ID
+        )
+        named = [("x-cl-request", REQUEST_ID), *fields]
+        if authentic:
+            named.append(("x-cl-auth", token))
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": PATH,
+            "headers": [(name.encode(), value.encode()) for name, value in named],
+        }
+        pending = [{"type": "http.request", "body": body, "more_body": False}]
+
+        async def receive() -> dict[str, Any]:
+            if pending:
+                return pending.pop()
+            await self.gone.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message: dict[str, Any]) -> None:
+            self.messages.append(message)
+
+        await self.endpoint.handle(scope, receive, send)
+
+    @property
+    def status(self) -> int:
+        """Status of the response."""
+        return int(self.messages[0]["status"])
+
+    @property
+    def fields(self) -> dict[str, str]:
+        """Headers of the response."""
+        return {name.decode(): value.decode() for name, value in self.messages[0]["headers"]}
+
+    @property
+    def content(self) -> bytes:
+        """Body of the response."""
+        return b"".join(message["body"] for message in self.messages[1:])
