--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -14,6 +14,7 @@
 from cornellead_core.facts import HOSTS
 from cornellead_core.load import DEFAULT_BOUND
 from cornellead_core.load import DEFAULT_MARGIN
+from cornellead_core.load import EXPIRY_S
 from cornellead_core.load import HORIZON_S
 from cornellead_core.load import DcSummary
 from cornellead_core.load import Digest
@@ -39,8 +40,6 @@
 """Bounds on the time in which the load of a fleet that gets no requests is taken to end."""
 SEQ_EPOCH_S = 1_767_225_600
 """Unix time from which summaries are numbered, so that the numbers fit into 32 bits."""
-DIGEST_AGE_S = 3.0
-"""Older summaries are not passed on: they count for nothing in the estimate."""
 
 
 class Gate:
@@ -181,7 +180,7 @@
     def digest(self, *, now: float) -> Digest:
         """Return what a response tells a router of the load."""
         self._refresh(now)
-        return Digest(self._table.summaries(now=now, max_age_s=DIGEST_AGE_S), self.report(now=now))
+        return Digest(self._table.summaries(now=now, max_age_s=EXPIRY_S), self.report(now=now))
 
     def estimate(self, *, now: float, added: int = 0) -> LoadEstimate:
         """Estimate the mean load of the fleet.
--- a/packages/agent/src/cornellead_agent/engine/__init__.py
+++ b/packages/agent/src/cornellead_agent/engine/__init__.py
@@ -2,6 +2,24 @@
 
 from __future__ import annotations
 
+from cornellead_agent.engine._cache_watcher import CacheEvent
+from cornellead_agent.engine._cache_watcher import CachePage
+from cornellead_agent.engine._cache_watcher import CacheWatcher
+from cornellead_agent.engine._cache_watcher import apply_events
+from cornellead_agent.engine._command_plan import Command
+from cornellead_agent.engine._command_plan import plan_commands
+from cornellead_agent.engine._commander import Commander
+from cornellead_agent.engine._fence import Fence
 from cornellead_agent.engine._server_monitor import ServerMonitor
 
-__all__ = ["ServerMonitor"]
+__all__ = [
+    "CacheEvent",
+    "CachePage",
+    "CacheWatcher",
+    "Command",
+    "Commander",
+    "Fence",
+    "ServerMonitor",
+    "apply_events",
+    "plan_commands",
+]
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/engine/_commander.py
@@ -0,0 +1,79 @@
+"""Brings the engine to its desired state."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+from returns.result import Success
+
+from cornellead_agent.engine._command_plan import plan_commands
+from cornellead_agent.facts import SERVER
+from cornellead_core.facts import CONFIG
+
+if TYPE_CHECKING:
+    from cornellead_agent.engine._command_plan import Command
+    from cornellead_agent.engine._fence import Fence
+    from cornellead_agent.relay import EngineClient
+    from cornellead_core.blackboard import Blackboard
+
+RECONCILE_INTERVAL_S = 1.0
+"""Above the lag of an engine's state, so that a command in progress is seldom repeated."""
+COMMAND_TIMEOUT_S = 5.0
+STALE_FENCE = 409
+
+
+class Commander:
+    """Controller that compares desired with actual state and sends the difference.
+
+    A repeated or late command is corrected in a later round, also at engines that ignore tokens.
+    """
+
+    name = "commander"
+
+    def __init__(
+        self, *, server: str, board: Blackboard, client: EngineClient, fence: Fence
+    ) -> None:
+        self._server = server
+        self._board = board
+        self._client = client
+        self._fence = fence
+        self._log = structlog.get_logger()
+        self.sent = 0
+        self.rejected = 0
+
+    async def run(self) -> None:
+        """Reconcile until cancelled or replaced by another agent of this server."""
+        while not self._fence.replaced:
+            await self.reconcile()
+            await asyncio.sleep(RECONCILE_INTERVAL_S)
+        self._log.warning("commands_stopped", reason="another agent took a later fencing token")
+
+    async def reconcile(self) -> None:
+        """Send the commands of one round."""
+        desired = self._board.read(CONFIG).servers.get(self._server)
+        actual = self._board.read(SERVER)
+        if desired is None or not actual.up:
+            return
+        for command in plan_commands(desired, actual):
+            # Read again before each command: engines that ignore tokens rely on this agent.
+            token = await self._fence.token()
+            if token is None or not await self._send(command, token):
+                return
+
+    async def _send(self, command: Command, token: int) -> bool:
+        body = msgspec.json.encode({"fence": token, "kind": command.kind, "value": command.value})
+        fetched = await self._client.fetch(
+            "POST",
+            "/orders",
+            headers=[("content-type", "application/json")],
+            body=body,
+            timeout_s=COMMAND_TIMEOUT_S,
+        )
+        if not isinstance(fetched, Success):
+            return False
+        self.sent += 1
+        self.rejected += fetched.unwrap().status == STALE_FENCE
+        return bool(fetched.unwrap().status == 200)
--- a/packages/agent/src/cornellead_agent/exchange/_interval.py
+++ b/packages/agent/src/cornellead_agent/exchange/_interval.py
@@ -7,7 +7,7 @@
 """Part of the 3 KB/s for control that load may use; configuration uses the rest."""
 PAIR_BYTES = 112
 """Request and answer with the summary of one server each, with MAC and framing."""
-LINK_BYTES = 172
+LINK_BYTES = 184
 """Report and answer with two summaries; a test compares both with the codec."""
 
 
--- a/packages/agent/src/cornellead_agent/exchange/_load_node.py
+++ b/packages/agent/src/cornellead_agent/exchange/_load_node.py
@@ -9,6 +9,7 @@
 from cornellead_agent.exchange._interval import round_interval_s
 from cornellead_agent.exchange._round_plan import RoundPlan
 from cornellead_agent.exchange._round_plan import plan_round
+from cornellead_core.load import EXPIRY_S
 from cornellead_core.load import TOTAL
 from cornellead_core.load import Digest
 from cornellead_core.wire import LoadExchange
@@ -29,7 +30,7 @@
 """Time after which an agent that did not answer may be reporter again."""
 REPORT_MAX_AGE_S = 3.0
 REPLY_SUMMARIES = 2
-"""Summaries in the answer to a member; successive answers rotate through all."""
+"""Summaries in the answer to a member or reporter; successive answers rotate through all."""
 
 
 class LoadNode:
@@ -80,7 +81,7 @@
         if self._plan.mesh:
             return LoadExchange([self._gate.summary()])
         if any(summary.dc == self._dc for summary in message.summaries):
-            return LoadExchange(self._known(now))
+            return LoadExchange(self._rotate(now))
         return LoadExchange([self._summarize_total(now)])
 
     def record_answer(self, peer: str, answer: LoadExchange, *, sent_at: float) -> None:
@@ -113,12 +114,12 @@
         self._table.replace_summary(total, now=now)
         return total
 
-    def _known(self, now: float) -> list[DcSummary]:
-        known = self._table.summaries(now=now, max_age_s=REPORT_MAX_AGE_S)
-        return [summary for summary in known if summary.group == TOTAL]
-
     def _rotate(self, now: float) -> list[DcSummary]:
-        known = self._known(now)
+        known = [
+            summary
+            for summary in self._table.summaries(now=now, max_age_s=EXPIRY_S)
+            if summary.group == TOTAL
+        ]
         if len(known) <= REPLY_SUMMARIES:
             return known
         start = self._rotation % len(known)
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -20,6 +21,9 @@
 from cornellead_agent.api import SystemClock
 from cornellead_agent.api import build_app
 from cornellead_agent.chats import ChatIndex
+from cornellead_agent.engine import CacheWatcher
+from cornellead_agent.engine import Commander
+from cornellead_agent.engine import Fence
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.exchange import LoadExchanger
 from cornellead_agent.process._config_puller import ConfigPuller
@@ -95,6 +99,12 @@
         self._distributor = ConfigDistributor(
             board=self._board, log=log, client=self._control, settings=process
         )
+        self._commander = Commander(
+            server=process.name,
+            board=self._board,
+            client=self._engine,
+            fence=Fence(log=log, server=process.name, owner=secrets.token_hex(8)),
+        )
         self._services: ServiceHandler | None = None
         if settings.server.service:
             self._services = ServiceHandler(
@@ -173,9 +183,15 @@
 
     def _controllers(self) -> list[Controller]:
         hosts = HttpHostList(client=self._http, url=self._settings.process.platform_url)
-        services = self._services.controllers() if self._services is not None else []
+        if self._services is not None:
+            beside = self._services.controllers()
+        else:
+            beside = [
+                CacheWatcher(board=self._board, client=self._engine, chats=self._chats),
+                self._commander,
+            ]
         return [
-            *services,
+            *beside,
             HostListWatcher(board=self._board, host_list=hosts),
             self._distributor,
             ConfigPuller(
--- a/packages/core/src/cornellead_core/load/__init__.py
+++ b/packages/core/src/cornellead_core/load/__init__.py
@@ -12,6 +12,7 @@
 from cornellead_core.load._digest import ServerState
 from cornellead_core.load._digest import decode_digest
 from cornellead_core.load._digest import encode_digest
+from cornellead_core.load._load_table import EXPIRY_S
 from cornellead_core.load._load_table import HORIZON_S
 from cornellead_core.load._load_table import TOTAL
 from cornellead_core.load._load_table import LoadEstimate
@@ -22,6 +23,7 @@
     "BATCH_SHARE",
     "DEFAULT_BOUND",
     "DEFAULT_MARGIN",
+    "EXPIRY_S",
     "HORIZON_S",
     "TOTAL",
     "DcSummary",
--- a/packages/core/src/cornellead_core/load/_load_table.py
+++ b/packages/core/src/cornellead_core/load/_load_table.py
@@ -19,7 +19,7 @@
 
 HORIZON_S = 3.0
 """Age at which a summary's load counts for nothing, until the time of a request is measured."""
-EXPIRY_S = 5.0
+EXPIRY_S = 15.0
 """Age at which a summary's capacity is dropped too.
 
 Without it, half a fleet that is cut off would count as idle and the limits of the other half would
