--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -38,6 +38,8 @@
 MIN_HORIZON_S = 0.5
 MAX_HORIZON_S = 12.0
 """Bounds on the time in which the load of a fleet that gets no requests is taken to end."""
+RATIO_MIN_MEAN = 4.0
+"""Mean load from which admissions count for the highest ratio seen."""
 SEQ_EPOCH_S = 1_767_225_600
 """Unix time from which summaries are numbered, so that the numbers fit into 32 bits."""
 
@@ -116,13 +118,15 @@
         self.in_flight += 1
         self.admissions += 1
         if self.is_engine:
-            rho = self.estimate(now=now).rho
-            self.max_over_mean = max(
-                self.max_over_mean,
-                self.in_flight / self.limit(now=now, rho=rho, fallback=True),
-            )
+            self._record_ratio(now)
         return None
 
+    def _record_ratio(self, now: float) -> None:
+        mean = self.capacity * self.estimate(now=now).rho
+        # Below this mean the ratio says more of the rounding than of the balance.
+        if mean >= RATIO_MIN_MEAN:
+            self.max_over_mean = max(self.max_over_mean, self.in_flight / mean)
+
     def finish(self, *, duration_s: float) -> None:
         """Count a request as no longer in flight.
 
--- a/packages/agent/src/cornellead_agent/api/__init__.py
+++ b/packages/agent/src/cornellead_agent/api/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornellead_agent.api._agent_metrics import AgentMetrics
 from cornellead_agent.api._build_app import build_app
 from cornellead_agent.api._chat_endpoint import ChatEndpoint
 from cornellead_agent.api._clock import Clock
@@ -12,6 +13,7 @@
 from cornellead_agent.api._status_view import StatusView
 
 __all__ = [
+    "AgentMetrics",
     "ChatEndpoint",
     "Clock",
     "Endpoint",
--- a/packages/agent/src/cornellead_agent/api/_build_app.py
+++ b/packages/agent/src/cornellead_agent/api/_build_app.py
@@ -16,10 +16,10 @@
     from litestar.types import Send
 
     from cornellead_agent.admission import Gate
+    from cornellead_agent.api._agent_metrics import AgentMetrics
     from cornellead_agent.api._chat_endpoint import ChatEndpoint
     from cornellead_agent.api._service_endpoint import ServiceEndpoint
     from cornellead_agent.api._status_view import StatusView
-    from cornellead_core.metrics import Metrics
 
 
 def build_app(
@@ -28,7 +28,7 @@
     service: ServiceEndpoint,
     status: StatusView,
     gate: Gate,
-    metrics: Metrics,
+    metrics: AgentMetrics,
 ) -> Litestar:
     """Build the application from its endpoints."""
 
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -13,6 +13,7 @@
 
 from cornellead_agent.admission import ColdLimit
 from cornellead_agent.admission import Gate
+from cornellead_agent.api import AgentMetrics
 from cornellead_agent.api import ChatEndpoint
 from cornellead_agent.api import Endpoint
 from cornellead_agent.api import RelayCounters
@@ -66,7 +67,6 @@
         self._traffic = Traffic()
         self._table = LoadTable()
         self._chats = ChatIndex()
-        self._metrics = Metrics()
         self._http = httpx.AsyncClient()
         self._engine = EngineClient(url=settings.server.url)
         self._upstream = Upstream(client=self._engine)
@@ -118,6 +118,16 @@
         endpoint = Endpoint(
             key=key, board=self._board, table=self._table, gate=self._gate, clock=clock
         )
+        status = StatusView(
+            settings=settings,
+            board=self._board,
+            gate=self._gate,
+            cold_limit=self._cold_limit,
+            chats=self._chats,
+            counters=counters,
+            traffic=self._traffic,
+            clock=clock,
+        )
         self._app = build_app(
             chat=ChatEndpoint(
                 endpoint=endpoint,
@@ -138,18 +148,9 @@
                 handler=self._services,
                 clock=clock,
             ),
-            status=StatusView(
-                settings=settings,
-                board=self._board,
-                gate=self._gate,
-                cold_limit=self._cold_limit,
-                chats=self._chats,
-                counters=counters,
-                traffic=self._traffic,
-                clock=clock,
-            ),
+            status=status,
             gate=self._gate,
-            metrics=self._metrics,
+            metrics=AgentMetrics(metrics=Metrics(), status=status),
         )
 
     async def run(self) -> None:
