--- a/packages/agent/src/cornellead_agent/process/__init__.py
+++ b/packages/agent/src/cornellead_agent/process/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from cornellead_agent.process._agent import Agent
+from cornellead_agent.process._drainer import Drainer
 
-__all__ = ["Agent"]
+__all__ = ["Agent", "Drainer"]
