Hand caches over during a drain, and mount the routes with a parameter

Raw ASGI handlers with a path parameter answered 500 in the HTTP framework, so service calls failed; they are mounted now and the signature is checked over the path as sent.

--- a/packages/agent/src/cornellead_agent/api/__init__.py
+++ b/packages/agent/src/cornellead_agent/api/__init__.py
@@ -4,6 +4,7 @@
 
 from cornellead_agent.api._agent_metrics import AgentMetrics
 from cornellead_agent.api._build_app import build_app
+from cornellead_agent.api._cache_endpoint import CacheEndpoint
 from cornellead_agent.api._chat_endpoint import ChatEndpoint
 from cornellead_agent.api._clock import Clock
 from cornellead_agent.api._clock import SystemClock
@@ -14,6 +15,7 @@
 
 __all__ = [
     "AgentMetrics",
+    "CacheEndpoint",
     "ChatEndpoint",
     "Clock",
     "Endpoint",
--- a/packages/agent/src/cornellead_agent/api/_build_app.py
+++ b/packages/agent/src/cornellead_agent/api/_build_app.py
@@ -17,6 +17,7 @@
 
     from cornellead_agent.admission import Gate
     from cornellead_agent.api._agent_metrics import AgentMetrics
+    from cornellead_agent.api._cache_endpoint import CacheEndpoint
     from cornellead_agent.api._chat_endpoint import ChatEndpoint
     from cornellead_agent.api._service_endpoint import ServiceEndpoint
     from cornellead_agent.api._status_view import StatusView
@@ -26,6 +27,7 @@
     *,
     chat: ChatEndpoint,
     service: ServiceEndpoint,
+    cache: CacheEndpoint,
     status: StatusView,
     gate: Gate,
     metrics: AgentMetrics,
@@ -36,10 +38,14 @@
     async def post_chat(scope: Scope, receive: Receive, send: Send) -> None:
         await chat.handle(scope, receive, send)
 
-    @asgi("/v1/services/{service:str}/{operation:str}", copy_scope=False)
+    @asgi("/v1/services", is_mount=True, copy_scope=False)
     async def post_service(scope: Scope, receive: Receive, send: Send) -> None:
         await service.handle(scope, receive, send)
 
+    @asgi("/v1/kv", is_mount=True, copy_scope=False)
+    async def put_cache(scope: Scope, receive: Receive, send: Send) -> None:
+        await cache.handle(scope, receive, send)
+
     @get("/healthz", sync_to_thread=False)
     def get_healthz() -> dict[str, str]:
         return {"status": "ok"}
@@ -58,7 +64,15 @@
         return metrics.render()
 
     return Litestar(
-        route_handlers=[post_chat, post_service, get_healthz, get_readyz, get_status, get_metrics],
+        route_handlers=[
+            post_chat,
+            post_service,
+            put_cache,
+            get_healthz,
+            get_readyz,
+            get_status,
+            get_metrics,
+        ],
         openapi_config=None,
         logging_config=None,
     )
--- /dev/null
+++ b/packages/agent/src/cornellead_agent/api/_cache_endpoint.py
@@ -0,0 +1,77 @@
+"""Import of chat caches from agents that leave."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from returns.result import Success
+
+from cornellead_agent.api._body import read_body
+from cornellead_agent.api._responses import send_error
+from cornellead_agent.api._responses import send_whole
+from cornellead_core.load import ServerState
+from cornellead_core.outcomes import Outcome
+
+if TYPE_CHECKING:
+    from cornellead_agent.admission import Gate
+    from cornellead_agent.api._clock import Clock
+    from cornellead_agent.api._endpoint import Endpoint
+    from cornellead_agent.chats import ChatIndex
+    from cornellead_agent.relay import EngineClient
+
+IMPORT_TIMEOUT_S = 5.0
+
+
+class CacheEndpoint:
+    """Raw ASGI handler of ``PUT /v1/kv/{chat}``."""
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        gate: Gate,
+        chats: ChatIndex,
+        client: EngineClient,
+        clock: Clock,
+    ) -> None:
+        self._endpoint = endpoint
+        self._gate = gate
+        self._chats = chats
+        self._client = client
+        self._clock = clock
+
+    async def handle(self, scope: Any, receive: Any, send: Any) -> None:
+        """Pass the cache of one chat on to the engine."""
+        context = await self._endpoint.accept(scope, send)
+        if context is None:
+            return
+        content = await read_body(receive)
+        status, message = 503, "this server takes no caches now"
+        if not isinstance(content, Success):
+            status, message = content.failure()
+        elif context.chat is None:
+            status, message = 400, "name the chat in x-cl-chat"
+        elif self._gate.is_engine and self._gate.state is ServerState.SERVING:
+            status = await self._store(context.chat, content.unwrap())
+            message = "the engine did not take the cache"
+        fields = self._endpoint.common_headers(context)
+        if status == 200:
+            await send_whole(send, 200, fields, b"")
+            return
+        await send_error(
+            send, status, fields, message=message, code="no_import", outcome=Outcome.NOT_RUN
+        )
+
+    async def _store(self, chat: int, body: bytes) -> int:
+        fetched = await self._client.fetch(
+            "PUT",
+            f"/kv/{chat:016x}",
+            headers=[("content-type", "application/json")],
+            body=body,
+            timeout_s=IMPORT_TIMEOUT_S,
+        )
+        if not isinstance(fetched, Success) or fetched.unwrap().status >= 300:
+            return 502
+        self._chats.touch(chat, now=self._clock.monotonic())
+        return 200
--- a/packages/agent/src/cornellead_agent/api/_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_endpoint.py
@@ -9,6 +9,7 @@
 
 from cornellead_agent.api._request_context import read_context
 from cornellead_agent.api._request_context import read_headers
+from cornellead_agent.api._request_context import read_path
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.facts import NEEDED_CONFIG
 from cornellead_core import headers
@@ -48,7 +49,7 @@
             fields.get(headers.AUTH, ""),
             now_ms=self._clock.unix_ms(),
             method=scope["method"],
-            path=scope["path"],
+            path=read_path(scope),
             request_id=context.request_id,
         )
         if not authentic:
--- a/packages/agent/src/cornellead_agent/api/_request_context.py
+++ b/packages/agent/src/cornellead_agent/api/_request_context.py
@@ -30,6 +30,14 @@
     return {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
 
 
+def read_path(scope: Mapping[str, Any]) -> str:
+    """Return the path as sent; a mount changes ``path``, which the signature covers."""
+    raw: bytes | None = scope.get("raw_path")
+    if raw is None:
+        return str(scope["path"])
+    return raw.partition(b"?")[0].decode("latin-1")
+
+
 def read_context(fields: Mapping[str, str], *, now: float) -> RequestContext:
     """Parse the internal headers; a malformed number counts as absent.
 
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -9,6 +9,7 @@
 
 from cornellead_agent.api._body import read_body
 from cornellead_agent.api._request_context import read_headers
+from cornellead_agent.api._request_context import read_path
 from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.api._responses import send_whole
@@ -62,7 +63,7 @@
         context = await self._endpoint.accept(scope, send)
         if context is None:
             return
-        _, _, path = scope["path"].partition("/v1/services/")
+        _, _, path = read_path(scope).partition("/v1/services/")
         service, _, operation = path.rstrip("/").partition("/")
         if self._handler is None or service != self._service or not operation:
             message = f"this agent serves {self._service or 'models'}; refresh the host list"
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -14,6 +14,7 @@
 from cornellead_agent.admission import ColdLimit
 from cornellead_agent.admission import Gate
 from cornellead_agent.api import AgentMetrics
+from cornellead_agent.api import CacheEndpoint
 from cornellead_agent.api import ChatEndpoint
 from cornellead_agent.api import Endpoint
 from cornellead_agent.api import RelayCounters
@@ -27,6 +28,7 @@
 from cornellead_agent.engine import Fence
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.exchange import LoadExchanger
+from cornellead_agent.process._cache_handoff import CacheHandoff
 from cornellead_agent.process._config_puller import ConfigPuller
 from cornellead_agent.process._drainer import Drainer
 from cornellead_agent.relay import EngineClient
@@ -114,6 +116,14 @@
                 client=self._http,
                 incarnation=clock.unix_ms(),
             )
+        self._handoff = CacheHandoff(
+            settings=settings,
+            board=self._board,
+            chats=self._chats,
+            engine=self._engine,
+            key=key,
+            clock=clock,
+        )
         counters = RelayCounters()
         endpoint = Endpoint(
             key=key, board=self._board, table=self._table, gate=self._gate, clock=clock
@@ -148,6 +158,13 @@
                 handler=self._services,
                 clock=clock,
             ),
+            cache=CacheEndpoint(
+                endpoint=endpoint,
+                gate=self._gate,
+                chats=self._chats,
+                client=self._engine,
+                clock=clock,
+            ),
             status=status,
             gate=self._gate,
             metrics=AgentMetrics(metrics=Metrics(), status=status),
@@ -172,7 +189,10 @@
                 active=self._upstream.active,
                 timeout_s=self._settings.process.drain_timeout_s,
             )
+            handing = asyncio.create_task(self._handoff.run())
             await drainer.drain()
+            handing.cancel()
+            await asyncio.gather(handing, return_exceptions=True)
         server.should_exit = True
         await serving
         stopping.cancel()
