--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -226,6 +226,7 @@
         )
 
     def _known_hint(self, chat: int, now: float) -> str:
+        self._index_hosts()
         hint = self._chats.find_hint(chat, now=now)
         return hint if hint in self._live_hosts else ""
 
--- a/packages/agent/src/cornellead_agent/exchange/_load_exchanger.py
+++ b/packages/agent/src/cornellead_agent/exchange/_load_exchanger.py
@@ -24,6 +24,8 @@
     from cornellead_core.wire import Message
     from cornellead_core.wire import Report
 
+ANNOUNCE_LIMIT_S = 5.0
+"""Time after which an agent admits although some listed agents did not answer."""
 ANNOUNCE_S = 1.0
 """Time between the first exchange and the first admission, in which peers learn the capacity."""
 
@@ -42,9 +44,10 @@
         gate: Gate,
         client: ControlClient,
     ) -> None:
-        self._settings = settings
         self._board = board
         self._client = client
+        self._gate = gate
+        self._service = settings.server.service
         process = settings.process
         self._node = LoadNode(name=process.name, dc=process.dc, gate=gate, table=table)
 
@@ -56,12 +59,22 @@
         """Exchange until cancelled."""
         started_at = time.monotonic()
         while True:
-            if not self._settings.server.service:
+            if not self._service:
                 await self._run_round()
-            if not self._board.read(ANNOUNCED) and time.monotonic() - started_at >= ANNOUNCE_S:
+            if not self._board.read(ANNOUNCED) and self._announced(time.monotonic() - started_at):
                 self._board.write(ANNOUNCED, True)
             await asyncio.sleep(self._node.interval_s)
 
+    def _announced(self, elapsed_s: float) -> bool:
+        """Whether peers know this server and it knows them; alone it would see no mean at all."""
+        if elapsed_s < ANNOUNCE_S or not self._board.revision(HOSTS):
+            return False
+        listed = sum(
+            host.kind is HostKind.AGENT and not host.service for host in self._board.read(HOSTS)
+        )
+        known = self._gate.estimate(now=time.monotonic()).servers
+        return elapsed_s >= ANNOUNCE_LIMIT_S or known >= listed or bool(self._service)
+
     async def _run_round(self) -> None:
         engines = {
             host.name: host
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -31,6 +31,7 @@
 from cornellead_agent.process._cache_handoff import CacheHandoff
 from cornellead_agent.process._config_puller import ConfigPuller
 from cornellead_agent.process._drainer import Drainer
+from cornellead_agent.process._http_server import HttpServer
 from cornellead_agent.relay import EngineClient
 from cornellead_agent.relay import Upstream
 from cornellead_agent.services import ServiceHandler
@@ -177,7 +178,7 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)
         server = self._make_server()
-        serving = asyncio.create_task(server._serve())
+        serving = asyncio.create_task(server.serve())
         controlling = asyncio.create_task(run_controllers(self._controllers()))
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait({serving, controlling, stopping}, return_when=asyncio.FIRST_COMPLETED)
@@ -239,7 +240,7 @@
         answer = await self._distributor.handle(message)
         return Ack() if answer is None else answer
 
-    def _make_server(self) -> uvicorn.Server:
+    def _make_server(self) -> HttpServer:
         host, _, port = self._settings.process.http.rpartition(":")
         config = uvicorn.Config(
             self._app,
@@ -253,4 +254,4 @@
             log_level="warning",
             timeout_graceful_shutdown=2,
         )
-        return uvicorn.Server(config)
+        return HttpServer(config)
