--- /dev/null
+++ b/tests/agent/engine/test_server_monitor.py
@@ -0,0 +1,62 @@
+"""Samples of the server's load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cornellead_agent.engine import ServerMonitor
+from cornellead_agent.facts import SERVER
+
+if TYPE_CHECKING:
+    from tests.agent.harness import Harness
+    from tests.agent.harness import ScriptedEngine
+
+
+def make_load(boot_id: str, *, cached_blocks: int = 100, running: int = 0) -> bytes:
+    """Return an answer of the engine to ``GET /load``."""
+    load = {"boot_id": boot_id, "restarts": 0, "running": running, "cached_blocks": cached_blocks}
+    body = msgspec.json.encode(load)
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+
+
+async def test_restart_makes_the_server_cold_and_empties_the_index(
+    engine: ScriptedEngine, harness: Harness
+) -> None:
+    """Guards against full load and returning chats on an engine that lost its cache."""
+    monitor = ServerMonitor(
+        board=harness.board,
+        client=harness.client,
+        cold_limit=harness.cold_limit,
+        chats=harness.chats,
+    )
+    harness.chats.touch(1, now=0.0)
+    engine.answer(make_load("boot"))
+    engine.answer(make_load("boot-2"))
+    await monitor.sample()
+    assert (harness.cold_limit.value, len(harness.chats)) == (16, 1)
+    await monitor.sample()
+    assert (harness.cold_limit.value, len(harness.chats)) == (2, 0)
+    assert harness.board.read(SERVER).boot_id == "boot-2"
+
+
+async def test_server_is_down_after_two_failed_samples(
+    engine: ScriptedEngine, harness: Harness
+) -> None:
+    """Guards against refusals after one lost answer, and against work for a dead server."""
+    monitor = ServerMonitor(
+        board=harness.board,
+        client=harness.client,
+        cold_limit=harness.cold_limit,
+        chats=harness.chats,
+    )
+    engine.answer(b"HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n")
+    await monitor.sample()
+    assert harness.gate.state.value == "serving"
+    engine.answer(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{")
+    await monitor.sample()
+    assert harness.gate.state.value == "down"
+    engine.answer(make_load("boot"))
+    await monitor.sample()
+    assert harness.gate.state.value == "serving"
