--- a/tests/agent/engine/test_server_monitor.py
+++ b/tests/agent/engine/test_server_monitor.py
@@ -21,6 +21,11 @@
     return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
 
 
+def read_state(harness: Harness) -> str:
+    """Return the state of the agent's server."""
+    return harness.gate.state.value
+
+
 async def test_restart_makes_the_server_cold_and_empties_the_index(
     engine: ScriptedEngine, harness: Harness
 ) -> None:
@@ -53,10 +58,10 @@
     )
     engine.answer(b"HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n")
     await monitor.sample()
-    assert harness.gate.state.value == "serving"
+    assert read_state(harness) == "serving"
     engine.answer(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{")
     await monitor.sample()
-    assert harness.gate.state.value == "down"
+    assert read_state(harness) == "down"
     engine.answer(make_load("boot"))
     await monitor.sample()
-    assert harness.gate.state.value == "serving"
+    assert read_state(harness) == "serving"
