--- a/packages/agent/src/cornellead_agent/admission/_cold_limit.py
+++ b/packages/agent/src/cornellead_agent/admission/_cold_limit.py
@@ -88,7 +88,11 @@
             self._baseline_s = 0.0
         return True
 
-    def _drop(self) -> None:
+    def restart(self) -> None:
+        """Start again from the limit of a cold server."""
         self.value = self._start
         self._streak = 0
+
+    def _drop(self) -> None:
+        self.restart()
         self.drops += 1
--- a/packages/agent/src/cornellead_agent/engine/_server_monitor.py
+++ b/packages/agent/src/cornellead_agent/engine/_server_monitor.py
@@ -12,6 +12,7 @@
 from cornellead_agent.admission import ServerSample
 from cornellead_agent.facts import SERVER
 from cornellead_agent.facts import ServerView
+from cornellead_core.facts import CONFIG
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import ColdLimit
@@ -44,8 +45,15 @@
     name = "server-monitor"
 
     def __init__(
-        self, *, board: Blackboard, client: EngineClient, cold_limit: ColdLimit, chats: ChatIndex
+        self,
+        *,
+        dc: str,
+        board: Blackboard,
+        client: EngineClient,
+        cold_limit: ColdLimit,
+        chats: ChatIndex,
     ) -> None:
+        self._dc = dc
         self._board = board
         self._client = client
         self._cold_limit = cold_limit
@@ -80,6 +88,10 @@
         if cold:
             self._chats.clear()
             self._log.warning("server_cold", boot_id=body.boot_id, restarts=body.restarts)
+        if self._dc in self._board.read(CONFIG).out_of_service:
+            # The server is idle, so on return it proves itself again instead of taking a full
+            # share of the load at once.
+            self._cold_limit.restart()
         if not before.up:
             self._log.info("server_up", boot_id=body.boot_id)
         self._failures = 0
--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -222,6 +222,7 @@
                 settings=self._settings.process,
             ),
             ServerMonitor(
+                dc=self._settings.process.dc,
                 board=self._board,
                 client=self._engine,
                 cold_limit=self._cold_limit,
--- a/tests/agent/engine/test_server_monitor.py
+++ b/tests/agent/engine/test_server_monitor.py
@@ -8,6 +8,8 @@
 
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.facts import SERVER
+from cornellead_core.config import EMPTY_CONFIG
+from cornellead_core.facts import CONFIG
 
 if TYPE_CHECKING:
     from tests.agent.harness import Harness
@@ -21,6 +23,17 @@
     return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
 
 
+def make_monitor(harness: Harness) -> ServerMonitor:
+    """Return a monitor of the scripted engine."""
+    return ServerMonitor(
+        dc="dc0",
+        board=harness.board,
+        client=harness.client,
+        cold_limit=harness.cold_limit,
+        chats=harness.chats,
+    )
+
+
 def read_state(harness: Harness) -> str:
     """Return the state of the agent's server."""
     return harness.gate.state.value
@@ -30,12 +43,7 @@
     engine: ScriptedEngine, harness: Harness
 ) -> None:
     """Guards against full load and returning chats on an engine that lost its cache."""
-    monitor = ServerMonitor(
-        board=harness.board,
-        client=harness.client,
-        cold_limit=harness.cold_limit,
-        chats=harness.chats,
-    )
+    monitor = make_monitor(harness)
     harness.chats.touch(1, now=0.0)
     engine.answer(make_load("boot"))
     engine.answer(make_load("boot-2"))
@@ -50,12 +58,7 @@
     engine: ScriptedEngine, harness: Harness
 ) -> None:
     """Guards against refusals after one lost answer, and against work for a dead server."""
-    monitor = ServerMonitor(
-        board=harness.board,
-        client=harness.client,
-        cold_limit=harness.cold_limit,
-        chats=harness.chats,
-    )
+    monitor = make_monitor(harness)
     engine.answer(b"HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n")
     await monitor.sample()
     assert read_state(harness) == "serving"
@@ -65,3 +68,15 @@
     engine.answer(make_load("boot"))
     await monitor.sample()
     assert read_state(harness) == "serving"
+
+
+async def test_server_of_a_returning_data_centre_starts_with_the_cold_limit(
+    engine: ScriptedEngine, harness: Harness
+) -> None:
+    """Guards against a load surge on servers whose data centre returns (G3)."""
+    monitor = make_monitor(harness)
+    engine.answer(make_load("boot", running=9))
+    harness.board.write(CONFIG, EMPTY_CONFIG._replace(out_of_service=frozenset({"dc0"})))
+    await monitor.sample()
+    harness.board.write(CONFIG, EMPTY_CONFIG)
+    assert (harness.cold_limit.value, harness.cold_limit.drops) == (2, 0)
