--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -14,6 +14,7 @@
 from cornellead_core.facts import HOSTS
 from cornellead_core.load import DEFAULT_BOUND
 from cornellead_core.load import DEFAULT_MARGIN
+from cornellead_core.load import EXPIRY_S
 from cornellead_core.load import HORIZON_S
 from cornellead_core.load import DcSummary
 from cornellead_core.load import Digest
@@ -37,10 +38,10 @@
 MIN_HORIZON_S = 0.5
 MAX_HORIZON_S = 12.0
 """Bounds on the time in which the load of a fleet that gets no requests is taken to end."""
+RATIO_MIN_MEAN = 4.0
+"""Mean load from which admissions count for the highest ratio seen."""
 SEQ_EPOCH_S = 1_767_225_600
 """Unix time from which summaries are numbered, so that the numbers fit into 32 bits."""
-DIGEST_AGE_S = 3.0
-"""Older summaries are not passed on: they count for nothing in the estimate."""
 
 
 class Gate:
@@ -117,13 +118,15 @@
         self.in_flight += 1
         self.admissions += 1
         if self.is_engine:
-            rho = self.estimate(now=now).rho
-            self.max_over_mean = max(
-                self.max_over_mean,
-                self.in_flight / self.limit(now=now, rho=rho, fallback=True),
-            )
+            self._record_ratio(now)
         return None
 
+    def _record_ratio(self, now: float) -> None:
+        mean = self.capacity * self.estimate(now=now).rho
+        # Below this mean the ratio says more of the rounding than of the balance.
+        if mean >= RATIO_MIN_MEAN:
+            self.max_over_mean = max(self.max_over_mean, self.in_flight / mean)
+
     def finish(self, *, duration_s: float) -> None:
         """Count a request as no longer in flight.
 
@@ -181,7 +184,7 @@
     def digest(self, *, now: float) -> Digest:
         """Return what a response tells a router of the load."""
         self._refresh(now)
-        return Digest(self._table.summaries(now=now, max_age_s=DIGEST_AGE_S), self.report(now=now))
+        return Digest(self._table.summaries(now=now, max_age_s=EXPIRY_S), self.report(now=now))
 
     def estimate(self, *, now: float, added: int = 0) -> LoadEstimate:
         """Estimate the mean load of the fleet.
@@ -223,6 +226,7 @@
         )
 
     def _known_hint(self, chat: int, now: float) -> str:
+        self._index_hosts()
         hint = self._chats.find_hint(chat, now=now)
         return hint if hint in self._live_hosts else ""
 
--- a/packages/agent/src/cornellead_agent/api/_request_context.py
+++ b/packages/agent/src/cornellead_agent/api/_request_context.py
@@ -31,8 +31,10 @@
 
 
 def read_path(scope: Mapping[str, Any]) -> str:
-    """Return the whole path of an ASGI scope; below a mount, ``path`` holds only the rest."""
-    raw: bytes = scope["raw_path"]
+    """Return the path as sent; a mount changes ``path``, which the signature covers."""
+    raw: bytes | None = scope.get("raw_path")
+    if raw is None:
+        return str(scope["path"])
     return raw.partition(b"?")[0].decode("latin-1")
 
 
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -15,64 +15,65 @@
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.api._responses import send_whole
 from cornellead_agent.services import ServiceRequest
+from cornellead_core import headers
 from cornellead_core.facts import CONFIG
 from cornellead_core.outcomes import Outcome
-from cornellead_core.outcomes import Refusal
-from cornellead_core.outcomes import RefusalReason
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from cornellead_agent.admission import ColdLimit
     from cornellead_agent.admission import Gate
     from cornellead_agent.api._clock import Clock
     from cornellead_agent.api._endpoint import Endpoint
     from cornellead_agent.api._request_context import RequestContext
     from cornellead_agent.services import ServiceHandler
-    from cornellead_agent.services import ServiceResponse
     from cornellead_core.blackboard import Blackboard
 
-DEFAULT_TIMEOUT_S = 30.0
+DEFAULT_DEADLINE_S = 30.0
 SERVER_ERROR = 500
 
 
 class ServiceEndpoint:
     """Raw ASGI handler of ``POST /v1/services/{service}/{operation}``.
 
-    :param handler: Runs the calls; ``None`` beside a model engine.
+    :param service: Name of the service beside this agent, or empty for an engine.
     """
 
     def __init__(
         self,
         *,
+        service: str,
         endpoint: Endpoint,
-        gate: Gate,
         board: Blackboard,
+        gate: Gate,
         cold_limit: ColdLimit,
         handler: ServiceHandler | None,
         clock: Clock,
     ) -> None:
+        self._service = service
         self._endpoint = endpoint
-        self._gate = gate
         self._board = board
+        self._gate = gate
         self._cold_limit = cold_limit
         self._handler = handler
         self._clock = clock
 
     async def handle(self, scope: Any, receive: Any, send: Any) -> None:
-        """Admit and run one call."""
+        """Admit one call and hand it to the service handler."""
         context = await self._endpoint.accept(scope, send)
         if context is None:
             return
+        _, _, path = read_path(scope).partition("/v1/services/")
+        service, _, operation = path.rstrip("/").partition("/")
+        if self._handler is None or service != self._service or not operation:
+            message = f"this agent serves {self._service or 'models'}; refresh the host list"
+            await self._reject(send, context, 404, message)
+            return
         content = await read_body(receive)
         if not isinstance(content, Success):
             error = content.failure()
-            await send_error(
-                send,
-                error.status,
-                self._endpoint.common_headers(context),
-                message=error.message,
-                code="bad_request",
-                outcome=Outcome.NOT_RUN,
-            )
+            await self._reject(send, context, error.status, error.message)
             return
         now = self._clock.monotonic()
         refusal = self._gate.admit(context.admission, chat=None, now=now)
@@ -80,58 +81,63 @@
             await send_refusal(send, refusal, self._endpoint.common_headers(context))
             return
         try:
-            await self._run(scope, send, context, content.unwrap())
+            request = self._make_request(
+                operation, context, read_headers(scope), content.unwrap(), now
+            )
+            response = await self._handler.handle(request)
         finally:
             self._gate.finish(duration_s=self._clock.monotonic() - now)
-
-    async def _run(self, scope: Any, send: Any, context: RequestContext, body: bytes) -> None:
-        service, operation = read_path(scope).rsplit("/", 2)[-2:]
-        request = self._make_request(read_headers(scope), context, service, operation, body)
-        if self._handler is None or request is None:
-            refusal = Refusal(
-                RefusalReason.UNKNOWN_TARGET,
-                f"the team's template has no operation {operation} of service {service}",
-            )
-            await send_refusal(send, refusal, self._endpoint.common_headers(context))
-            return
-        started_at = self._clock.monotonic()
-        response = await self._handler.handle(request)
-        self._learn(response, elapsed_s=self._clock.monotonic() - started_at)
-        common = self._endpoint.common_headers(context)
-        await send_whole(send, response.status, [*common, *response.headers], response.body)
+        if response.status >= SERVER_ERROR:
+            self._count_failure(response.headers)
+        else:
+            self._cold_limit.record_success(first_token_s=0.0)
+        fields = [*self._endpoint.common_headers(context), *response.headers]
+        await send_whole(send, response.status, fields, response.body)
 
     def _make_request(
         self,
-        fields: dict[str, str],
-        context: RequestContext,
-        service: str,
         operation: str,
+        context: RequestContext,
+        fields: Mapping[str, str],
         body: bytes,
-    ) -> ServiceRequest | None:
-        team = self._board.read(CONFIG).teams.get(context.team)
-        policy = None if team is None else team.services.get(service)
-        if policy is None or operation not in policy.idempotent | policy.at_most_once:
-            return None
-        remaining_s = DEFAULT_TIMEOUT_S if context.remaining_s is None else context.remaining_s
+        now: float,
+    ) -> ServiceRequest:
+        deadline_at = context.admission.deadline_at
         return ServiceRequest(
             operation=operation,
             team=context.team,
             key=fields.get("idempotency-key"),
-            key_time_s=_parse_time(fields.get("idempotency-key-time", "")),
+            key_time_s=_parse_seconds(fields.get("idempotency-key-time", "")),
             body=body,
             content_type=fields.get("content-type", "application/json"),
-            deadline_s=remaining_s,
+            deadline_s=DEFAULT_DEADLINE_S if deadline_at is None else deadline_at - now,
             request_id=context.request_id,
-            # An operation that a template lists in both places is the one that may not repeat.
-            at_most_once=operation in policy.at_most_once,
+            at_most_once=not self._repeatable(context.team, operation),
         )
 
-    def _learn(self, response: ServiceResponse, *, elapsed_s: float) -> None:
-        if response.status < SERVER_ERROR:
-            self._cold_limit.record_success(first_token_s=elapsed_s)
+    def _repeatable(self, team: str, operation: str) -> bool:
+        # An operation that the configuration does not name as idempotent may not run twice.
+        policy = self._board.read(CONFIG).teams.get(team)
+        if policy is None or self._service not in policy.services:
+            return False
+        names = policy.services[self._service]
+        return operation in names.idempotent - names.at_most_once
+
+    def _count_failure(self, fields: list[tuple[str, str]]) -> None:
+        reason = next((value for name, value in fields if name == headers.REFUSAL), None)
+        if reason is None:
+            self._cold_limit.record_error()
+            return
+        self._gate.count_refusal(reason)
+
+    async def _reject(self, send: Any, context: RequestContext, status: int, message: str) -> None:
+        fields = self._endpoint.common_headers(context)
+        await send_error(
+            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
+        )
 
 
-def _parse_time(text: str) -> float | None:
+def _parse_seconds(text: str) -> float | None:
     try:
         seconds = float(text)
     except ValueError:
--- a/packages/agent/src/cornellead_agent/process/_drainer.py
+++ b/packages/agent/src/cornellead_agent/process/_drainer.py
@@ -11,9 +11,9 @@
 from cornellead_core.facts import DRAINING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from cornellead_agent.admission import Gate
+    from cornellead_agent.relay import ActiveConnections
+    from cornellead_agent.services import ServiceHandler
     from cornellead_core.blackboard import Blackboard
 
 POLL_S = 0.05
@@ -27,7 +27,6 @@
     """Waits for requests in progress, then moves what is left.
 
     :param timeout_s: Longest wait before streams are moved, in seconds.
-    :param results_recorded: Whether the results of all calls that ran are on the log.
     """
 
     def __init__(
@@ -35,13 +34,15 @@
         *,
         board: Blackboard,
         gate: Gate,
+        services: ServiceHandler | None,
+        active: ActiveConnections,
         timeout_s: float,
-        results_recorded: Callable[[], bool] = lambda: True,
     ) -> None:
         self._board = board
         self._gate = gate
+        self._services = services
+        self._active = active
         self._timeout_s = timeout_s
-        self._results_recorded = results_recorded
         self._log = structlog.get_logger()
 
     async def drain(self) -> None:
@@ -51,10 +52,14 @@
         if not await self._wait_idle(self._timeout_s):
             self._log.warning("drain_limit_passed", in_flight=self._gate.in_flight)
             self._board.write(MOVING, True)
+            self._active.abort_all()
             if not await self._wait_idle(MOVE_TIMEOUT_S):
                 self._log.error("requests_cut", in_flight=self._gate.in_flight)
         await asyncio.sleep(LINGER_S)
 
+    def _results_recorded(self) -> bool:
+        return self._services is None or self._services.idle
+
     async def _wait_idle(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/guarantees/test_g7_leaving_server.py
+++ b/tests/guarantees/test_g7_leaving_server.py
@@ -131,7 +131,10 @@
     assert gate.admit(AdmissionRequest(), chat=None, now=0.0) is None
     view.merge(gate.digest(now=0.0), now=0.0)
     assert view.available("s-1", now=0.0)
-    draining = loop.create_task(Drainer(board=board, gate=gate, timeout_s=30.0).drain())
+    drainer = Drainer(
+        board=board, gate=gate, services=None, active=ActiveConnections(), timeout_s=30.0
+    )
+    draining = loop.create_task(drainer.drain())
     loop.run_until_complete(asyncio.sleep(0.01))
     assert _is_refused(gate)
     view.merge(gate.digest(now=0.1), now=0.1)
