--- a/packages/router/src/cornellead/api/_http_app.py
+++ b/packages/router/src/cornellead/api/_http_app.py
@@ -4,9 +4,12 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 from litestar import Litestar
+from litestar import Request
+from litestar import Response
 from litestar import asgi
 
 from cornellead.api._caller_connection import CallerConnection
@@ -23,6 +26,7 @@
     from litestar.types import Send
 
     from cornellead.api._status import Status
+    from cornellead.limits import TeamGate
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.metrics import Metrics
 
@@ -37,9 +41,18 @@
     """
 
     def __init__(
-        self, *, chat: ASGIApp, board: Blackboard, metrics: Metrics, status: Status
+        self,
+        *,
+        chat: ASGIApp,
+        services: ASGIApp,
+        gate: TeamGate,
+        board: Blackboard,
+        metrics: Metrics,
+        status: Status,
     ) -> None:
         self._chat = chat
+        self._services = services
+        self._gate = gate
         self._board = board
         self._metrics = metrics
         self._status = status
@@ -49,12 +62,17 @@
         return Litestar(
             route_handlers=[
                 asgi("/v1/chat/completions", copy_scope=False)(_only("POST", self._chat)),
+                # A mount, because the framework finds no raw handler for a path with parameters.
+                asgi("/v1/services", is_mount=True, copy_scope=False)(
+                    _only("POST", self._services)
+                ),
                 asgi("/v1/models", copy_scope=False)(_only("GET", self._models)),
                 asgi("/healthz", copy_scope=False)(_only("GET", self._health)),
                 asgi("/readyz", copy_scope=False)(_only("GET", self._ready)),
                 asgi("/metrics", copy_scope=False)(_only("GET", self._show_metrics)),
                 asgi("/status", copy_scope=False)(_only("GET", self._show_status)),
             ],
+            exception_handlers={404: _not_found},
             openapi_config=None,
             logging_config=None,
         )
@@ -81,6 +99,8 @@
             await conn.respond(503, _TEXT, b"stopping\n")
         elif self._board.read(CONFIG).offset < 0:
             await conn.respond(503, _TEXT, b"no configuration yet\n")
+        elif not self._gate.ready(now=asyncio.get_running_loop().time()):
+            await conn.respond(503, _TEXT, b"no shares of the team limits yet\n")
         else:
             await conn.respond(200, _TEXT, b"ready\n")
 
@@ -94,6 +114,11 @@
         await conn.respond(200, _JSON, msgspec.json.encode(body))
 
 
+def _not_found(request: Request[Any, Any, Any], exc: Exception) -> Response[bytes]:
+    error = invalid("no such path; see the documentation of the API", status=404, code="not_found")
+    return Response(error.body(), status_code=404, media_type="application/json")
+
+
 def _only(method: str, app: ASGIApp) -> ASGIApp:
     async def serve(scope: Scope, receive: Receive, send: Send) -> None:
         if scope.get("method") == method:
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -8,14 +8,19 @@
 from cornellead.api import ChatHandler
 from cornellead.api import HttpApp
 from cornellead.api import InProgress
+from cornellead.api import RequestRunner
+from cornellead.api import ServiceHandler
 from cornellead.api import Status
 from cornellead.dispatch import AgentCaller
 from cornellead.dispatch import ChatDispatcher
 from cornellead.dispatch import HintSender
+from cornellead.dispatch import ServiceDispatcher
 from cornellead.fleet import ServerView
+from cornellead.limits import TeamGate
 from cornellead.process._pool_janitor import PoolJanitor
 from cornellead.stats import RouterStats
 from cornellead.upstream import AgentPool
+from cornellead.waiting import Waiter
 from cornellead.waiting import WaitingRoom
 from cornellead_core.metrics import Metrics
 from cornellead_core.retries import RetryBudget
@@ -28,8 +33,8 @@
     from cornellead_core.auth import FleetKey
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.blackboard import Controller
+    from cornellead_core.distribution import ControlRequester
     from cornellead_core.settings import RouterSettings
-    from cornellead_core.wire import ControlClient
     from cornellead_core.wire import Traffic
 
 
@@ -46,38 +51,58 @@
         board: Blackboard,
         key: FleetKey,
         traffic: Traffic,
-        control: ControlClient,
+        control: ControlRequester,
         on_newer_config: Callable[[str], None],
     ) -> None:
         loop = asyncio.get_running_loop()
         metrics = Metrics()
-        view = ServerView()
+        self.view = view = ServerView()
         self.pool = AgentPool(loop=loop)
         self.room = WaitingRoom(max_waiting=settings.max_waiting)
         self.hints = HintSender(client=control)
         self.stats = RouterStats(metrics=metrics)
         budget = RetryBudget(ratio=settings.retry_ratio, min_per_s=settings.retry_min_per_s)
         self.in_progress = InProgress()
+        self.gate = TeamGate(board=board, name=settings.process.name, started_at=loop.time())
         caller = AgentCaller(
             board=board, pool=self.pool, view=view, key=key, on_newer_config=on_newer_config
         )
+        waiter = Waiter(room=self.room, waits=self.stats.wait)
         dispatcher = ChatDispatcher(
             board=board,
             caller=caller,
             view=view,
-            room=self.room,
+            waiter=waiter,
             budget=budget,
             hints=self.hints,
             attempts=settings.placement_attempts,
         )
+        runner = RequestRunner(stats=self.stats, in_progress=self.in_progress)
         chat = ChatHandler(
             board=board,
             settings=settings,
             dispatcher=dispatcher,
             view=view,
             budget=budget,
+            gate=self.gate,
+            stats=self.stats,
+            runner=runner,
+        )
+        services = ServiceHandler(
+            board=board,
+            settings=settings,
+            dispatcher=ServiceDispatcher(
+                board=board,
+                caller=caller,
+                view=view,
+                waiter=waiter,
+                budget=budget,
+                attempts=settings.placement_attempts,
+            ),
+            budget=budget,
+            gate=self.gate,
             stats=self.stats,
-            in_progress=self.in_progress,
+            runner=runner,
         )
         self.status = Status(
             process=settings.process,
@@ -90,7 +115,14 @@
             traffic=traffic,
             started_at=loop.time(),
         )
-        app = HttpApp(chat=chat, board=board, metrics=metrics, status=self.status)
+        app = HttpApp(
+            chat=chat,
+            services=services,
+            gate=self.gate,
+            board=board,
+            metrics=metrics,
+            status=self.status,
+        )
         self.app: Litestar = app.build()
 
     def controllers(self) -> list[Controller]:
--- /dev/null
+++ b/scripts/traffic/__init__.py
@@ -0,0 +1,27 @@
+"""Callers that send chats and service calls and check every answer."""
+
+from __future__ import annotations
+
+from scripts.traffic._caller import Caller
+from scripts.traffic._chat_load import ChatLoad
+from scripts.traffic._chat_load import ChatShape
+from scripts.traffic._control_rate import ControlRate
+from scripts.traffic._conversation import Conversation
+from scripts.traffic._skew import LoadChanges
+from scripts.traffic._skew import Skew
+from scripts.traffic._skew import measure_skew
+from scripts.traffic._tally import Tally
+from scripts.traffic._watcher import Watcher
+
+__all__ = [
+    "Caller",
+    "ChatLoad",
+    "ChatShape",
+    "ControlRate",
+    "Conversation",
+    "LoadChanges",
+    "Skew",
+    "Tally",
+    "Watcher",
+    "measure_skew",
+]
