--- a/tests/guarantees/test_g7_leaving_server.py
+++ b/tests/guarantees/test_g7_leaving_server.py
@@ -18,6 +18,7 @@
 from cornellead.fleet import ServerView
 from cornellead_agent.admission import AdmissionRequest
 from cornellead_agent.process._drainer import Drainer
+from cornellead_agent.relay import ActiveConnections
 from cornellead_core.blackboard import Blackboard
 from cornellead_core.distribution import HostListWatcher
 from cornellead_core.facts import HOSTS
