--- a/packages/core/src/cornellead_core/wire/_control_server.py
+++ b/packages/core/src/cornellead_core/wire/_control_server.py
@@ -9,6 +9,7 @@
 import pynng
 from returns.result import Success
 
+from cornellead_core.wire._cancellation import raise_if_cancelled
 from cornellead_core.wire._codec import decode_message
 from cornellead_core.wire._codec import encode_message
 
@@ -57,6 +58,7 @@
                 except pynng.NNGException:
                     self._traffic.messages_rejected += 1
                     await asyncio.sleep(0)
+                raise_if_cancelled()
 
     async def _serve_one(self, ctx: pynng.Context) -> None:
         request = await ctx.arecv()
@@ -67,5 +69,6 @@
             self._traffic.messages_rejected += 1
             return
         reply = encode_message(await self._handler(decoded.unwrap()), key=self._key)
-        await ctx.asend(reply)
+        # Counted first, so that a peer that has the answer finds it in the counters.
         self._traffic.count_sent(reply)
+        await ctx.asend(reply)
