Expect a third of the fastest decline of groups of servers

With the whole decline the estimate in fleets above 16 agents was half of the mean, and chats left their first choice.

--- a/packages/core/src/cornellead_core/load/_load_table.py
+++ b/packages/core/src/cornellead_core/load/_load_table.py
@@ -35,6 +35,12 @@
 """The same in standard deviations of a normal distribution."""
 LARGE_MEAN = 25.0
 """Expected number from which the Poisson distribution is close to the normal one."""
+GROUP_DECLINE = 0.3
+"""Part of the fastest possible decline that is expected of groups of servers.
+
+Their summaries are 1 to 2 s old within the byte budget. With the whole decline the estimate is half
+of the mean, so that nearly all requests leave their first choice and wait.
+"""
 ALONE = 1 << 30
 """Group numbers from here on are those of single servers."""
 TOTAL = -1
@@ -190,7 +196,10 @@
             if summary.dc in excluded:
                 continue
             age = now - taken_at
-            weight = min(1.0, max(0.0, 1.0 - age / horizon_s))
+            decline = age / horizon_s
+            if summary.group < ALONE:
+                decline *= GROUP_DECLINE
+            weight = min(1.0, max(0.0, 1.0 - decline))
             load += summary.load
             finished += summary.load * (1.0 - weight)
             capacity += summary.capacity
