Let waiting requests be placed while another one waits for its first token

Under 90 concurrent chats on six engines, requests waited 2.9 s (p50) and 10.6 s (p95) for the first token while engines held 0 or 1 requests of 16.

Cause 1: the first waiting request kept its turn until the engine's first token, so a router placed one request per time to first token. The turn now passes on after 20 ms, within which agents refuse. Cause 2: the time of an answer that is not streamed counted as time to first token and dropped the cold limit again and again. Such answers now count as successes without a latency. Also: a refusal for load is trusted for 0.2 s in place of 2 s, and a response in flight at the deadline is awaited for 0.1 s, which makes a refusal a true not_run.

Ruled out: a drop only after three slow requests in a row; it is not needed and is weaker.

--- a/packages/agent/src/cornellead_agent/admission/_cold_limit.py
+++ b/packages/agent/src/cornellead_agent/admission/_cold_limit.py
@@ -48,8 +48,15 @@
         self.value = self._start
         self.drops = 0
 
-    def record_success(self, *, first_token_s: float) -> None:
-        """Count a request that the server finished."""
+    def record_success(self, *, first_token_s: float | None) -> None:
+        """Count a request that the server finished.
+
+        :param first_token_s: Time to first token in seconds, ``None`` for a whole answer, whose
+            time depends on its length.
+        """
+        if first_token_s is None:
+            self._count_success()
+            return
         slow = first_token_s > max(SLOW_FACTOR * self._baseline_s, self._ceiling_s)
         if self._samples >= BASELINE_SAMPLES and slow:
             self._drop()
@@ -60,6 +67,9 @@
         if first_token_s > self._ceiling_s:
             self._streak = 0
             return
+        self._count_success()
+
+    def _count_success(self) -> None:
         self._streak += 1
         if self._streak >= self.value and self.value < self._capacity:
             self.value = min(self._capacity, 2 * self.value)
--- a/packages/agent/src/cornellead_agent/api/_chat_relay.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -109,7 +109,7 @@
         if cached is None:
             await self._send_failure(send, "the engine's answer is malformed", sent=True)
             return True
-        self._succeed(self._clock.monotonic() - self._started_at)
+        self._succeed(None)
         fields = [
             *self._endpoint.common_headers(self._context),
             ("content-type", "application/json"),
@@ -193,7 +193,7 @@
         if self._first_token_s is not None:
             self._succeed(self._first_token_s)
 
-    def _succeed(self, first_token_s: float) -> None:
+    def _succeed(self, first_token_s: float | None) -> None:
         self._counters.completed += 1
         self._cold_limit.record_success(first_token_s=first_token_s)
         if self._context.chat is not None:
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -90,7 +90,7 @@
         if response.status >= SERVER_ERROR:
             self._count_failure(response.headers)
         else:
-            self._cold_limit.record_success(first_token_s=0.0)
+            self._cold_limit.record_success(first_token_s=None)
         fields = [*self._endpoint.common_headers(context), *response.headers]
         await send_whole(send, response.status, fields, response.body)
 
--- a/packages/router/src/cornellead/dispatch/_agent_caller.py
+++ b/packages/router/src/cornellead/dispatch/_agent_caller.py
@@ -34,6 +34,9 @@
     from cornellead_core.platform import HostEntry
 
 REFUSAL_BODY_LIMIT = 64 << 10
+REFUSAL_GRACE_S = 0.1
+"""Wait past the deadline for the response of an attempt. An agent refuses within milliseconds, and
+a refusal on its way at the deadline turns `unknown` into a true `not_run`."""
 
 
 class AgentCaller:
@@ -78,7 +81,7 @@
             self._view.failed(host.name, now=loop.time())
             return Failed(opened.failure().message, may_have_run=False)
         exchange = opened.unwrap()
-        timer = loop.call_at(req.deadline, exchange.abort)
+        timer = loop.call_at(req.deadline + REFUSAL_GRACE_S, exchange.abort)
         try:
             answer = await exchange.head()
         finally:
--- a/packages/router/src/cornellead/fleet/_server_view.py
+++ b/packages/router/src/cornellead/fleet/_server_view.py
@@ -16,6 +16,9 @@
 
 VIEW_TRUST_S = 2.0
 """Age up to which a server is skipped because of what its last response said."""
+FULL_TRUST_S = 0.2
+"""Age up to which a server counts as full; loads change with every request that ends, and a longer
+trust sends chats away from their cache."""
 SUMMARY_MAX_AGE_S = 3.0
 
 _UNAVAILABLE = {
@@ -61,7 +64,7 @@
         if reason in _UNAVAILABLE:
             self._unavailable_until[server] = now + VIEW_TRUST_S
         elif reason in _FULL:
-            self._full_until[server, batch] = now + VIEW_TRUST_S
+            self._full_until[server, batch] = now + FULL_TRUST_S
 
     def failed(self, server: str, *, now: float) -> None:
         """Mark a server down after a failed connection or a broken response."""
@@ -92,7 +95,7 @@
             return True
         if batch and now < self._full_until.get((server, True), 0.0):
             return True
-        report = self._recent(server, now)
+        report = self._recent(server, now, max_age_s=FULL_TRUST_S)
         if report is None:
             return False
         limit = max(1, int(report.limit * BATCH_SHARE)) if batch else report.limit
@@ -112,8 +115,10 @@
     def _load(self, report: LoadReport) -> int:
         return max(0, report.load + self._delta.get(report.server, 0))
 
-    def _recent(self, server: str, now: float) -> LoadReport | None:
+    def _recent(
+        self, server: str, now: float, *, max_age_s: float = VIEW_TRUST_S
+    ) -> LoadReport | None:
         report = self._table.report(server, now=now)
-        if report is None or report.age_ms > VIEW_TRUST_S * 1000:
+        if report is None or report.age_ms > max_age_s * 1000:
             return None
         return report
--- a/packages/router/src/cornellead/waiting/_wait_queue.py
+++ b/packages/router/src/cornellead/waiting/_wait_queue.py
@@ -5,10 +5,14 @@
 from bisect import bisect_left
 from bisect import insort
 from collections import Counter
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from cornellead_core.config import Priority
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _RANKS = {Priority.INTERACTIVE: 0, Priority.BATCH: 1}
 
 
@@ -61,9 +65,14 @@
         self._by_team[team] += 1
         return ticket
 
-    def head(self) -> Ticket | None:
-        """Return the request to serve next."""
-        return self._tickets[0] if self._tickets else None
+    def head(self, *, skip: Callable[[Ticket], bool] | None = None) -> Ticket | None:
+        """Return the request to serve next.
+
+        :param skip: Tells which requests to pass over.
+        """
+        if skip is None:
+            return self._tickets[0] if self._tickets else None
+        return next((ticket for ticket in self._tickets if not skip(ticket)), None)
 
     def serve(self, ticket: Ticket) -> None:
         """Remove a request that got its turn."""
--- a/packages/router/src/cornellead/waiting/_waiter.py
+++ b/packages/router/src/cornellead/waiting/_waiter.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from cornellead.dispatch._progress import Progress
+    from cornellead.waiting._wait_queue import Ticket
     from cornellead.waiting._waiting_room import WaitingRoom
     from cornellead_core.config import Priority
     from cornellead_core.config import TeamPolicy
@@ -23,6 +24,11 @@
 
 T = TypeVar("T")
 
+REFUSAL_WAIT_S = 0.02
+"""Time in which an agent refuses. An attempt without a response by then was most likely admitted
+and waits for the server, so the next request gets its turn: otherwise a router places one request
+per time to first token."""
+
 
 class Waiter:
     """Tries a request at once unless others wait, and then each time it is first in the queue."""
@@ -69,7 +75,7 @@
                     if loop.time() >= deadline:
                         return too_late(may_have_run=progress.may_have_run)
                     return _overloaded(progress)
-                found = await attempt()
+                found = await self._attempt_in_turn(attempt, queue, ticket)
         finally:
             self._room.leave(queue, ticket, served=found is not None)
             waited_s = loop.time() - entered_at
@@ -77,6 +83,16 @@
             progress.waited_s += waited_s
         return found
 
+    async def _attempt_in_turn(
+        self, attempt: Callable[[], Awaitable[T | None]], queue: str, ticket: Ticket
+    ) -> T | None:
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(REFUSAL_WAIT_S, self._room.pass_turn, queue, ticket)
+        try:
+            return await attempt()
+        finally:
+            timer.cancel()
+
 
 def _overloaded(progress: Progress) -> ApiError:
     message = "all servers are at their limits; retry later"
--- a/packages/router/src/cornellead/waiting/_waiting_room.py
+++ b/packages/router/src/cornellead/waiting/_waiting_room.py
@@ -20,6 +20,7 @@
         self.ticket = ticket
         self.fut = fut
         self.trying = False
+        self.passed = False
 
 
 class WaitingRoom:
@@ -74,6 +75,7 @@
         if turn is None:
             return False
         turn.trying = False
+        turn.passed = False
         if turn.fut.done() and not turn.fut.cancelled() and turn.fut.result():
             turn.fut = loop.create_future()
         try:
@@ -98,10 +100,19 @@
         elif served:
             self.wake(model)
 
+    def pass_turn(self, model: str, ticket: Ticket) -> None:
+        """Let the next request try while the attempt of this one goes on."""
+        turn = self._turns.get(model, {}).get(ticket)
+        if turn is not None:
+            turn.passed = True
+            self.wake(model)
+
     def wake(self, model: str) -> None:
-        """Give the first request of a model its turn."""
+        """Give the first request of a model that did not pass its turn."""
         queue = self._queues.get(model)
-        head = queue.head() if queue is not None else None
+        if queue is None:
+            return
+        head = queue.head(skip=lambda ticket: self._turns[model][ticket].passed)
         if head is None:
             return
         turn = self._turns[model][head]
--- a/tests/guarantees/test_g2_cold_start.py
+++ b/tests/guarantees/test_g2_cold_start.py
@@ -105,3 +105,10 @@
             running -= 1
             served += 1
             limit.record_success(first_token_s=0.1)
+
+
+def test_a_long_whole_answer_is_no_sign_of_cold() -> None:
+    """Guards against a warm server held at the cold limit by answers that are not streamed."""
+    limit = make_warm()
+    limit.record_success(first_token_s=None)
+    assert limit.value == CAPACITY
