--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -91,6 +91,9 @@
         # A full collection over the imported modules stops the loop for tens of milliseconds.
         gc.collect()
         gc.freeze()
+        # Makes the collector measure growth against the unfrozen objects, which are few; otherwise
+        # it waits for tens of thousands of objects of garbage.
+        gc.collect()
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stopping.set)
--- a/packages/router/src/cornellead/relay/_stream_relay.py
+++ b/packages/router/src/cornellead/relay/_stream_relay.py
@@ -37,10 +37,17 @@
 
     async def run(self, exchange: Exchange) -> None:
         """Forward events; the cutter then tells how the response ended."""
-        cutter = self._cutter
         self._exchange = exchange
         self._push(exchange.take())
         exchange.attach(self._push)
+        try:
+            await self._forward(exchange)
+        finally:
+            exchange.detach()
+            self._exchange = None
+
+    async def _forward(self, exchange: Exchange) -> None:
+        cutter = self._cutter
         while True:
             if self._unsent is not None:
                 await self._unsent
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -98,6 +98,8 @@
         del exc
         self.closed = True
         self._fail()
+        # The parser refers back to this object.
+        self._parser = None
 
     def on_message_begin(self) -> None:
         """Reject a second response to the same request."""
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -94,6 +94,10 @@
         """
         self._sink = sink
 
+    def detach(self) -> None:
+        """Drop the function given to `attach`, which usually refers back to this object."""
+        self._sink = None
+
     async def wait(self) -> None:
         """Wait until bytes are kept, the response ends, or `wake` is called."""
         if not self._chunks and not self.complete and not self.broken:
