--- a/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
@@ -121,6 +121,7 @@
             view=self._view,
             attempts=self._attempts,
             batch=job.priority is Priority.BATCH,
+            returning=job.key.returning,
         )
         hinted = False
         while (placement := plan.next(now=loop.time())) is not None:
--- a/packages/router/src/cornellead/placement/_placement_plan.py
+++ b/packages/router/src/cornellead/placement/_placement_plan.py
@@ -26,13 +26,22 @@
 
     :param order: Servers in preference order.
     :param attempts: Placements in the order before the fallback.
+    :param returning: Whether the chat had an answer before; its first server is then asked even if
+        it seems full, because it may know by a hint where the chat's cache is.
     """
 
     def __init__(
-        self, *, order: Sequence[str], view: ServerView, attempts: int, batch: bool = False
+        self,
+        *,
+        order: Sequence[str],
+        view: ServerView,
+        attempts: int,
+        batch: bool = False,
+        returning: bool = False,
     ) -> None:
         self._order = order
         self._batch = batch
+        self._returning = returning
         self._view = view
         self._left = attempts
         self._asked: set[str] = set()
@@ -67,11 +76,11 @@
             self._hint = hint
 
     def _open(self, server: str, now: float) -> bool:
-        return (
-            server not in self._asked
-            and self._view.available(server, now=now)
-            and not self._view.full(server, batch=self._batch, now=now)
-        )
+        if server in self._asked or not self._view.available(server, now=now):
+            return False
+        if self._returning and server == self._order[0]:
+            return True
+        return not self._view.full(server, batch=self._batch, now=now)
 
     def _ask(self, server: str, *, adopt: bool) -> Placement:
         self._left -= 1
