--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from scripts.fleet import BUILD
-from scripts.measurements import measure_churn
 from scripts.measurements import measure_data_centre
+from scripts.measurements import measure_reuse
 from scripts.measurements import measure_router
 from scripts.measurements import measure_skew_and_control
 
@@ -23,7 +23,7 @@
     from collections.abc import Callable
 
 MEASUREMENTS: dict[str, Callable[[], Awaitable[dict[str, Any]]]] = {
-    "reuse_under_churn": measure_churn,
+    "reuse": measure_reuse,
     "skew_and_control": measure_skew_and_control,
     "data_centre_out_and_back": measure_data_centre,
     "one_router": measure_router,
--- a/scripts/traffic/__init__.py
+++ b/scripts/traffic/__init__.py
@@ -4,6 +4,7 @@
 
 from scripts.traffic._caller import Caller
 from scripts.traffic._chat_load import ChatLoad
+from scripts.traffic._chat_load import ChatSender
 from scripts.traffic._chat_load import ChatShape
 from scripts.traffic._control_rate import ControlRate
 from scripts.traffic._conversation import Conversation
@@ -16,6 +17,7 @@
 __all__ = [
     "Caller",
     "ChatLoad",
+    "ChatSender",
     "ChatShape",
     "ControlRate",
     "Conversation",
--- a/scripts/traffic/_chat_load.py
+++ b/scripts/traffic/_chat_load.py
@@ -6,14 +6,13 @@
 import time
 from typing import TYPE_CHECKING
 from typing import NamedTuple
+from typing import Protocol
 
 from scripts.traffic._conversation import Conversation
 
 if TYPE_CHECKING:
     import random
 
-    from scripts.traffic._caller import Caller
-
 
 class ChatShape(NamedTuple):
     """Size and pace of the chats."""
@@ -31,13 +30,21 @@
     """Time over which the callers begin."""
 
 
+class ChatSender(Protocol):
+    """Sends turns of conversations."""
+
+    async def chat(self, conversation: Conversation, *, stream: bool) -> bool:
+        """Send the next turn of a conversation; returns whether it completed."""
+        ...
+
+
 class ChatLoad:
     """Callers that each hold one chat after the other.
 
     :param caller: Sends the turns of all chats.
     """
 
-    def __init__(self, *, caller: Caller, shape: ChatShape, rng: random.Random) -> None:
+    def __init__(self, *, caller: ChatSender, shape: ChatShape, rng: random.Random) -> None:
         self._caller = caller
         self._shape = shape
         self._rng = rng
--- a/scripts/traffic/_tally.py
+++ b/scripts/traffic/_tally.py
@@ -9,6 +9,10 @@
     """What callers saw."""
 
     def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget all counts."""
         self.requests = 0
         self.completed = 0
         self.refused_not_run = 0
