--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -17,6 +17,7 @@
 from scripts.measurements import measure_reuse
 from scripts.measurements import measure_router
 from scripts.measurements import measure_skew_and_control
+from scripts.measurements import measure_slopes
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -27,6 +28,7 @@
     "skew_and_control": measure_skew_and_control,
     "data_centre_out_and_back": measure_data_centre,
     "one_router": measure_router,
+    "slopes": measure_slopes,
 }
 
 
--- a/scripts/measurements/__init__.py
+++ b/scripts/measurements/__init__.py
@@ -6,5 +6,12 @@
 from scripts.measurements._reuse import measure_reuse
 from scripts.measurements._router import measure_router
 from scripts.measurements._skew_and_control import measure_skew_and_control
+from scripts.measurements._slopes import measure_slopes
 
-__all__ = ["measure_data_centre", "measure_reuse", "measure_router", "measure_skew_and_control"]
+__all__ = [
+    "measure_data_centre",
+    "measure_reuse",
+    "measure_router",
+    "measure_skew_and_control",
+    "measure_slopes",
+]
--- /dev/null
+++ b/scripts/measurements/_slopes.py
@@ -0,0 +1,174 @@
+"""Slopes of state, messages and processor time against the size of the fleet.
+
+Each cost is measured at three or more sizes; the slope is that of the least squares line. The
+capacity page multiplies the slopes by the target size.
+"""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from cornellead.fleet import engines_for
+from cornellead_agent.chats import ChatIndex
+from cornellead_core.auth import FleetKey
+from cornellead_core.config import EMPTY_CONFIG
+from cornellead_core.distribution import HostView
+from cornellead_core.load import DcSummary
+from cornellead_core.load import Digest
+from cornellead_core.load import LoadTable
+from cornellead_core.load import encode_digest
+from cornellead_core.placement import Weighted
+from cornellead_core.placement import order_by_rendezvous
+from cornellead_core.platform import HostEntry
+from cornellead_core.platform import HostKind
+from cornellead_core.wire import Demand
+from cornellead_core.wire import HostDigest
+from cornellead_core.wire import TeamDemand
+from cornellead_core.wire import encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+KEY = FleetKey(secret=b"0123456789abcdef")
+REPEAT_S = 0.2
+"""Shortest time over which a processor cost is averaged."""
+
+
+class Slope(NamedTuple):
+    """Cost per unit and at no units."""
+
+    per_unit: float
+    fixed: float
+
+
+def fit_line(sizes: Sequence[float], costs: Sequence[float]) -> Slope:
+    """Return the least squares line through measured costs.
+
+    >>> fit_line([1.0, 2.0, 3.0], [3.0, 5.0, 7.0])
+    Slope(per_unit=2.0, fixed=1.0)
+    """
+    mean_size = sum(sizes) / len(sizes)
+    mean_cost = sum(costs) / len(costs)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    covered = sum((s - mean_size) * (c - mean_cost) for s, c in zip(sizes, costs, strict=True))
+    per_unit = covered / spread
+    return Slope(per_unit, mean_cost - per_unit * mean_size)
+
+
+async def measure_slopes() -> dict[str, Any]:
+    """Measure all slopes."""
+    return {
+        "met": True,
+        "host_list_bytes_of_memory": _measure([100, 400, 1330], _memory_of_hosts),
+        "host_list_bytes_on_the_wire": _measure([100, 400, 1330], _wire_of_hosts),
+        "chat_index_bytes_of_memory": _measure([1000, 5000, 20_000], _memory_of_chats),
+        "placement_us_per_request": _measure([10, 100, 250, 1000], _time_of_placement),
+        "estimate_us_per_admission": _measure([3, 14, 70], _time_of_estimate),
+        "digest_header_bytes": _measure([3, 14, 70], _bytes_of_digest),
+        "demand_bytes": _measure([10, 90, 270], _bytes_of_demand),
+        "sign_and_encode_us": round(_time_us(lambda: encode_message(HostDigest(1, 2, 3), key=KEY))),
+    }
+
+
+def _measure(sizes: Sequence[int], cost: Callable[[int], float]) -> dict[str, Any]:
+    costs = [cost(size) for size in sizes]
+    line = fit_line(sizes, costs)
+    measured = dict(zip(map(str, sizes), (round(value, 2) for value in costs), strict=True))
+    return {
+        "per_unit": round(line.per_unit, 4),
+        "fixed": round(line.fixed, 2),
+        "measured": measured,
+    }
+
+
+def _time_us(call: Callable[[], object]) -> float:
+    calls, started_at = 0, time.process_time()
+    while time.process_time() - started_at < REPEAT_S:
+        call()
+        calls += 1
+    return (time.process_time() - started_at) / calls * 1e6
+
+
+def _memory(build: Callable[[], object]) -> float:
+    tracemalloc.start()
+    kept = build()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(used)
+
+
+def _hosts(count: int) -> list[HostEntry]:
+    return [
+        HostEntry(
+            name=f"engine-{n:04}",
+            kind=HostKind.AGENT,
+            region=f"region-{n % 5}",
+            dc=f"dc-{n % 14:02}",
+            http=f"10.0.{n // 250}.{n % 250}:8000",
+            control=f"10.0.{n // 250}.{n % 250}:8001",
+            models=(f"model-{n % 4}",),
+            capacity=16.0,
+        )
+        for n in range(count)
+    ]
+
+
+def _memory_of_hosts(count: int) -> float:
+    def build() -> HostView:
+        view = HostView()
+        view.take_list(_hosts(count), now=0.0)
+        return view
+
+    return _memory(build)
+
+
+def _wire_of_hosts(count: int) -> float:
+    return float(len(msgspec.msgpack.encode(_hosts(count))))
+
+
+def _memory_of_chats(count: int) -> float:
+    def build() -> ChatIndex:
+        index = ChatIndex()
+        for chat in range(count):
+            index.touch(chat << 40, now=float(chat))
+        return index
+
+    return _memory(build)
+
+
+def _time_of_placement(count: int) -> float:
+    hosts = _hosts(count * 4)
+
+    def place() -> list[str]:
+        engines = engines_for("model-1", hosts=hosts, config=EMPTY_CONFIG)
+        candidates = [Weighted(host.name, host.capacity) for host in engines.values()]
+        return order_by_rendezvous(b"model-1\x00chat", candidates)
+
+    return _time_us(place)
+
+
+def _summaries(count: int) -> list[DcSummary]:
+    return [DcSummary(f"dc-{n:02}", -1, 100 + n, 150, 40, 64.0, 4) for n in range(count)]
+
+
+def _time_of_estimate(count: int) -> float:
+    table = LoadTable()
+    table.merge(Digest(_summaries(count)), now=0.0)
+    return _time_us(lambda: table.estimate(now=0.1))
+
+
+def _bytes_of_digest(count: int) -> float:
+    return float(len(encode_digest(Digest(_summaries(count)))))
+
+
+def _bytes_of_demand(count: int) -> float:
+    teams = [TeamDemand(f"team-{n:03}", 4.5, 12) for n in range(count)]
+    return float(len(encode_message(Demand("router-001", teams), key=KEY)))
