--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -14,6 +14,7 @@
 import httpx
 
 from scripts.fleet import Fleet
+from scripts.fleet import exit_on_sigterm
 from scripts.fleet import plan_imigongo
 from scripts.traffic import Caller
 from scripts.traffic import ChatLoad
@@ -199,6 +200,7 @@
 
 def main() -> int:
     """Run the demo."""
+    exit_on_sigterm()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=TRAFFIC_S, help="duration of the traffic")
     return asyncio.run(_run(parser.parse_args().seconds))
--- a/scripts/fleet/__init__.py
+++ b/scripts/fleet/__init__.py
@@ -11,6 +11,7 @@
 from scripts.fleet._fleet import FleetError
 from scripts.fleet._managed_process import ManagedProcess
 from scripts.fleet._managed_process import ProcessUsage
+from scripts.fleet._managed_process import exit_on_sigterm
 from scripts.fleet._managed_process import stop_process
 from scripts.fleet._plan import FleetPlan
 from scripts.fleet._plan import RouterPlan
@@ -30,6 +31,7 @@
     "ProcessUsage",
     "RouterPlan",
     "ServerPlan",
+    "exit_on_sigterm",
     "plan_imigongo",
     "plan_sabarmati",
     "read_objects",
--- a/scripts/fleet/_managed_process.py
+++ b/scripts/fleet/_managed_process.py
@@ -92,6 +92,11 @@
         return "\n".join(self._log_path.read_text(errors="replace").splitlines()[-lines:])
 
 
+def exit_on_sigterm() -> None:
+    """Handle SIGTERM as an interrupt, so that a script that is ended still stops its fleet."""
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+
+
 def stop_process(pid: int, argument: str) -> bool:
     """End a process that an earlier script started; returns whether it still ran.
 
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from scripts.fleet import BUILD
+from scripts.fleet import exit_on_sigterm
 from scripts.measurements import measure_churn
 from scripts.measurements import measure_data_centre
 from scripts.measurements import measure_router
@@ -48,6 +49,7 @@
 
 def main() -> int:
     """Run the measurements; a target that is missed is reported, not an error."""
+    exit_on_sigterm()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--only", nargs="*", choices=sorted(MEASUREMENTS))
     return asyncio.run(_run(parser.parse_args().only or list(MEASUREMENTS)))
--- a/scripts/up.py
+++ b/scripts/up.py
@@ -7,6 +7,7 @@
 
 from scripts.fleet import STATE_DIRECTORY
 from scripts.fleet import Fleet
+from scripts.fleet import exit_on_sigterm
 from scripts.fleet import plan_imigongo
 from scripts.fleet import plan_sabarmati
 
@@ -15,6 +16,7 @@
 
 def main() -> int:
     """Start the fleet of one user."""
+    exit_on_sigterm()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--user", choices=sorted(PLANS), default="imigongo")
     user = parser.parse_args().user
