--- a/packages/agent/src/cornellead_agent/admission/_gate.py
+++ b/packages/agent/src/cornellead_agent/admission/_gate.py
@@ -18,7 +18,6 @@
 from cornellead_core.load import HORIZON_S
 from cornellead_core.load import DcSummary
 from cornellead_core.load import Digest
-from cornellead_core.load import DigestBudget
 from cornellead_core.load import LoadReport
 from cornellead_core.load import ServerState
 from cornellead_core.load import server_group
@@ -61,7 +60,6 @@
     ) -> None:
         self._settings = settings
         self._board = board
-        self._digest_budget = DigestBudget()
         self._table = table
         self._cold_limit = cold_limit
         self._chats = chats
@@ -186,8 +184,7 @@
     def digest(self, *, now: float) -> Digest:
         """Return what a response tells a router of the load."""
         self._refresh(now)
-        known = self._table.summaries(now=now, max_age_s=EXPIRY_S)
-        return Digest(self._digest_budget.select(known, now=now), self.report(now=now))
+        return Digest(self._table.summaries(now=now, max_age_s=EXPIRY_S), self.report(now=now))
 
     def estimate(self, *, now: float, added: int = 0) -> LoadEstimate:
         """Estimate the mean load of the fleet.
--- a/packages/core/src/cornellead_core/load/__init__.py
+++ b/packages/core/src/cornellead_core/load/__init__.py
@@ -12,7 +12,6 @@
 from cornellead_core.load._digest import ServerState
 from cornellead_core.load._digest import decode_digest
 from cornellead_core.load._digest import encode_digest
-from cornellead_core.load._digest_budget import DigestBudget
 from cornellead_core.load._load_table import EXPIRY_S
 from cornellead_core.load._load_table import HORIZON_S
 from cornellead_core.load._load_table import TOTAL
@@ -29,7 +28,6 @@
     "TOTAL",
     "DcSummary",
     "Digest",
-    "DigestBudget",
     "LoadEstimate",
     "LoadReport",
     "LoadTable",
--- a/packages/router/src/cornellead/fleet/_server_view.py
+++ b/packages/router/src/cornellead/fleet/_server_view.py
@@ -6,7 +6,6 @@
 
 from cornellead_core.load import BATCH_SHARE
 from cornellead_core.load import Digest
-from cornellead_core.load import DigestBudget
 from cornellead_core.load import LoadTable
 from cornellead_core.load import ServerState
 from cornellead_core.outcomes import RefusalReason
@@ -39,7 +38,6 @@
 
     def __init__(self) -> None:
         self._table = LoadTable()
-        self._digest_budget = DigestBudget()
         self._backoffs: dict[str, Backoff] = {}
         self._unavailable_until: dict[str, float] = {}
         self._full_until: dict[tuple[str, bool], float] = {}
@@ -55,8 +53,7 @@
 
     def digest(self, *, now: float) -> Digest:
         """Return the summaries to pass on with a request."""
-        known = self._table.summaries(now=now, max_age_s=SUMMARY_MAX_AGE_S)
-        return Digest(self._digest_budget.select(known, now=now))
+        return Digest(self._table.summaries(now=now, max_age_s=SUMMARY_MAX_AGE_S))
 
     def refused(self, server: str, reason: RefusalReason, *, batch: bool, now: float) -> None:
         """Learn from a refusal; the server itself answered, so it is not down.
