--- a/scripts/traffic/_skew.py
+++ b/scripts/traffic/_skew.py
@@ -17,7 +17,7 @@
 
 
 TRANSIT_S = 0.01
-"""Longest time that a request is admitted by the agent but not at work in the engine, at either end.
+"""Longest time, at either end, that a request is admitted by the agent but not in the engine.
 
 Load counts requests from admission to finish at the agent. A trace of 2,161 requests showed a start
 in the engine 1.0 ms (at most 6.6 ms) after the admission, and an end 1.4 ms (at most 5.4 ms) before
