--- a/packages/agent/src/cornellead_agent/api/_status_view.py
+++ b/packages/agent/src/cornellead_agent/api/_status_view.py
@@ -84,7 +84,7 @@
             "config_offset": cfg.offset,
             "control_bytes": self._traffic.total_bytes,
             "control_bytes_per_s": round(
-                self._traffic.total_bytes / max(1.0, now - self._started_at), 1
+                self._traffic.rate(started_at=self._started_at, now=now), 1
             ),
             "resident_bytes": resident_bytes(),
         }
--- a/packages/core/src/cornellead_core/wire/_traffic.py
+++ b/packages/core/src/cornellead_core/wire/_traffic.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 FRAME_BYTES = 12
 """Length prefix and request id that the transport adds to each message."""
+RATE_WINDOW_S = 10.0
+"""Shortest time over which a rate is taken; a whole life would hide the present behind the start."""
 
 
 class Traffic:
-    """Bytes and messages of control traffic of one process."""
+    """Bytes and messages of control traffic of one process.
+
+    >>> traffic = Traffic()
+    >>> traffic.rate(started_at=0.0, now=1.0)
+    0.0
+    >>> traffic.count_sent(b"x" * 88)
+    >>> traffic.rate(started_at=0.0, now=5.0), traffic.rate(started_at=0.0, now=20.0)
+    (20.0, 0.0)
+    """
 
     def __init__(self) -> None:
         self.bytes_sent = 0
@@ -15,6 +27,7 @@
         self.messages_sent = 0
         self.messages_received = 0
         self.messages_rejected = 0
+        self._readings: deque[tuple[float, int]] = deque()
 
     def count_sent(self, message: bytes) -> None:
         """Count a message handed to the transport."""
@@ -26,6 +39,19 @@
         self.messages_received += 1
         self.bytes_received += len(message) + FRAME_BYTES
 
+    def rate(self, *, started_at: float, now: float) -> float:
+        """Return bytes per second since a reading at least `RATE_WINDOW_S` ago, or the start.
+
+        :param started_at: Monotonic time at which the process started, in seconds.
+        """
+        if not self._readings:
+            self._readings.append((started_at, 0))
+        while len(self._readings) > 1 and now - self._readings[1][0] >= RATE_WINDOW_S:
+            self._readings.popleft()
+        read_at, total = self._readings[0]
+        self._readings.append((now, self.total_bytes))
+        return (self.total_bytes - total) / max(1.0, now - read_at)
+
     @property
     def total_bytes(self) -> int:
         """Bytes sent and received."""
--- a/packages/router/src/cornellead/api/_status.py
+++ b/packages/router/src/cornellead/api/_status.py
@@ -106,7 +106,7 @@
             refusals=dict(self._stats.refusals),
             agent_refusals=dict(self._caller.refusals),
             control_bytes=self._traffic.total_bytes,
-            control_bytes_per_s=round(self._traffic.total_bytes / uptime_s, 1),
+            control_bytes_per_s=round(self._traffic.rate(started_at=self._started_at, now=now), 1),
             added_first_token=_quantiles(self._stats.added),
             wait=_quantiles(self._stats.wait),
             resident_bytes=_resident_bytes(),
