--- a/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -10,10 +10,8 @@
 
 from cornellead_agent.api._body import read_body
 from cornellead_agent.api._chat_relay import ChatRelay
-from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.relay import ChatRequest
-from cornellead_core.outcomes import Outcome
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import ColdLimit
@@ -66,13 +64,15 @@
         content = await read_body(receive)
         if not isinstance(content, Success):
             error = content.failure()
-            await self._reject(send, context, error.status, error.message)
+            await self._endpoint.reject(send, context, error.status, error.message)
             return
         body = content.unwrap()
         try:
             parsed = _decoder.decode(body)
         except msgspec.DecodeError as exc:
-            await self._reject(send, context, 400, f"send a JSON object with a model: {exc}")
+            await self._endpoint.reject(
+                send, context, 400, f"send a JSON object with a model: {exc}"
+            )
             return
         # The decision comes after the body was read, so that a slow sender holds no place.
         now = self._clock.monotonic()
@@ -95,9 +95,3 @@
             await relay.run(receive, send, stream=parsed.stream)
         finally:
             self._gate.finish(duration_s=self._clock.monotonic() - now)
-
-    async def _reject(self, send: Any, context: Any, status: int, message: str) -> None:
-        fields = self._endpoint.common_headers(context)
-        await send_error(
-            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
-        )
--- a/packages/agent/src/cornellead_agent/api/_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_endpoint.py
@@ -10,12 +10,14 @@
 from cornellead_agent.api._request_context import read_context
 from cornellead_agent.api._request_context import read_headers
 from cornellead_agent.api._request_context import read_path
+from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.facts import NEEDED_CONFIG
 from cornellead_core import headers
 from cornellead_core.facts import CONFIG
 from cornellead_core.load import decode_digest
 from cornellead_core.load import encode_digest
+from cornellead_core.outcomes import Outcome
 from cornellead_core.outcomes import Refusal
 from cornellead_core.outcomes import RefusalReason
 
@@ -71,6 +73,13 @@
             (headers.LOAD, encode_digest(digest)),
         ]
 
+    async def reject(self, send: Any, context: RequestContext, status: int, message: str) -> None:
+        """Answer that the request is not usable; it did not run."""
+        fields = self.common_headers(context)
+        await send_error(
+            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
+        )
+
     def _learn(self, context: RequestContext, now: float) -> None:
         if context.load:
             digest = decode_digest(context.load)
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -11,13 +11,11 @@
 from cornellead_agent.api._body import read_body
 from cornellead_agent.api._request_context import read_headers
 from cornellead_agent.api._request_context import read_path
-from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.api._responses import send_whole
 from cornellead_agent.services import ServiceRequest
 from cornellead_core import headers
 from cornellead_core.facts import CONFIG
-from cornellead_core.outcomes import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -68,12 +66,12 @@
         service, _, operation = path.rstrip("/").partition("/")
         if self._handler is None or service != self._service or not operation:
             message = f"this agent serves {self._service or 'models'}; refresh the host list"
-            await self._reject(send, context, 404, message)
+            await self._endpoint.reject(send, context, 404, message)
             return
         content = await read_body(receive)
         if not isinstance(content, Success):
             error = content.failure()
-            await self._reject(send, context, error.status, error.message)
+            await self._endpoint.reject(send, context, error.status, error.message)
             return
         now = self._clock.monotonic()
         refusal = self._gate.admit(context.admission, chat=None, now=now)
@@ -130,12 +128,6 @@
             return
         self._gate.count_refusal(reason)
 
-    async def _reject(self, send: Any, context: RequestContext, status: int, message: str) -> None:
-        fields = self._endpoint.common_headers(context)
-        await send_error(
-            send, status, fields, message=message, code="bad_request", outcome=Outcome.NOT_RUN
-        )
-
 
 def _parse_seconds(text: str) -> float | None:
     try:
--- a/packages/router/src/cornellead/api/_status.py
+++ b/packages/router/src/cornellead/api/_status.py
@@ -90,6 +90,7 @@
         :param now: Loop time in seconds.
         """
         uptime_s = max(1e-3, now - self._started_at)
+        control_rate = self._traffic.rate(started_at=self._started_at, now=now)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return StatusBody(
             name=self._process.name,
@@ -106,7 +107,7 @@
             refusals=dict(self._stats.refusals),
             agent_refusals=dict(self._caller.refusals),
             control_bytes=self._traffic.total_bytes,
-            control_bytes_per_s=round(self._traffic.rate(started_at=self._started_at, now=now), 1),
+            control_bytes_per_s=round(control_rate, 1),
             added_first_token=_quantiles(self._stats.added),
             wait=_quantiles(self._stats.wait),
             resident_bytes=_resident_bytes(),
