--- a/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -70,9 +70,8 @@
         try:
             parsed = _decoder.decode(body)
         except msgspec.DecodeError as exc:
-            await self._endpoint.reject(
-                send, context, 400, f"send a JSON object with a model: {exc}"
-            )
+            message = f"send a JSON object with a model: {exc}"
+            await self._endpoint.reject(send, context, 400, message)
             return
         # The decision comes after the body was read, so that a slow sender holds no place.
         now = self._clock.monotonic()
--- a/packages/core/src/cornellead_core/wire/_traffic.py
+++ b/packages/core/src/cornellead_core/wire/_traffic.py
@@ -7,7 +7,7 @@
 FRAME_BYTES = 12
 """Length prefix and request id that the transport adds to each message."""
 RATE_WINDOW_S = 10.0
-"""Shortest time over which a rate is taken; a whole life would hide the present behind the start."""
+"""Shortest time over which a rate is taken; the whole life would hide the present traffic."""
 
 
 class Traffic:
