--- a/packages/router/src/cornellead/cli/_audit.py
+++ b/packages/router/src/cornellead/cli/_audit.py
@@ -28,6 +28,10 @@
 DEFAULT_LIMIT = 50
 
 
+TABLE_OBJECTS = 4
+"""Objects of a change that the table names; the JSON output names all."""
+
+
 def run(argv: list[str]) -> int:
     """Print the decisions on the changes that the log still holds."""
     verb = VerbFlags(
@@ -88,7 +92,10 @@
         audit = item.audit
         at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(audit.time_ms / 1000))
         versions = [*audit.previous, *[None] * len(audit.objects)]
-        names = ", ".join(map(_describe, audit.objects, versions))
+        described = list(map(_describe, audit.objects, versions))
+        names = ", ".join(described[:TABLE_OBJECTS])
+        if len(described) > TABLE_OBJECTS:
+            names += f" and {len(described) - TABLE_OBJECTS} more"
         decision = "accepted" if audit.accepted else f"rejected: {audit.reason}"
         rows.append([audit.offset, at, audit.author, audit.base, names, decision])
     return format_table(["OFFSET", "TIME", "AUTHOR", "BASE", "OBJECTS", "DECISION"], rows)
