--- a/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -6,9 +6,7 @@
 from typing import Any
 
 import msgspec
-from returns.result import Success
 
-from cornellead_agent.api._body import read_body
 from cornellead_agent.api._chat_relay import ChatRelay
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.relay import ChatRequest
@@ -61,12 +59,9 @@
         context = await self._endpoint.accept(scope, send)
         if context is None:
             return
-        content = await read_body(receive)
-        if not isinstance(content, Success):
-            error = content.failure()
-            await self._endpoint.reject(send, context, error.status, error.message)
+        body = await self._endpoint.read_body(context, receive, send)
+        if body is None:
             return
-        body = content.unwrap()
         try:
             parsed = _decoder.decode(body)
         except msgspec.DecodeError as exc:
--- a/packages/agent/src/cornellead_agent/api/_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_endpoint.py
@@ -7,6 +7,7 @@
 
 from returns.result import Success
 
+from cornellead_agent.api._body import read_body
 from cornellead_agent.api._request_context import read_context
 from cornellead_agent.api._request_context import read_headers
 from cornellead_agent.api._request_context import read_path
@@ -73,6 +74,16 @@
             (headers.LOAD, encode_digest(digest)),
         ]
 
+    async def read_body(self, context: RequestContext, receive: Any, send: Any) -> bytes | None:
+        """Return the body of a request, or reject one that cannot be used."""
+        content = await read_body(receive)
+        if not isinstance(content, Success):
+            error = content.failure()
+            await self.reject(send, context, error.status, error.message)
+            return None
+        body: bytes = content.unwrap()
+        return body
+
     async def reject(self, send: Any, context: RequestContext, status: int, message: str) -> None:
         """Answer that the request is not usable; it did not run."""
         fields = self.common_headers(context)
--- a/packages/agent/src/cornellead_agent/api/_service_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_service_endpoint.py
@@ -6,9 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from returns.result import Success
-
-from cornellead_agent.api._body import read_body
 from cornellead_agent.api._request_context import read_headers
 from cornellead_agent.api._request_context import read_path
 from cornellead_agent.api._responses import send_refusal
@@ -68,10 +65,8 @@
             message = f"this agent serves {self._service or 'models'}; refresh the host list"
             await self._endpoint.reject(send, context, 404, message)
             return
-        content = await read_body(receive)
-        if not isinstance(content, Success):
-            error = content.failure()
-            await self._endpoint.reject(send, context, error.status, error.message)
+        body = await self._endpoint.read_body(context, receive, send)
+        if body is None:
             return
         now = self._clock.monotonic()
         refusal = self._gate.admit(context.admission, chat=None, now=now)
@@ -79,9 +74,7 @@
             await send_refusal(send, refusal, self._endpoint.common_headers(context))
             return
         try:
-            request = self._make_request(
-                operation, context, read_headers(scope), content.unwrap(), now
-            )
+            request = self._make_request(operation, context, read_headers(scope), body, now)
             response = await self._handler.handle(request)
         finally:
             self._gate.finish(duration_s=self._clock.monotonic() - now)
