Run on the platform's hosts through an adapter

A new verb 'gateway' routes requests of any host and path to the servers that the platform's store lists. Decisions (placing, cold servers, retries, refusals) are modules without I/O; the platform's names and formats stand in platform/ alone.

--- a/Makefile
+++ b/Makefile
@@ -2,26 +2,26 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := core router agent standins
+PACKAGES := packages/core packages/router packages/agent packages/standins platform
 
 .PHONY: install format lint types test demo measure up down check clean
 
 install: $(STAMP)
 
-$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.lock $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --requirement requirements.lock
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps \
-		--no-build-isolation $(PACKAGES:%=--editable packages/%)
+		--no-build-isolation $(PACKAGES:%=--editable %)
 	touch $@
 
 format: install
-	$(BIN)/black packages scripts tests
-	$(BIN)/ruff check --fix packages scripts tests
+	$(BIN)/black packages platform scripts tests
+	$(BIN)/ruff check --fix packages platform scripts tests
 
 lint: install
-	$(BIN)/black --check --quiet packages scripts tests
-	$(BIN)/ruff check --quiet packages scripts tests
+	$(BIN)/black --check --quiet packages platform scripts tests
+	$(BIN)/ruff check --quiet packages platform scripts tests
 
 types: install
 	$(BIN)/mypy
--- a/packages/core/src/cornellead_core/retries/_retry_budget.py
+++ b/packages/core/src/cornellead_core/retries/_retry_budget.py
@@ -13,6 +13,7 @@
 
     :param ratio: Retries earned per request.
     :param min_per_s: Retries earned per second.
+    :param saved_requests: Requests whose share of retries may be saved up.
 
     >>> budget = RetryBudget(ratio=0.5, min_per_s=0.0)
     >>> budget.try_spend(now=0.0)
@@ -23,10 +24,12 @@
     (True, False)
     """
 
-    def __init__(self, *, ratio: float, min_per_s: float) -> None:
+    def __init__(
+        self, *, ratio: float, min_per_s: float, saved_requests: float = MAX_SAVED_REQUESTS
+    ) -> None:
         self._ratio = ratio
-        self._min_per_s = min_per_s
-        self._capacity = max(1.0, min_per_s * BURST_S + ratio * MAX_SAVED_REQUESTS)
+        self.min_per_s = min_per_s
+        self._capacity = max(1.0, min_per_s * BURST_S + ratio * saved_requests)
         self._tokens = min_per_s * BURST_S
         self._filled_at: float | None = None
         self.spent = 0
@@ -52,6 +55,6 @@
 
     def _fill(self, now: float) -> None:
         if self._filled_at is not None:
-            earned = (now - self._filled_at) * self._min_per_s
+            earned = (now - self._filled_at) * self.min_per_s
             self._tokens = min(self._capacity, self._tokens + max(0.0, earned))
         self._filled_at = now
--- /dev/null
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -0,0 +1,63 @@
+"""Routes, servers and the wire format between callers, routers and servers."""
+
+from __future__ import annotations
+
+from cornellead_core.routing._node_settings import Bounds
+from cornellead_core.routing._node_settings import NodeSettings
+from cornellead_core.routing._node_settings import StoreSettings
+from cornellead_core.routing._route import CallerLimits
+from cornellead_core.routing._route import RequestKind
+from cornellead_core.routing._route import Route
+from cornellead_core.routing._route import Service
+from cornellead_core.routing._route import Team
+from cornellead_core.routing._route import WeightedService
+from cornellead_core.routing._routing_config import RoutingConfig
+from cornellead_core.routing._server_entry import ReportedLoad
+from cornellead_core.routing._server_entry import ServerEntry
+from cornellead_core.routing._store import DataCentreNotice
+from cornellead_core.routing._store import FleetStore
+from cornellead_core.routing._store import HistoryGone
+from cornellead_core.routing._store import Notice
+from cornellead_core.routing._store import NoticeBatch
+from cornellead_core.routing._store import RouterNotice
+from cornellead_core.routing._store import RoutingNotice
+from cornellead_core.routing._store import ServerNotice
+from cornellead_core.routing._store import StoreError
+from cornellead_core.routing._store import Topic
+from cornellead_core.routing._wire_format import CallerHeaders
+from cornellead_core.routing._wire_format import ForwardTarget
+from cornellead_core.routing._wire_format import HeaderList
+from cornellead_core.routing._wire_format import PromptPart
+from cornellead_core.routing._wire_format import ServerReply
+from cornellead_core.routing._wire_format import WireFormat
+
+__all__ = [
+    "Bounds",
+    "CallerHeaders",
+    "CallerLimits",
+    "DataCentreNotice",
+    "FleetStore",
+    "ForwardTarget",
+    "HeaderList",
+    "HistoryGone",
+    "NodeSettings",
+    "Notice",
+    "NoticeBatch",
+    "PromptPart",
+    "ReportedLoad",
+    "RequestKind",
+    "Route",
+    "RouterNotice",
+    "RoutingConfig",
+    "RoutingNotice",
+    "ServerEntry",
+    "ServerNotice",
+    "ServerReply",
+    "Service",
+    "StoreError",
+    "StoreSettings",
+    "Team",
+    "Topic",
+    "WeightedService",
+    "WireFormat",
+]
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -0,0 +1,76 @@
+"""Runs a gateway on a host of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from typing import TYPE_CHECKING
+
+from absl import flags
+from returns.result import Failure
+
+from cornellead.cli._exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from cornellead_core.routing import NodeSettings
+
+DEFAULT_METRICS_PORT = 9464
+USAGE = "use cornellead gateway [--settings=FILE] [--metrics_port=PORT]"
+
+
+def run(argv: list[str]) -> int:
+    """Serve until SIGTERM or SIGINT, then stop as planned.
+
+    :param argv: The verb and its flags.
+    """
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string("settings", None, "File with the host's settings.", flag_values=values)
+    flags.DEFINE_integer(
+        "metrics_port", DEFAULT_METRICS_PORT, "Port for metrics.", flag_values=values
+    )
+    try:
+        values(argv)
+    except flags.Error as exc:
+        return _reject(f"{exc}; {USAGE}")
+    # Keeps structlog and httpx from importing rich, which takes 3 MB.
+    sys.modules["rich"] = None  # type: ignore[assignment]
+    from cornellead_platform import NODE_FILE_VARIABLE
+    from cornellead_platform import load_node_settings
+
+    path = values.settings or os.environ.get(NODE_FILE_VARIABLE)
+    if path is None:
+        return _reject(f"no settings file: set {NODE_FILE_VARIABLE}, or {USAGE}")
+    loaded = load_node_settings(path)
+    if isinstance(loaded, Failure):
+        return _reject(loaded.failure())
+    from cornellead_core.logs import configure_service_logs
+
+    settings = loaded.unwrap()
+    configure_service_logs(process=settings.node)
+    asyncio.run(_serve(settings, path, values.metrics_port))
+    return ExitCode.OK
+
+
+async def _serve(settings: NodeSettings, path: str, metrics_port: int) -> None:
+    from cornellead.gateway.process import GatewayProcess
+    from cornellead_platform import READY_PATH
+    from cornellead_platform import PlatformHeaders
+    from cornellead_platform import StoreClient
+    from cornellead_platform import load_node_settings
+
+    process = GatewayProcess(
+        settings=settings,
+        settings_path=path,
+        load=load_node_settings,
+        store=StoreClient(address=settings.store.address),
+        wire=PlatformHeaders(),
+        ready_path=READY_PATH,
+        metrics_port=metrics_port,
+    )
+    await process.run()
+
+
+def _reject(message: str) -> int:
+    print(message, file=sys.stderr)
+    return ExitCode.USAGE
--- a/packages/router/src/cornellead/cli/_main.py
+++ b/packages/router/src/cornellead/cli/_main.py
@@ -10,6 +10,7 @@
 
 VERBS = {
     "serve": "run a router",
+    "gateway": "route requests on a host of the platform",
     "validate": "check configuration files without publishing them",
     "publish": "publish configuration files to the fleet",
     "diff": "compare configuration files with the fleet",
--- a/packages/router/src/cornellead/dispatch/_agent_caller.py
+++ b/packages/router/src/cornellead/dispatch/_agent_caller.py
@@ -27,7 +27,7 @@
 
     from cornellead.dispatch._agent_request import AgentRequest
     from cornellead.fleet import ServerView
-    from cornellead.upstream import AgentPool
+    from cornellead.upstream import ConnectionPool
     from cornellead.upstream import ResponseHead
     from cornellead_core.auth import FleetKey
     from cornellead_core.blackboard import Blackboard
@@ -49,7 +49,7 @@
         self,
         *,
         board: Blackboard,
-        pool: AgentPool,
+        pool: ConnectionPool,
         view: ServerView,
         key: FleetKey,
         on_newer_config: Callable[[str], None],
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Routes requests of any path to servers that the platform's store lists."""
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/beliefs/__init__.py
@@ -0,0 +1,10 @@
+"""What a router believes about servers, configuration and other routers, without I/O."""
+
+from __future__ import annotations
+
+from cornellead.gateway.beliefs._fleet_view import FleetView
+from cornellead.gateway.beliefs._server_health import ServerHealth
+from cornellead.gateway.beliefs._server_registry import ServerRegistry
+from cornellead.gateway.beliefs._server_state import ServerState
+
+__all__ = ["FleetView", "ServerHealth", "ServerRegistry", "ServerState"]
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -0,0 +1,63 @@
+"""Everything that one router believes about the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.beliefs._server_registry import ServerRegistry
+
+if TYPE_CHECKING:
+    from cornellead_core.routing import RoutingConfig
+
+MEMBER_TRUST_S = 20.0
+"""Time after its last announcement for which a router counts as running: a few intervals. Too many
+routers make each one send less to cold servers, too few would let them send too much."""
+
+
+class FleetView:
+    """Configuration in force, servers, routers, and how old all of it is."""
+
+    def __init__(self, *, router: str) -> None:
+        self.router = router
+        self.config: RoutingConfig | None = None
+        self.servers = ServerRegistry()
+        self.servers_known = False
+        """Whether the list of servers was read once."""
+        self.confirmed_at: float | None = None
+        """When the store last confirmed the configuration, in seconds."""
+        self._routers: dict[str, float] = {}
+
+    def take_config(self, config: RoutingConfig) -> bool:
+        """Put a configuration in force unless a newer one is.
+
+        :returns: Whether it is in force now and was not before.
+        """
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        cold_start_s = max((s.cold_start_s for s in config.services.values()), default=0.0)
+        self.servers.return_cold_s = cold_start_s
+        return True
+
+    def config_age_s(self, *, now: float) -> float:
+        """Return the time since the store last confirmed the configuration."""
+        return float("inf") if self.confirmed_at is None else now - self.confirmed_at
+
+    @property
+    def ready(self) -> bool:
+        """Whether enough is known to serve callers."""
+        return self.config is not None and self.servers_known
+
+    def see_router(self, router: str, *, running: bool, now: float) -> None:
+        """Take the announcement of a router."""
+        if running:
+            self._routers[router] = now
+        else:
+            self._routers.pop(router, None)
+
+    def routers(self, *, now: float) -> list[str]:
+        """Return the names of the running routers, this one included."""
+        lost = [name for name, at in self._routers.items() if now - at > MEMBER_TRUST_S]
+        for name in lost:
+            del self._routers[name]
+        return sorted({*self._routers, self.router})
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -0,0 +1,160 @@
+"""Which servers may be used."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.beliefs._server_state import ServerState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from cornellead_core.routing import ServerEntry
+
+LAPSE_GRACE_S = 2.5
+"""Time after the store's return in which entries that lapsed meanwhile come back: servers renew
+them within about two seconds."""
+
+
+class ServerRegistry:
+    """Servers of all services, as the store lists them.
+
+    A server that drains, is gone, or stands in a data centre out of service receives nothing. An
+    entry that lapsed during an outage of the store says little about its server: it is used until
+    `LAPSE_GRACE_S` after the outage.
+
+    :param return_cold_s: Time for which servers of a returning data centre are treated as cold.
+    """
+
+    def __init__(self, *, return_cold_s: float = 0.0) -> None:
+        self.return_cold_s = return_cold_s
+        self._servers: dict[str, ServerState] = {}
+        self._by_service: dict[str, list[ServerState]] = {}
+        self._out: set[str] = set()
+        self._store_back_at: float | None = None
+        self._store_away = False
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    @property
+    def data_centres_out(self) -> frozenset[str]:
+        """Data centres that operators have taken out of service."""
+        return frozenset(self._out)
+
+    def get(self, server: str) -> ServerState | None:
+        """Return a server by its name."""
+        return self._servers.get(server)
+
+    def put(self, entry: ServerEntry, *, now: float) -> ServerState | None:
+        """Take an entry.
+
+        :param now: Seconds.
+        :returns: The state that the entry replaced, if it was of an earlier incarnation.
+        """
+        state = self._servers.get(entry.server)
+        if state is not None and state.entry.started_ms == entry.started_ms:
+            moved = state.entry.service != entry.service
+            state.update(entry, now=now)
+            if moved:
+                self._index()
+            return None
+        self._servers[entry.server] = ServerState(entry=entry, now=now)
+        self._index()
+        return state
+
+    def remove(self, server: str, *, now: float) -> ServerState | None:
+        """Take the removal of an entry.
+
+        :returns: The state of the server if it may no longer be used.
+        """
+        state = self._servers.get(server)
+        if state is None:
+            return None
+        if self._in_lapse_grace(now) and not state.entry.draining:
+            state.missing_since = now if state.missing_since is None else state.missing_since
+            return None
+        del self._servers[server]
+        self._index()
+        return state
+
+    def replace_all(self, entries: Iterable[ServerEntry], *, now: float) -> list[ServerState]:
+        """Take the whole list.
+
+        :returns: The states that ended.
+        """
+        listed = {entry.server: entry for entry in entries}
+        ended = [self.put(entry, now=now) for entry in listed.values()]
+        ended += [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
+        return [state for state in ended if state is not None]
+
+    def expire_lapsed(self, *, now: float) -> list[ServerState]:
+        """Drop servers whose entries lapsed and did not come back in time."""
+        if self._in_lapse_grace(now):
+            return []
+        ended = [state for state in self._servers.values() if state.missing_since is not None]
+        for state in ended:
+            del self._servers[state.entry.server]
+        if ended:
+            self._index()
+        return ended
+
+    def lose_store(self) -> None:
+        """Note that the store cannot be read."""
+        self._store_away = True
+
+    def regain_store(self, *, now: float) -> None:
+        """Note that the store can be read again."""
+        if self._store_away:
+            self._store_away = False
+            self._store_back_at = now
+
+    def set_out(self, data_centre: str, *, out: bool, now: float) -> bool:
+        """Take a data centre out of service or put it back.
+
+        :returns: Whether this changed anything.
+        """
+        if out == (data_centre in self._out):
+            return False
+        if out:
+            self._out.add(data_centre)
+            return True
+        self._out.discard(data_centre)
+        for state in self._servers.values():
+            if state.entry.data_centre == data_centre:
+                state.assume_cold(self.return_cold_s, now=now)
+        return True
+
+    def usable(
+        self, service: str, *, allow: Callable[[ServerState], bool] | None = None
+    ) -> list[ServerState]:
+        """Return the servers of a service that may receive requests.
+
+        :param allow: Further condition, for example on the region.
+        """
+        return [
+            state
+            for state in self._by_service.get(service, ())
+            if not state.entry.draining
+            and state.entry.data_centre not in self._out
+            and (allow is None or allow(state))
+        ]
+
+    def may_use(self, state: ServerState) -> bool:
+        """Return whether a server that was chosen earlier may still receive requests."""
+        return (
+            self._servers.get(state.entry.server) is state
+            and not state.entry.draining
+            and state.entry.data_centre not in self._out
+        )
+
+    def _in_lapse_grace(self, now: float) -> bool:
+        if self._store_away:
+            return True
+        return self._store_back_at is not None and now - self._store_back_at < LAPSE_GRACE_S
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for state in self._servers.values():
+            self._by_service.setdefault(state.entry.service, []).append(state)
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -0,0 +1,76 @@
+"""Server for the next attempt of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from cornellead.gateway.policy import exclude
+from cornellead.gateway.policy import order_by_cost
+from cornellead.gateway.policy import order_for_chat
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+    from cornellead.gateway.beliefs import FleetView
+    from cornellead.gateway.beliefs import ServerState
+    from cornellead.gateway.forwarding._job import Job
+    from cornellead.gateway.policy import ColdGate
+
+
+class NoServer(NamedTuple):
+    """No server can take the request now."""
+
+    opens_at: float | None
+    """When a cold server may take it, in seconds; ``None`` if none will."""
+    listed: int
+    """Usable servers of the service."""
+
+
+class ServerPicker:
+    """Applies the placement policy to what the router believes.
+
+    :param regions: Region of each data centre.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        gate: ColdGate,
+        data_centre: str,
+        regions: Mapping[str, str],
+    ) -> None:
+        self._view = view
+        self._gate = gate
+        self._data_centre = data_centre
+        self._regions = regions
+
+    def pick(self, job: Job, *, tried: Collection[str], now: float) -> ServerState | NoServer:
+        """Choose a server and count the request against its cold limit.
+
+        :param tried: Servers that this request was sent to.
+        :param now: Seconds.
+        """
+        servers = self._view.servers.usable(job.service.name, allow=lambda s: self._allowed(job, s))
+        if job.affinity:
+            ordered = order_for_chat(job.affinity, servers, now=now)
+        else:
+            ordered = order_by_cost(servers, data_centre=self._data_centre, now=now)
+        routers = self._view.routers(now=now)
+        rate_per_s = job.service.cold_rate_per_s
+        opens_at: float | None = None
+        for state in exclude(ordered, tried):
+            if rate_per_s <= 0 or not state.cold(now=now):
+                return state
+            name = state.entry.server
+            if self._gate.try_send(name, rate_per_s=rate_per_s, routers=routers, now=now):
+                return state
+            at = self._gate.opens_at(name, rate_per_s=rate_per_s, routers=routers, now=now)
+            if at is not None and (opens_at is None or at < opens_at):
+                opens_at = at
+        return NoServer(opens_at, len(servers))
+
+    def _allowed(self, job: Job, state: ServerState) -> bool:
+        return not job.regions or self._regions.get(state.entry.data_centre) in job.regions
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -0,0 +1,25 @@
+"""Connections of callers: parsing, limits, responses and planned stop."""
+
+from __future__ import annotations
+
+from cornellead.gateway.ingress._caller_connection import CallerConnection
+from cornellead.gateway.ingress._caller_connection import RequestHandler
+from cornellead.gateway.ingress._caller_listener import CallerListener
+from cornellead.gateway.ingress._caller_request import CallerRequest
+from cornellead.gateway.ingress._request_parser import Rejection
+from cornellead.gateway.ingress._request_parser import RequestParser
+from cornellead.gateway.ingress._response_writer import ResponseWriter
+from cornellead.gateway.ingress._serving_phase import Serving
+from cornellead.gateway.ingress._serving_phase import ServingPhase
+
+__all__ = [
+    "CallerConnection",
+    "CallerListener",
+    "CallerRequest",
+    "Rejection",
+    "RequestHandler",
+    "RequestParser",
+    "ResponseWriter",
+    "Serving",
+    "ServingPhase",
+]
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -0,0 +1,151 @@
+"""Parser of the requests on one connection."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import httptools
+
+from cornellead.gateway.ingress._caller_request import CallerRequest
+
+if TYPE_CHECKING:
+    from cornellead_core.routing import CallerLimits
+    from cornellead_core.routing import HeaderList
+
+
+class Rejection(IntEnum):
+    """Status with which a request is rejected before it is routed."""
+
+    BAD_REQUEST = 400
+    REQUEST_TIMEOUT = 408
+    BODY_TOO_LARGE = 413
+    HEADERS_TOO_LARGE = 431
+
+
+class RequestParser:
+    """Collects whole requests and rejects those that other parsers may read differently.
+
+    :param limits: Limits on headers and bodies.
+    """
+
+    def __init__(self, *, limits: CallerLimits) -> None:
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._now = 0.0
+        self._started_at: float | None = None
+        self._headers_complete = False
+        self._header_bytes = 0
+        self._sized = 0
+        self._target = bytearray()
+        self._headers: HeaderList = []
+        self._body = bytearray()
+        self.requests: list[CallerRequest] = []
+        """Requests that arrived whole and were not taken yet."""
+        self.rejection: Rejection | None = None
+        """Why the connection cannot go on, once that is so."""
+        self.expects_continue = False
+        """Whether the caller waits for an interim response before it sends the body."""
+
+    @property
+    def started(self) -> bool:
+        """Whether a part of a request arrived."""
+        return self._started_at is not None
+
+    @property
+    def in_headers(self) -> bool:
+        """Whether the headers of a request are incomplete."""
+        return self._started_at is not None and not self._headers_complete
+
+    def feed(self, data: bytes, *, now: float) -> None:
+        """Take bytes from the caller.
+
+        :param now: Seconds of the process clock.
+        """
+        self._now = now
+        if self._started_at is None:
+            self._started_at = now
+        if not self._headers_complete:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(Rejection.BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._reject(Rejection.BAD_REQUEST)
+        if not self._headers_complete and self._header_bytes > self._limits.header_bytes:
+            self._reject(Rejection.HEADERS_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        if self._started_at is None:
+            self._started_at = self._now
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+        self._sized += len(name) + len(value)
+        if self._sized > self._limits.header_bytes:
+            self._reject(Rejection.HEADERS_TOO_LARGE)
+
+    def on_headers_complete(self) -> None:
+        """Check the framing of the body."""
+        self._headers_complete = True
+        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
+        codings = [value for name, value in self._headers if name.lower() == b"transfer-encoding"]
+        if len(lengths) > 1 or (lengths and codings):
+            self._reject(Rejection.BAD_REQUEST)
+        if codings and [value.strip().lower() for value in codings] != [b"chunked"]:
+            self._reject(Rejection.BAD_REQUEST)
+        if not self._target.startswith(b"/"):
+            self._reject(Rejection.BAD_REQUEST)
+        if lengths and (not lengths[0].isdigit() or int(lengths[0]) > self._limits.body_bytes):
+            self._reject(
+                Rejection.BODY_TOO_LARGE if lengths[0].isdigit() else Rejection.BAD_REQUEST
+            )
+        self.expects_continue = any(
+            name.lower() == b"expect" and value.strip().lower() == b"100-continue"
+            for name, value in self._headers
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Collect a part of the body."""
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self._reject(Rejection.BODY_TOO_LARGE)
+
+    def on_message_complete(self) -> None:
+        """Finish a request."""
+        self.expects_continue = False
+        if self.rejection is None:
+            self.requests.append(
+                CallerRequest(
+                    method=self._parser.get_method(),
+                    target=bytes(self._target),
+                    headers=self._headers,
+                    body=bytes(self._body),
+                    received_at=self._now if self._started_at is None else self._started_at,
+                )
+            )
+        self._reset()
+
+    def close(self) -> None:
+        """Drop the parser, which refers back to this object."""
+        del self._parser
+
+    def _reject(self, rejection: Rejection) -> None:
+        if self.rejection is None:
+            self.rejection = rejection
+
+    def _reset(self) -> None:
+        self._started_at = None
+        self._headers_complete = False
+        self._header_bytes = 0
+        self._sized = 0
+        self._target = bytearray()
+        self._headers = []
+        self._body = bytearray()
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -0,0 +1,25 @@
+"""Decisions on placing, retrying and refusing requests, without I/O."""
+
+from __future__ import annotations
+
+from cornellead.gateway.policy._choice import exclude
+from cornellead.gateway.policy._choice import order_by_cost
+from cornellead.gateway.policy._choice import order_for_chat
+from cornellead.gateway.policy._choice import retry_after_s
+from cornellead.gateway.policy._choice import split_service
+from cornellead.gateway.policy._cold_gate import ColdGate
+from cornellead.gateway.policy._request_rights import RequestRights
+from cornellead.gateway.policy._request_rights import RunState
+from cornellead.gateway.policy._retry_share import RetryShare
+
+__all__ = [
+    "ColdGate",
+    "RequestRights",
+    "RetryShare",
+    "RunState",
+    "exclude",
+    "order_by_cost",
+    "order_for_chat",
+    "retry_after_s",
+    "split_service",
+]
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/process/_admin_handler.py
@@ -0,0 +1,45 @@
+"""Readiness and metrics of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.ingress import ServingPhase
+
+if TYPE_CHECKING:
+    from cornellead.gateway.beliefs import FleetView
+    from cornellead.gateway.ingress import CallerRequest
+    from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.gateway.ingress import Serving
+    from cornellead_core.metrics import Metrics
+
+METRICS_PATH = "/metrics"
+TEXT = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
+
+
+class AdminHandler:
+    """Answers the balancer and whoever collects metrics.
+
+    :param ready_path: Path that the balancer asks.
+    """
+
+    def __init__(
+        self, *, view: FleetView, serving: Serving, metrics: Metrics, ready_path: str
+    ) -> None:
+        self._view = view
+        self._serving = serving
+        self._metrics = metrics
+        self._ready_path = ready_path
+
+    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
+        """Write one response."""
+        if req.path == self._ready_path:
+            out.respond(200 if self._ready else 503, (), b"")
+        elif req.path == METRICS_PATH:
+            out.respond(200, TEXT, self._metrics.render())
+        else:
+            out.respond(404, (), b"")
+
+    @property
+    def _ready(self) -> bool:
+        return self._view.ready and self._serving.phase is ServingPhase.RUNNING
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -0,0 +1,218 @@
+"""One gateway: listeners, beliefs, forwarding and planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+import structlog
+
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.forwarding import WATCH_INTERVAL_S
+from cornellead.gateway.forwarding import Admission
+from cornellead.gateway.forwarding import AttemptSender
+from cornellead.gateway.forwarding import Forwarder
+from cornellead.gateway.forwarding import ResponseRelay
+from cornellead.gateway.forwarding import ServerPicker
+from cornellead.gateway.ingress import CallerListener
+from cornellead.gateway.ingress import Serving
+from cornellead.gateway.policy import ColdGate
+from cornellead.gateway.policy import RetryShare
+from cornellead.gateway.process._admin_handler import AdminHandler
+from cornellead.gateway.process._clock import read_clock
+from cornellead.gateway.process._planned_stop import PlannedStop
+from cornellead.gateway.process._settings_watcher import SettingsWatcher
+from cornellead.gateway.process._ticker import Ticker
+from cornellead.gateway.stats import GatewayStats
+from cornellead.gateway.sync import Announcer
+from cornellead.gateway.sync import OperatorSink
+from cornellead.gateway.sync import RouterSink
+from cornellead.gateway.sync import ServerSink
+from cornellead.gateway.sync import TopicReader
+from cornellead.upstream import ConnectionPool
+from cornellead_core.blackboard import run_controllers
+from cornellead_core.metrics import Metrics
+from cornellead_core.routing import CallerLimits
+from cornellead_core.routing import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns.result import Result
+
+    from cornellead.gateway.beliefs import ServerState
+    from cornellead_core.blackboard import Controller
+    from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import NodeSettings
+    from cornellead_core.routing import WireFormat
+
+CONNECT_TIMEOUT_S = 0.4
+"""Longest wait for a connection to a server: hosts are milliseconds apart."""
+OPERATOR_WAIT_S = 1.0
+"""Time for which the store holds a read of operators' changes. A connection that falls silent is
+noticed after this time and the call timeout, within the bound on changes of configuration."""
+SERVERS_INTERVAL_S = 0.5
+"""Interval between reads of servers' entries: a leaving server has to be noticed within 2 s."""
+MEMBERS_INTERVAL_S = 4.0
+"""Interval of announcements of routers and of reads of them."""
+READ_SHARE = 0.3
+"""Part of the store's reads that the routers together may use for one topic."""
+WRITE_SHARE = 0.1
+"""Part of the store's writes that announcements may use."""
+POOL_CHECK_S = 1.0
+"""Interval at which connections that were idle for too long are closed."""
+DEFAULT_LIMITS = CallerLimits(
+    header_bytes=16_384, body_bytes=4_194_304, header_timeout_s=3.0, idle_timeout_s=15.0
+)
+"""Limits before the first configuration."""
+
+
+class GatewayProcess:
+    """Builds the parts of a gateway and runs them until it is stopped.
+
+    :param load: Reads and checks the settings file.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        settings_path: str,
+        load: Callable[[str], Result[NodeSettings, str]],
+        store: FleetStore,
+        wire: WireFormat,
+        ready_path: str,
+        metrics_port: int,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._serving = Serving()
+        self._view = FleetView(router=settings.node)
+        self._gate = ColdGate(router=settings.node)
+        metrics = Metrics()
+        self._stats = GatewayStats(metrics=metrics)
+        self._pool = ConnectionPool(
+            loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
+        )
+        self._sender = AttemptSender(pool=self._pool, wire=wire, clock=read_clock)
+        forwarder = Forwarder(
+            view=self._view,
+            admission=Admission(view=self._view, serving=self._serving),
+            picker=ServerPicker(
+                view=self._view,
+                gate=self._gate,
+                data_centre=settings.data_centre,
+                regions=settings.regions,
+            ),
+            sender=self._sender,
+            relay=ResponseRelay(wire=wire, clock=read_clock),
+            retries=RetryShare(bounds=settings.bounds),
+            wire=wire,
+            stats=self._stats,
+            clock=read_clock,
+        )
+        admin = AdminHandler(
+            view=self._view, serving=self._serving, metrics=metrics, ready_path=ready_path
+        )
+        self._callers = self._listen(settings.caller_address, forwarder)
+        self._admin = [
+            self._listen(address, admin)
+            for address in (settings.ready_address, f"{settings.ip}:{metrics_port}")
+        ]
+        self._announcer = Announcer(
+            store=store, router=settings.node, interval_s=self._announce_interval_s
+        )
+        self._watcher = SettingsWatcher(path=settings_path, load=load, apply=self._apply)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop as planned."""
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._watcher.reload, "SIGHUP")
+        for listener in (*self._admin, self._callers):
+            await listener.start()
+        settings = self._settings
+        structlog.get_logger().info(
+            "started", data_centre=settings.data_centre, callers=settings.caller_address
+        )
+        controllers = asyncio.create_task(run_controllers(self._controllers()))
+        stopped = asyncio.create_task(stopping.wait())
+        await asyncio.wait({controllers, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        if controllers.done():
+            controllers.result()
+        stop = PlannedStop(
+            serving=self._serving,
+            grace_s=settings.bounds.drain_grace_s,
+            close_idle=self._callers.close_idle,
+        )
+        left = await stop.run()
+        controllers.cancel()
+        await self._announcer.stop()
+        structlog.get_logger().info("stopped", cut_requests=left)
+
+    def _controllers(self) -> list[Controller]:
+        stats, view = self._stats, self._view
+        return [
+            TopicReader(
+                store=self._store,
+                topic=Topic.OPERATOR,
+                sink=OperatorSink(view=view, stats=stats, clock=read_clock),
+                wait_s=OPERATOR_WAIT_S,
+                interval_s=lambda: 0.0,
+            ),
+            TopicReader(
+                store=self._store,
+                topic=Topic.SERVERS,
+                sink=ServerSink(
+                    view=view, stats=stats, clock=read_clock, on_ended=self._drop_server
+                ),
+                wait_s=0.0,
+                interval_s=lambda: self._read_interval_s(SERVERS_INTERVAL_S),
+            ),
+            TopicReader(
+                store=self._store,
+                topic=Topic.ROUTERS,
+                sink=RouterSink(view=view, clock=read_clock),
+                wait_s=0.0,
+                interval_s=lambda: self._read_interval_s(MEMBERS_INTERVAL_S),
+            ),
+            self._announcer,
+            self._watcher,
+            Ticker(
+                name="watch-attempts",
+                interval_s=WATCH_INTERVAL_S,
+                action=self._sender.check_silence,
+                clock=read_clock,
+            ),
+            Ticker(name="close-idle", interval_s=POOL_CHECK_S, action=self._tidy, clock=read_clock),
+        ]
+
+    def _listen(self, address: str, handler: Forwarder | AdminHandler) -> CallerListener:
+        return CallerListener(
+            address=address,
+            handler=handler,
+            serving=self._serving if isinstance(handler, Forwarder) else Serving(),
+            limits=lambda: self._view.config.limits if self._view.config else DEFAULT_LIMITS,
+            clock=read_clock,
+        )
+
+    def _tidy(self) -> None:
+        self._pool.close_idle(now=asyncio.get_running_loop().time())
+
+    def _drop_server(self, state: ServerState) -> None:
+        self._pool.discard(state.entry.address)
+        self._gate.forget(state.entry.server)
+
+    def _apply(self, settings: NodeSettings) -> None:
+        self._settings = settings
+
+    def _read_interval_s(self, shortest_s: float) -> float:
+        routers = len(self._view.routers(now=read_clock()))
+        return max(shortest_s, routers / (READ_SHARE * self._settings.store.reads_per_s))
+
+    def _announce_interval_s(self) -> float:
+        routers = len(self._view.routers(now=read_clock()))
+        return max(MEMBERS_INTERVAL_S, routers / (WRITE_SHARE * self._settings.store.writes_per_s))
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -0,0 +1,46 @@
+"""Counters and latencies of one gateway process."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from cornellead_core.metrics import Latency
+
+if TYPE_CHECKING:
+    from cornellead_core.metrics import Metrics
+
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class GatewayStats:
+    """Counts requests and decisions; decisions never read it."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._requests = metrics.counter(
+            "gateway_requests", "Requests by status and cause", ["status", "cause"]
+        )
+        self._decisions = metrics.counter("gateway_decisions", "Decisions by kind", ["decision"])
+        self._beliefs = metrics.counter("gateway_belief_changes", "Changes of belief", ["belief"])
+        self._latency = Latency()
+        gauge = metrics.gauge(
+            "gateway_request_seconds", "Time to the end of requests", ["quantile"]
+        )
+        for quantile in QUANTILES:
+            gauge.labels(str(quantile)).set_function(partial(self._latency.quantile, quantile))
+
+    def count_request(self, status: int, cause: str, seconds: float) -> None:
+        """Count the end of a request.
+
+        :param status: 0 without a whole response.
+        """
+        self._requests.labels(str(status), cause).inc()
+        self._latency.record(seconds)
+
+    def count_decision(self, decision: str) -> None:
+        """Count a decision on a request."""
+        self._decisions.labels(decision).inc()
+
+    def count_belief(self, belief: str) -> None:
+        """Count a change of belief."""
+        self._beliefs.labels(belief).inc()
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/sync/__init__.py
@@ -0,0 +1,19 @@
+"""Keeps beliefs in step with the platform's store."""
+
+from __future__ import annotations
+
+from cornellead.gateway.sync._announcer import Announcer
+from cornellead.gateway.sync._operator_sink import OperatorSink
+from cornellead.gateway.sync._router_sink import RouterSink
+from cornellead.gateway.sync._server_sink import ServerSink
+from cornellead.gateway.sync._topic_reader import NoticeSink
+from cornellead.gateway.sync._topic_reader import TopicReader
+
+__all__ = [
+    "Announcer",
+    "NoticeSink",
+    "OperatorSink",
+    "RouterSink",
+    "ServerSink",
+    "TopicReader",
+]
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/sync/_announcer.py
@@ -0,0 +1,45 @@
+"""Announces this router in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+from returns.result import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead_core.routing import FleetStore
+
+
+class Announcer:
+    """Writes at intervals that the router runs.
+
+    :param interval_s: Returns the time between announcements.
+    """
+
+    name = "announce"
+
+    def __init__(self, *, store: FleetStore, router: str, interval_s: Callable[[], float]) -> None:
+        self._store = store
+        self._router = router
+        self._interval_s = interval_s
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        while True:
+            await self._announce(running=True)
+            await asyncio.sleep(self._interval_s())
+
+    async def stop(self) -> None:
+        """Announce that the router stops."""
+        await self._announce(running=False)
+
+    async def _announce(self, *, running: bool) -> None:
+        result = await self._store.announce(self._router, running=running)
+        if isinstance(result, Failure):
+            structlog.get_logger().warning(
+                "announcement failed", running=running, error=result.failure().message
+            )
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -0,0 +1,101 @@
+"""Keeps the registry of servers up to date."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from cornellead_core.routing import ServerNotice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from cornellead.gateway.beliefs import FleetView
+    from cornellead.gateway.beliefs import ServerState
+    from cornellead.gateway.stats import GatewayStats
+    from cornellead_core.routing import Notice
+    from cornellead_core.routing import ServerEntry
+
+
+class ServerSink:
+    """Takes entries of servers.
+
+    :param on_ended: Called with each server that may no longer be used.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        stats: GatewayStats,
+        clock: Callable[[], float],
+        on_ended: Callable[[ServerState], None],
+    ) -> None:
+        self._view = view
+        self._stats = stats
+        self._clock = clock
+        self._on_ended = on_ended
+
+    def take_all(self, notices: Sequence[Notice]) -> None:
+        """Take the newest notice of each writer, in place of all before."""
+        now = self._clock()
+        self._view.servers.regain_store(now=now)
+        entries = [n.entry for n in notices if isinstance(n, ServerNotice) and n.entry is not None]
+        for entry in entries:
+            self._log_change(entry)
+        for state in self._view.servers.replace_all(entries, now=now):
+            self._end(state, "not_listed")
+        self._view.servers_known = True
+
+    def take(self, notices: Sequence[Notice]) -> None:
+        """Take later notices, or none when the store confirmed that there are none."""
+        now = self._clock()
+        self._view.servers.regain_store(now=now)
+        for notice in notices:
+            if not isinstance(notice, ServerNotice):
+                continue
+            if notice.entry is None:
+                state = self._view.servers.remove(notice.server, now=now)
+                if state is not None:
+                    self._end(state, "removed" if notice.removed else "unreadable_entry")
+                continue
+            self._log_change(notice.entry)
+            replaced = self._view.servers.put(notice.entry, now=now)
+            if replaced is not None:
+                self._end(replaced, "restarted")
+        for state in self._view.servers.expire_lapsed(now=now):
+            self._end(state, "lapsed_while_store_was_away")
+
+    def lose(self) -> None:
+        """Distrust removals until the store is back for a while."""
+        self._view.servers.lose_store()
+
+    def _log_change(self, entry: ServerEntry) -> None:
+        state = self._view.servers.get(entry.server)
+        if state is not None and (state.entry.draining, state.entry.started_ms) == (
+            entry.draining,
+            entry.started_ms,
+        ):
+            return
+        self._stats.count_belief("server")
+        structlog.get_logger().info(
+            "server changed",
+            server=entry.server,
+            service=entry.service,
+            address=entry.address,
+            data_centre=entry.data_centre,
+            draining=entry.draining,
+            cold_s=entry.cold_s,
+        )
+
+    def _end(self, state: ServerState, cause: str) -> None:
+        self._stats.count_belief("server_ended")
+        structlog.get_logger().info(
+            "server ended",
+            server=state.entry.server,
+            cause=cause,
+            entry_age_s=round(self._clock() - state.entry_at, 2),
+        )
+        self._on_ended(state)
--- a/packages/router/src/cornellead/process/_pool_janitor.py
+++ b/packages/router/src/cornellead/process/_pool_janitor.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from cornellead.upstream import AgentPool
+    from cornellead.upstream import ConnectionPool
 
 INTERVAL_S = 1.0
 
@@ -16,7 +16,7 @@
 
     name = "pool-janitor"
 
-    def __init__(self, *, pool: AgentPool) -> None:
+    def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
 
     async def run(self) -> None:
--- a/packages/router/src/cornellead/process/_traffic_parts.py
+++ b/packages/router/src/cornellead/process/_traffic_parts.py
@@ -19,7 +19,7 @@
 from cornellead.limits import TeamGate
 from cornellead.process._pool_janitor import PoolJanitor
 from cornellead.stats import RouterStats
-from cornellead.upstream import AgentPool
+from cornellead.upstream import ConnectionPool
 from cornellead.waiting import Waiter
 from cornellead.waiting import WaitingRoom
 from cornellead_core.metrics import Metrics
@@ -57,7 +57,7 @@
         loop = asyncio.get_running_loop()
         metrics = Metrics()
         self.view = view = ServerView()
-        self.pool = AgentPool(loop=loop)
+        self.pool = ConnectionPool(loop=loop)
         self.room = WaitingRoom(max_waiting=settings.max_waiting)
         self.hints = HintSender(client=control)
         self.stats = RouterStats(metrics=metrics)
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -1,9 +1,11 @@
-"""One connection to an agent."""
+"""One connection to an agent or a server."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import httptools
 
@@ -24,6 +26,19 @@
 """
 
 
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+KEEP_ALIVE_TIMEOUT = "timeout="
+
+
+class EchoedHeader(NamedTuple):
+    """A header that the response to a request repeats."""
+
+    name: str
+    """In lower case."""
+    value: str
+
+
 class Connection(asyncio.BufferedProtocol):
     """Sends one request at a time and pushes the parsed response into an `Exchange`.
 
@@ -39,19 +54,40 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._exchange: Exchange | None = None
         self._headers: dict[str, str] = {}
+        self._raw_headers: list[tuple[bytes, bytes]] = []
+        self._expect: EchoedHeader | None = None
+        self._skipping = False
+        self._ends_with_connection = False
         self._paused = False
         self.idle_since = 0.0
+        self.stated_idle_s: float | None = None
+        """Time after which the server says that it closes an idle connection."""
         self.closed = False
 
-    def send(self, head: bytes, body: bytes) -> Exchange:
+    def limit_silence(self, timeout_ms: int) -> None:
+        """Break the connection when sent bytes stay unacknowledged.
+
+        :param timeout_ms: Longest time without an acknowledgement.
+        """
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+    def send(self, head: bytes, body: bytes, *, expect: EchoedHeader | None = None) -> Exchange:
         """Write a request.
 
         :param head: Request line and headers with the final empty line.
+        :param expect: Responses with another value of this header are dropped.
         """
         assert self._transport is not None and self._exchange is None
         # A new parser for each response: nothing of an earlier response can leak into this one.
         self._parser = httptools.HttpResponseParser(self)
         self._headers = {}
+        self._raw_headers = []
+        self._expect = expect
+        self._skipping = False
+        self._ends_with_connection = False
         self._exchange = Exchange(loop=self._loop, abort=self.close, resume_reading=self._resume)
         self._transport.write(head + body)
         return self._exchange
@@ -90,7 +126,10 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Close after the agent closed its side."""
+        """Close after the other side closed; some responses end that way."""
+        if self._ends_with_connection and self._exchange is not None:
+            self._exchange.finish(complete=True)
+            self._exchange = None
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -109,6 +148,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._raw_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Publish status and headers."""
@@ -116,13 +156,23 @@
             return
         status = self._parser.get_status_code()
         if status < 200:
-            self._headers = {}
+            self._forget_headers()
+            return
+        expect = self._expect
+        if expect is not None and self._headers.get(expect.name) not in (None, expect.value):
+            self._skipping = True
             return
-        self._exchange.put_head(ResponseHead(status, self._headers))
+        self._read_keep_alive()
+        self._ends_with_connection = (
+            "content-length" not in self._headers
+            and "transfer-encoding" not in self._headers
+            and status not in (NO_CONTENT, NOT_MODIFIED)
+        )
+        self._exchange.put_head(ResponseHead(status, self._headers, tuple(self._raw_headers)))
 
     def on_body(self, data: bytes) -> None:
         """Publish body bytes."""
-        if self._exchange is not None and not self.closed:
+        if self._exchange is not None and not self.closed and not self._skipping:
             self._exchange.put_body(data)
 
     def on_message_complete(self) -> None:
@@ -130,10 +180,14 @@
         exchange, parser = self._exchange, self._parser
         if exchange is None or parser is None or parser.get_status_code() < 200:
             return
+        if self._skipping:
+            self._skipping = False
+            self._forget_headers()
+            return
         exchange.finish(complete=True)
         self._exchange = None
         # The rest of this read may hold another response; its headers must not change these.
-        self._headers = {}
+        self._forget_headers()
         if not parser.should_keep_alive() or self.closed:
             self.close()
             return
@@ -145,6 +199,17 @@
         if not self.closed:
             self._release(self)
 
+    def _forget_headers(self) -> None:
+        self._headers = {}
+        self._raw_headers = []
+
+    def _read_keep_alive(self) -> None:
+        for item in self._headers.get("keep-alive", "").split(","):
+            text = item.strip().lower()
+            if text.startswith(KEEP_ALIVE_TIMEOUT):
+                seconds = text.removeprefix(KEEP_ALIVE_TIMEOUT)
+                self.stated_idle_s = float(seconds) if seconds.isdecimal() else None
+
     def _resume(self) -> None:
         if self._paused and self._transport is not None and not self.closed:
             self._paused = False
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -20,6 +20,8 @@
     status: int
     headers: Mapping[str, str]
     """Names in lower case."""
+    raw: tuple[tuple[bytes, bytes], ...] = ()
+    """All headers in order, as sent."""
 
 
 class Exchange:
