Read the id of an event that arrives alone

Cause: the start of the last event was computed one byte late when a read held a single event, so a resumed stream asked for everything again. Change: cut at the separator before it.

--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -47,8 +47,8 @@
             return b""
         whole, self._tail = buffer[: end + 2], buffer[end + 2 :]
         if not self._resumed:
-            last = _event_id(whole[whole.rfind(SEPARATOR, 0, end) + 2 if end else 0 :])
-            self.last_event = last or self.last_event
+            last = whole.rfind(SEPARATOR, 0, end)
+            self.last_event = _event_id(whole[max(0, last) :]) or self.last_event
             return whole
         return b"".join(self._take_new(whole))
 
