Copy the prompt of a chat that moves; bound servers by their reported load

Change: a router names the server that keeps the prompt, from its own requests or as the home that all routers compute, and the target copies it. A second bound uses the load that servers report, with the mean over all listed servers.

--- a/packages/core/src/cornellead_core/routing/_wire_format.py
+++ b/packages/core/src/cornellead_core/routing/_wire_format.py
@@ -66,6 +66,8 @@
     """0 is the most urgent."""
     time_left_s: float
     last_event: str
+    prompt_source: str = ""
+    """Address of a server from which the prompt is fetched; empty for none."""
 
 
 class WireFormat(Protocol):
--- a/packages/router/src/cornellead/gateway/beliefs/__init__.py
+++ b/packages/router/src/cornellead/gateway/beliefs/__init__.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from cornellead.gateway.beliefs._fleet_view import FleetView
+from cornellead.gateway.beliefs._prompt_directory import PromptDirectory
 from cornellead.gateway.beliefs._server_health import ServerHealth
 from cornellead.gateway.beliefs._server_registry import ServerRegistry
 from cornellead.gateway.beliefs._server_state import ServerState
 
-__all__ = ["FleetView", "ServerHealth", "ServerRegistry", "ServerState"]
+__all__ = ["FleetView", "PromptDirectory", "ServerHealth", "ServerRegistry", "ServerState"]
--- a/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cornellead.gateway.beliefs._prompt_directory import PromptDirectory
 from cornellead.gateway.beliefs._server_registry import ServerRegistry
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
         self.router = router
         self.config: RoutingConfig | None = None
         self.servers = ServerRegistry()
+        self.prompts = PromptDirectory()
         self.servers_known = False
         """Whether the list of servers was read once."""
         self.confirmed_at: float | None = None
--- a/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -136,18 +136,19 @@
         return [
             state
             for state in self._by_service.get(service, ())
-            if not state.entry.draining
-            and state.entry.data_centre not in self._out
-            and (allow is None or allow(state))
+            if self._takes_work(state) and (allow is None or allow(state))
         ]
 
-    def may_use(self, state: ServerState) -> bool:
-        """Return whether a server that was chosen earlier may still receive requests."""
-        return (
-            self._servers.get(state.entry.server) is state
-            and not state.entry.draining
-            and state.entry.data_centre not in self._out
-        )
+    def listed(self, service: str) -> list[ServerState]:
+        """Return all servers of a service, also those that may not be used."""
+        return list(self._by_service.get(service, ()))
+
+    def in_service(self, state: ServerState) -> bool:
+        """Return whether the server's data centre is in service."""
+        return state.entry.data_centre not in self._out
+
+    def _takes_work(self, state: ServerState) -> bool:
+        return not state.entry.draining and self.in_service(state)
 
     def _in_lapse_grace(self, now: float) -> bool:
         if self._store_away:
--- a/packages/router/src/cornellead/gateway/beliefs/_server_state.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_state.py
@@ -21,6 +21,8 @@
         self.entry = entry
         self.entry_at = now
         """When the newest entry arrived, in seconds."""
+        self.listed_at = now
+        """When the first entry arrived, in seconds."""
         self.cold_until = now + entry.cold_s if entry.cold_s > 0 else 0.0
         self._forced_cold_until = 0.0
         self.missing_since: float | None = None
@@ -28,6 +30,7 @@
         self.health = ServerHealth(now=now)
         self._load: ReportedLoad | None = None
         self._load_at = 0.0
+        self._opened_at_load = 0
 
     def update(self, entry: ServerEntry, *, now: float) -> None:
         """Take a newer entry of the same incarnation."""
@@ -52,16 +55,21 @@
         """Take the load that came with a response."""
         self._load = load
         self._load_at = now
+        self._opened_at_load = self.health.opened
 
-    def load(self, *, now: float) -> int:
-        """Return the requests at the server: reported ones while fresh, else this router's own."""
-        own = self.health.in_flight
+    def reported_load(self, *, now: float) -> int | None:
+        """Return the last reported load with what this router sent since, if it is fresh."""
         if self._load is None or now - self._load_at > LOAD_TRUST_S:
-            return own
-        return max(own, self._load.running + self._load.waiting)
+            return None
+        sent_since = self.health.opened - self._opened_at_load
+        return max(self.health.in_flight, self._load.running + self._load.waiting + sent_since)
 
-    def waiting(self, *, now: float) -> int:
-        """Return the requests that wait at the server, as far as known."""
-        if self._load is None or now - self._load_at > LOAD_TRUST_S:
-            return 0
-        return self._load.waiting
+    def load(self, *, routers: int, now: float) -> int:
+        """Return the estimated requests at the server from all routers.
+
+        Without a fresh report, the other routers are taken to send as much as this one.
+
+        :param routers: Number of running routers.
+        """
+        reported = self.reported_load(now=now)
+        return self.health.in_flight * max(1, routers) if reported is None else reported
--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -71,6 +71,7 @@
             urgency=_urgency(route, team),
             regions=_regions(route, team),
             affinity=affinity if service.kv_capacity_tokens else "",
+            shared_tokens=sum(part.tokens for part in caller.prompt[:-1]),
             rights=RequestRights(
                 repeatable=route.repeatable,
                 max_attempts=route.max_attempts,
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -42,9 +42,12 @@
         self._clock = clock
         self._open: set[Attempt] = set()
 
-    async def send(self, job: Job, state: ServerState, *, last_event: str) -> Attempt | None:
+    async def send(
+        self, job: Job, state: ServerState, *, source: ServerState | None, last_event: str
+    ) -> Attempt | None:
         """Send a request.
 
+        :param source: Server from which the prompt is fetched, if any.
         :param last_event: Id of the last event that the caller has, when a stream is resumed.
         :returns: ``None`` if no connection could be opened, so that nothing was sent.
         """
@@ -55,6 +58,7 @@
             urgency=job.urgency,
             time_left_s=job.rights.time_left_s(now=now),
             last_event=last_event,
+            prompt_source="" if source is None else source.entry.address,
         )
         repeatable = job.route.repeatable
         result = await self._pool.send(
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -162,7 +162,10 @@
         out: ResponseWriter,
     ) -> AttemptOutcome | None:
         name = state.entry.server
-        attempt = await self._sender.send(job, state, last_event=events.last_event)
+        source = self._picker.prompt_source(job, state, now=self._clock())
+        if source is not None:
+            journey.note(f"fetch_from_{source.entry.server}")
+        attempt = await self._sender.send(job, state, source=source, last_event=events.last_event)
         if attempt is None:
             journey.add_attempt(name, "no_connection")
             return None
@@ -174,6 +177,8 @@
         finally:
             self._sender.finish(attempt)
         ok = isinstance(outcome, Delivered)
+        if ok and job.affinity:
+            self._view.prompts.record(job.affinity, name, now=self._clock())
         state.health.count_outcome(ok=ok, now=self._clock())
         journey.add_attempt(name, _describe(outcome))
         return outcome
--- a/packages/router/src/cornellead/gateway/forwarding/_job.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_job.py
@@ -25,6 +25,8 @@
     """Regions whose servers may run it; empty for all."""
     affinity: str
     """Identity of the prompt that it shares with others; empty without one."""
+    shared_tokens: int
+    """Tokens of the prompt that other requests share."""
     rights: RequestRights
     config_version: int
 
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cornellead.gateway.policy import exclude
+from cornellead.gateway.policy import find_prompt_source
 from cornellead.gateway.policy import order_by_cost
 from cornellead.gateway.policy import order_for_chat
 
@@ -19,6 +20,10 @@
     from cornellead.gateway.policy import ColdGate
 
 
+MIN_FETCHED_TOKENS = 256
+"""Shared tokens from which a prompt is fetched: fewer are read about as fast as a fetch starts."""
+
+
 class NoServer(NamedTuple):
     """No server can take the request now."""
 
@@ -53,12 +58,15 @@
         :param tried: Servers that this request was sent to.
         :param now: Seconds.
         """
+        routers = self._view.routers(now=now)
         servers = self._view.servers.usable(job.service.name, allow=lambda s: self._allowed(job, s))
         if job.affinity:
-            ordered = order_for_chat(job.affinity, servers, now=now)
+            listed = self._view.servers.listed(job.service.name)
+            ordered = order_for_chat(job.affinity, servers, listed, routers=len(routers), now=now)
         else:
-            ordered = order_by_cost(servers, data_centre=self._data_centre, now=now)
-        routers = self._view.routers(now=now)
+            ordered = order_by_cost(
+                servers, data_centre=self._data_centre, routers=len(routers), now=now
+            )
         rate_per_s = job.service.cold_rate_per_s
         opens_at: float | None = None
         for state in exclude(ordered, tried):
@@ -72,5 +80,18 @@
                 opens_at = at
         return NoServer(opens_at, len(servers))
 
+    def prompt_source(self, job: Job, target: ServerState, *, now: float) -> ServerState | None:
+        """Return the server from which the target should fetch the prompt, if any."""
+        if job.shared_tokens < MIN_FETCHED_TOKENS:
+            return None
+        registry = self._view.servers
+        return find_prompt_source(
+            job.affinity,
+            target,
+            [s for s in registry.listed(job.service.name) if registry.in_service(s)],
+            self._view.prompts.holders(job.affinity, now=now),
+            now=now,
+        )
+
     def _allowed(self, job: Job, state: ServerState) -> bool:
         return not job.regions or self._regions.get(state.entry.data_centre) in job.regions
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -5,9 +5,11 @@
 from cornellead.gateway.policy._choice import exclude
 from cornellead.gateway.policy._choice import order_by_cost
 from cornellead.gateway.policy._choice import order_for_chat
+from cornellead.gateway.policy._choice import rank_homes
 from cornellead.gateway.policy._choice import retry_after_s
 from cornellead.gateway.policy._choice import split_service
 from cornellead.gateway.policy._cold_gate import ColdGate
+from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_rights import RequestRights
 from cornellead.gateway.policy._request_rights import RunState
 from cornellead.gateway.policy._retry_share import RetryShare
@@ -18,8 +20,10 @@
     "RetryShare",
     "RunState",
     "exclude",
+    "find_prompt_source",
     "order_by_cost",
     "order_for_chat",
+    "rank_homes",
     "retry_after_s",
     "split_service",
 ]
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -14,11 +14,17 @@
 
     from cornellead.gateway.beliefs import ServerState
 
-HOME_BOUND = 1.5
-"""Load of a server as a multiple of the mean above which chats of its own go to the next one."""
-HOME_SLACK = 2.0
-"""Requests above the multiple of the mean that are allowed, so that small counts do not move
-chats from the servers that have their prompts."""
+OWN_BOUND = 1.5
+"""Requests of this router at a server as a multiple of its mean above which the server's own chats
+go to the next one."""
+OWN_SLACK = 2.0
+"""Requests of this router above the multiple of the mean that are allowed, so that small counts do
+not move chats from the servers that have their prompts."""
+TOTAL_BOUND = 1.8
+"""Reported load of a server as a multiple of the mean above which its own chats go to the next one:
+below the multiple of 2 that deployments allow, since reports are up to a second old."""
+TOTAL_SLACK = 2.0
+"""Requests above the multiple of the mean that are allowed."""
 MIN_RELATIVE_SUCCESS = 0.7
 """A server whose success rate is below this share of the best one's is asked last."""
 REMOTE_FACTOR = 1.5
@@ -28,36 +34,53 @@
 """Latency assumed of a server that has not answered yet."""
 
 
-def order_for_chat(key: str, servers: Sequence[ServerState], *, now: float) -> list[ServerState]:
+def order_for_chat(
+    key: str,
+    servers: Sequence[ServerState],
+    listed: Sequence[ServerState],
+    *,
+    routers: int,
+    now: float,
+) -> list[ServerState]:
     """Order model servers for a request that shares its prompt with others.
 
     Load: returning chats whose prompts are cached where the chat was before. All routers compute
     the same order for a key, so they need no messages to agree on the home of a chat. A server
-    above the bound on load comes after those below it, so a popular chat spills over.
+    above the bound on load comes after those below it, so a popular chat spills over. The bound
+    holds for what this router sent, and for the load that the server reported. Its mean is taken
+    over all servers of the service: those that take no requests now are part of it.
 
     :param key: Identity of the shared part of the prompt.
+    :param servers: Servers that may be used.
+    :param listed: All servers of the service.
+    :param routers: Number of running routers.
     :param now: Seconds.
     """
-    by_name = {state.entry.server: state for state in servers}
-    order = order_by_rendezvous(
-        key.encode(), [Weighted(name, max(1.0, by_name[name].entry.slots)) for name in by_name]
-    )
-    ranked = [by_name[name] for name in order]
-    mean = sum(state.health.in_flight for state in ranked) / max(1, len(ranked))
-    limit = HOME_BOUND * mean + HOME_SLACK
+    ranked = rank_homes(key, servers)
+    own_mean = sum(state.health.in_flight for state in ranked) / max(1, len(ranked))
+    own_limit = OWN_BOUND * own_mean + OWN_SLACK
+    total = sum(state.load(routers=routers, now=now) for state in listed)
+    total_limit = TOTAL_BOUND * total / max(1, len(listed)) + TOTAL_SLACK
     avoided = _unsound(ranked, now=now)
-    return sorted(
-        ranked,
-        key=lambda state: (
-            state.entry.server in avoided,
-            state.health.in_flight > limit,
-            state.health.in_flight if state.health.in_flight > limit else 0,
-        ),
-    )
+
+    def rank(state: ServerState) -> tuple[bool, bool, float]:
+        own = state.health.in_flight
+        reported = state.reported_load(now=now)
+        full = own > own_limit or (reported is not None and reported > total_limit)
+        return state.entry.server in avoided, full, own if full else 0.0
+
+    return sorted(ranked, key=rank)
+
+
+def rank_homes(key: str, servers: Sequence[ServerState]) -> list[ServerState]:
+    """Order servers for a key alone, the same way on every router."""
+    by_name = {state.entry.server: state for state in servers}
+    weighted = [Weighted(name, max(1.0, s.entry.slots)) for name, s in by_name.items()]
+    return [by_name[name] for name in order_by_rendezvous(key.encode(), weighted)]
 
 
 def order_by_cost(
-    servers: Sequence[ServerState], *, data_centre: str, now: float
+    servers: Sequence[ServerState], *, data_centre: str, routers: int, now: float
 ) -> list[ServerState]:
     """Order servers of a plain service by the expected cost of a request.
 
@@ -71,7 +94,7 @@
     def cost(state: ServerState) -> tuple[bool, float]:
         health = state.health
         latency_s = max(MIN_LATENCY_S, health.latency_s)
-        queue = 1.0 + state.load(now=now) / max(1, state.entry.slots)
+        queue = 1.0 + state.load(routers=routers, now=now) / max(1, state.entry.slots)
         near = 1.0 if state.entry.data_centre == data_centre else REMOTE_FACTOR
         success = health.success_rate(now=now)
         return state.entry.server in avoided, latency_s * queue * near / success**2
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -205,6 +205,7 @@
     def _drop_server(self, state: ServerState) -> None:
         self._pool.discard(state.entry.address)
         self._gate.forget(state.entry.server)
+        self._view.prompts.forget_server(state.entry.server)
 
     def _apply(self, settings: NodeSettings) -> None:
         self._settings = settings
