--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -51,7 +51,8 @@
     """A router announced that it runs, or that it stops."""
 
     router: str
-    running: bool
+    address: str | None
+    """``ip:port`` where it takes reports of load; ``None`` if it stops."""
 
 
 Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice
@@ -93,8 +94,8 @@
         """
         ...
 
-    async def announce(self, router: str, *, running: bool) -> Result[None, StoreError]:
-        """Write that a router runs or stops."""
+    async def announce(self, router: str, address: str | None) -> Result[None, StoreError]:
+        """Write that a router runs, and where it takes reports of load, or that it stops."""
         ...
 
     async def close(self) -> None:
--- a/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cornellead.gateway.beliefs._fleet_load import FleetLoad
 from cornellead.gateway.beliefs._prompt_directory import PromptDirectory
 from cornellead.gateway.beliefs._server_registry import ServerRegistry
 
@@ -23,11 +24,12 @@
         self.config: RoutingConfig | None = None
         self.servers = ServerRegistry()
         self.prompts = PromptDirectory()
+        self.load = FleetLoad()
         self.servers_known = False
         """Whether the list of servers was read once."""
         self.confirmed_at: float | None = None
         """When the store last confirmed the configuration, in seconds."""
-        self._routers: dict[str, float] = {}
+        self._routers: dict[str, tuple[float, str]] = {}
 
     def take_config(self, config: RoutingConfig) -> bool:
         """Put a configuration in force unless a newer one is.
@@ -50,16 +52,24 @@
         """Whether enough is known to serve callers."""
         return self.config is not None and self.servers_known
 
-    def see_router(self, router: str, *, running: bool, now: float) -> None:
-        """Take the announcement of a router."""
-        if running:
-            self._routers[router] = now
-        else:
+    def see_router(self, router: str, address: str | None, *, now: float) -> None:
+        """Take the announcement of a router.
+
+        :param address: Where it takes reports of load; ``None`` if it stops.
+        """
+        if address is None:
             self._routers.pop(router, None)
+        else:
+            self._routers[router] = (now, address)
 
     def routers(self, *, now: float) -> list[str]:
         """Return the names of the running routers, this one included."""
-        lost = [name for name, at in self._routers.items() if now - at > MEMBER_TRUST_S]
+        lost = [name for name, (at, _) in self._routers.items() if now - at > MEMBER_TRUST_S]
         for name in lost:
             del self._routers[name]
         return sorted({*self._routers, self.router})
+
+    def peers(self, *, now: float) -> list[str]:
+        """Return where the other running routers take reports of load."""
+        names = self.routers(now=now)
+        return [self._routers[name][1] for name in names if name != self.router]
--- a/packages/router/src/cornellead/gateway/beliefs/_server_health.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_health.py
@@ -33,8 +33,6 @@
         self._decayed_at = now
         self._last_byte_at = now
         self._open_since: dict[int, float] = {}
-        self.opened = 0
-        """Requests sent so far."""
         self._paused_until = 0.0
         self.latency_s = 0.0
         """Running mean of the time to the first byte; 0 before the first response."""
@@ -46,7 +44,6 @@
 
     def open(self, request: int, *, now: float) -> None:
         """Count a request that was sent."""
-        self.opened += 1
         self._open_since[request] = now
 
     def close(self, request: int) -> None:
--- a/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -143,6 +143,14 @@
         """Return all servers of a service, also those that may not be used."""
         return list(self._by_service.get(service, ()))
 
+    def own_counts(self) -> dict[int, int]:
+        """Return this router's requests at the servers, by the hash of the server's name."""
+        return {
+            state.name_hash: state.health.in_flight
+            for state in self._servers.values()
+            if state.health.in_flight
+        }
+
     def in_service(self, state: ServerState) -> bool:
         """Return whether the server's data centre is in service."""
         return state.entry.data_centre not in self._out
--- a/packages/router/src/cornellead/gateway/beliefs/_server_state.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_state.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from cornellead.gateway.beliefs._server_health import ServerHealth
 
 if TYPE_CHECKING:
+    from cornellead.gateway.beliefs._fleet_load import FleetLoad
     from cornellead_core.routing import ReportedLoad
     from cornellead_core.routing import ServerEntry
 
@@ -24,13 +27,15 @@
         self.listed_at = now
         """When the first entry arrived, in seconds."""
         self.cold_until = now + entry.cold_s if entry.cold_s > 0 else 0.0
+        self.name_hash = xxhash.xxh32_intdigest(entry.server.encode())
+        """Identifies the server in reports of routers."""
         self._forced_cold_until = 0.0
         self.missing_since: float | None = None
         """When the entry lapsed while the store was away, if it did."""
         self.health = ServerHealth(now=now)
         self._load: ReportedLoad | None = None
         self._load_at = 0.0
-        self._opened_at_load = 0
+        self._own_at_load = 0
 
     def update(self, entry: ServerEntry, *, now: float) -> None:
         """Take a newer entry of the same incarnation."""
@@ -55,21 +60,21 @@
         """Take the load that came with a response."""
         self._load = load
         self._load_at = now
-        self._opened_at_load = self.health.opened
-
-    def reported_load(self, *, now: float) -> int | None:
-        """Return the last reported load with what this router sent since, if it is fresh."""
-        if self._load is None or now - self._load_at > LOAD_TRUST_S:
-            return None
-        sent_since = self.health.opened - self._opened_at_load
-        return max(self.health.in_flight, self._load.running + self._load.waiting + sent_since)
+        self._own_at_load = self.health.in_flight
 
-    def load(self, *, routers: int, now: float) -> int:
+    def load(self, fleet: FleetLoad, *, routers: int, now: float) -> float:
         """Return the estimated requests at the server from all routers.
 
-        Without a fresh report, the other routers are taken to send as much as this one.
+        Reports of other routers come first, then the load that the server reported. Without
+        either, the other routers are taken to send as much as this one.
 
         :param routers: Number of running routers.
         """
-        reported = self.reported_load(now=now)
-        return self.health.in_flight * max(1, routers) if reported is None else reported
+        own = self.health.in_flight
+        others = fleet.others(self.name_hash, routers=routers, now=now)
+        if others is not None:
+            return own + others
+        if self._load is not None and now - self._load_at <= LOAD_TRUST_S:
+            change = own - self._own_at_load
+            return float(max(own, self._load.running + self._load.waiting + change))
+        return float(own * max(1, routers))
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/exchange/__init__.py
@@ -0,0 +1,7 @@
+"""Exchange of loads among routers by datagrams."""
+
+from __future__ import annotations
+
+from cornellead.gateway.exchange._load_exchange import LoadExchange
+
+__all__ = ["LoadExchange"]
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -60,13 +60,15 @@
         """
         routers = self._view.routers(now=now)
         servers = self._view.servers.usable(job.service.name, allow=lambda s: self._allowed(job, s))
+        fleet = self._view.load
+        loads = {
+            state.entry.server: state.load(fleet, routers=len(routers), now=now)
+            for state in self._view.servers.listed(job.service.name)
+        }
         if job.affinity:
-            listed = self._view.servers.listed(job.service.name)
-            ordered = order_for_chat(job.affinity, servers, listed, routers=len(routers), now=now)
+            ordered = order_for_chat(job.affinity, servers, loads, now=now)
         else:
-            ordered = order_by_cost(
-                servers, data_centre=self._data_centre, routers=len(routers), now=now
-            )
+            ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
         rate_per_s = job.service.cold_rate_per_s
         opens_at: float | None = None
         for state in exclude(ordered, tried):
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -10,21 +10,20 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import ServerState
 
-OWN_BOUND = 1.5
-"""Requests of this router at a server as a multiple of its mean above which the server's own chats
-go to the next one."""
-OWN_SLACK = 2.0
-"""Requests of this router above the multiple of the mean that are allowed, so that small counts do
-not move chats from the servers that have their prompts."""
-TOTAL_BOUND = 1.8
-"""Reported load of a server as a multiple of the mean above which its own chats go to the next one:
-below the multiple of 2 that deployments allow, since reports are up to a second old."""
-TOTAL_SLACK = 2.0
-"""Requests above the multiple of the mean that are allowed."""
+HOME_BOUND = 1.85
+"""Load of a server as a multiple of the mean above which chats of its own go to the next one: below
+the multiple of 2 that deployments allow, since loads of other routers are a fraction of a second
+old."""
+HOME_SLACK = 3.0
+"""Requests above the multiple of the mean that are allowed, so that small counts do not move chats
+from the servers that have their prompts."""
+SAME_LOAD = 4.0
+"""Difference in load of full servers below which the one with the prompt is preferred."""
 MIN_RELATIVE_SUCCESS = 0.7
 """A server whose success rate is below this share of the best one's is asked last."""
 REMOTE_FACTOR = 1.5
@@ -35,39 +34,27 @@
 
 
 def order_for_chat(
-    key: str,
-    servers: Sequence[ServerState],
-    listed: Sequence[ServerState],
-    *,
-    routers: int,
-    now: float,
+    key: str, servers: Sequence[ServerState], loads: Mapping[str, float], *, now: float
 ) -> list[ServerState]:
     """Order model servers for a request that shares its prompt with others.
 
     Load: returning chats whose prompts are cached where the chat was before. All routers compute
     the same order for a key, so they need no messages to agree on the home of a chat. A server
-    above the bound on load comes after those below it, so a popular chat spills over. The bound
-    holds for what this router sent, and for the load that the server reported. Its mean is taken
-    over all servers of the service: those that take no requests now are part of it.
+    above the bound on load comes after those below it, so a popular chat spills over. The mean is
+    taken over all servers of the service: those that take no requests now are part of it.
 
     :param key: Identity of the shared part of the prompt.
     :param servers: Servers that may be used.
-    :param listed: All servers of the service.
-    :param routers: Number of running routers.
+    :param loads: Estimated requests at each server of the service, by name.
     :param now: Seconds.
     """
     ranked = rank_homes(key, servers)
-    own_mean = sum(state.health.in_flight for state in ranked) / max(1, len(ranked))
-    own_limit = OWN_BOUND * own_mean + OWN_SLACK
-    total = sum(state.load(routers=routers, now=now) for state in listed)
-    total_limit = TOTAL_BOUND * total / max(1, len(listed)) + TOTAL_SLACK
+    limit = HOME_BOUND * sum(loads.values()) / max(1, len(loads)) + HOME_SLACK
     avoided = _unsound(ranked, now=now)
 
-    def rank(state: ServerState) -> tuple[bool, bool, float]:
-        own = state.health.in_flight
-        reported = state.reported_load(now=now)
-        full = own > own_limit or (reported is not None and reported > total_limit)
-        return state.entry.server in avoided, full, own if full else 0.0
+    def rank(state: ServerState) -> tuple[bool, int]:
+        load = loads[state.entry.server]
+        return state.entry.server in avoided, 1 + int(load / SAME_LOAD) if load > limit else 0
 
     return sorted(ranked, key=rank)
 
@@ -80,13 +67,14 @@
 
 
 def order_by_cost(
-    servers: Sequence[ServerState], *, data_centre: str, routers: int, now: float
+    servers: Sequence[ServerState], loads: Mapping[str, float], *, data_centre: str, now: float
 ) -> list[ServerState]:
     """Order servers of a plain service by the expected cost of a request.
 
     Load: short calls to a few servers, of which some are slow or fail a part of what they get. The
     cost is the expected time until a success: latency times queue length over success rate.
 
+    :param loads: Estimated requests at each server of the service, by name.
     :param data_centre: Data centre of this router.
     """
     avoided = _unsound(servers, now=now)
@@ -94,7 +82,7 @@
     def cost(state: ServerState) -> tuple[bool, float]:
         health = state.health
         latency_s = max(MIN_LATENCY_S, health.latency_s)
-        queue = 1.0 + state.load(routers=routers, now=now) / max(1, state.entry.slots)
+        queue = 1.0 + loads[state.entry.server] / max(1, state.entry.slots)
         near = 1.0 if state.entry.data_centre == data_centre else REMOTE_FACTOR
         success = health.success_rate(now=now)
         return state.entry.server in avoided, latency_s * queue * near / success**2
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -9,6 +9,7 @@
 import structlog
 
 from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.exchange import LoadExchange
 from cornellead.gateway.forwarding import WATCH_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
@@ -120,8 +121,13 @@
             self._listen(address, admin)
             for address in (settings.ready_address, f"{settings.ip}:{metrics_port}")
         ]
+        exchange_address = f"{settings.ip}:{settings.first_internal_port}"
+        self._exchange = LoadExchange(view=self._view, address=exchange_address, clock=read_clock)
         self._announcer = Announcer(
-            store=store, router=settings.node, interval_s=self._announce_interval_s
+            store=store,
+            router=settings.node,
+            address=exchange_address,
+            interval_s=self._announce_interval_s,
         )
         self._watcher = SettingsWatcher(path=settings_path, load=load, apply=self._apply)
 
@@ -180,6 +186,7 @@
                 interval_s=lambda: self._read_interval_s(MEMBERS_INTERVAL_S),
             ),
             self._announcer,
+            self._exchange,
             self._watcher,
             Ticker(
                 name="watch-attempts",
--- a/packages/router/src/cornellead/gateway/sync/_announcer.py
+++ b/packages/router/src/cornellead/gateway/sync/_announcer.py
@@ -17,29 +17,33 @@
 class Announcer:
     """Writes at intervals that the router runs.
 
+    :param address: Where the router takes reports of load.
     :param interval_s: Returns the time between announcements.
     """
 
     name = "announce"
 
-    def __init__(self, *, store: FleetStore, router: str, interval_s: Callable[[], float]) -> None:
+    def __init__(
+        self, *, store: FleetStore, router: str, address: str, interval_s: Callable[[], float]
+    ) -> None:
         self._store = store
+        self._address = address
         self._router = router
         self._interval_s = interval_s
 
     async def run(self) -> None:
         """Announce until cancelled."""
         while True:
-            await self._announce(running=True)
+            await self._announce(self._address)
             await asyncio.sleep(self._interval_s())
 
     async def stop(self) -> None:
         """Announce that the router stops."""
-        await self._announce(running=False)
+        await self._announce(None)
 
-    async def _announce(self, *, running: bool) -> None:
-        result = await self._store.announce(self._router, running=running)
+    async def _announce(self, address: str | None) -> None:
+        result = await self._store.announce(self._router, address)
         if isinstance(result, Failure):
             structlog.get_logger().warning(
-                "announcement failed", running=running, error=result.failure().message
+                "announcement failed", address=address, error=result.failure().message
             )
