--- /dev/null
+++ b/tests/router/gateway/beliefs/test_fleet_view.py
@@ -0,0 +1,49 @@
+"""Configuration, routers and loads as one router sees them."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.router.gateway.builders import make_config
+from tests.router.gateway.builders import make_state
+
+from cornellead.gateway.beliefs import FleetLoad
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.beliefs import RouterLoad
+
+
+@given(st.lists(st.integers(1, 50), min_size=1))
+def test_configuration_never_goes_back(versions: list[int]) -> None:
+    """Guards against an older configuration that is read again after history was dropped."""
+    view = FleetView(router="r1")
+    for index, version in enumerate(versions):
+        view.take_config(make_config(version))
+        assert view.config is not None
+        assert view.config.version == max(versions[: index + 1])
+
+
+def test_router_that_is_silent_for_long_no_longer_counts() -> None:
+    """Guards against shares that are kept for routers which are gone."""
+    view = FleetView(router="r1")
+    view.see_router("r2", "10.0.0.2:7000", now=0.0)
+    view.see_router("r3", "10.0.0.3:7000", now=15.0)
+    assert view.routers(now=15.0) == ["r1", "r2", "r3"]
+    assert view.routers(now=25.0) == ["r1", "r3"]
+    view.see_router("r3", None, now=26.0)
+    assert view.peers(now=26.0) == []
+
+
+def test_load_of_routers_that_are_not_heard_is_estimated() -> None:
+    """Guards against a bound that misses most of the load when few reports arrive."""
+    load = FleetLoad()
+    load.take(RouterLoad("r2", {1: 4}), now=0.0)
+    load.take(RouterLoad("r3", {}), now=0.0)
+    assert load.others(1, routers=5, now=0.1) == 8.0
+    load.tidy(now=2.0)
+    assert load.others(1, routers=5, now=2.0) is None
+
+
+def test_own_load_counts_for_all_when_nothing_else_is_known() -> None:
+    """Guards against a router without reports that sees a hundredth of the load."""
+    state = make_state(in_flight=3)
+    assert state.load(FleetLoad(), routers=5, now=0.0) == 15.0
--- /dev/null
+++ b/tests/router/gateway/beliefs/test_server_registry.py
@@ -0,0 +1,125 @@
+"""Which servers may be used while entries change, lapse and come back."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from tests.router.gateway.builders import make_entry
+
+from cornellead.gateway.beliefs import ServerRegistry
+
+SERVERS = st.sampled_from(["s1", "s2", "s3"])
+DATA_CENTRES = st.sampled_from(["dc-a", "dc-b"])
+LAPSE_GRACE_S = 2.5
+
+
+class RegistryLife(RuleBasedStateMachine):
+    """Guards against requests to servers that drain, are gone, or are out of service."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.registry = ServerRegistry(return_cold_s=3.0)
+        self.now = 0.0
+        self.entries: dict[str, tuple[str, bool]] = {}
+        self.gone_for_sure: set[str] = set()
+        self.out: set[str] = set()
+        self.away = False
+        self.back_at = float("-inf")
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        self.registry.expire_lapsed(now=self.now)
+
+    @rule(server=SERVERS, data_centre=DATA_CENTRES, draining=st.booleans(), start=st.integers(1, 3))
+    def put(self, server: str, data_centre: str, draining: bool, start: int) -> None:
+        self._read()
+        entry = make_entry(server, data_centre=data_centre, draining=draining, started_ms=start)
+        self.registry.put(entry, now=self.now)
+        self.entries[server] = (data_centre, draining)
+        self.gone_for_sure.discard(server)
+
+    @rule(server=SERVERS)
+    def remove(self, server: str) -> None:
+        self._read()
+        self.registry.remove(server, now=self.now)
+        if server in self.entries:
+            _, draining = self.entries[server]
+            if draining or self.now - self.back_at >= LAPSE_GRACE_S:
+                self.gone_for_sure.add(server)
+
+    @rule()
+    def lose_store(self) -> None:
+        self.registry.lose_store()
+        self.away = True
+
+    @rule(data_centre=DATA_CENTRES, out=st.booleans())
+    def set_out(self, data_centre: str, out: bool) -> None:
+        self.registry.set_out(data_centre, out=out, now=self.now)
+        (self.out.add if out else self.out.discard)(data_centre)
+
+    def _read(self) -> None:
+        if self.away:
+            self.away = False
+            self.back_at = self.now
+        self.registry.regain_store(now=self.now)
+        self.registry.expire_lapsed(now=self.now)
+
+    @invariant()
+    def only_listed_servers_that_take_work_are_usable(self) -> None:
+        for state in self.registry.usable("llm"):
+            data_centre, draining = self.entries[state.entry.server]
+            assert not draining
+            assert data_centre not in self.out
+            assert state.entry.server not in self.gone_for_sure
+
+
+TestRegistryLife = RegistryLife.TestCase
+
+
+def test_entry_that_lapsed_while_the_store_was_away_stays_for_a_while() -> None:
+    """Guards against refusing all requests when all entries lapse in an outage of the store."""
+    registry = ServerRegistry()
+    registry.put(make_entry(), now=0.0)
+    registry.lose_store()
+    registry.regain_store(now=10.0)
+    assert registry.remove("s1", now=10.0) is None
+    assert len(registry.usable("llm")) == 1
+    registry.put(make_entry(), now=11.5)
+    assert registry.expire_lapsed(now=13.0) == []
+    assert len(registry.usable("llm")) == 1
+
+
+def test_entry_that_stays_missing_is_gone() -> None:
+    """Guards against sending to a server that left during an outage of the store."""
+    registry = ServerRegistry()
+    registry.put(make_entry(), now=0.0)
+    registry.lose_store()
+    registry.regain_store(now=10.0)
+    registry.remove("s1", now=10.0)
+    assert [state.entry.server for state in registry.expire_lapsed(now=12.6)] == ["s1"]
+    assert registry.usable("llm") == []
+
+
+def test_restarted_server_starts_afresh() -> None:
+    """Guards against the health and coldness of an earlier incarnation under the same name."""
+    registry = ServerRegistry()
+    registry.put(make_entry(started_ms=1), now=0.0)
+    first = registry.get("s1")
+    ended = registry.put(make_entry(started_ms=2, cold_s=3.0), now=5.0)
+    assert ended is first
+    state = registry.get("s1")
+    assert state is not None and state.cold(now=6.0)
+
+
+def test_returning_data_centre_is_cold_at_first() -> None:
+    """Guards against a rush on servers whose entries do not show yet that they are cold."""
+    registry = ServerRegistry(return_cold_s=3.0)
+    registry.put(make_entry(), now=0.0)
+    registry.set_out("dc-a", out=True, now=1.0)
+    registry.set_out("dc-a", out=False, now=9.0)
+    registry.put(make_entry(), now=9.5)
+    state = registry.get("s1")
+    assert state is not None and state.cold(now=11.0) and not state.cold(now=12.1)
--- a/tests/router/gateway/forwarding/test_event_splitter.py
+++ b/tests/router/gateway/forwarding/test_event_splitter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -40,4 +42,4 @@
 
 def _pieces(cuts: list[int], length: int) -> list[tuple[int, int]]:
     points = sorted({0, length, *(cut for cut in cuts if cut < length)})
-    return list(zip(points, points[1:], strict=False))
+    return list(pairwise(points))
--- /dev/null
+++ b/tests/router/gateway/policy/test_request_rights.py
@@ -0,0 +1,70 @@
+"""What a request may still do after sends, refusals and breaks in any order."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from cornellead.gateway.policy import RequestRights
+
+DEADLINE = 100.0
+
+
+class RequestLife(RuleBasedStateMachine):
+    """Guards against a second run of what must run once, and against a false refusal."""
+
+    @initialize(repeatable=st.booleans(), max_attempts=st.integers(1, 3))
+    def start(self, repeatable: bool, max_attempts: int) -> None:
+        self.repeatable = repeatable
+        self.max_attempts = max_attempts
+        self.rights = RequestRights(
+            repeatable=repeatable, max_attempts=max_attempts, deadline=DEADLINE
+        )
+        self.possible_runs = 0
+        self.pending = False
+        self.now = 0.0
+
+    @precondition(lambda self: not self.pending and self.rights.may_send(now=self.now))
+    @rule()
+    def send(self) -> None:
+        self.rights.count_send()
+        self.pending = True
+
+    @precondition(lambda self: self.pending)
+    @rule(outcome=st.sampled_from(["not_run", "broken", "unsent"]))
+    def end(self, outcome: str) -> None:
+        self.pending = False
+        if outcome == "not_run":
+            self.rights.count_not_run()
+        elif outcome == "unsent":
+            self.rights.count_unsent()
+        else:
+            self.possible_runs += 1
+
+    @rule(seconds=st.floats(0.0, 30.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @invariant()
+    def runs_are_bounded(self) -> None:
+        possible = self.possible_runs + self.pending
+        assert possible <= self.max_attempts
+        assert self.repeatable or possible <= 1
+
+    @invariant()
+    def refusal_is_true(self) -> None:
+        assert self.rights.refusable == (self.possible_runs + self.pending == 0)
+
+    @invariant()
+    def nothing_is_sent_after_the_deadline(self) -> None:
+        assert self.now < DEADLINE or not self.rights.may_send(now=self.now)
+
+
+RequestLife.TestCase.settings = RequestLife.TestCase.settings.__class__(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+TestRequestLife = RequestLife.TestCase
--- /dev/null
+++ b/tests/router/gateway/policy/test_retry_share.py
@@ -0,0 +1,36 @@
+"""Retries of many routers when a service fails everywhere."""
+
+from __future__ import annotations
+
+import pytest
+
+from cornellead.gateway.policy import RetryShare
+from cornellead_core.routing import Bounds
+
+BOUNDS = Bounds(
+    drain_grace_s=8.0,
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_minimum=56.0,
+    cold_overshoot=1.5,
+    cold_slack=5.0,
+    load_factor=2.0,
+    contact_s=3.0,
+)
+
+
+@pytest.mark.parametrize("routers", [1, 5, 27])
+@pytest.mark.parametrize("requests_per_s", [4, 60])
+def test_retries_of_all_routers_stay_in_the_budget(routers: int, requests_per_s: int) -> None:
+    """Guards against retries that multiply an overload: every request asks for one."""
+    shares = [RetryShare(bounds=BOUNDS) for _ in range(routers)]
+    retries: list[float] = []
+    for number in range(30 * requests_per_s):
+        now = number / requests_per_s
+        share = shares[number % routers]
+        share.count_request("app", routers=routers, now=now)
+        if share.try_spend("app", routers=routers, now=now):
+            retries.append(now)
+    allowed = BOUNDS.retry_ratio * requests_per_s * 10 + BOUNDS.retry_minimum
+    worst = max(sum(1 for at in retries if start <= at < start + 10.0) for start in retries)
+    assert worst <= allowed
