--- /dev/null
+++ b/tests/platform_adapter/test_formats.py
@@ -0,0 +1,129 @@
+"""Settings, configuration and headers of the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from returns.result import Failure
+from tests.platform_adapter import wire
+
+from cornellead_core.routing import ForwardTarget
+from cornellead_core.routing import RequestKind
+from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import Topic
+from cornellead_platform import PlatformHeaders
+from cornellead_platform import load_node_settings
+from cornellead_platform._config import decode_config
+from cornellead_platform._records import KeyedRecord
+from cornellead_platform._records import decode_notice
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def test_configuration_is_decoded_into_units_of_the_product() -> None:
+    """Guards against milliseconds taken for seconds and defaults that allow too much."""
+    cfg = decode_config(wire.config())
+    plan = cfg.match("BOX.example:8080", "/plan/today/x")
+    pay = cfg.match("box.example", "/pay/1")
+    assert plan is not None and pay is not None
+    assert (plan.timeout_s, plan.target_latency_s, plan.target_gap_s) == (15.0, 0.8, 0.5)
+    assert plan.kind is RequestKind.STREAMING and not plan.repeatable
+    assert (pay.max_attempts, pay.public, pay.repeatable) == (1, False, False)
+    assert cfg.match("box.example", "/play/") is None
+    assert cfg.match("other.example", "/plan/") is None
+    team = cfg.team_of("k2")
+    assert team is not None and (team.name, team.priority) == ("schools", 2)
+
+
+def test_longest_prefix_wins() -> None:
+    """Guards against a nested route that is served as the outer one."""
+    body = wire.config()
+    inner = body["routes"][1] | {"name": "inner", "path_prefix": "/plan/deep/er/"}
+    cfg = decode_config(body | {"routes": [*body["routes"], inner]})
+    names = [cfg.match("box.example", path) for path in ("/plan/deep/er/x", "/plan/deep/x")]
+    assert [route.name for route in names if route] == ["inner", "plan"]
+
+
+def test_unknown_kind_may_not_be_repeated() -> None:
+    """Guards against a kind of later pages that is run twice."""
+    body = wire.config()
+    body["routes"][1]["kind"] = "once-a-day"
+    route = decode_config(body).match("box.example", "/pay/1")
+    assert route is not None and not route.repeatable
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{", b"[]", b'{"version":"x"}', b'{"version":1,"routes":[{}]}']
+)
+def test_unreadable_configuration_is_a_notice(value: bytes) -> None:
+    """Guards against a process that stops on a configuration it cannot read."""
+    notice = decode_notice(Topic.OPERATOR, KeyedRecord("config", value))
+    assert isinstance(notice, RoutingNotice) and notice.config is None and notice.problem
+
+
+def test_settings_name_the_wrong_field(tmp_path: Path) -> None:
+    """Guards against an operator who has to guess what is wrong."""
+    path = tmp_path / "boot.json"
+    path.write_bytes(msgspec.json.encode(wire.settings("10.0.0.1:80")))
+    assert load_node_settings(str(path)).unwrap().bounds.retry_minimum == 56
+    path.write_bytes(msgspec.json.encode(wire.settings("10.0.0.1:80", heartbeat_ms="often")))
+    wrong = load_node_settings(str(path))
+    assert isinstance(wrong, Failure) and "heartbeat_ms" in wrong.failure()
+    assert isinstance(load_node_settings(str(tmp_path / "none.json")), Failure)
+
+
+def test_forged_and_connection_headers_do_not_reach_servers() -> None:
+    """Guards against a caller that sets what only the router may set."""
+    wire_format = PlatformHeaders()
+    caller = wire_format.decode_caller(
+        [
+            (b"Host", b"box.example"),
+            (b"X-Request-Id", b"7f"),
+            (b"X-Api-Key", b"k1"),
+            (b"X-Tenant", b"other"),
+            (b"X-Hold", b"h"),
+            (b"Kv-From", b"10.0.0.1:80/x"),
+            (b"Kv-Fetch", b"10.0.0.1:80"),
+            (b"X-Pin-Ms", b"900"),
+            (b"X-Kv-Backup", b"10.0.0.1:80"),
+            (b"X-Expect-Instance", b"i-1"),
+            (b"X-Request-Urgency", b"0"),
+            (b"X-Deadline-Ms", b"15000"),
+            (b"Connection", b"close, X-Secret, X-Request-Id"),
+            (b"X-Secret", b"1"),
+            (b"Transfer-Encoding", b"chunked"),
+            (b"X-Model", b"m"),
+        ]
+    )
+    target = ForwardTarget(
+        server="i-9", team="schools", urgency=2, time_left_s=1.5, last_event="", prompt_source=""
+    )
+    lines = wire_format.encode_forward(caller, target).decode().lower().splitlines()
+    assert lines == [
+        "host: box.example",
+        "x-request-id: 7f",
+        "x-model: m",
+        "x-deadline-ms: 1500",
+        "x-expect-instance: i-9",
+        "x-request-urgency: 2",
+        "x-tenant: schools",
+    ]
+
+
+def test_doubled_identity_is_ambiguous() -> None:
+    """Guards against two parsers that read different ids or keys from one request."""
+    decode = PlatformHeaders().decode_caller
+    assert decode([(b"X-Request-Id", b"1"), (b"x-request-id", b"2")]).ambiguous
+    assert decode([(b"X-Api-Key", b"1"), (b"X-API-KEY", b"2")]).ambiguous
+    assert not decode([(b"X-Request-Id", b"1"), (b"Accept", b"a"), (b"Accept", b"b")]).ambiguous
+
+
+def test_only_a_stated_refusal_counts_as_not_run() -> None:
+    """Guards against a second run after a 503 that a server gave while it ran the request."""
+    decode = PlatformHeaders().decode_reply
+    assert decode(503, [(b"X-Not-Executed", b"1")]).not_run
+    assert decode(421, []).not_run
+    assert not decode(503, [(b"X-Response-Seal", b"s")]).not_run
--- /dev/null
+++ b/tests/platform_adapter/test_store_client.py
@@ -0,0 +1,100 @@
+"""Client of the store against a stand-in of it."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+from tests.platform_adapter import wire
+
+from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import HistoryGone
+from cornellead_core.routing import RouterNotice
+from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import StoreError
+from cornellead_core.routing import Topic
+
+if TYPE_CHECKING:
+    from tests.platform_adapter.store_standin import StoreStandin
+
+    from cornellead_platform import StoreClient
+
+Store = tuple["StoreStandin", "StoreClient"]
+
+
+async def test_all_pages_are_read(store: Store) -> None:
+    """Guards against a fleet of which only the first page of servers is used."""
+    standin, client = store
+    for number in range(5):
+        standin.put("keyed.servers", f"s{number}", wire.server())
+    batch = (await client.read_newest(Topic.SERVERS)).unwrap()
+    assert [n.server for n in batch.notices if isinstance(n, ServerNotice)] == [
+        f"s{number}" for number in range(5)
+    ]
+    assert batch.next_offset == 5
+
+
+async def test_later_changes_arrive_in_order(store: Store) -> None:
+    """Guards against a removal that is taken before the entry it removes."""
+    standin, client = store
+    standin.put("keyed.op", "config", wire.config(7))
+    start = (await client.read_newest(Topic.OPERATOR)).unwrap().next_offset
+    standin.put("keyed.op", "evacuate/kgl-a", {})
+    standin.put("keyed.op", "config", wire.config(9))
+    standin.put("keyed.op", "evacuate/kgl-a", None)
+    batch = (await client.read_after(Topic.OPERATOR, offset=start, wait_s=0.0)).unwrap()
+    first, second, third = batch.notices
+    assert first == DataCentreNotice("kgl-a", out=True)
+    assert isinstance(second, RoutingNotice)
+    assert second.config is not None and second.config.version == 9
+    assert third == DataCentreNotice("kgl-a", out=False)
+    assert batch.next_offset == 4
+
+
+async def test_dropped_history_is_noticed(store: Store) -> None:
+    """Guards against a reader that waits for ever at an offset which no longer exists."""
+    standin, client = store
+    standin.put("keyed.op", "config", wire.config())
+    standin.drop_history("keyed.op")
+    result = await client.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    assert isinstance(result, Failure) and isinstance(result.failure(), HistoryGone)
+
+
+async def test_announced_routers_are_read_back(store: Store) -> None:
+    """Guards against routers that do not find each other."""
+    _, client = store
+    await client.announce("r1", "10.0.0.1:7340")
+    await client.announce("r2", "10.0.0.2:7340")
+    await client.announce("r1", None)
+    batch = (await client.read_after(Topic.ROUTERS, offset=0, wait_s=0.0)).unwrap()
+    assert batch.notices[1:] == [RouterNotice("r2", "10.0.0.2:7340"), RouterNotice("r1", None)]
+
+
+async def test_store_that_is_down_or_silent_is_an_outcome(store: Store) -> None:
+    """Guards against a process that stops or hangs because the store does."""
+    standin, client = store
+    standin.down = True
+    refused = await client.read_newest(Topic.OPERATOR)
+    assert isinstance(refused, Failure) and isinstance(refused.failure(), StoreError)
+    standin.down, standin.silent = False, True
+    before = time.monotonic()
+    silent = await client.read_after(Topic.OPERATOR, offset=0, wait_s=0.2)
+    assert isinstance(silent, Failure) and isinstance(silent.failure(), StoreError)
+    assert time.monotonic() - before < 2.0
+
+
+async def test_unreadable_records_are_reported_and_the_others_hold(store: Store) -> None:
+    """Guards against one bad record of another writer that hides the rest."""
+    standin, client = store
+    standin.put_raw("keyed.servers", "s1", b"\xff{")
+    standin.put("keyed.servers", "s2", wire.server(state="paused"))
+    standin.put("keyed.servers", "s3", wire.server(slots="many"))
+    standin.put("keyed.servers", "s4", wire.server(address="somewhere"))
+    standin.put("keyed.servers", "s5", wire.server())
+    standin.put("keyed.servers", "s6", ["no object"])
+    batch = (await client.read_after(Topic.SERVERS, offset=0, wait_s=0.0)).unwrap()
+    usable = [n.server for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
+    assert usable == ["s5"]
+    assert len(batch.notices) == 6
--- /dev/null
+++ b/tests/platform_adapter/wire.py
@@ -0,0 +1,89 @@
+"""Bodies as operators and servers write them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+def config(version: int = 7, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with two routes of one model service and one plain route."""
+    body: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            {
+                "name": "plan",
+                "hostname": "Box.example",
+                "path_prefix": "/plan/",
+                "kind": "streaming",
+                "timeout_ms": 15000,
+                "target_latency_ms": 800,
+                "priority": 1,
+                "weighted_services": [
+                    {"service": "llm", "weight": 90},
+                    {"service": "app", "weight": 10},
+                ],
+                "max_attempts": 1,
+                "stream_resume": False,
+                "gap_target_ms": 500,
+            },
+            {
+                "name": "pay",
+                "hostname": "box.example",
+                "path_prefix": "/pay/",
+                "kind": "unsafe",
+                "timeout_ms": 1500,
+                "target_latency_ms": 200,
+                "service": "app",
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "max_connections": 370,
+                "cold_start_s": 3.0,
+                "cold_per_s": 11.0,
+                "engine": {"slots": 64, "kv_capacity_tokens": 1000},
+            },
+            {"name": "app", "max_connections": 110, "cold_start_s": 0.0, "cold_per_s": 0.0},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "schools", "api_keys": ["k1", "k2"], "priority": 2}],
+    }
+    return body | changes
+
+
+def server(address: str = "10.0.0.9:8080", **changes: Any) -> dict[str, Any]:
+    """Return the entry of a server."""
+    body: dict[str, Any] = {
+        "service": "llm",
+        "address": address,
+        "zone": "kgl-a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 4,
+        "born": 1790000000000,
+    }
+    return body | changes
+
+
+def settings(store: str, **changes: Any) -> dict[str, Any]:
+    """Return a settings file."""
+    body: dict[str, Any] = {
+        "node_name": "front-1",
+        "ip": "127.0.0.1",
+        "zone": "kgl-a",
+        "zones": {"kgl-a": "kigali"},
+        "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+        "internal_port_range": [7340, 7355],
+        "heartbeat_ms": 1200,
+        "bounds": {"grace_s": 8, "retry_budget_ratio": 0.2, "budget_min_retries": 56},
+        "platform": {"address": store, "reads_per_s": 2000, "writes_per_s": 400},
+    }
+    return body | changes
--- a/tests/router/gateway/builders.py
+++ b/tests/router/gateway/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from cornellead.gateway.beliefs import ServerState
 from cornellead_core.routing import CallerLimits
 from cornellead_core.routing import RequestKind
@@ -17,7 +19,7 @@
 KEY = "key-1"
 
 
-def make_entry(server: str = "s1", **changes: object) -> ServerEntry:
+def make_entry(server: str = "s1", **changes: Any) -> ServerEntry:
     """Return an entry of a warm, ready server."""
     entry = ServerEntry(
         server=server,
@@ -32,7 +34,7 @@
     return entry._replace(**changes)
 
 
-def make_state(server: str = "s1", *, in_flight: int = 0, **changes: object) -> ServerState:
+def make_state(server: str = "s1", *, in_flight: int = 0, **changes: Any) -> ServerState:
     """Return a server with some open requests, at time 0."""
     state = ServerState(entry=make_entry(server, **changes), now=0.0)
     for number in range(in_flight):
@@ -40,7 +42,7 @@
     return state
 
 
-def make_route(name: str, kind: RequestKind, **changes: object) -> Route:
+def make_route(name: str, kind: RequestKind, **changes: Any) -> Route:
     """Return a route of the box office whose path is its name."""
     route = Route(
         name=name,
--- /dev/null
+++ b/tests/router/gateway/conftest.py
@@ -0,0 +1,45 @@
+"""Gateways and raw servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.router.gateway.gateway_harness import Gateway
+from tests.router.gateway.raw_server import RawServer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.router.gateway.raw_server import Script
+
+
+@pytest.fixture
+async def gateway(free_address: Callable[[], str]) -> AsyncIterator[Gateway]:
+    """Yield a running gateway that knows nothing yet."""
+    gateway = Gateway(free_address())
+    await gateway.listener.start()
+    watch = asyncio.create_task(gateway.watch_silence())
+    yield gateway
+    watch.cancel()
+    gateway.listener.stop_accepting()
+    gateway.pool.close()
+
+
+@pytest.fixture
+async def start_server() -> AsyncIterator[Callable[[Script], Awaitable[RawServer]]]:
+    """Yield a function that starts raw servers."""
+    servers: list[RawServer] = []
+
+    async def start(script: Script) -> RawServer:
+        server = RawServer(script)
+        await server.start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.stop()
--- /dev/null
+++ b/tests/router/gateway/gateway_harness.py
@@ -0,0 +1,142 @@
+"""A gateway's data path before raw servers, driven by a raw caller."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from tests.router.gateway.builders import HOST
+from tests.router.gateway.builders import KEY
+from tests.router.gateway.builders import LIMITS
+from tests.router.gateway.builders import make_config
+from tests.router.gateway.builders import make_entry
+from tests.router.gateway.policy.test_retry_share import BOUNDS
+
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.forwarding import Admission
+from cornellead.gateway.forwarding import AttemptSender
+from cornellead.gateway.forwarding import Forwarder
+from cornellead.gateway.forwarding import ResponseRelay
+from cornellead.gateway.forwarding import ServerPicker
+from cornellead.gateway.ingress import CallerListener
+from cornellead.gateway.ingress import Serving
+from cornellead.gateway.policy import ColdGate
+from cornellead.gateway.policy import RetryShare
+from cornellead.gateway.stats import GatewayStats
+from cornellead.upstream import ConnectionPool
+from cornellead_core.metrics import Metrics
+from cornellead_platform import PlatformHeaders
+
+if TYPE_CHECKING:
+    from tests.router.gateway.raw_server import RawServer
+
+
+class Answer(NamedTuple):
+    """What a caller got until the answer or the connection ended."""
+
+    status: int
+    head: str
+    body: bytes
+    whole: bool
+    """Whether the answer ended as its framing says."""
+
+
+class Gateway:
+    """Listener, forwarder and beliefs of one gateway."""
+
+    def __init__(self, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        clock = time.monotonic
+        wire = PlatformHeaders()
+        self.address = address
+        self.view = FleetView(router="r1")
+        self.serving = Serving()
+        self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
+        self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
+        forwarder = Forwarder(
+            view=self.view,
+            admission=Admission(view=self.view, serving=self.serving),
+            picker=ServerPicker(
+                view=self.view, gate=ColdGate(router="r1"), data_centre="dc-a", regions={}
+            ),
+            sender=self.sender,
+            relay=ResponseRelay(wire=wire, clock=clock),
+            retries=RetryShare(bounds=BOUNDS),
+            wire=wire,
+            stats=GatewayStats(metrics=Metrics()),
+            clock=clock,
+        )
+        self.listener = CallerListener(
+            address=address,
+            handler=forwarder,
+            serving=self.serving,
+            limits=lambda: LIMITS,
+            clock=clock,
+        )
+
+    def know(self, *servers: RawServer, cold_rate_per_s: float = 0.0, cold_s: float = 0.0) -> None:
+        """Put a configuration in force and list servers."""
+        now = time.monotonic()
+        self.view.take_config(make_config(cold_rate_per_s=cold_rate_per_s))
+        self.view.confirmed_at = now
+        self.view.servers_known = True
+        for number, server in enumerate(servers):
+            entry = make_entry(f"s{number}", address=server.address, cold_s=cold_s)
+            self.view.servers.put(entry, now=now)
+
+    async def watch_silence(self) -> None:
+        """Check attempts for silence until cancelled."""
+        while True:
+            await asyncio.sleep(0.02)
+            self.sender.check_silence()
+
+    async def call(self, path: str, *headers: str, body: bytes = b"", key: str = KEY) -> Answer:
+        """Send a request on a new connection and read the answer."""
+        reader, writer = await self.connect()
+        writer.write(encode(path, *headers, body=body, key=key))
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection."""
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+def encode(
+    path: str, *headers: str, body: bytes = b"", key: str = KEY, request_id: str = "7f01"
+) -> bytes:
+    """Encode a request."""
+    method = "GET" if path.startswith("/safe") else "POST"
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
+    if request_id:
+        lines.append(f"X-Request-Id: {request_id}")
+    if key:
+        lines.append(f"X-Api-Key: {key}")
+    if method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, *headers]).encode() + b"\r\n\r\n" + body
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Answer(0, "", b"", False)
+    status = int(head.split(" ")[1])
+    body = b""
+    try:
+        if "transfer-encoding: chunked" in head.lower():
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+        else:
+            length = int(head.lower().partition("content-length:")[2].split("\r\n")[0])
+            body = await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        return Answer(status, head, body, False)
+    return Answer(status, head, body, True)
--- /dev/null
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -0,0 +1,120 @@
+"""Callers that send badly, slowly or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.router.gateway.gateway_harness import encode
+from tests.router.gateway.gateway_harness import read_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.router.gateway.gateway_harness import Gateway
+    from tests.router.gateway.raw_server import RawExchange
+    from tests.router.gateway.raw_server import RawServer
+    from tests.router.gateway.raw_server import Script
+
+HEAD = b"POST /unsafe/1 HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: 7f\r\nX-Api-Key: key-1\r\n"
+
+
+async def _answer(exchange: RawExchange) -> None:
+    await exchange.send(exchange.sealed(200, exchange.body))
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        HEAD + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        HEAD + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+        HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        HEAD + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+        HEAD + b"Content-Length: +4\r\n\r\nabcd",
+        HEAD + b"X-Request-Id: 80\r\nContent-Length: 0\r\n\r\n",
+        b"GET http://box.example/safe/1 HTTP/1.1\r\nHost: box.example\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+async def test_ambiguous_requests_reach_no_server(
+    gateway: Gateway,
+    start_server: Callable[[Script], Awaitable[RawServer]],
+    request_bytes: bytes,
+) -> None:
+    """Guards against a request smuggled inside another one."""
+    server = await start_server(_answer)
+    gateway.know(server)
+    reader, writer = await gateway.connect()
+    writer.write(request_bytes + encode("/unsafe/2", request_id="evil"))
+    assert (await read_answer(reader)).status == 400
+    writer.close()
+    assert all(seen.request_id != "7f" for seen in server.seen)
+
+
+async def test_limits_of_the_configuration_hold(gateway: Gateway) -> None:
+    """Guards against a caller that fills the memory."""
+    gateway.know()
+    reader, writer = await gateway.connect()
+    writer.write(HEAD + b"X-Long: " + b"a" * 5000)
+    assert (await read_answer(reader)).status == 431
+    writer.close()
+    assert (await gateway.call("/unsafe/1", body=b"a" * 5000)).status == 413
+    reader, writer = await gateway.connect()
+    chunks = b"".join(b"400\r\n" + b"a" * 0x400 + b"\r\n" for _ in range(5))
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+    assert (await read_answer(reader)).status == 413
+    writer.close()
+
+
+async def test_slow_headers_end_in_a_timeout(gateway: Gateway) -> None:
+    """Guards against connections that are held open with half a request."""
+    gateway.know()
+    reader, writer = await gateway.connect()
+    writer.write(HEAD)
+    assert (await asyncio.wait_for(read_answer(reader), 1.0)).status == 408
+    writer.close()
+
+
+async def test_connection_stays_open_for_the_idle_timeout(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against a close that crosses the next request of a caller."""
+    gateway.know(await start_server(_answer))
+    reader, writer = await gateway.connect()
+    writer.write(encode("/unsafe/1", body=b"a"))
+    assert (await read_answer(reader)).body == b"a"
+    await asyncio.sleep(0.45)
+    writer.write(encode("/unsafe/2", body=b"b"))
+    assert (await read_answer(reader)).body == b"b"
+    assert await asyncio.wait_for(reader.read(), 3.0) == b""
+    writer.close()
+
+
+async def test_pipelined_and_chunked_requests_are_served_in_order(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against answers in another order than the requests."""
+    server = await start_server(_answer)
+    gateway.know(server)
+    reader, writer = await gateway.connect()
+    chunked = HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    writer.write(chunked + encode("/unsafe/2", body=b"second", request_id="80"))
+    assert (await read_answer(reader)).body == b"abc"
+    assert (await read_answer(reader)).body == b"second"
+    assert server.seen[0].header("content-length") == "3"
+    writer.close()
+
+
+async def test_caller_that_waits_for_the_interim_response_gets_it(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against callers that wait a second before they send a body."""
+    gateway.know(await start_server(_answer))
+    reader, writer = await gateway.connect()
+    writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+    assert (await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)).startswith(b"HTTP/1.1 100")
+    writer.write(b"ab")
+    assert (await read_answer(reader)).body == b"ab"
+    writer.close()
--- /dev/null
+++ b/tests/router/gateway/raw_server.py
@@ -0,0 +1,122 @@
+"""A server that answers with given bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+Script = Callable[["RawExchange"], Awaitable[None]]
+
+
+class RawExchange:
+    """One request at the server, and the connection to answer on."""
+
+    def __init__(
+        self, request_id: str, head: bytes, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        self.request_id = request_id
+        self.head = head
+        self.body = body
+        self.writer = writer
+        self.left = asyncio.Event()
+        """Set when the router closed the connection."""
+
+    def header(self, name: str) -> str:
+        """Return the value of a header, or an empty string."""
+        for line in self.head.decode().split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name:
+                return value.strip()
+        return ""
+
+    async def send(self, data: bytes) -> None:
+        """Write bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.writer.transport.abort()
+
+    def answer(self, status: int, *headers: str, body: bytes = b"") -> bytes:
+        """Return a whole answer of this server."""
+        lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {self.request_id}", *headers]
+        lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def sealed(self, status: int, body: bytes, *headers: str) -> bytes:
+        """Return a whole answer that the server vouches for."""
+        return self.answer(status, "X-Response-Seal: seal", *headers, body=body)
+
+    async def begin_stream(self) -> None:
+        """Begin a stream of events."""
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"X-Request-Id: {self.request_id}",
+            "X-Response-Seal: seal",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        )
+        await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    async def send_events(self, first: int, last: int) -> None:
+        """Send numbered events."""
+        for number in range(first, last + 1):
+            data = event(number)
+            await self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def end_stream(self) -> None:
+        """End a stream."""
+        await self.send(b"0\r\n\r\n")
+
+
+def event(number: int) -> bytes:
+    """Return an event."""
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+class RawServer:
+    """Runs a script for each request."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.seen: list[RawExchange] = []
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                exchange = RawExchange("", head, b"", writer)
+                exchange.request_id = exchange.header("x-request-id")
+                length = int(exchange.header("content-length") or "0")
+                exchange.body = await reader.readexactly(length)
+                self.seen.append(exchange)
+                watch = asyncio.create_task(self._watch(reader, exchange))
+                await self.script(exchange)
+                watch.cancel()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            for seen in self.seen:
+                if seen.writer is writer:
+                    seen.left.set()
+            writer.close()
+
+    async def _watch(self, reader: asyncio.StreamReader, exchange: RawExchange) -> None:
+        while not reader.at_eof():
+            await asyncio.sleep(0.01)
+        exchange.left.set()
