Let readers of a data centre pass on what the store says; hold requests at a start

Change: two routers of each data centre read; the others ask them, take pages up to 1.2 s old, and read the store themselves when no reader answers. Offsets are the store's, so a router may change its source. Requests wait up to 0.4 s for a router that starts, since callers retry only once. New verb 'explain'.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -12,6 +12,8 @@
 from cornellead_core.routing._route import Team
 from cornellead_core.routing._route import WeightedService
 from cornellead_core.routing._routing_config import RoutingConfig
+from cornellead_core.routing._routing_config import RoutingData
+from cornellead_core.routing._routing_config import TeamKeys
 from cornellead_core.routing._server_entry import ReportedLoad
 from cornellead_core.routing._server_entry import ServerEntry
 from cornellead_core.routing._store import DataCentreNotice
@@ -20,6 +22,7 @@
 from cornellead_core.routing._store import Notice
 from cornellead_core.routing._store import NoticeBatch
 from cornellead_core.routing._store import RouterNotice
+from cornellead_core.routing._store import RouterPlace
 from cornellead_core.routing._store import RoutingNotice
 from cornellead_core.routing._store import ServerNotice
 from cornellead_core.routing._store import StoreError
@@ -48,7 +51,9 @@
     "RequestKind",
     "Route",
     "RouterNotice",
+    "RouterPlace",
     "RoutingConfig",
+    "RoutingData",
     "RoutingNotice",
     "ServerEntry",
     "ServerNotice",
@@ -57,6 +62,7 @@
     "StoreError",
     "StoreSettings",
     "Team",
+    "TeamKeys",
     "Topic",
     "WeightedService",
     "WireFormat",
--- a/packages/core/src/cornellead_core/routing/_routing_config.py
+++ b/packages/core/src/cornellead_core/routing/_routing_config.py
@@ -2,45 +2,44 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-    from collections.abc import Mapping
+from cornellead_core.routing._route import CallerLimits
+from cornellead_core.routing._route import Route
+from cornellead_core.routing._route import Service
+from cornellead_core.routing._route import Team
 
-    from cornellead_core.routing._route import CallerLimits
-    from cornellead_core.routing._route import Route
-    from cornellead_core.routing._route import Service
-    from cornellead_core.routing._route import Team
+
+class TeamKeys(NamedTuple):
+    """A team and the API keys that it holds."""
+
+    team: Team
+    keys: tuple[str, ...]
+
+
+class RoutingData(NamedTuple):
+    """Contents of one version, as routers pass them on."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: CallerLimits
+    teams: tuple[TeamKeys, ...]
+    keys_required: bool
+    """Whether requests need a key, except on public routes."""
 
 
 class RoutingConfig:
-    """Routes, services, limits and teams of one version; immutable.
-
-    :param teams_by_key: Teams by API key; empty when requests need no key.
-    """
-
-    def __init__(
-        self,
-        *,
-        version: int,
-        routes: Iterable[Route],
-        services: Mapping[str, Service],
-        limits: CallerLimits,
-        teams_by_key: Mapping[str, Team],
-        keys_required: bool,
-    ) -> None:
-        self.version = version
-        self.services = dict(services)
-        self.limits = limits
-        self.keys_required = keys_required
-        self._teams_by_key = dict(teams_by_key)
-        self._routes = {(route.host, route.path_prefix): route for route in routes}
-
-    @property
-    def route_count(self) -> int:
-        """Number of routes."""
-        return len(self._routes)
+    """Contents of one version with the look-ups that requests need; immutable."""
+
+    def __init__(self, *, data: RoutingData) -> None:
+        self.data = data
+        self.version = data.version
+        self.services = {service.name: service for service in data.services}
+        self.limits = data.limits
+        self.keys_required = data.keys_required
+        self._teams_by_key = {key: holder.team for holder in data.teams for key in holder.keys}
+        self._routes = {(route.host, route.path_prefix): route for route in data.routes}
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path.
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from cornellead_core.routing._routing_config import RoutingConfig
+from cornellead_core.routing._routing_config import RoutingData
 from cornellead_core.routing._server_entry import ServerEntry
 
 if TYPE_CHECKING:
@@ -28,7 +28,7 @@
 class RoutingNotice(NamedTuple):
     """A version of the routing configuration; ``None`` if it could not be read."""
 
-    config: RoutingConfig | None
+    data: RoutingData | None
     problem: str
 
 
@@ -47,12 +47,20 @@
     removed: bool
 
 
+class RouterPlace(NamedTuple):
+    """Where a router runs."""
+
+    address: str
+    """``ip:port`` for other routers."""
+    data_centre: str
+
+
 class RouterNotice(NamedTuple):
     """A router announced that it runs, or that it stops."""
 
     router: str
-    address: str | None
-    """``ip:port`` where it takes reports of load; ``None`` if it stops."""
+    place: RouterPlace | None
+    """``None`` if it stops."""
 
 
 Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice
@@ -94,8 +102,8 @@
         """
         ...
 
-    async def announce(self, router: str, address: str | None) -> Result[None, StoreError]:
-        """Write that a router runs, and where it takes reports of load, or that it stops."""
+    async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
+        """Write that a router runs, and where, or that it stops."""
         ...
 
     async def close(self) -> None:
--- /dev/null
+++ b/packages/router/src/cornellead/cli/_explain.py
@@ -0,0 +1,116 @@
+"""Explains what happened to a request, from the logs of routers."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+from absl import flags
+
+from cornellead.cli._exit_code import ExitCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+USAGE = "use cornellead explain --request=ID FILE..."
+BACKGROUND_EVENTS = frozenset(
+    {
+        "configuration in force",
+        "data centre changed",
+        "planned stop",
+        "process was paused",
+        "started",
+        "store back",
+        "store lost",
+    }
+)
+"""Events that concern every request of the process that wrote them."""
+MAX_BACKGROUND = 8
+"""Latest background events that are shown."""
+
+Line = dict[str, Any]
+
+
+def run(argv: list[str]) -> int:
+    """Print the life of one request.
+
+    :param argv: The verb, its flags and the log files.
+    """
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string("request", None, "Id of the request.", flag_values=values)
+    try:
+        files = values(argv)[1:]
+    except flags.Error as exc:
+        print(f"{exc}; {USAGE}", file=sys.stderr)
+        return ExitCode.USAGE
+    if values.request is None or not files:
+        print(USAGE, file=sys.stderr)
+        return ExitCode.USAGE
+    try:
+        lines = [line for file in files for line in read_log(Path(file))]
+    except OSError as exc:
+        print(f"cannot read {exc.filename}: {exc.strerror}", file=sys.stderr)
+        return ExitCode.USAGE
+    text = explain(values.request, lines)
+    if not text:
+        print(f"request {values.request} is in none of the files", file=sys.stderr)
+        return ExitCode.FAILED
+    print("\n".join(text))
+    return ExitCode.OK
+
+
+def read_log(path: Path) -> Iterator[Line]:
+    """Read the lines of a log; what stands before the JSON object of a line is passed over."""
+    with path.open(encoding="utf-8", errors="replace") as file:
+        for text in file:
+            start = text.find("{")
+            if start < 0:
+                continue
+            try:
+                line = msgspec.json.decode(text[start:])
+            except msgspec.DecodeError:
+                continue
+            if isinstance(line, dict) and "event" in line:
+                yield line
+
+
+def explain(request: str, lines: Iterable[Line]) -> list[str]:
+    """Return the request's lines, and what its process knew of the servers before.
+
+    >>> explain("7f", [
+    ...     {"event": "server ended", "server": "s1", "process": "r1", "timestamp": "1", "cause": "x"},
+    ...     {"event": "request", "request": "7f", "process": "r1", "timestamp": "2",
+    ...      "attempts": ["s1:no_response"], "cause": "outcome_unknown", "status": 502},
+    ... ])[0]
+    "2  r1  request: attempts=['s1:no_response'] cause=outcome_unknown request=7f status=502"
+    """
+    ordered = sorted(lines, key=lambda line: str(line.get("timestamp", "")))
+    own = [line for line in ordered if line.get("request") == request]
+    text = [_format(line) for line in own]
+    for line in own:
+        before = [
+            other
+            for other in ordered
+            if other.get("process") == line.get("process")
+            and str(other.get("timestamp", "")) <= str(line.get("timestamp", ""))
+        ]
+        servers = {str(attempt).partition(":")[0] for attempt in line.get("attempts", ())}
+        about = [other for other in before if other.get("server") in servers]
+        background = [other for other in before if other["event"] in BACKGROUND_EVENTS]
+        if about:
+            text += ["", "what this router had learned of the servers:"]
+            text += [_format(other) for other in about]
+        if background:
+            text += ["", "what else had changed at this router:"]
+            text += [_format(other) for other in background[-MAX_BACKGROUND:]]
+    return text
+
+
+def _format(line: Line) -> str:
+    known = {"event", "timestamp", "process", "level"}
+    fields = " ".join(f"{key}={line[key]}" for key in sorted(line) if key not in known)
+    return f"{line.get('timestamp', '')}  {line.get('process', '')}  {line['event']}: {fields}"
--- a/packages/router/src/cornellead/cli/_main.py
+++ b/packages/router/src/cornellead/cli/_main.py
@@ -18,6 +18,7 @@
     "restore": "put a data centre, server or router host back into service",
     "status": "show the state of data centres and servers",
     "audit": "show who changed what, and what was rejected",
+    "explain": "show what happened to a request, from logs",
     "version": "print the version",
 }
 
--- a/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -9,6 +9,7 @@
 from cornellead.gateway.beliefs._server_registry import ServerRegistry
 
 if TYPE_CHECKING:
+    from cornellead_core.routing import RouterPlace
     from cornellead_core.routing import RoutingConfig
 
 MEMBER_TRUST_S = 20.0
@@ -29,7 +30,7 @@
         """Whether the list of servers was read once."""
         self.confirmed_at: float | None = None
         """When the store last confirmed the configuration, in seconds."""
-        self._routers: dict[str, tuple[float, str]] = {}
+        self._routers: dict[str, tuple[float, RouterPlace]] = {}
 
     def take_config(self, config: RoutingConfig) -> bool:
         """Put a configuration in force unless a newer one is.
@@ -52,15 +53,15 @@
         """Whether enough is known to serve callers."""
         return self.config is not None and self.servers_known
 
-    def see_router(self, router: str, address: str | None, *, now: float) -> None:
+    def see_router(self, router: str, place: RouterPlace | None, *, now: float) -> None:
         """Take the announcement of a router.
 
-        :param address: Where it takes reports of load; ``None`` if it stops.
+        :param place: ``None`` if it stops.
         """
-        if address is None:
+        if place is None:
             self._routers.pop(router, None)
         else:
-            self._routers[router] = (now, address)
+            self._routers[router] = (now, place)
 
     def routers(self, *, now: float) -> list[str]:
         """Return the names of the running routers, this one included."""
@@ -69,7 +70,7 @@
             del self._routers[name]
         return sorted({*self._routers, self.router})
 
-    def peers(self, *, now: float) -> list[str]:
-        """Return where the other running routers take reports of load."""
+    def peers(self, *, now: float) -> dict[str, RouterPlace]:
+        """Return where the other running routers are, by name."""
         names = self.routers(now=now)
-        return [self._routers[name][1] for name in names if name != self.router]
+        return {name: self._routers[name][1] for name in names if name != self.router}
--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -77,7 +77,7 @@
 
     def _report(self) -> int:
         self._view.load.tidy(now=self._clock())
-        peers = self._view.peers(now=self._clock())
+        peers = [place.address for place in self._view.peers(now=self._clock()).values()]
         if not peers or self._transport is None:
             return 0
         report = _encoder.encode(RouterLoad(self._view.router, self._view.servers.own_counts()))
--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -21,8 +21,9 @@
 CONFIG_TRUST_S = 3.0
 """Age up to which the configuration proves that a route or key does not exist: the store confirms
 it about once a second."""
-UNREADY_RETRY_S = 0.5
-"""Time in which a router that just started usually learns the configuration."""
+UNREADY_RETRY_S = 0.3
+"""Time in which a router that has not learned the configuration yet usually does, or in which the
+balancer turns to another one."""
 ELSEWHERE_RETRY_S = 0.05
 """A caller that comes back on a new connection reaches another router."""
 
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -41,6 +41,11 @@
 """Time in which a service that refused usually has room again: a few requests end meanwhile."""
 NO_SERVER_RETRY_S = 1.0
 """Time in which a server usually appears when none is listed: about one heartbeat."""
+STARTUP_HOLD_S = 0.4
+"""Time for which a request waits for a router that just started: it usually knows configuration and
+servers within a tenth of a second, and callers retry only once."""
+STARTUP_POLL_S = 0.02
+"""Interval at which a held request looks whether the router is ready."""
 MAX_UNSENT = 4
 """Failed connection attempts after which a request is refused."""
 GATEWAY_FAILED = 502
@@ -76,9 +81,12 @@
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
         """Write one response; cancelled when the caller leaves."""
-        now = self._clock()
         caller = self._wire.decode_caller(req.headers)
         journey = Journey(caller.request_id, started_at=req.received_at)
+        if not self._view.ready:
+            journey.note("held_at_start")
+            await self._wait_ready()
+        now = self._clock()
         admitted = self._admission.admit(req, caller, now=now)
         if isinstance(admitted, Rejected):
             self._refuse(journey, out, admitted)
@@ -98,6 +106,11 @@
         finally:
             self._report(journey, job)
 
+    async def _wait_ready(self) -> None:
+        give_up_at = self._clock() + STARTUP_HOLD_S
+        while not self._view.ready and self._clock() < give_up_at:
+            await asyncio.sleep(STARTUP_POLL_S)
+
     async def _serve(self, job: Job, journey: Journey, out: ResponseWriter) -> None:
         events = EventSplitter(last_event=job.caller.last_event)
         fallback: Answered | None = None
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -25,6 +25,8 @@
 from cornellead.gateway.process._planned_stop import PlannedStop
 from cornellead.gateway.process._settings_watcher import SettingsWatcher
 from cornellead.gateway.process._ticker import Ticker
+from cornellead.gateway.relay import RelayedStore
+from cornellead.gateway.relay import RelayHandler
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import Announcer
 from cornellead.gateway.sync import OperatorSink
@@ -35,6 +37,7 @@
 from cornellead_core.blackboard import run_controllers
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import CallerLimits
+from cornellead_core.routing import RouterPlace
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -43,6 +46,7 @@
     from returns.result import Result
 
     from cornellead.gateway.beliefs import ServerState
+    from cornellead.gateway.ingress import RequestHandler
     from cornellead_core.blackboard import Controller
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import NodeSettings
@@ -87,12 +91,12 @@
         metrics_port: int,
     ) -> None:
         self._settings = settings
-        self._store = store
         self._serving = Serving()
         self._view = FleetView(router=settings.node)
         self._gate = ColdGate(router=settings.node)
         metrics = Metrics()
         self._stats = GatewayStats(metrics=metrics)
+        self._measure(metrics)
         self._pool = ConnectionPool(
             loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
         )
@@ -116,17 +120,26 @@
         admin = AdminHandler(
             view=self._view, serving=self._serving, metrics=metrics, ready_path=ready_path
         )
+        self._store = RelayedStore(
+            store=store,
+            view=self._view,
+            pool=self._pool,
+            data_centre=settings.data_centre,
+            clock=read_clock,
+        )
+        place = RouterPlace(f"{settings.ip}:{settings.first_internal_port}", settings.data_centre)
+        self._exchange = LoadExchange(view=self._view, address=place.address, clock=read_clock)
+        relay = RelayHandler(logs=self._store.logs, clock=read_clock)
         self._callers = self._listen(settings.caller_address, forwarder)
-        self._admin = [
-            self._listen(address, admin)
-            for address in (settings.ready_address, f"{settings.ip}:{metrics_port}")
+        self._internal = [
+            self._listen(settings.ready_address, admin),
+            self._listen(f"{settings.ip}:{metrics_port}", admin),
+            self._listen(place.address, relay),
         ]
-        exchange_address = f"{settings.ip}:{settings.first_internal_port}"
-        self._exchange = LoadExchange(view=self._view, address=exchange_address, clock=read_clock)
         self._announcer = Announcer(
             store=store,
             router=settings.node,
-            address=exchange_address,
+            place=place,
             interval_s=self._announce_interval_s,
         )
         self._watcher = SettingsWatcher(path=settings_path, load=load, apply=self._apply)
@@ -138,7 +151,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._watcher.reload, "SIGHUP")
-        for listener in (*self._admin, self._callers):
+        for listener in (*self._internal, self._callers):
             await listener.start()
         settings = self._settings
         structlog.get_logger().info(
@@ -197,7 +210,7 @@
             Ticker(name="close-idle", interval_s=POOL_CHECK_S, action=self._tidy, clock=read_clock),
         ]
 
-    def _listen(self, address: str, handler: Forwarder | AdminHandler) -> CallerListener:
+    def _listen(self, address: str, handler: RequestHandler) -> CallerListener:
         return CallerListener(
             address=address,
             handler=handler,
@@ -206,6 +219,26 @@
             clock=read_clock,
         )
 
+    def _measure(self, metrics: Metrics) -> None:
+        view, now = self._view, read_clock
+        gauges: dict[str, tuple[str, Callable[[], float]]] = {
+            "routers": ("Running routers", lambda: len(view.routers(now=now()))),
+            "servers": ("Listed servers", lambda: len(view.servers)),
+            "requests_in_progress": ("Requests", lambda: self._serving.in_progress),
+            "config_version": (
+                "Configuration in force",
+                lambda: view.config.version if view.config else 0,
+            ),
+            "config_age_seconds": (
+                "Time since the store confirmed the configuration",
+                lambda: view.config_age_s(now=now()),
+            ),
+            "relayed_reads": ("Reads answered by other routers", lambda: self._store.relayed),
+            "load_report_bytes": ("Bytes of load reports", lambda: self._exchange.bytes_sent),
+        }
+        for name, (text, read) in gauges.items():
+            metrics.gauge(f"gateway_{name}", text).set_function(read)
+
     def _tidy(self) -> None:
         self._pool.close_idle(now=asyncio.get_running_loop().time())
 
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/relay/__init__.py
@@ -0,0 +1,10 @@
+"""Passes what the store says from a few routers of a data centre on to the others."""
+
+from __future__ import annotations
+
+from cornellead.gateway.relay._change_log import ChangeLog
+from cornellead.gateway.relay._change_log import RelayPage
+from cornellead.gateway.relay._relay_handler import RelayHandler
+from cornellead.gateway.relay._relayed_store import RelayedStore
+
+__all__ = ["ChangeLog", "RelayHandler", "RelayPage", "RelayedStore"]
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -0,0 +1,51 @@
+"""Serves the notices that this router knows to other routers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl
+
+from cornellead.gateway.relay._relay_codec import encode_page
+from cornellead_core.routing import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cornellead.gateway.ingress import CallerRequest
+    from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.gateway.relay._change_log import ChangeLog
+
+PATH_PREFIX = "/notices/"
+LONGEST_WAIT_S = 2.0
+"""Longest time for which a read without changes is held."""
+
+
+class RelayHandler:
+    """Answers ``GET /notices/<topic>?after=<offset>&wait=<seconds>``."""
+
+    def __init__(self, *, logs: Mapping[Topic, ChangeLog], clock: Callable[[], float]) -> None:
+        self._logs = logs
+        self._clock = clock
+
+    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
+        """Write one response."""
+        topic = req.path.removeprefix(PATH_PREFIX)
+        if topic not in list(Topic):
+            out.respond(404, (), b"")
+            return
+        log = self._logs[Topic(topic)]
+        query = dict(parse_qsl(req.target.partition(b"?")[2].decode("latin-1")))
+        try:
+            offset = int(query["after"]) if "after" in query else None
+            wait_s = min(LONGEST_WAIT_S, float(query.get("wait", "0")))
+        except ValueError:
+            out.respond(400, (), b"")
+            return
+        if offset is not None and wait_s > 0:
+            await log.wait(offset, timeout_s=wait_s)
+        page = log.read(offset, now=self._clock())
+        if page is None:
+            out.respond(503, (), b"")
+            return
+        out.respond(200, (), encode_page(page))
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -0,0 +1,160 @@
+"""A store of which most routers learn through others."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import structlog
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from cornellead.gateway.relay._change_log import ChangeLog
+from cornellead.gateway.relay._relay_codec import decode_page
+from cornellead.gateway.relay._relay_handler import PATH_PREFIX
+from cornellead_core.placement import rank_members
+from cornellead_core.routing import HistoryGone
+from cornellead_core.routing import NoticeBatch
+from cornellead_core.routing import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead.gateway.beliefs import FleetView
+    from cornellead.gateway.relay._change_log import RelayPage
+    from cornellead.upstream import ConnectionPool
+    from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import RouterPlace
+    from cornellead_core.routing import StoreError
+
+READERS = 2
+"""Routers of each data centre that read the store: one may fail without a pause."""
+TRUSTED_AGE_S = {Topic.OPERATOR: 1.2, Topic.SERVERS: 1.2, Topic.ROUTERS: 10.0}
+"""Age up to which a page is taken: above the interval at which readers confirm the topic, and with
+the time to notice a silent reader below the bound on changes of 2 s."""
+LONGEST_WAIT_S = 0.4
+"""Longest time for which a reader is asked to hold a read, so that a silent one is noticed soon."""
+ANSWER_TIMEOUT_S = 0.3
+"""Longest wait for an answer, besides the wait asked for: routers of a data centre are a
+millisecond apart."""
+PAUSE_S = 2.0
+"""Time for which a router that did not answer, or whose pages were old, is not asked."""
+MAX_PAGE_BYTES = 16 << 20
+
+
+class RelayedStore:
+    """Reads from the store if this router is a reader of its data centre, else from a reader.
+
+    Load: hundreds of routers and a thousand servers whose entries are renewed every second. The
+    readers read all of it; the others get the changes alone. When no reader answers with fresh
+    notices, a router reads the store itself.
+
+    :param data_centre: Data centre of this router.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: FleetStore,
+        view: FleetView,
+        pool: ConnectionPool,
+        data_centre: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._pool = pool
+        self._data_centre = data_centre
+        self._clock = clock
+        self._paused_until: dict[tuple[str, Topic], float] = {}
+        self.logs = {topic: ChangeLog() for topic in Topic}
+        self.relayed = 0
+        """Reads that another router answered."""
+
+    async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
+        """Return the newest notice of each writer."""
+        page = await self._ask_reader(topic, offset=None, wait_s=0.0)
+        if page is not None:
+            batch = NoticeBatch(page.notices, page.next_offset)
+            self.logs[topic].replace(*batch, now=self._clock() - page.age_s)
+            return Success(batch)
+        result = await self._store.read_newest(topic)
+        if isinstance(result, Success):
+            self.logs[topic].replace(*result.unwrap(), now=self._clock())
+        return result
+
+    async def read_after(
+        self, topic: Topic, *, offset: int, wait_s: float
+    ) -> Result[NoticeBatch, StoreError | HistoryGone]:
+        """Return the notices from an offset on, waiting for the first.
+
+        :param wait_s: Longest wait in seconds; 0 returns at once.
+        """
+        page = await self._ask_reader(topic, offset=offset, wait_s=min(LONGEST_WAIT_S, wait_s))
+        if page is not None:
+            if page.whole:
+                return Failure(HistoryGone(offset))
+            batch = NoticeBatch(page.notices, page.next_offset)
+            self.logs[topic].add(*batch, now=self._clock() - page.age_s)
+            return Success(batch)
+        result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
+        if isinstance(result, Success):
+            self.logs[topic].add(*result.unwrap(), now=self._clock())
+        return result
+
+    async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
+        """Write that a router runs, and where, or that it stops."""
+        return await self._store.announce(router, place)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._store.close()
+
+    def _readers(self) -> dict[str, str]:
+        """Return names and addresses of the readers of this data centre, none for a reader."""
+        peers = {
+            name: place.address
+            for name, place in self._view.peers(now=self._clock()).items()
+            if place.data_centre == self._data_centre
+        }
+        ranked = rank_members(self._data_centre, {*peers, self._view.router})[:READERS]
+        return {} if self._view.router in ranked else {name: peers[name] for name in ranked}
+
+    async def _ask_reader(
+        self, topic: Topic, *, offset: int | None, wait_s: float
+    ) -> RelayPage | None:
+        for name, address in self._readers().items():
+            if self._clock() < self._paused_until.get((name, topic), 0.0):
+                continue
+            page = await self._fetch(address, topic, offset=offset, wait_s=wait_s)
+            if page is not None and page.age_s <= TRUSTED_AGE_S[topic]:
+                self.relayed += 1
+                return page
+            self._paused_until[name, topic] = self._clock() + PAUSE_S
+            structlog.get_logger().info(
+                "reader not used",
+                topic=topic.value,
+                reader=name,
+                age_s=None if page is None else round(page.age_s, 2),
+            )
+        return None
+
+    async def _fetch(
+        self, address: str, topic: Topic, *, offset: int | None, wait_s: float
+    ) -> RelayPage | None:
+        query = "" if offset is None else f"?after={offset}&wait={wait_s:.2f}"
+        head = f"GET {PATH_PREFIX}{topic.value}{query} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        try:
+            async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
+                sent = await self._pool.send(address, head.encode(), b"")
+                if isinstance(sent, Failure):
+                    return None
+                exchange = sent.unwrap()
+                response = await exchange.head()
+                body = await exchange.read_all(limit=MAX_PAGE_BYTES)
+        except TimeoutError:
+            return None
+        if response is None or response.status != 200 or body is None:
+            return None
+        return decode_page(body)
--- a/packages/router/src/cornellead/gateway/sync/_announcer.py
+++ b/packages/router/src/cornellead/gateway/sync/_announcer.py
@@ -12,38 +12,39 @@
     from collections.abc import Callable
 
     from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import RouterPlace
 
 
 class Announcer:
     """Writes at intervals that the router runs.
 
-    :param address: Where the router takes reports of load.
+    :param place: Where the router runs.
     :param interval_s: Returns the time between announcements.
     """
 
     name = "announce"
 
     def __init__(
-        self, *, store: FleetStore, router: str, address: str, interval_s: Callable[[], float]
+        self, *, store: FleetStore, router: str, place: RouterPlace, interval_s: Callable[[], float]
     ) -> None:
         self._store = store
-        self._address = address
+        self._place = place
         self._router = router
         self._interval_s = interval_s
 
     async def run(self) -> None:
         """Announce until cancelled."""
         while True:
-            await self._announce(self._address)
+            await self._announce(self._place)
             await asyncio.sleep(self._interval_s())
 
     async def stop(self) -> None:
         """Announce that the router stops."""
         await self._announce(None)
 
-    async def _announce(self, address: str | None) -> None:
-        result = await self._store.announce(self._router, address)
+    async def _announce(self, place: RouterPlace | None) -> None:
+        result = await self._store.announce(self._router, place)
         if isinstance(result, Failure):
             structlog.get_logger().warning(
-                "announcement failed", address=address, error=result.failure().message
+                "announcement failed", running=place is not None, error=result.failure().message
             )
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -7,6 +7,7 @@
 import structlog
 
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingNotice
 
 if TYPE_CHECKING:
@@ -47,11 +48,11 @@
 
     def _take_config(self, notice: RoutingNotice) -> None:
         log = structlog.get_logger()
-        cfg = notice.config
-        if cfg is None:
+        if notice.data is None:
             log.error("configuration unreadable", problem=notice.problem)
             self._stats.count_belief("config_unreadable")
             return
+        cfg = RoutingConfig(data=notice.data)
         before = self._view.config.version if self._view.config else None
         if self._view.take_config(cfg):
             self._stats.count_belief("config")
--- a/packages/router/src/cornellead/gateway/sync/_router_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_router_sink.py
@@ -33,7 +33,7 @@
         now = self._clock()
         for notice in notices:
             if isinstance(notice, RouterNotice):
-                self._view.see_router(notice.router, notice.address, now=now)
+                self._view.see_router(notice.router, notice.place, now=now)
         routers = self._view.routers(now=now)
         if routers != self._logged:
             self._logged = routers
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -11,6 +11,7 @@
 
 from cornellead_core.routing import ForwardTarget
 from cornellead_core.routing import RequestKind
+from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import Topic
 from cornellead_platform import PlatformHeaders
@@ -25,7 +26,7 @@
 
 def test_configuration_is_decoded_into_units_of_the_product() -> None:
     """Guards against milliseconds taken for seconds and defaults that allow too much."""
-    cfg = decode_config(wire.config())
+    cfg = RoutingConfig(data=decode_config(wire.config()))
     plan = cfg.match("BOX.example:8080", "/plan/today/x")
     pay = cfg.match("box.example", "/pay/1")
     assert plan is not None and pay is not None
@@ -42,7 +43,7 @@
     """Guards against a nested route that is served as the outer one."""
     body = wire.config()
     inner = body["routes"][1] | {"name": "inner", "path_prefix": "/plan/deep/er/"}
-    cfg = decode_config(body | {"routes": [*body["routes"], inner]})
+    cfg = RoutingConfig(data=decode_config(body | {"routes": [*body["routes"], inner]}))
     names = [cfg.match("box.example", path) for path in ("/plan/deep/er/x", "/plan/deep/x")]
     assert [route.name for route in names if route] == ["inner", "plan"]
 
@@ -51,7 +52,7 @@
     """Guards against a kind of later pages that is run twice."""
     body = wire.config()
     body["routes"][1]["kind"] = "once-a-day"
-    route = decode_config(body).match("box.example", "/pay/1")
+    route = RoutingConfig(data=decode_config(body)).match("box.example", "/pay/1")
     assert route is not None and not route.repeatable
 
 
@@ -61,7 +62,7 @@
 def test_unreadable_configuration_is_a_notice(value: bytes) -> None:
     """Guards against a process that stops on a configuration it cannot read."""
     notice = decode_notice(Topic.OPERATOR, KeyedRecord("config", value))
-    assert isinstance(notice, RoutingNotice) and notice.config is None and notice.problem
+    assert isinstance(notice, RoutingNotice) and notice.data is None and notice.problem
 
 
 def test_settings_name_the_wrong_field(tmp_path: Path) -> None:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -11,6 +11,7 @@
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import HistoryGone
 from cornellead_core.routing import RouterNotice
+from cornellead_core.routing import RouterPlace
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
 from cornellead_core.routing import StoreError
@@ -48,7 +49,7 @@
     first, second, third = batch.notices
     assert first == DataCentreNotice("kgl-a", out=True)
     assert isinstance(second, RoutingNotice)
-    assert second.config is not None and second.config.version == 9
+    assert second.data is not None and second.data.version == 9
     assert third == DataCentreNotice("kgl-a", out=False)
     assert batch.next_offset == 4
 
@@ -65,11 +66,14 @@
 async def test_announced_routers_are_read_back(store: Store) -> None:
     """Guards against routers that do not find each other."""
     _, client = store
-    await client.announce("r1", "10.0.0.1:7340")
-    await client.announce("r2", "10.0.0.2:7340")
+    await client.announce("r1", RouterPlace("10.0.0.1:7340", "kgl-a"))
+    await client.announce("r2", RouterPlace("10.0.0.2:7340", "kgl-b"))
     await client.announce("r1", None)
     batch = (await client.read_after(Topic.ROUTERS, offset=0, wait_s=0.0)).unwrap()
-    assert batch.notices[1:] == [RouterNotice("r2", "10.0.0.2:7340"), RouterNotice("r1", None)]
+    assert batch.notices[1:] == [
+        RouterNotice("r2", RouterPlace("10.0.0.2:7340", "kgl-b")),
+        RouterNotice("r1", None),
+    ]
 
 
 async def test_store_that_is_down_or_silent_is_an_outcome(store: Store) -> None:
--- a/tests/router/gateway/beliefs/test_fleet_view.py
+++ b/tests/router/gateway/beliefs/test_fleet_view.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.beliefs import FleetLoad
 from cornellead.gateway.beliefs import FleetView
 from cornellead.gateway.beliefs import RouterLoad
+from cornellead_core.routing import RouterPlace
 
 
 @given(st.lists(st.integers(1, 50), min_size=1))
@@ -25,12 +26,12 @@
 def test_router_that_is_silent_for_long_no_longer_counts() -> None:
     """Guards against shares that are kept for routers which are gone."""
     view = FleetView(router="r1")
-    view.see_router("r2", "10.0.0.2:7000", now=0.0)
-    view.see_router("r3", "10.0.0.3:7000", now=15.0)
+    view.see_router("r2", RouterPlace("10.0.0.2:7000", "dc-a"), now=0.0)
+    view.see_router("r3", RouterPlace("10.0.0.3:7000", "dc-a"), now=15.0)
     assert view.routers(now=15.0) == ["r1", "r2", "r3"]
     assert view.routers(now=25.0) == ["r1", "r3"]
     view.see_router("r3", None, now=26.0)
-    assert view.peers(now=26.0) == []
+    assert view.peers(now=26.0) == {}
 
 
 def test_load_of_routers_that_are_not_heard_is_estimated() -> None:
--- a/tests/router/gateway/builders.py
+++ b/tests/router/gateway/builders.py
@@ -9,9 +9,11 @@
 from cornellead_core.routing import RequestKind
 from cornellead_core.routing import Route
 from cornellead_core.routing import RoutingConfig
+from cornellead_core.routing import RoutingData
 from cornellead_core.routing import ServerEntry
 from cornellead_core.routing import Service
 from cornellead_core.routing import Team
+from cornellead_core.routing import TeamKeys
 from cornellead_core.routing import WeightedService
 
 LIMITS = CallerLimits(header_bytes=2048, body_bytes=4096, header_timeout_s=0.3, idle_timeout_s=0.5)
@@ -64,24 +66,26 @@
 def make_config(version: int = 1, *, cold_rate_per_s: float = 0.0) -> RoutingConfig:
     """Return a configuration with a route of each kind."""
     return RoutingConfig(
-        version=version,
-        routes=[
-            make_route("safe", RequestKind.SAFE),
-            make_route("unsafe", RequestKind.UNSAFE),
-            make_route("stream", RequestKind.STREAMING),
-            make_route("resumable", RequestKind.STREAMING, resumable=True),
-        ],
-        services={
-            "llm": Service(
-                name="llm",
-                max_connections=100,
-                cold_start_s=3.0,
-                cold_rate_per_s=cold_rate_per_s,
-                slots=64,
-                kv_capacity_tokens=1000,
-            )
-        },
-        limits=LIMITS,
-        teams_by_key={KEY: Team("schools", 3)},
-        keys_required=True,
+        data=RoutingData(
+            version=version,
+            routes=(
+                make_route("safe", RequestKind.SAFE),
+                make_route("unsafe", RequestKind.UNSAFE),
+                make_route("stream", RequestKind.STREAMING),
+                make_route("resumable", RequestKind.STREAMING, resumable=True),
+            ),
+            services=(
+                Service(
+                    name="llm",
+                    max_connections=100,
+                    cold_start_s=3.0,
+                    cold_rate_per_s=cold_rate_per_s,
+                    slots=64,
+                    kv_capacity_tokens=1000,
+                ),
+            ),
+            limits=LIMITS,
+            teams=(TeamKeys(Team("schools", 3), (KEY,)),),
+            keys_required=True,
+        )
     )
--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -266,6 +266,18 @@
     assert (await gateway.call("/nowhere/1")).status == 503
 
 
+async def test_request_is_held_while_a_gateway_starts(
+    gateway: Gateway, start_server: Start
+) -> None:
+    """Load: all routers restart at once. Guards against refusing callers, who retry only once, by
+    a router that is ready a moment later."""
+    server = await start_server(_answer_ok)
+    calling = asyncio.create_task(gateway.call("/unsafe/1"))
+    await asyncio.sleep(0.1)
+    gateway.know(server)
+    assert (await calling).status == 200
+
+
 async def test_stopping_gateway_finishes_what_it_has_and_refuses_the_rest(
     gateway: Gateway, start_server: Start
 ) -> None:
--- /dev/null
+++ b/tests/router/gateway/relay/test_change_log.py
@@ -0,0 +1,100 @@
+"""Notices that one router passes on to others."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from tests.router.gateway.builders import make_config
+from tests.router.gateway.builders import make_entry
+
+from cornellead.gateway.relay import ChangeLog
+from cornellead.gateway.relay import RelayPage
+from cornellead.gateway.relay._relay_codec import decode_page
+from cornellead.gateway.relay._relay_codec import encode_page
+from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import RouterNotice
+from cornellead_core.routing import RouterPlace
+from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import ServerNotice
+
+CHANGES = st.lists(
+    st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["ready", "draining", "gone"]))),
+    max_size=12,
+)
+
+
+def _notice(server: str, state: str) -> ServerNotice:
+    if state == "gone":
+        return ServerNotice(server, None, removed=True)
+    return ServerNotice(server, make_entry(server, draining=state == "draining"), removed=False)
+
+
+@given(batches=CHANGES, read_at=st.sets(st.integers(0, 11)), gaps=st.floats(0.1, 40.0))
+def test_reader_ends_with_what_the_store_says(
+    batches: list[list[tuple[str, str]]], read_at: set[int], gaps: float
+) -> None:
+    """Guards against a change that is lost between routers, however rarely one reads."""
+    log = ChangeLog()
+    log.replace([], 0, now=0.0)
+    truth: dict[str, ServerNotice] = {}
+    known: dict[str, ServerNotice] = {}
+    offset: int | None = None
+    end = 0
+    for number, batch in enumerate([*batches, []]):
+        now = (number + 1) * gaps
+        notices = [_notice(*change) for change in batch]
+        end += len(notices)
+        log.add(notices, end, now=now)
+        truth.update({notice.server: notice for notice in notices})
+        if number in read_at or number == len(batches):
+            page = log.read(offset, now=now)
+            assert page is not None
+            if page.whole:
+                known = {}
+            known.update({n.server: n for n in page.notices if isinstance(n, ServerNotice)})
+            offset = page.next_offset
+    present = {name: notice for name, notice in truth.items() if notice.entry is not None}
+    assert {name: n for name, n in known.items() if n.entry is not None} == present
+    assert offset == end
+
+
+def test_renewals_are_not_passed_on() -> None:
+    """Guards against control traffic that grows with the heartbeats of a thousand servers."""
+    log = ChangeLog()
+    log.replace([_notice("a", "ready")], 1, now=0.0)
+    for number in range(100):
+        log.add([_notice("a", "ready")], number + 2, now=float(number))
+    page = log.read(1, now=100.0)
+    assert page is not None and page.notices == [] and page.next_offset == 101
+
+
+def test_age_grows_while_the_store_is_away() -> None:
+    """Guards against old notices that are passed round as fresh ones."""
+    log = ChangeLog()
+    assert log.read(None, now=0.0) is None
+    log.replace([], 3, now=1.0)
+    page = log.read(3, now=4.5)
+    assert page is not None and page.age_s == 3.5
+
+
+def test_all_kinds_of_notices_survive_the_way() -> None:
+    """Guards against fields that get lost between routers of one version."""
+    page = RelayPage(
+        notices=[
+            RoutingNotice(make_config(9).data, ""),
+            DataCentreNotice("dc-a", out=True),
+            _notice("a", "draining"),
+            RouterNotice("r1", RouterPlace("10.0.0.1:7", "dc-a")),
+        ],
+        next_offset=7,
+        whole=True,
+        age_s=0.25,
+    )
+    assert decode_page(encode_page(page)) == page
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x90", b"text"])
+def test_bytes_of_another_origin_are_no_page(data: bytes) -> None:
+    """Guards against a process that stops because something else answers on the port."""
+    assert decode_page(data) is None
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -14,6 +14,7 @@
 from cornellead_core.routing import HistoryGone
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import RouterNotice
+from cornellead_core.routing import RouterPlace
 from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
 
@@ -40,7 +41,7 @@
         self.reads.append(offset)
         return await self._next()
 
-    async def announce(self, router: str, address: str | None) -> Result[None, StoreError]:
+    async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
         return Success(None)
 
     async def close(self) -> None:
@@ -70,7 +71,9 @@
 
 
 def _batch(offset: int, *names: str) -> NoticeBatch:
-    return NoticeBatch([RouterNotice(name, "10.0.0.1:1") for name in names], offset)
+    return NoticeBatch(
+        [RouterNotice(name, RouterPlace("10.0.0.1:1", "dc-a")) for name in names], offset
+    )
 
 
 async def _read(*answers: object) -> tuple[ScriptedStore, Recorder]:
