--- a/packages/router/src/cornellead/cli/_explain.py
+++ b/packages/router/src/cornellead/cli/_explain.py
@@ -81,12 +81,12 @@
 def explain(request: str, lines: Iterable[Line]) -> list[str]:
     """Return the request's lines, and what its process knew of the servers before.
 
-    >>> explain("7f", [
-    ...     {"event": "server ended", "server": "s1", "process": "r1", "timestamp": "1", "cause": "x"},
-    ...     {"event": "request", "request": "7f", "process": "r1", "timestamp": "2",
-    ...      "attempts": ["s1:no_response"], "cause": "outcome_unknown", "status": 502},
-    ... ])[0]
-    "2  r1  request: attempts=['s1:no_response'] cause=outcome_unknown request=7f status=502"
+    >>> lines = [
+    ...     {"event": "server ended", "server": "s1", "cause": "removed"},
+    ...     {"event": "request", "request": "7f", "attempts": ["s1:no_response"], "status": 502},
+    ... ]
+    >>> explain("7f", lines)[-1].strip()
+    'server ended: cause=removed server=s1'
     """
     ordered = sorted(lines, key=lambda line: str(line.get("timestamp", "")))
     own = [line for line in ordered if line.get("request") == request]
