Test that an address which another server took over is left alone

A pause after status 421 was tried; the test passes without it, since the success rate already turns requests away, so it is not kept.

--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -84,6 +84,26 @@
     assert len(second.seen) == 6
 
 
+async def test_address_of_another_server_is_left_alone_for_a_while(
+    gateway: Gateway, start_server: Start
+) -> None:
+    """Load: a server ended and another one has its address. Guards against a share of the requests
+    being refused until the entry is removed."""
+
+    async def misdirect(exchange: RawExchange) -> None:
+        await exchange.send(exchange.answer(421, "X-Instance-Id: other"))
+
+    reused, good = await start_server(_answer_ok), await start_server(_answer_ok)
+    gateway.know(reused, good)
+    for _ in range(20):
+        await gateway.call("/unsafe/1")
+    reused.script = misdirect
+    before = len(reused.seen)
+    for _ in range(20):
+        assert (await gateway.call("/unsafe/1")).status == 200
+    assert len(reused.seen) <= before + 1
+
+
 async def test_refusal_everywhere_says_when_to_come_back(
     gateway: Gateway, start_server: Start
 ) -> None:
