Treat servers listed before a router started as homes of chats

Cause: after a restart every server counted as new for 10 s, so no chat that moved had its prompt copied; the log line of a request now names the shared prompt, which showed it. Change: the first list is taken as older.

--- a/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -15,6 +15,8 @@
 LAPSE_GRACE_S = 2.5
 """Time after the store's return in which entries that lapsed meanwhile come back: servers renew
 them within about two seconds."""
+LISTED_BEFORE = float("-inf")
+"""First listing of servers that were there before this router: they may be homes of chats."""
 
 
 class ServerRegistry:
@@ -85,7 +87,11 @@
         :returns: The states that ended.
         """
         listed = {entry.server: entry for entry in entries}
+        first = not self._servers
         ended = [self.put(entry, now=now) for entry in listed.values()]
+        if first:
+            for state in self._servers.values():
+                state.listed_at = LISTED_BEFORE
         ended += [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
         return [state for state in ended if state is not None]
 
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -239,6 +239,7 @@
             request=journey.request_id,
             route=job.route.name if job else "",
             service=job.service.name if job else "",
+            affinity=job.affinity if job else "",
             status=journey.status,
             cause=journey.cause,
             attempts=journey.attempts,
--- a/tests/router/gateway/beliefs/test_server_registry.py
+++ b/tests/router/gateway/beliefs/test_server_registry.py
@@ -123,3 +123,13 @@
     registry.put(make_entry(), now=9.5)
     state = registry.get("s1")
     assert state is not None and state.cold(now=11.0) and not state.cold(now=12.1)
+
+
+def test_servers_that_were_there_before_are_no_newcomers() -> None:
+    """Load: a router restarts. Guards against treating every server as new, so that no chat that
+    moves has its prompt copied."""
+    registry = ServerRegistry()
+    registry.replace_all([make_entry("s1")], now=100.0)
+    registry.put(make_entry("s2"), now=101.0)
+    ages = [101.0 - state.listed_at for state in registry.listed("llm")]
+    assert ages == [float("inf"), 0.0]
