--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -49,6 +49,8 @@
     ready_address: str
     """``ip:port`` for readiness checks; empty if the process serves none."""
     first_internal_port: int
+    max_descriptors: int
+    """Open files and sockets that the host allows."""
     heartbeat_s: float
     """Interval at which servers renew their entries."""
     bounds: Bounds
--- a/packages/router/src/cornellead/cli/_gateway.py
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,8 @@
         values(argv)
     except flags.Error as exc:
         return _reject(f"{exc}; {USAGE}")
+    # A reload that is asked for during the start must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Keeps structlog and httpx from importing rich, which takes 3 MB.
     sys.modules["rich"] = None  # type: ignore[assignment]
     from cornellead_platform import NODE_FILE_VARIABLE
@@ -44,9 +47,11 @@
     loaded = load_node_settings(path)
     if isinstance(loaded, Failure):
         return _reject(loaded.failure())
+    settings = loaded.unwrap()
+    if not settings.caller_address or not settings.ready_address:
+        return _reject(f"{path}: listen: a gateway needs addresses for callers and for readiness")
     from cornellead_core.logs import configure_service_logs
 
-    settings = loaded.unwrap()
     configure_service_logs(process=settings.node)
     asyncio.run(_serve(settings, path, values.metrics_port))
     return ExitCode.OK
--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -51,7 +51,7 @@
         route = cfg.match(req.header(b"host"), req.path)
         if route is None:
             return _unproven(stale) or Rejected(404, "no_route")
-        team = cfg.team_of(caller.api_key) if caller.api_key else None
+        team = None if route.public else cfg.team_of(caller.api_key)
         if team is None and cfg.keys_required and not route.public:
             return _unproven(stale) or Rejected(401, "unknown_key")
         affinity = _affinity(caller)
@@ -62,13 +62,14 @@
         service = cfg.services.get(name)
         if service is None:
             return Rejected(503, "unknown_service", UNREADY_RETRY_S)
-        wait_s = min(route.timeout_s, caller.time_left_s or route.timeout_s)
+        left_s = caller.time_left_s
+        wait_s = route.timeout_s if left_s is None else min(route.timeout_s, left_s)
         return Job(
             req=req,
             caller=caller,
             route=route,
             service=service,
-            team="" if team is None or route.public else team.name,
+            team="" if team is None else team.name,
             urgency=_urgency(route, team),
             regions=_regions(route, team),
             affinity=affinity if service.kv_capacity_tokens else "",
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -38,6 +38,8 @@
         self.sent_at = now
         self.gave_up = False
         """Whether the router ended the attempt because the server was silent."""
+        self.waits_for_caller = False
+        """Whether the router does not read because the caller reads slowly."""
         self._number = next(_numbers)
         self._patience_s = first_byte_patience_s
         self._may_move = may_move
@@ -58,6 +60,9 @@
 
     def check(self, *, now: float) -> None:
         """Give up if the server is silent and the request may run elsewhere."""
+        if self.waits_for_caller:
+            self.count_byte(now=now)
+            return
         if self._may_move and self._silent(now):
             self.gave_up = True
             self.exchange.abort()
--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -25,6 +25,8 @@
 
     def __init__(self, *, last_event: str) -> None:
         self.last_event = last_event
+        self.gap = False
+        """Whether a run went on later than after the last event, so that events are missing."""
         self._tail = b""
         self._resumed = False
 
@@ -37,6 +39,7 @@
         """Begin a new run that goes on after the last event."""
         self._tail = b""
         self._resumed = True
+        self.gap = False
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes and return the whole events that the caller lacks."""
@@ -56,9 +59,13 @@
         kept = []
         for event in whole.split(SEPARATOR)[:-1]:
             number = _event_id(event)
-            comparable = number.isdecimal() and self.last_event.isdecimal()
-            if comparable and int(number) <= int(self.last_event):
-                continue
+            if number.isdecimal() and self.last_event.isdecimal():
+                step = int(number) - int(self.last_event)
+                if step <= 0:
+                    continue
+                if step > 1:
+                    self.gap = True
+                    break
             self.last_event = number or self.last_event
             kept.append(event + SEPARATOR)
         return kept
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -77,13 +77,17 @@
             if data:
                 attempt.count_byte(now=self._clock())
                 whole = events.feed(data)
+                if events.gap:
+                    return Broken("events_missing")
             else:
                 whole = events.tail
             # The head waits for the first event: until then another server may still answer.
             if not out.started and (whole or not data):
                 out.begin(status, reply.forwarded)
             if whole:
+                attempt.waits_for_caller = True
                 await out.write(whole)
+                attempt.waits_for_caller = False
             if not data:
                 out.end()
                 return Delivered(status)
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -46,6 +46,7 @@
 class CallerConnection(asyncio.Protocol):
     """Reads requests, has them handled one after the other, and writes the responses.
 
+    :param limits: Returns the limits in force; read anew for each request.
     :param clock: Returns seconds; counts the time for which the host was suspended.
     :param on_closed: Called when the connection is gone.
     """
@@ -55,16 +56,17 @@
         *,
         handler: RequestHandler,
         serving: Serving,
-        limits: CallerLimits,
+        limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
         on_closed: Callable[[CallerConnection], None],
     ) -> None:
         self._handler = handler
         self._serving = serving
-        self._limits = limits
+        self._read_limits = limits
+        self._limits = limits()
         self._clock = clock
         self._on_closed = on_closed
-        self._parser = RequestParser(limits=limits)
+        self._parser = RequestParser(limits=self._limits)
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -92,6 +94,7 @@
         if self._closing:
             return
         if not self._parser.started and self._task is None:
+            self._limits = self._parser.limits = self._read_limits()
             self._arm(self._limits.header_timeout_s, self._time_out)
         self._parser.feed(data, now=self._clock())
         if self._parser.rejection is not None:
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import structlog
+
 from cornellead.gateway.ingress._caller_connection import CallerConnection
 
 if TYPE_CHECKING:
@@ -14,6 +16,8 @@
     from cornellead.gateway.ingress._serving_phase import Serving
     from cornellead_core.routing import CallerLimits
 
+DEFAULT_MAX_CONNECTIONS = 512
+"""Half of the descriptors that a process usually has."""
 BACKLOG = 1024
 """Connections that wait to be accepted: a full queue costs callers a second."""
 
@@ -21,7 +25,8 @@
 class CallerListener:
     """Accepts connections on one address.
 
-    :param limits: Returns the limits in force when a connection is accepted.
+    :param limits: Returns the limits in force.
+    :param max_connections: Connections above which the oldest idle one is closed.
     """
 
     def __init__(
@@ -32,13 +37,15 @@
         serving: Serving,
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
     ) -> None:
         self._address = address
         self._handler = handler
         self._serving = serving
         self._limits = limits
         self._clock = clock
-        self._conns: set[CallerConnection] = set()
+        self._max_connections = max_connections
+        self._conns: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -66,9 +73,22 @@
         conn = CallerConnection(
             handler=self._handler,
             serving=self._serving,
-            limits=self._limits(),
+            limits=self._limits,
             clock=self._clock,
-            on_closed=self._conns.discard,
+            on_closed=self._forget,
         )
-        self._conns.add(conn)
+        if len(self._conns) >= self._max_connections:
+            self._make_room()
+        self._conns[conn] = None
         return conn
+
+    def _make_room(self) -> None:
+        # Connections stand in the order in which they were opened.
+        for other in self._conns:
+            if other.idle:
+                other.close_idle()
+                return
+        structlog.get_logger().warning("all connections are in use", connections=len(self._conns))
+
+    def _forget(self, conn: CallerConnection) -> None:
+        self._conns.pop(conn, None)
--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, *, limits: CallerLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._now = 0.0
         self._started_at: float | None = None
@@ -64,6 +64,9 @@
         """
         self._now = now
         if self._started_at is None:
+            if not data.strip(b"\r\n"):
+                # Empty lines between requests (RFC 9112, section 2.2).
+                return
             self._started_at = now
         if not self._headers_complete:
             self._header_bytes += len(data)
@@ -73,7 +76,7 @@
             self._reject(Rejection.BAD_REQUEST)
         except httptools.HttpParserError:
             self._reject(Rejection.BAD_REQUEST)
-        if not self._headers_complete and self._header_bytes > self._limits.header_bytes:
+        if not self._headers_complete and self._header_bytes > self.limits.header_bytes:
             self._reject(Rejection.HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
@@ -86,10 +89,12 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers after a body are dropped."""
+        if self._headers_complete:
+            return
         self._headers.append((name, value))
         self._sized += len(name) + len(value)
-        if self._sized > self._limits.header_bytes:
+        if self._sized > self.limits.header_bytes:
             self._reject(Rejection.HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
@@ -103,7 +108,7 @@
             self._reject(Rejection.BAD_REQUEST)
         if not self._target.startswith(b"/"):
             self._reject(Rejection.BAD_REQUEST)
-        if lengths and (not lengths[0].isdigit() or int(lengths[0]) > self._limits.body_bytes):
+        if lengths and (not lengths[0].isdigit() or int(lengths[0]) > self.limits.body_bytes):
             self._reject(
                 Rejection.BODY_TOO_LARGE if lengths[0].isdigit() else Rejection.BAD_REQUEST
             )
@@ -115,7 +120,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         self._body += data
-        if len(self._body) > self._limits.body_bytes:
+        if len(self._body) > self.limits.body_bytes:
             self._reject(Rejection.BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
--- a/packages/router/src/cornellead/gateway/policy/_retry_share.py
+++ b/packages/router/src/cornellead/gateway/policy/_retry_share.py
@@ -23,7 +23,7 @@
     """
 
     def __init__(self, *, bounds: Bounds) -> None:
-        self._bounds = bounds
+        self.bounds = bounds
         self._budgets: dict[str, RetryBudget] = {}
 
     def count_request(self, service: str, *, routers: int, now: float) -> None:
@@ -39,7 +39,7 @@
         return self._budget(service, routers).try_spend(now=now)
 
     def _budget(self, service: str, routers: int) -> RetryBudget:
-        bounds = self._bounds
+        bounds = self.bounds
         rate = MARGIN * bounds.retry_minimum / bounds.retry_window_s / max(1, routers)
         budget = self._budgets.get(service)
         if budget is None:
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -65,6 +65,8 @@
 """Part of the store's reads that the routers together may use for one topic."""
 WRITE_SHARE = 0.1
 """Part of the store's writes that announcements may use."""
+CALLER_SHARE = 0.6
+"""Part of the descriptors for callers; the rest is for servers, the store and other routers."""
 POOL_CHECK_S = 1.0
 """Interval at which connections that were idle for too long are closed."""
 DEFAULT_LIMITS = CallerLimits(
@@ -101,6 +103,7 @@
             loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
         )
         self._sender = AttemptSender(pool=self._pool, wire=wire, clock=read_clock)
+        self._retries = RetryShare(bounds=settings.bounds)
         forwarder = Forwarder(
             view=self._view,
             admission=Admission(view=self._view, serving=self._serving),
@@ -112,7 +115,7 @@
             ),
             sender=self._sender,
             relay=ResponseRelay(wire=wire, clock=read_clock),
-            retries=RetryShare(bounds=settings.bounds),
+            retries=self._retries,
             wire=wire,
             stats=self._stats,
             clock=read_clock,
@@ -142,7 +145,9 @@
             place=place,
             interval_s=self._announce_interval_s,
         )
-        self._watcher = SettingsWatcher(path=settings_path, load=load, apply=self._apply)
+        self._watcher = SettingsWatcher(
+            path=settings_path, current=settings, load=load, apply=self._apply
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop as planned."""
@@ -164,7 +169,7 @@
             controllers.result()
         stop = PlannedStop(
             serving=self._serving,
-            grace_s=settings.bounds.drain_grace_s,
+            grace_s=self._settings.bounds.drain_grace_s,
             close_idle=self._callers.close_idle,
         )
         left = await stop.run()
@@ -217,6 +222,7 @@
             serving=self._serving if isinstance(handler, Forwarder) else Serving(),
             limits=lambda: self._view.config.limits if self._view.config else DEFAULT_LIMITS,
             clock=read_clock,
+            max_connections=int(CALLER_SHARE * self._settings.max_descriptors),
         )
 
     def _measure(self, metrics: Metrics) -> None:
@@ -249,6 +255,7 @@
 
     def _apply(self, settings: NodeSettings) -> None:
         self._settings = settings
+        self._retries.bounds = settings.bounds
 
     def _read_interval_s(self, shortest_s: float) -> float:
         routers = len(self._view.routers(now=read_clock()))
--- a/packages/router/src/cornellead/gateway/process/_settings_watcher.py
+++ b/packages/router/src/cornellead/gateway/process/_settings_watcher.py
@@ -18,11 +18,13 @@
 
 CHECK_INTERVAL_S = 1.0
 """Interval at which the file is checked, since it may change without a signal."""
+FILE_CHANGED = "file changed"
 
 
 class SettingsWatcher:
     """Takes a changed settings file, or keeps the old one in force if it is wrong.
 
+    :param current: Settings in force.
     :param load: Reads and checks the file.
     :param apply: Puts settings into force.
     """
@@ -33,13 +35,16 @@
         self,
         *,
         path: str,
+        current: NodeSettings,
         load: Callable[[str], Result[NodeSettings, str]],
         apply: Callable[[NodeSettings], None],
     ) -> None:
         self._path = path
         self._load = load
         self._apply = apply
-        self._seen = self._stamp()
+        self._current = current
+        # The first check reads the file again: it may have changed since it was read at the start.
+        self._seen = (0, 0)
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -48,7 +53,7 @@
             stamp = self._stamp()
             if stamp != self._seen:
                 self._seen = stamp
-                self.reload("file changed")
+                self.reload(FILE_CHANGED)
 
     def reload(self, cause: str) -> None:
         """Read the file again."""
@@ -57,8 +62,13 @@
         if isinstance(loaded, Failure):
             log.error("settings rejected, the old ones stay", cause=cause, error=loaded.failure())
             return
-        self._apply(loaded.unwrap())
-        log.info("settings reloaded", cause=cause)
+        settings = loaded.unwrap()
+        changed = settings != self._current
+        if changed:
+            self._current = settings
+            self._apply(settings)
+        if changed or cause != FILE_CHANGED:
+            log.info("settings reloaded", cause=cause, changed=changed)
 
     def _stamp(self) -> tuple[int, int]:
         try:
--- a/tests/router/gateway/forwarding/test_event_splitter.py
+++ b/tests/router/gateway/forwarding/test_event_splitter.py
@@ -43,3 +43,15 @@
 def _pieces(cuts: list[int], length: int) -> list[tuple[int, int]]:
     points = sorted({0, length, *(cut for cut in cuts if cut < length)})
     return list(pairwise(points))
+
+
+def test_run_that_skips_events_is_noticed() -> None:
+    """Guards against a stream that looks whole although a resume left events out."""
+    events = EventSplitter(last_event="")
+    events.feed(_event(1))
+    events.restart()
+    assert events.feed(_event(3)) == b""
+    assert events.gap
+    events.restart()
+    assert events.feed(_event(2) + _event(3)) == _event(2) + _event(3)
+    assert not events.gap
--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -315,3 +315,22 @@
     assert refused.status == 503 and "connection: close" in refused.head.lower()
     answer = await early
     assert answer.body == b"late" and "connection: close" in answer.head.lower()
+
+
+async def test_slow_caller_is_no_silent_server(gateway: Gateway, start_server: Start) -> None:
+    """Guards against a second run of a stream whose caller reads slowly."""
+
+    async def script(exchange: RawExchange) -> None:
+        await exchange.begin_stream()
+        data = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
+        for _ in range(80):
+            await exchange.send(b"%x\r\n%b\r\n" % (len(data), data))
+        await exchange.end_stream()
+
+    servers = [await start_server(script) for _ in range(2)]
+    gateway.know(*servers)
+    _reader, writer = await gateway.connect()
+    writer.write(encode("/resumable/1", "X-Deadline-Ms: 9000", body=b"prompt"))
+    await asyncio.sleep(1.9)
+    assert sum(len(server.seen) for server in servers) == 1
+    writer.close()
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -46,13 +46,14 @@
 class Gateway:
     """Listener, forwarder and beliefs of one gateway."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, max_connections: int = 100) -> None:
         loop = asyncio.get_running_loop()
         clock = time.monotonic
         wire = PlatformHeaders()
         self.address = address
         self.view = FleetView(router="r1")
         self.serving = Serving()
+        self.limits = LIMITS
         self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
         forwarder = Forwarder(
@@ -72,8 +73,9 @@
             address=address,
             handler=forwarder,
             serving=self.serving,
-            limits=lambda: LIMITS,
+            limits=lambda: self.limits,
             clock=clock,
+            max_connections=max_connections,
         )
 
     def know(self, *servers: RawServer, cold_rate_per_s: float = 0.0, cold_s: float = 0.0) -> None:
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.builders import LIMITS
+from tests.router.gateway.gateway_harness import Gateway
 from tests.router.gateway.gateway_harness import encode
 from tests.router.gateway.gateway_harness import read_answer
 
@@ -13,7 +15,6 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from tests.router.gateway.gateway_harness import Gateway
     from tests.router.gateway.raw_server import RawExchange
     from tests.router.gateway.raw_server import RawServer
     from tests.router.gateway.raw_server import Script
@@ -118,3 +119,50 @@
     writer.write(b"ab")
     assert (await read_answer(reader)).body == b"ab"
     writer.close()
+
+
+async def test_idle_connections_make_room_for_new_ones(
+    free_address: Callable[[], str], start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Load: more callers keep connections open than the host has descriptors. Guards against new
+    callers that cannot connect."""
+    gateway = Gateway(free_address(), max_connections=3)
+    await gateway.listener.start()
+    gateway.know(await start_server(_answer))
+    conns = [await gateway.connect() for _ in range(3)]
+    await asyncio.sleep(0.05)
+    assert (await gateway.call("/unsafe/1", body=b"a")).body == b"a"
+    assert await asyncio.wait_for(conns[0][0].read(), 1.0) == b""
+    assert not conns[2][0].at_eof()
+    for _, writer in conns:
+        writer.close()
+    gateway.listener.stop_accepting()
+
+
+async def test_trailers_are_no_headers(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against a model or identity that a trailer adds after the check of the headers."""
+    server = await start_server(_answer)
+    gateway.know(server)
+    reader, writer = await gateway.connect()
+    trailers = b"X-Model: other\r\nX-Request-Id: 99\r\n"
+    writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + trailers + b"\r\n")
+    assert (await read_answer(reader)).body == b"a"
+    assert server.seen[0].header("x-model") == ""
+    assert server.seen[0].request_id == "7f"
+    writer.close()
+
+
+async def test_new_limits_hold_on_open_connections(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against limits of an old configuration on connections that stay open for long."""
+    gateway.know(await start_server(_answer))
+    reader, writer = await gateway.connect()
+    writer.write(encode("/unsafe/1", body=b"a" * 3000))
+    assert (await read_answer(reader)).status == 200
+    gateway.limits = LIMITS._replace(body_bytes=1000)
+    writer.write(encode("/unsafe/2", body=b"a" * 3000))
+    assert (await read_answer(reader)).status == 413
+    writer.close()
--- a/tests/router/gateway/process/test_settings_watcher.py
+++ b/tests/router/gateway/process/test_settings_watcher.py
@@ -20,6 +20,7 @@
     results: list[Result[str, str]] = [Failure("heartbeat_ms: expected a number"), Success("new")]
     watcher = SettingsWatcher(
         path=str(tmp_path / "boot.json"),
+        current="old",  # type: ignore[arg-type]
         load=lambda _: results.pop(0),  # type: ignore[arg-type, return-value]
         apply=applied.append,
     )
