--- a/tests/router/gateway/raw_server.py
+++ b/tests/router/gateway/raw_server.py
@@ -108,7 +108,8 @@
                 watch = asyncio.create_task(self._watch(reader, exchange))
                 await self.script(exchange)
                 watch.cancel()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # The router closed the connection, or the test is over.
             pass
         finally:
             for seen in self.seen:
