Send load reports: the event loop's datagram transport is not of the public class

Cause: an assertion on the transport's class failed in a callback, which the event loop only prints, so no report was ever sent or taken; every bound on load so far used the loads in servers' answers, or own counts times the number of routers. Found by the first run of the soak, whose output showed the callback. Change: no assertion; a test with two exchanges, which fails without the change.

--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from typing import TYPE_CHECKING
+from typing import cast
 
 import msgspec
 import structlog
@@ -58,8 +59,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # The event loop's transport does not derive from the public class.
+        self._transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take a report."""
--- /dev/null
+++ b/tests/router/gateway/exchange/test_load_exchange.py
@@ -0,0 +1,73 @@
+"""Reports of load between routers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.router.gateway.builders import make_entry
+
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.exchange import LoadExchange
+from cornellead_core.routing import RouterPlace
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+Pair = tuple[FleetView, FleetView]
+
+
+@pytest.fixture
+async def views(free_address: Callable[[], str]) -> AsyncIterator[Pair]:
+    """Yield the views of two routers that exchange reports."""
+    views = FleetView(router="r1"), FleetView(router="r2")
+    addresses = free_address(), free_address()
+    tasks = []
+    for index, view in enumerate(views):
+        other = 1 - index
+        place = RouterPlace(addresses[other], "dc-a")
+        view.see_router(views[other].router, place, now=time.monotonic())
+        view.servers.put(make_entry("s1"), now=time.monotonic())
+        exchange = LoadExchange(view=view, address=addresses[index], clock=time.monotonic)
+        tasks.append(asyncio.create_task(exchange.run()))
+    yield views
+    for task in tasks:
+        task.cancel()
+
+
+def _load(view: FleetView) -> float:
+    state = view.servers.get("s1")
+    assert state is not None
+    return state.load(view.load, routers=2, now=time.monotonic())
+
+
+async def test_routers_learn_each_others_requests(views: Pair) -> None:
+    """Guards against an exchange that sends or takes nothing, so that each router bounds only its
+    own requests."""
+    first, second = views
+    state = second.servers.get("s1")
+    assert state is not None
+    for number in range(7):
+        state.health.open(number, now=time.monotonic())
+    async with asyncio.timeout(2.0):
+        while _load(first) != 7.0:
+            await asyncio.sleep(0.02)
+    assert _load(second) == 7.0
+
+
+async def test_bytes_of_another_origin_are_ignored(views: Pair) -> None:
+    """Guards against a process that stops because of a datagram that is no report."""
+    first, second = views
+    address = next(iter(second.peers(now=time.monotonic()).values())).address
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        asyncio.DatagramProtocol, remote_addr=(host, int(port))
+    )
+    transport.sendto(b"\xc1 nonsense")
+    await asyncio.sleep(0.5)
+    transport.close()
+    assert _load(first) == 0.0
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,73 @@
+"""Servers of the soak: they run requests, record the runs, and fail at random."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from tests.router.gateway.raw_server import RawServer
+
+if TYPE_CHECKING:
+    import random
+    from collections import Counter
+
+    from tests.router.gateway.raw_server import RawExchange
+
+EVENTS = 12
+EVENT_GAP_S = 0.02
+
+
+class RecordingServer:
+    """A server that echoes the id of each request and records which ones it ran.
+
+    :param runs: Runs by request id, shared by all servers.
+    """
+
+    def __init__(self, *, runs: Counter[str], rng: random.Random) -> None:
+        self._runs = runs
+        self._rng = rng
+        self.failing = 0.0
+        """Part of the requests that fail."""
+        self.raw = RawServer(self._serve)
+
+    async def _serve(self, exchange: RawExchange) -> None:
+        failure = ""
+        if self._rng.random() < self.failing:
+            failure = self._rng.choice(["refuse", "error", "reset", "mute", "late", "extra"])
+        if failure == "refuse":
+            await exchange.send(exchange.answer(503, "X-Not-Executed: 1"))
+            return
+        self._runs[exchange.request_id] += 1
+        await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+        if failure == "reset":
+            exchange.reset()
+        elif failure == "mute":
+            await exchange.left.wait()
+        elif failure == "error":
+            await exchange.send(exchange.sealed(500, b"failure"))
+        elif b"/stream/" in exchange.head.split(b"\r\n")[0]:
+            await self._stream(exchange, broken=failure != "")
+        else:
+            if failure == "late":
+                await asyncio.sleep(0.6)
+            body = expected_body(exchange.request_id)
+            await exchange.send(exchange.sealed(200, body))
+            if failure == "extra":
+                await exchange.send(exchange.sealed(200, b"extra"))
+
+    async def _stream(self, exchange: RawExchange, *, broken: bool) -> None:
+        first = int(exchange.header("last-event-id") or "0") + 1
+        last = self._rng.randint(first, EVENTS) if broken else EVENTS
+        await exchange.begin_stream()
+        for number in range(first, last + 1):
+            await exchange.send_events(number, number)
+            await asyncio.sleep(EVENT_GAP_S)
+        if broken:
+            exchange.reset()
+            return
+        await exchange.end_stream()
+
+
+def expected_body(request_id: str) -> bytes:
+    """Return the answer to a plain request."""
+    return b"answer to " + request_id.encode()
