Take load factor and cold slack from the deployment's settings

Cause: the bound on load and the number of senders to a cold server were constants that fit a factor of 2 and a slack of 5; the settings name both. Fields of the settings that nothing reads are gone.

--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -16,14 +16,10 @@
     """Window over which retries are counted."""
     retry_minimum: float
     """Retries allowed in a window besides the share of the requests, over all routers."""
-    cold_overshoot: float
-    """Multiple of a cold server's rate that it bears in one second."""
     cold_slack: float
-    """Requests in one second that a cold server bears besides."""
+    """Requests in one second that a cold server bears besides its rate."""
     load_factor: float
     """Highest load of a server as a multiple of the mean of its service."""
-    contact_s: float
-    """Time after a disruption during which a host counts as out of touch."""
 
 
 class StoreSettings(NamedTuple):
@@ -51,7 +47,5 @@
     first_internal_port: int
     max_descriptors: int
     """Open files and sockets that the host allows."""
-    heartbeat_s: float
-    """Interval at which servers renew their entries."""
     bounds: Bounds
     store: StoreSettings
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -37,6 +37,7 @@
     """Applies the placement policy to what the router believes.
 
     :param regions: Region of each data centre.
+    :param load_factor: Multiple of the mean load that a server may have.
     """
 
     def __init__(
@@ -46,11 +47,13 @@
         gate: ColdGate,
         data_centre: str,
         regions: Mapping[str, str],
+        load_factor: float,
     ) -> None:
         self._view = view
         self._gate = gate
         self._data_centre = data_centre
         self._regions = regions
+        self.load_factor = load_factor
 
     def pick(self, job: Job, *, tried: Collection[str], now: float) -> ServerState | NoServer:
         """Choose a server and count the request against its cold limit.
@@ -66,7 +69,9 @@
             for state in self._view.servers.listed(job.service.name)
         }
         if job.affinity:
-            ordered = order_for_chat(job.affinity, servers, loads, now=now)
+            ordered = order_for_chat(
+                job.affinity, servers, loads, load_factor=self.load_factor, now=now
+            )
         else:
             ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
         rate_per_s = job.service.cold_rate_per_s
--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -9,7 +9,7 @@
 from cornellead.gateway.ingress._request_parser import Rejection
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import ResponseWriter
-from cornellead.gateway.ingress._serving_phase import Serving
+from cornellead.gateway.ingress._serving import Serving
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 
 __all__ = [
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -21,7 +21,7 @@
 
     from cornellead.gateway.ingress._caller_request import CallerRequest
     from cornellead.gateway.ingress._response_writer import ResponseWriter
-    from cornellead.gateway.ingress._serving_phase import Serving
+    from cornellead.gateway.ingress._serving import Serving
     from cornellead_core.routing import CallerLimits
 
 IDLE_SLACK_S = 1.0
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from cornellead.gateway.ingress._caller_connection import RequestHandler
-    from cornellead.gateway.ingress._serving_phase import Serving
+    from cornellead.gateway.ingress._serving import Serving
     from cornellead_core.routing import CallerLimits
 
 DEFAULT_MAX_CONNECTIONS = 512
--- a/packages/router/src/cornellead/gateway/ingress/_serving_phase.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_phase.py
@@ -15,15 +15,3 @@
     """New requests are refused; requests in progress are finished."""
     CLOSING = 3
     """Idle connections are closed."""
-
-
-class Serving:
-    """Current phase and the requests in progress."""
-
-    def __init__(self) -> None:
-        self.phase = ServingPhase.RUNNING
-        self.in_progress = 0
-
-    def advance(self, phase: ServingPhase) -> None:
-        """Go to a later phase; an earlier one is ignored."""
-        self.phase = max(self.phase, phase)
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -15,10 +15,9 @@
 
     from cornellead.gateway.beliefs import ServerState
 
-HOME_BOUND = 1.85
-"""Load of a server as a multiple of the mean above which chats of its own go to the next one: below
-the multiple of 2 that deployments allow, since loads of other routers are a fraction of a second
-old."""
+HOME_BOUND_SHARE = 0.925
+"""Part of the multiple of the mean load that the deployment allows. Above it, chats of a server go to
+the next one; the rest is for loads of other routers that are a fraction of a second old."""
 HOME_SLACK = 3.0
 """Requests above the multiple of the mean that are allowed, so that small counts do not move chats
 from the servers that have their prompts."""
@@ -34,7 +33,12 @@
 
 
 def order_for_chat(
-    key: str, servers: Sequence[ServerState], loads: Mapping[str, float], *, now: float
+    key: str,
+    servers: Sequence[ServerState],
+    loads: Mapping[str, float],
+    *,
+    load_factor: float,
+    now: float,
 ) -> list[ServerState]:
     """Order model servers for a request that shares its prompt with others.
 
@@ -46,15 +50,17 @@
     :param key: Identity of the shared part of the prompt.
     :param servers: Servers that may be used.
     :param loads: Estimated requests at each server of the service, by name.
+    :param load_factor: Multiple of the mean load that a server may have.
     :param now: Seconds.
     """
     ranked = rank_homes(key, servers)
-    limit = HOME_BOUND * sum(loads.values()) / max(1, len(loads)) + HOME_SLACK
+    limit = HOME_BOUND_SHARE * load_factor * sum(loads.values()) / max(1, len(loads)) + HOME_SLACK
     avoided = _unsound(ranked, now=now)
 
     def rank(state: ServerState) -> tuple[bool, int]:
         load = loads[state.entry.server]
-        return state.entry.server in avoided, 1 + int(load / SAME_LOAD) if load > limit else 0
+        fullness = 1 + int(load / SAME_LOAD) if load > limit else 0
+        return state.entry.server in avoided, fullness
 
     return sorted(ranked, key=rank)
 
--- a/packages/router/src/cornellead/gateway/policy/_cold_gate.py
+++ b/packages/router/src/cornellead/gateway/policy/_cold_gate.py
@@ -10,8 +10,8 @@
     from collections.abc import Sequence
 
 MAX_SENDERS = 4
-"""Routers that send to one cold server: each may send one request at once, so this bounds the
-requests that arrive in the same moment."""
+"""Routers that send to one cold server, if the server bears as many requests at once besides its
+rate. More would each get a smaller part of the rate."""
 
 
 class ColdGate:
@@ -22,8 +22,10 @@
     first few in rendezvous order of the server send to it, each an equal part of its rate.
 
     :param router: Name of this router.
+    :param slack: Requests in one second that a cold server bears besides its rate: each sender may
+        send one request at once.
 
-    >>> gate = ColdGate(router="r1")
+    >>> gate = ColdGate(router="r1", slack=5.0)
     >>> gate.try_send("s1", rate_per_s=2.0, routers=["r1"], now=0.0)
     True
     >>> gate.try_send("s1", rate_per_s=2.0, routers=["r1"], now=0.4)
@@ -32,8 +34,9 @@
     True
     """
 
-    def __init__(self, *, router: str) -> None:
+    def __init__(self, *, router: str, slack: float) -> None:
         self._router = router
+        self.slack = slack
         self._next_at: dict[str, float] = {}
 
     def opens_at(
@@ -65,7 +68,8 @@
 
     def _interval_s(self, server: str, rate_per_s: float, routers: Sequence[str]) -> float | None:
         members = sorted({*routers, self._router})
-        senders = rank_members(server, members)[:MAX_SENDERS]
+        most = max(1, min(MAX_SENDERS, int(self.slack)))
+        senders = rank_members(server, members)[:most]
         if self._router not in senders or rate_per_s <= 0:
             return None
         return len(senders) / rate_per_s
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -95,7 +95,7 @@
         self._settings = settings
         self._serving = Serving()
         self._view = FleetView(router=settings.node)
-        self._gate = ColdGate(router=settings.node)
+        self._gate = ColdGate(router=settings.node, slack=settings.bounds.cold_slack)
         metrics = Metrics()
         self._stats = GatewayStats(metrics=metrics)
         self._measure(metrics)
@@ -104,15 +104,17 @@
         )
         self._sender = AttemptSender(pool=self._pool, wire=wire, clock=read_clock)
         self._retries = RetryShare(bounds=settings.bounds)
+        self._picker = ServerPicker(
+            view=self._view,
+            gate=self._gate,
+            data_centre=settings.data_centre,
+            regions=settings.regions,
+            load_factor=settings.bounds.load_factor,
+        )
         forwarder = Forwarder(
             view=self._view,
             admission=Admission(view=self._view, serving=self._serving),
-            picker=ServerPicker(
-                view=self._view,
-                gate=self._gate,
-                data_centre=settings.data_centre,
-                regions=settings.regions,
-            ),
+            picker=self._picker,
             sender=self._sender,
             relay=ResponseRelay(wire=wire, clock=read_clock),
             retries=self._retries,
@@ -256,6 +258,8 @@
     def _apply(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._retries.bounds = settings.bounds
+        self._picker.load_factor = settings.bounds.load_factor
+        self._gate.slack = settings.bounds.cold_slack
 
     def _read_interval_s(self, shortest_s: float) -> float:
         routers = len(self._view.routers(now=read_clock()))
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -70,9 +70,9 @@
     path = tmp_path / "boot.json"
     path.write_bytes(msgspec.json.encode(wire.settings("10.0.0.1:80")))
     assert load_node_settings(str(path)).unwrap().bounds.retry_minimum == 56
-    path.write_bytes(msgspec.json.encode(wire.settings("10.0.0.1:80", heartbeat_ms="often")))
+    path.write_bytes(msgspec.json.encode(wire.settings("10.0.0.1:80", bounds={"grace_s": "long"})))
     wrong = load_node_settings(str(path))
-    assert isinstance(wrong, Failure) and "heartbeat_ms" in wrong.failure()
+    assert isinstance(wrong, Failure) and "grace_s" in wrong.failure()
     assert isinstance(load_node_settings(str(tmp_path / "none.json")), Failure)
 
 
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -60,7 +60,11 @@
             view=self.view,
             admission=Admission(view=self.view, serving=self.serving),
             picker=ServerPicker(
-                view=self.view, gate=ColdGate(router="r1"), data_centre="dc-a", regions={}
+                view=self.view,
+                gate=ColdGate(router="r1", slack=BOUNDS.cold_slack),
+                data_centre="dc-a",
+                regions={},
+                load_factor=BOUNDS.load_factor,
             ),
             sender=self.sender,
             relay=ResponseRelay(wire=wire, clock=clock),
--- a/tests/router/gateway/policy/test_choice.py
+++ b/tests/router/gateway/policy/test_choice.py
@@ -32,7 +32,7 @@
     """Guards against prompts that are read once for each router."""
     servers = _servers()
     homes = {
-        order_for_chat("chat", order, _loads(order), now=0.0)[0].entry.server
+        order_for_chat("chat", order, _loads(order), load_factor=2.0, now=0.0)[0].entry.server
         for order in (servers, servers[::-1], servers[3:] + servers[:3])
     }
     assert len(homes) == 1
@@ -44,7 +44,9 @@
     home = rank_homes("chat", _servers())[0].entry.server
     for _ in range(60):
         servers = _servers(**counts)
-        chosen = order_for_chat("chat", servers, _loads(servers), now=0.0)[0].entry.server
+        chosen = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, now=0.0)[
+            0
+        ].entry.server
         counts[chosen] += 1
     mean = sum(counts.values()) / len(counts)
     assert counts[home] > mean
@@ -59,7 +61,9 @@
     for number in range(40):
         servers = _servers(**counts)
         allowed = [state for state in servers if state.entry.server in usable]
-        chosen = order_for_chat(f"chat{number}", allowed, _loads(servers), now=0.0)[0]
+        chosen = order_for_chat(
+            f"chat{number}", allowed, _loads(servers), load_factor=2.0, now=0.0
+        )[0]
         counts[chosen.entry.server] += 1
     mean = sum(counts.values()) / len(counts)
     assert max(counts.values()) <= 2 * mean + 3
@@ -70,7 +74,7 @@
     servers = _servers()
     home = rank_homes("chat", servers)[0]
     home.health.open(1, now=0.0)
-    order = order_for_chat("chat", servers, _loads(servers), now=5.0)
+    order = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, now=5.0)
     assert order[-1] is home
 
 
--- a/tests/router/gateway/policy/test_retry_share.py
+++ b/tests/router/gateway/policy/test_retry_share.py
@@ -12,10 +12,8 @@
     retry_ratio=0.2,
     retry_window_s=10.0,
     retry_minimum=56.0,
-    cold_overshoot=1.5,
     cold_slack=5.0,
     load_factor=2.0,
-    contact_s=3.0,
 )
 QUIET_S = 15.0
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,11 +19,14 @@
 
 CI_SEEDS = "1-2"
 CI_SECONDS = "6"
+FAILED_ONCE = {103: "a gateway that was down lost its port to an outgoing connection of the soak"}
+"""Seeds that failed, with the cause; they are run in CI from then on."""
 
 
 def _seeds() -> list[int]:
     first, _, last = os.environ.get("SOAK_SEEDS", CI_SEEDS).partition("-")
-    return list(range(int(first), int(last or first) + 1))
+    seeds = set(range(int(first), int(last or first) + 1))
+    return sorted(seeds | set(FAILED_ONCE))
 
 
 @pytest.mark.parametrize("seed", _seeds())
