--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -16,8 +16,8 @@
     from cornellead.gateway.beliefs import ServerState
 
 HOME_BOUND_SHARE = 0.925
-"""Part of the multiple of the mean load that the deployment allows. Above it, chats of a server go to
-the next one; the rest is for loads of other routers that are a fraction of a second old."""
+"""Part of the multiple of the mean load that the deployment allows. Above it, chats of a server
+go to the next one; the rest is for loads of other routers that are a fraction of a second old."""
 HOME_SLACK = 3.0
 """Requests above the multiple of the mean that are allowed, so that small counts do not move chats
 from the servers that have their prompts."""
