--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -258,6 +258,14 @@
     assert 0.25 < time.monotonic() - before < 0.6
 
 
+async def test_time_limit_of_zero_is_a_limit(gateway: Gateway, start_server: Start) -> None:
+    """Guards against taking no time left for no limit, and running what nobody waits for."""
+    server = await start_server(_answer_ok)
+    gateway.know(server)
+    assert (await gateway.call("/unsafe/1", "X-Deadline-Ms: 0")).status == 503
+    assert server.seen == []
+
+
 async def test_without_a_server_the_request_is_refused_at_once(gateway: Gateway) -> None:
     """Guards against a request that waits for its deadline although nobody can serve it."""
     gateway.know()
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -166,3 +166,16 @@
     writer.write(encode("/unsafe/2", body=b"a" * 3000))
     assert (await read_answer(reader)).status == 413
     writer.close()
+
+
+async def test_empty_lines_between_requests_start_no_timer(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[RawServer]]
+) -> None:
+    """Guards against a kept connection that ends with a 408 because of a stray line end."""
+    gateway.know(await start_server(_answer))
+    reader, writer = await gateway.connect()
+    writer.write(b"\r\n")
+    await asyncio.sleep(LIMITS.header_timeout_s + 0.1)
+    writer.write(encode("/unsafe/1", body=b"a"))
+    assert (await asyncio.wait_for(read_answer(reader), 1.0)).status == 200
+    writer.close()
