Time headers from their first byte; refuse a request without time left unsent

Cause: the header timer of a connection started with any bytes, also with an empty line between requests that the parser skips, so an idle caller got 408. A request with a deadline of 0 was counted as sent before its connection opened and got 504 although no server had received it.

Change: the timer starts once the parser has a part of a request; a request whose time is over is refused with 503 before a server is chosen.

--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -115,7 +115,7 @@
         events = EventSplitter(last_event=job.caller.last_event)
         fallback: Answered | None = None
         unsent = 0
-        while True:
+        while job.rights.time_left_s(now=self._clock()) > 0:
             if job.rights.sends and not self._may_retry(job, journey, fallback):
                 break
             picked = await self._pick(job, journey)
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -93,10 +93,12 @@
         """Parse requests and start the first."""
         if self._closing:
             return
-        if not self._parser.started and self._task is None:
+        idle = self.idle
+        if idle:
             self._limits = self._parser.limits = self._read_limits()
-            self._arm(self._limits.header_timeout_s, self._time_out)
         self._parser.feed(data, now=self._clock())
+        if idle and self._parser.started:
+            self._arm(self._limits.header_timeout_s, self._time_out)
         if self._parser.rejection is not None:
             if self._task is None and not self._parser.requests:
                 self._reject(self._parser.rejection)
