--- a/packages/router/src/cornellead/cli/_gateway.py
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import signal
 import sys
@@ -14,6 +13,8 @@
 from cornellead.cli._verb_flags import VerbFlags
 
 if TYPE_CHECKING:
+    import socket
+
     from cornellead_core.routing import NodeSettings
 
 DEFAULT_METRICS_PORT = 9464
@@ -52,19 +53,31 @@
     settings = loaded.unwrap()
     if not settings.caller_address or not settings.ready_address:
         return _reject(f"{path}: listen: a gateway needs addresses for callers and for readiness")
+    # Callers that connect while the rest is loaded wait for a moment; without a listening socket
+    # their connections are reset, and they retry only once. So asyncio is imported afterwards.
+    from cornellead.gateway import open_listening_socket
+
+    try:
+        callers = open_listening_socket(settings.caller_address)
+    except OSError as exc:
+        return _reject(f"{path}: cannot listen on {settings.caller_address}: {exc}")
+    import asyncio
+
     from cornellead_core.logs import configure_service_logs
 
     configure_service_logs(process=settings.node)
-    asyncio.run(_serve(settings, path, values.metrics_port))
+    asyncio.run(_serve(settings, path, values.metrics_port, callers))
     return ExitCode.OK
 
 
-async def _serve(settings: NodeSettings, path: str, metrics_port: int) -> None:
+async def _serve(
+    settings: NodeSettings, path: str, metrics_port: int, callers: socket.socket
+) -> None:
     from cornellead.gateway.process import GatewayProcess
     from cornellead_platform import READY_PATH
     from cornellead_platform import PlatformHeaders
-    from cornellead_platform import StoreClient
     from cornellead_platform import load_node_settings
+    from cornellead_platform.store import StoreClient
 
     process = GatewayProcess(
         settings=settings,
@@ -74,6 +87,7 @@
         wire=PlatformHeaders(),
         ready_path=READY_PATH,
         metrics_port=metrics_port,
+        callers=callers,
     )
     await process.run()
 
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -7,9 +7,11 @@
 
 import structlog
 
+from cornellead.gateway import BACKLOG
 from cornellead.gateway.ingress._caller_connection import CallerConnection
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from cornellead.gateway.ingress._caller_connection import RequestHandler
@@ -18,8 +20,6 @@
 
 DEFAULT_MAX_CONNECTIONS = 512
 """Half of the descriptors that a process usually has."""
-BACKLOG = 1024
-"""Connections that wait to be accepted: a full queue costs callers a second."""
 
 
 class CallerListener:
@@ -27,6 +27,7 @@
 
     :param limits: Returns the limits in force.
     :param max_connections: Connections above which the oldest idle one is closed.
+    :param sock: Socket that listens on the address already, if any.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        sock: socket.socket | None = None,
     ) -> None:
         self._address = address
         self._handler = handler
@@ -45,13 +47,17 @@
         self._limits = limits
         self._clock = clock
         self._max_connections = max_connections
+        self._sock = sock
         self._conns: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen."""
-        host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
+        if self._sock is not None:
+            self._server = await loop.create_server(self._accept, sock=self._sock, backlog=BACKLOG)
+            return
+        host, _, port = self._address.rpartition(":")
         self._server = await loop.create_server(self._accept, host, int(port), backlog=BACKLOG)
 
     def stop_accepting(self) -> None:
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -41,6 +41,7 @@
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from returns.result import Result
@@ -79,6 +80,7 @@
     """Builds the parts of a gateway and runs them until it is stopped.
 
     :param load: Reads and checks the settings file.
+    :param callers: Socket that listens on the address for callers already, if any.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         wire: WireFormat,
         ready_path: str,
         metrics_port: int,
+        callers: socket.socket | None = None,
     ) -> None:
         self._settings = settings
         self._serving = Serving()
@@ -135,7 +138,7 @@
         place = RouterPlace(f"{settings.ip}:{settings.first_internal_port}", settings.data_centre)
         self._exchange = LoadExchange(view=self._view, address=place.address, clock=read_clock)
         relay = RelayHandler(logs=self._store.logs, clock=read_clock)
-        self._callers = self._listen(settings.caller_address, forwarder)
+        self._callers = self._listen(settings.caller_address, forwarder, sock=callers)
         self._internal = [
             self._listen(settings.ready_address, admin),
             self._listen(f"{settings.ip}:{metrics_port}", admin),
@@ -217,7 +220,9 @@
             Ticker(name="close-idle", interval_s=POOL_CHECK_S, action=self._tidy, clock=read_clock),
         ]
 
-    def _listen(self, address: str, handler: RequestHandler) -> CallerListener:
+    def _listen(
+        self, address: str, handler: RequestHandler, *, sock: socket.socket | None = None
+    ) -> CallerListener:
         return CallerListener(
             address=address,
             handler=handler,
@@ -225,6 +230,7 @@
             limits=lambda: self._view.config.limits if self._view.config else DEFAULT_LIMITS,
             clock=read_clock,
             max_connections=int(CALLER_SHARE * self._settings.max_descriptors),
+            sock=sock,
         )
 
     def _measure(self, metrics: Metrics) -> None:
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from tests.platform_adapter.store_standin import StoreStandin
 
-from cornellead_platform import StoreClient
+from cornellead_platform.store import StoreClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
