Serve callers of routers that start while the store is out

A single router that restarted in an outage did not ask the others, which knew all servers.

Change: a refusal without a configuration names the expected end of the outage (policy/_retry_after: as long as it has lasted, at least 2 s, within a third of the time left). A router without beliefs asks a few others when the store does not answer; it learns where they are from their load reports. Notices carry their age, so that old ones neither confirm a configuration nor end an outage. Until its first answer the store is asked every quarter of a second.

Tried and not kept: refusing at once when the store is known to be out.

--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -66,12 +66,23 @@
 Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice
 
 
+CURRENT_AGE_S = 2.0
+"""Age up to which notices count as current: the shortest bound on putting changes into force."""
+
+
 class NoticeBatch(NamedTuple):
     """Notices in the order in which the store accepted them."""
 
     notices: list[Notice]
     next_offset: int
     """Offset to read from next."""
+    age_s: float = 0.0
+    """Time since the store confirmed them; above 0 if another router passed them on."""
+
+    @property
+    def current(self) -> bool:
+        """Whether they are as good as read from the store."""
+        return self.age_s <= CURRENT_AGE_S
 
 
 class HistoryGone(NamedTuple):
--- a/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from cornellead_core.routing import RouterPlace
     from cornellead_core.routing import RoutingConfig
+    from cornellead_core.routing import Topic
 
 MEMBER_TRUST_S = 20.0
 """Time after its last announcement for which a router counts as running: a few intervals. Too many
@@ -31,6 +32,7 @@
         self.confirmed_at: float | None = None
         """When the store last confirmed the configuration, in seconds."""
         self._routers: dict[str, tuple[float, RouterPlace]] = {}
+        self._lost_at: dict[Topic, float] = {}
 
     def take_config(self, config: RoutingConfig) -> bool:
         """Put a configuration in force unless a newer one is.
@@ -48,6 +50,18 @@
         """Return the time since the store last confirmed the configuration."""
         return float("inf") if self.confirmed_at is None else now - self.confirmed_at
 
+    def lose_store(self, topic: Topic, *, now: float) -> None:
+        """Note that a topic of the store cannot be read."""
+        self._lost_at.setdefault(topic, now)
+
+    def regain_store(self, topic: Topic) -> None:
+        """Note that a topic of the store can be read again."""
+        self._lost_at.pop(topic, None)
+
+    def outage_s(self, *, now: float) -> float | None:
+        """Return for how long a topic of the store could not be read; ``None`` if all can."""
+        return now - min(self._lost_at.values()) if self._lost_at else None
+
     @property
     def ready(self) -> bool:
         """Whether enough is known to serve callers."""
@@ -63,6 +77,11 @@
         else:
             self._routers[router] = (now, place)
 
+    def hear_router(self, router: str, place: RouterPlace, *, now: float) -> None:
+        """Take a sign of life of a router whose announcement was not read yet."""
+        if router not in self._routers and router != self.router:
+            self._routers[router] = (now, place)
+
     def routers(self, *, now: float) -> list[str]:
         """Return the names of the running routers, this one included."""
         lost = [name for name, (at, _) in self._routers.items() if now - at > MEMBER_TRUST_S]
--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -11,6 +11,7 @@
 import structlog
 
 from cornellead.gateway.beliefs import RouterLoad
+from cornellead_core.routing import RouterPlace
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,8 +64,12 @@
         # The event loop's transport does not derive from the public class.
         self._transport = cast("asyncio.DatagramTransport", transport)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        """Take a report."""
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a report.
+
+        Its sender listens on the address from which it came. A router that starts while the store
+        is out learns so where others are.
+        """
         try:
             load = _decoder.decode(data)
         except msgspec.DecodeError:
@@ -72,7 +77,10 @@
             if self.unreadable == 1:
                 structlog.get_logger().warning("unreadable load report", sender=str(addr))
             return
-        self._view.load.take(load, now=self._clock())
+        now = self._clock()
+        self._view.load.take(load, now=now)
+        place = RouterPlace(f"{addr[0]}:{addr[1]}", data_centre="")
+        self._view.hear_router(load.router, place, now=now)
         self._note_heard(True)
 
     def error_received(self, exc: Exception) -> None:
--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -8,6 +8,8 @@
 from cornellead.gateway.forwarding._job import Rejected
 from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.policy import RequestRights
+from cornellead.gateway.policy import outage_wait_s
+from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.policy import split_service
 
 if TYPE_CHECKING:
@@ -44,7 +46,7 @@
             return Rejected(503, "stopping", ELSEWHERE_RETRY_S)
         cfg = self._view.config
         if cfg is None or not self._view.ready:
-            return Rejected(503, "no_configuration", UNREADY_RETRY_S)
+            return self._unready(caller, now=now)
         if caller.ambiguous or not caller.request_id:
             return Rejected(400, "ambiguous_or_missing_header")
         stale = self._view.config_age_s(now=now) > CONFIG_TRUST_S
@@ -82,6 +84,17 @@
             config_version=cfg.version,
         )
 
+    def _unready(self, caller: CallerHeaders, *, now: float) -> Rejected:
+        outage_s = self._view.outage_s(now=now)
+        if outage_s is None:
+            return Rejected(503, "no_configuration", UNREADY_RETRY_S)
+        wait_s = retry_after_s(
+            wait_s=outage_wait_s(outage_s),
+            time_left_s=caller.time_left_s,
+            request_id=caller.request_id,
+        )
+        return Rejected(503, "no_configuration_store_out", wait_s)
+
 
 def _unproven(stale: bool) -> Rejected | None:
     return Rejected(503, "stale_configuration", ELSEWHERE_RETRY_S) if stale else None
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 import structlog
-import xxhash
 
 from cornellead.gateway.beliefs import ServerState
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
@@ -43,7 +42,8 @@
 """Time in which a server usually appears when none is listed: about one heartbeat."""
 STARTUP_HOLD_S = 0.4
 """Time for which a request waits for a router that just started: it usually knows configuration and
-servers within a tenth of a second, and callers retry only once."""
+servers within a tenth of a second, and callers retry only once. An outage of the store may end as
+soon, and a caller that has to come back loses more time."""
 STARTUP_POLL_S = 0.02
 """Interval at which a held request looks whether the router is ready."""
 MAX_UNSENT = 4
@@ -84,8 +84,8 @@
         caller = self._wire.decode_caller(req.headers)
         journey = Journey(caller.request_id, started_at=req.received_at)
         if not self._view.ready:
-            journey.note("held_at_start")
             await self._wait_ready()
+            journey.note(f"held_at_start_{self._clock() - req.received_at:.2f}s")
         now = self._clock()
         admitted = self._admission.admit(req, caller, now=now)
         if isinstance(admitted, Rejected):
@@ -221,9 +221,8 @@
             self._refuse(journey, out, Rejected(TIMED_OUT, "timed_out"))
 
     def _back_in(self, job: Job, wait_s: float) -> float:
-        spread = (xxhash.xxh3_64_intdigest(job.caller.request_id.encode()) % 1000) / 1000.0
         left_s = job.rights.time_left_s(now=self._clock())
-        return retry_after_s(wait_s=wait_s, time_left_s=left_s, spread=spread)
+        return retry_after_s(wait_s=wait_s, time_left_s=left_s, request_id=job.caller.request_id)
 
     def _refuse(self, journey: Journey, out: ResponseWriter, rejected: Rejected) -> None:
         headers = self._wire.encode_refusal(journey.request_id, rejected.retry_after_s)
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -6,12 +6,13 @@
 from cornellead.gateway.policy._choice import order_by_cost
 from cornellead.gateway.policy._choice import order_for_chat
 from cornellead.gateway.policy._choice import rank_homes
-from cornellead.gateway.policy._choice import retry_after_s
 from cornellead.gateway.policy._choice import split_service
 from cornellead.gateway.policy._cold_gate import ColdGate
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_rights import RequestRights
 from cornellead.gateway.policy._request_rights import RunState
+from cornellead.gateway.policy._retry_after import outage_wait_s
+from cornellead.gateway.policy._retry_after import retry_after_s
 from cornellead.gateway.policy._retry_share import RetryShare
 
 __all__ = [
@@ -23,6 +24,7 @@
     "find_prompt_source",
     "order_by_cost",
     "order_for_chat",
+    "outage_wait_s",
     "rank_homes",
     "retry_after_s",
     "split_service",
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from cornellead_core.placement import Weighted
@@ -127,17 +126,3 @@
         return weights[0][0]
     candidates = [Weighted(name, weight) for name, weight in weights if weight > 0]
     return order_by_rendezvous(key.encode(), candidates)[0] if candidates else weights[0][0]
-
-
-def retry_after_s(*, wait_s: float, time_left_s: float, spread: float) -> float:
-    """Return after which time a refused caller should come back.
-
-    Load: many callers refused at the same moment. They come back spread over as much time again as
-    they have to wait, and early enough to be served before their deadline.
-
-    :param wait_s: Time until capacity is expected.
-    :param time_left_s: Time until the caller's deadline.
-    :param spread: Number from 0 to 1 that differs between requests.
-    """
-    wanted = wait_s * (1.0 + spread)
-    return max(0.05, min(wanted, time_left_s / 3.0)) if math.isfinite(wanted) else time_left_s / 3.0
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -57,6 +57,11 @@
         self._confirmed_at = 0.0
         self._changed = asyncio.Event()
 
+    @property
+    def known(self) -> bool:
+        """Whether notices were taken."""
+        return self._next_offset is not None
+
     def replace(self, notices: Sequence[Notice], next_offset: int, *, now: float) -> None:
         """Take the newest notices of all writers.
 
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import structlog
@@ -40,6 +41,8 @@
 millisecond apart."""
 PAUSE_S = 2.0
 """Time for which a router that did not answer, or whose pages were old, is not asked."""
+MAX_ASKED = 4
+"""Routers that are asked, one after the other, when the store does not answer at a start."""
 MAX_PAGE_BYTES = 16 << 20
 
 
@@ -48,7 +51,8 @@
 
     Load: hundreds of routers and a thousand servers whose entries are renewed every second. The
     readers read all of it; the others get the changes alone. When no reader answers with fresh
-    notices, a router reads the store itself.
+    notices, a router reads the store itself. A router that starts while the store is out takes what
+    any other router knows, old as it is.
 
     :param data_centre: Data centre of this router.
     """
@@ -76,13 +80,16 @@
         """Return the newest notice of each writer."""
         page = await self._ask_reader(topic, offset=None, wait_s=0.0)
         if page is not None:
-            batch = NoticeBatch(page.notices, page.next_offset)
-            self.logs[topic].replace(*batch, now=self._clock() - page.age_s)
-            return Success(batch)
+            return Success(self._replace(topic, page))
         result = await self._store.read_newest(topic)
         if isinstance(result, Success):
-            self.logs[topic].replace(*result.unwrap(), now=self._clock())
-        return result
+            batch = result.unwrap()
+            self.logs[topic].replace(batch.notices, batch.next_offset, now=self._clock())
+            return result
+        if self.logs[topic].known:
+            return result
+        old = await self._ask_anyone(topic)
+        return result if old is None else Success(self._replace(topic, old))
 
     async def read_after(
         self, topic: Topic, *, offset: int, wait_s: float
@@ -95,12 +102,13 @@
         if page is not None:
             if page.whole:
                 return Failure(HistoryGone(offset))
-            batch = NoticeBatch(page.notices, page.next_offset)
-            self.logs[topic].add(*batch, now=self._clock() - page.age_s)
-            return Success(batch)
+            now = self._clock() - page.age_s
+            self.logs[topic].add(page.notices, page.next_offset, now=now)
+            return Success(NoticeBatch(page.notices, page.next_offset, page.age_s))
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
         if isinstance(result, Success):
-            self.logs[topic].add(*result.unwrap(), now=self._clock())
+            batch = result.unwrap()
+            self.logs[topic].add(batch.notices, batch.next_offset, now=self._clock())
         return result
 
     async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
@@ -111,6 +119,21 @@
         """Close the connections."""
         await self._store.close()
 
+    def _replace(self, topic: Topic, page: RelayPage) -> NoticeBatch:
+        now = self._clock() - page.age_s
+        self.logs[topic].replace(page.notices, page.next_offset, now=now)
+        return NoticeBatch(page.notices, page.next_offset, page.age_s)
+
+    async def _ask_anyone(self, topic: Topic) -> RelayPage | None:
+        """Ask a few routers of any data centre for what they know, whatever its age."""
+        peers = [place.address for place in self._view.peers(now=self._clock()).values()]
+        random.shuffle(peers)
+        for address in peers[:MAX_ASKED]:
+            page = await self._fetch(address, topic, offset=None, wait_s=0.0)
+            if page is not None:
+                return page
+        return None
+
     def _readers(self) -> dict[str, str]:
         """Return names and addresses of the readers of this data centre, none for a reader."""
         peers = {
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -9,14 +9,14 @@
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import FleetView
     from cornellead.gateway.stats import GatewayStats
-    from cornellead_core.routing import Notice
+    from cornellead_core.routing import NoticeBatch
 
 
 class OperatorSink:
@@ -27,17 +27,20 @@
         self._stats = stats
         self._clock = clock
 
-    def take_all(self, notices: Sequence[Notice]) -> None:
+    def take_all(self, batch: NoticeBatch) -> None:
         """Take the newest notice of each writer, in place of all before."""
-        out = {n.data_centre for n in notices if isinstance(n, DataCentreNotice) and n.out}
+        out = {n.data_centre for n in batch.notices if isinstance(n, DataCentreNotice) and n.out}
         for data_centre in self._view.servers.data_centres_out - out:
             self._set_out(data_centre, out=False)
-        self.take(notices)
+        self.take(batch)
 
-    def take(self, notices: Sequence[Notice]) -> None:
+    def take(self, batch: NoticeBatch) -> None:
         """Take later notices, or none when the store confirmed that there are none."""
-        self._view.confirmed_at = self._clock()
-        for notice in notices:
+        now = self._clock()
+        self._view.confirmed_at = now - batch.age_s
+        if batch.current:
+            self._view.regain_store(Topic.OPERATOR)
+        for notice in batch.notices:
             if isinstance(notice, RoutingNotice):
                 self._take_config(notice)
             elif isinstance(notice, DataCentreNotice):
@@ -45,6 +48,7 @@
 
     def lose(self) -> None:
         """Keep what is in force."""
+        self._view.lose_store(Topic.OPERATOR, now=self._clock())
 
     def _take_config(self, notice: RoutingNotice) -> None:
         log = structlog.get_logger()
--- a/packages/router/src/cornellead/gateway/sync/_router_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_router_sink.py
@@ -10,10 +10,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import FleetView
-    from cornellead_core.routing import Notice
+    from cornellead_core.routing import NoticeBatch
 
 
 class RouterSink:
@@ -24,14 +23,14 @@
         self._clock = clock
         self._logged: list[str] = []
 
-    def take_all(self, notices: Sequence[Notice]) -> None:
+    def take_all(self, batch: NoticeBatch) -> None:
         """Take the newest announcement of each router."""
-        self.take(notices)
+        self.take(batch)
 
-    def take(self, notices: Sequence[Notice]) -> None:
+    def take(self, batch: NoticeBatch) -> None:
         """Take later announcements."""
         now = self._clock()
-        for notice in notices:
+        for notice in batch.notices:
             if isinstance(notice, RouterNotice):
                 self._view.see_router(notice.router, notice.place, now=now)
         routers = self._view.routers(now=now)
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -7,15 +7,15 @@
 import structlog
 
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import FleetView
     from cornellead.gateway.beliefs import ServerState
     from cornellead.gateway.stats import GatewayStats
-    from cornellead_core.routing import Notice
+    from cornellead_core.routing import NoticeBatch
     from cornellead_core.routing import ServerEntry
 
 
@@ -38,22 +38,23 @@
         self._clock = clock
         self._on_ended = on_ended
 
-    def take_all(self, notices: Sequence[Notice]) -> None:
+    def take_all(self, batch: NoticeBatch) -> None:
         """Take the newest notice of each writer, in place of all before."""
         now = self._clock()
-        self._view.servers.regain_store(now=now)
-        entries = [n.entry for n in notices if isinstance(n, ServerNotice) and n.entry is not None]
+        self._regain(batch, now=now)
+        servers = [n for n in batch.notices if isinstance(n, ServerNotice)]
+        entries = [n.entry for n in servers if n.entry is not None]
         for entry in entries:
             self._log_change(entry)
         for state in self._view.servers.replace_all(entries, now=now):
             self._end(state, "not_listed")
         self._view.servers_known = True
 
-    def take(self, notices: Sequence[Notice]) -> None:
+    def take(self, batch: NoticeBatch) -> None:
         """Take later notices, or none when the store confirmed that there are none."""
         now = self._clock()
-        self._view.servers.regain_store(now=now)
-        for notice in notices:
+        self._regain(batch, now=now)
+        for notice in batch.notices:
             if not isinstance(notice, ServerNotice):
                 continue
             if notice.entry is None:
@@ -71,6 +72,12 @@
     def lose(self) -> None:
         """Distrust removals until the store is back for a while."""
         self._view.servers.lose_store()
+        self._view.lose_store(Topic.SERVERS, now=self._clock())
+
+    def _regain(self, batch: NoticeBatch, *, now: float) -> None:
+        if batch.current:
+            self._view.servers.regain_store(now=now)
+            self._view.regain_store(Topic.SERVERS)
 
     def _log_change(self, entry: ServerEntry) -> None:
         state = self._view.servers.get(entry.server)
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -13,10 +13,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Sequence
 
     from cornellead_core.routing import FleetStore
-    from cornellead_core.routing import Notice
+    from cornellead_core.routing import NoticeBatch
     from cornellead_core.routing import Topic
 
 FIRST_RETRY_S = 0.1
@@ -24,16 +23,18 @@
 LONGEST_RETRY_S = 0.5
 """Longest pause between failed calls: an outage of the store has to be noticed over quickly, since
 its end starts the time within which changes must be in force."""
+LONGEST_FIRST_RETRY_S = 0.25
+"""Longest pause before the first success: until then the router cannot serve."""
 
 
 class NoticeSink(Protocol):
     """Takes what a topic says."""
 
-    def take_all(self, notices: Sequence[Notice]) -> None:
+    def take_all(self, batch: NoticeBatch) -> None:
         """Take the newest notice of each writer, in place of all before."""
         ...
 
-    def take(self, notices: Sequence[Notice]) -> None:
+    def take(self, batch: NoticeBatch) -> None:
         """Take later notices, or none when the store confirmed that there are none."""
         ...
 
@@ -80,7 +81,8 @@
                 await asyncio.sleep(self._interval_s())
             else:
                 await asyncio.sleep(retry_s)
-                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+                longest_s = LONGEST_FIRST_RETRY_S if self._offset is None else LONGEST_RETRY_S
+                retry_s = min(longest_s, 2 * retry_s)
 
     async def _read(self) -> bool:
         if self._offset is None:
@@ -89,8 +91,8 @@
                 self._note_loss(newest.failure().message)
                 return False
             batch = newest.unwrap()
-            self._note_return()
-            self._sink.take_all(batch.notices)
+            self._note_batch(batch)
+            self._sink.take_all(batch)
             self._offset = batch.next_offset
             return True
         later = await self._store.read_after(self._topic, offset=self._offset, wait_s=self._wait_s)
@@ -105,8 +107,8 @@
             self._note_loss(error.message)
             return False
         batch = later.unwrap()
-        self._note_return()
-        self._sink.take(batch.notices)
+        self._note_batch(batch)
+        self._sink.take(batch)
         self._offset = batch.next_offset
         return True
 
@@ -118,7 +120,10 @@
                 "store lost", topic=self._topic.value, offset=self._offset, error=message
             )
 
-    def _note_return(self) -> None:
-        if self._lost:
+    def _note_batch(self, batch: NoticeBatch) -> None:
+        log = structlog.get_logger()
+        if not batch.current:
+            log.info("old notices taken", topic=self._topic.value, age_s=round(batch.age_s, 2))
+        elif self._lost:
             self._lost = False
-            structlog.get_logger().info("store back", topic=self._topic.value, offset=self._offset)
+            log.info("store back", topic=self._topic.value, offset=self._offset)
--- a/tests/router/gateway/exchange/test_load_exchange.py
+++ b/tests/router/gateway/exchange/test_load_exchange.py
@@ -71,3 +71,19 @@
     await asyncio.sleep(0.5)
     transport.close()
     assert _load(first) == 0.0
+
+
+async def test_reports_tell_where_routers_are(views: Pair, free_address: Callable[[], str]) -> None:
+    """Guards against a router that starts while the store is out and finds no other one."""
+    first, second = views
+    started = FleetView(router="r3")
+    address = free_address()
+    exchange = LoadExchange(view=started, address=address, clock=time.monotonic)
+    task = asyncio.create_task(exchange.run())
+    first.see_router("r3", RouterPlace(address, "dc-a"), now=time.monotonic())
+    own = second.peers(now=time.monotonic())["r1"].address
+    async with asyncio.timeout(2.0):
+        while not started.peers(now=time.monotonic()):
+            await asyncio.sleep(0.02)
+    assert {n: p.address for n, p in started.peers(now=time.monotonic()).items()} == {"r1": own}
+    task.cancel()
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 from tests.router.gateway.builders import LIMITS
@@ -22,6 +23,7 @@
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import RouterPlace
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -29,7 +31,6 @@
     from collections.abc import Callable
 
     from cornellead_core.routing import HistoryGone
-    from cornellead_core.routing import StoreError
 
 NAMES = [f"r{number}" for number in range(6)]
 
@@ -39,10 +40,13 @@
 
     def __init__(self) -> None:
         self.calls = 0
+        self.out = False
         self.notices: list[ServerNotice] = []
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         self.calls += 1
+        if self.out:
+            return Failure(StoreError("no answer"))
         return Success(NoticeBatch([*self.notices], len(self.notices)))
 
     async def read_after(
@@ -151,3 +155,31 @@
     await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
     batch = (await asyncio.wait_for(reading, 0.2)).unwrap()
     assert len(batch.notices) == 1
+
+
+async def test_router_that_starts_in_an_outage_learns_from_any_other(routers: Routers) -> None:
+    """Guards against a restarted router that cannot serve while others know all servers."""
+    store, (first, *_, last) = routers
+    store.out = True
+    old = time.monotonic() - 5.0
+    known = [ServerNotice("s1", make_entry("s1"), removed=False)]
+    last.store.logs[Topic.SERVERS].replace(known, 9, now=old)
+    batch = NoticeBatch([], 0)
+    async with asyncio.timeout(3.0):
+        while not batch.notices:
+            # A few of the others are asked, in random order.
+            batch = (await first.store.read_newest(Topic.SERVERS)).value_or(batch)
+    assert (batch.notices, batch.next_offset) == (known, 9)
+    assert batch.age_s >= 5.0
+    assert not batch.current
+
+
+async def test_router_that_knows_servers_takes_no_older_ones(routers: Routers) -> None:
+    """Guards against beliefs that go back to those of a router which is cut off."""
+    store, (first, *others) = routers
+    store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
+    await first.store.read_newest(Topic.SERVERS)
+    store.out = True
+    for router in others:
+        router.store.logs[Topic.SERVERS].replace([], 0, now=time.monotonic() - 5.0)
+    assert isinstance(await first.store.read_newest(Topic.SERVERS), Failure)
