Emulate model servers and compare placement orders on named loads

The new package cornellead-emulator plays named loads (calm, surge, overload, impatient callers, hot chat, crash, release, returning data centre, unheard load reports) on a simulated clock. Its routers decide with the gateway's ServerPicker, ColdGate, RetryShare, RequestRights and beliefs; model servers batch by slots, read prompts in chunks, keep parts within a memory, put requests back, refuse when full and copy prompts. ServerPicker takes its order as a parameter (ChatOrder), so that random, least loaded and unbounded orders play the same loads. 'make experiment' writes a table and plots.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := packages/core packages/router packages/agent packages/standins platform
+PACKAGES := packages/core packages/router packages/agent packages/standins packages/emulator platform
 
-.PHONY: install format lint types test demo measure up down check clean
+.PHONY: install format lint types test demo measure experiment up down check clean
 
 install: $(STAMP)
 
@@ -35,6 +35,9 @@
 measure: install
 	$(BIN)/python -m scripts.measure
 
+experiment: install
+	$(BIN)/python -m cornellead_emulator
+
 up: install
 	$(BIN)/python -m scripts.up
 
--- /dev/null
+++ b/packages/emulator/src/cornellead_emulator/routing/_job_factory.py
@@ -0,0 +1,93 @@
+"""Builds the gateway's view of an emulated request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.forwarding import Job
+from cornellead.gateway.ingress import CallerRequest
+from cornellead.gateway.policy import RequestRights
+from cornellead_core.routing import CallerHeaders
+from cornellead_core.routing import RequestKind
+from cornellead_core.routing import Route
+from cornellead_core.routing import Service
+from cornellead_core.routing import WeightedService
+
+if TYPE_CHECKING:
+    from cornellead_emulator.routing._fleet_settings import FleetSettings
+    from cornellead_emulator.traffic import ChatRequest
+
+SERVICE = "models"
+EVERY_TARGET = b"/chat/"
+
+
+class JobFactory:
+    """Turns requests into jobs of one service."""
+
+    def __init__(self, *, settings: FleetSettings) -> None:
+        self._settings = settings
+        server = settings.server
+        self._service = Service(
+            name=SERVICE,
+            max_connections=0,
+            cold_start_s=server.cold_s,
+            cold_rate_per_s=server.cold_rate_per_s,
+            slots=server.slots,
+            kv_capacity_tokens=server.memory_tokens,
+        )
+        self._routes: dict[str, Route] = {}
+
+    def build(self, req: ChatRequest, *, now: float) -> Job:
+        """Return the job of a request.
+
+        :param now: Seconds.
+        """
+        session = req.prompt[-2]
+        return Job(
+            req=CallerRequest(b"POST", EVERY_TARGET, [], b"", now),
+            caller=CallerHeaders(
+                request_id=req.request_id,
+                api_key="",
+                time_left_s=req.deadline - now,
+                prompt=req.prompt,
+                prompt_tokens=sum(part.tokens for part in req.prompt),
+                max_output_tokens=req.output_tokens,
+                last_event="",
+                forwarded=[],
+                ambiguous=False,
+            ),
+            route=self._route(req),
+            service=self._service,
+            team="",
+            urgency=req.kind.urgency,
+            regions=frozenset(),
+            affinity=session.part,
+            shared_tokens=sum(part.tokens for part in req.prompt[:-1]),
+            rights=RequestRights(
+                repeatable=False,
+                max_attempts=self._settings.max_attempts,
+                deadline=req.deadline,
+            ),
+            config_version=1,
+        )
+
+    def _route(self, req: ChatRequest) -> Route:
+        kind = req.kind
+        route = self._routes.get(kind.name)
+        if route is None:
+            route = Route(
+                name=kind.name,
+                host="",
+                path_prefix=EVERY_TARGET.decode(),
+                kind=RequestKind.STREAMING,
+                timeout_s=kind.deadline_s,
+                target_latency_s=kind.aim_s,
+                priority=kind.urgency,
+                services=(WeightedService(SERVICE, 1.0),),
+                max_attempts=self._settings.max_attempts,
+                public=True,
+                resumable=False,
+                target_gap_s=0.0,
+            )
+            self._routes[kind.name] = route
+        return route
--- /dev/null
+++ b/packages/emulator/src/cornellead_emulator/simulation/__init__.py
@@ -0,0 +1,7 @@
+"""Simulated time."""
+
+from __future__ import annotations
+
+from cornellead_emulator.simulation._event_queue import EventQueue
+
+__all__ = ["EventQueue"]
--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -6,17 +6,21 @@
 from cornellead.gateway.forwarding._attempt_sender import WATCH_INTERVAL_S
 from cornellead.gateway.forwarding._attempt_sender import AttemptSender
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
+from cornellead.gateway.forwarding._forwarder import HOLD_SHARE
 from cornellead.gateway.forwarding._forwarder import Forwarder
+from cornellead.gateway.forwarding._job import Job
 from cornellead.gateway.forwarding._response_relay import ResponseRelay
 from cornellead.gateway.forwarding._server_picker import NoServer
 from cornellead.gateway.forwarding._server_picker import ServerPicker
 
 __all__ = [
+    "HOLD_SHARE",
     "WATCH_INTERVAL_S",
     "Admission",
     "AttemptSender",
     "EventSplitter",
     "Forwarder",
+    "Job",
     "NoServer",
     "ResponseRelay",
     "ServerPicker",
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -17,6 +17,7 @@
     from cornellead.gateway.beliefs import FleetView
     from cornellead.gateway.beliefs import ServerState
     from cornellead.gateway.forwarding._job import Job
+    from cornellead.gateway.policy import ChatOrder
     from cornellead.gateway.policy import ColdGate
 
 
@@ -38,6 +39,7 @@
 
     :param regions: Region of each data centre.
     :param load_factor: Multiple of the mean load that a server may have.
+    :param order: Order of model servers for a chat.
     """
 
     def __init__(
@@ -48,12 +50,14 @@
         data_centre: str,
         regions: Mapping[str, str],
         load_factor: float,
+        order: ChatOrder = order_for_chat,
     ) -> None:
         self._view = view
         self._gate = gate
         self._data_centre = data_centre
         self._regions = regions
         self.load_factor = load_factor
+        self._order = order
 
     def pick(self, job: Job, *, tried: Collection[str], now: float) -> ServerState | NoServer:
         """Choose a server and count the request against its cold limit.
@@ -69,7 +73,7 @@
             for state in self._view.servers.listed(job.service.name)
         }
         if job.affinity:
-            ordered = order_for_chat(
+            ordered = self._order(
                 job.affinity, servers, loads, load_factor=self.load_factor, now=now
             )
         else:
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornellead.gateway.policy._chat_order import ChatOrder
 from cornellead.gateway.policy._choice import exclude
 from cornellead.gateway.policy._choice import order_by_cost
 from cornellead.gateway.policy._choice import order_for_chat
@@ -16,6 +17,7 @@
 from cornellead.gateway.policy._retry_share import RetryShare
 
 __all__ = [
+    "ChatOrder",
     "ColdGate",
     "RequestRights",
     "RetryShare",
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -30,8 +30,8 @@
     from cornellead_core.routing import StoreError
 
 READERS = 1
-"""Routers of each data centre that read the store. When one fails, the others read it themselves until
-the next in rank counts as reader."""
+"""Routers of each data centre that read the store. When one fails, the others read it themselves
+until the next in rank counts as reader."""
 TRUSTED_AGE_S = {Topic.OPERATOR: 1.2, Topic.SERVERS: 1.2, Topic.ROUTERS: 10.0}
 """Age up to which a page is taken: above the interval at which readers confirm the topic, and with
 the time to notice a silent reader below the bound on changes of 2 s."""
--- /dev/null
+++ b/tests/emulator/test_experiments.py
@@ -0,0 +1,71 @@
+"""Placement policies on named loads: what callers get."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from cornellead_emulator.experiments import LOADS
+from cornellead_emulator.experiments import Result
+from cornellead_emulator.experiments import draw_plots
+from cornellead_emulator.experiments import run_load
+from cornellead_emulator.experiments import write_table
+from cornellead_emulator.routing import FleetSettings
+from cornellead_emulator.traffic import USERS_CLASSES
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SECONDS = 30.0
+
+
+def _play(load: str, policy: str, *, routers: int = 5, seed: int = 1) -> Result:
+    return run_load(
+        load,
+        LOADS[load],
+        policy=policy,
+        settings=FleetSettings().with_routers(routers),
+        classes=USERS_CLASSES,
+        seconds=SECONDS,
+        seed=seed,
+    )
+
+
+def test_same_seed_gives_the_same_result() -> None:
+    """Guards against experiments that cannot be repeated."""
+    assert _play("release", "gateway") == _play("release", "gateway")
+    assert _play("release", "gateway") != _play("release", "gateway", seed=2)
+
+
+@pytest.mark.parametrize("load", ["calm", "surge", "hot_chat", "crash", "release", "return"])
+def test_returning_chats_find_their_prompts(load: str) -> None:
+    """Guards against placement that has most prompts read again, or misses the latency target."""
+    gateway, random = _play(load, "gateway"), _play(load, "random")
+    assert gateway.reread_per_request < 0.3 * random.reread_per_request
+    assert gateway.first_token_p95_ms < random.first_token_p95_ms
+    assert gateway.first_token_p95_ms <= 630.0
+    assert gateway.in_aim >= 0.99
+
+
+@pytest.mark.parametrize("load", ["calm", "hot_chat", "overload", "unheard"])
+def test_servers_stay_within_the_allowed_load(load: str) -> None:
+    """Guards against a bound that popular chats break: rules allow 3 in 100 requests above it."""
+    assert _play(load, "gateway").over_bound <= 0.03
+
+
+@pytest.mark.parametrize("routers", [1, 20, 60])
+def test_more_routers_serve_as_well(routers: int) -> None:
+    """Guards against placement that gets worse as routers see less of each other."""
+    result = _play("hot_chat", "gateway", routers=routers)
+    assert result.in_aim >= 0.99
+    assert result.over_bound <= 0.03
+
+
+def test_report_has_every_run(tmp_path: Path) -> None:
+    """Guards against tables and plots that leave results out."""
+    results = [_play("calm", policy) for policy in ("random", "gateway")]
+    table = write_table(results, tmp_path)
+    assert table.read_text().count("| calm |") == 2
+    assert (tmp_path / "results.csv").read_text().count("calm") == 2
+    assert all(path.stat().st_size > 1000 for path in draw_plots(results, tmp_path))
