Refuse requests that would wait too long for a place

Cause: with many times the requests that the model servers run at once, requests wait in the servers' queues until their deadline.

Change: a router learns how long streams keep their place, and how many of its requests at a server would run before a new one by urgency. A server at which the wait would take over half of the time left is not chosen; without another the caller is refused at once and told when a place is expected.

--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -119,7 +119,7 @@
         picked = self._picker.pick(pending.job, tried=pending.tried, now=now)
         if isinstance(picked, NoServer):
             if picked.opens_at is None or picked.opens_at > pending.give_up_at:
-                self._refuse(pending)
+                self._refuse(pending, wait_s=picked.wait_s or FULL_RETRY_S)
             else:
                 self._queue.at(picked.opens_at + MS, lambda: self._place(pending))
             return
@@ -131,7 +131,7 @@
         pending.job.rights.count_send()
         pending.tried.add(state.entry.server)
         number = pending.number
-        state.health.open(number, now=now)
+        state.health.open(number, now=now, urgency=pending.job.urgency)
         send_s = self._settings.send_ms * MS
         self._queue.after(send_s, lambda: self._arrive(pending, state, source))
 
@@ -168,17 +168,17 @@
         self._tally.retries += 1
         self._place(pending)
 
-    def _refuse(self, pending: Pending) -> None:
+    def _refuse(self, pending: Pending, *, wait_s: float = FULL_RETRY_S) -> None:
         left_s = pending.job.rights.time_left_s(now=self._queue.now)
         request_id = pending.req.request_id
-        wait_s = retry_after_s(wait_s=FULL_RETRY_S, time_left_s=left_s, request_id=request_id)
-        self._refused(pending.req, wait_s)
+        back_s = retry_after_s(wait_s=wait_s, time_left_s=left_s, request_id=request_id)
+        self._refused(pending.req, back_s)
 
     def _note_event(self, pending: Pending, state: ServerState) -> None:
         now = self._queue.now
         state.health.count_byte(now=now)
-        if not pending.started:
-            pending.started = True
+        if pending.started_at is None:
+            pending.started_at = now
             self._tally.count_first_token(pending.req, now)
 
     def _finish(self, pending: Pending, state: ServerState, gen: Generation, *, ok: bool) -> None:
@@ -192,6 +192,8 @@
             self._tally.failed += 1
             return
         self.view.prompts.record(pending.job.affinity, state.entry.server, now=now)
+        if pending.started_at is not None:
+            state.health.count_hold(now - pending.started_at)
         self._tally.finished += 1
         self._tally.pauses_s.append(gen.longest_pause_s)
 
--- a/packages/emulator/src/cornellead_emulator/routing/_pending.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_pending.py
@@ -30,7 +30,8 @@
         self.give_up_at = give_up_at
         self.number = next(_numbers)
         self.tried: set[str] = set()
-        self.started = False
+        self.started_at: float | None = None
+        """When its first token came, in seconds."""
         self.ended = False
         self.expire: Callable[[], None] = _nothing
         """Drops the request at its server."""
--- a/packages/router/src/cornellead/gateway/beliefs/_server_health.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_health.py
@@ -13,6 +13,8 @@
 """Pause after a failed connection attempt: about the time of two attempts."""
 LATENCY_WEIGHT = 0.2
 """Weight of the newest latency in the running mean."""
+HOLD_WEIGHT = 0.05
+"""Weight of the newest stream in the running mean of their lengths, which differ widely."""
 
 
 class ServerHealth:
@@ -33,22 +35,38 @@
         self._decayed_at = now
         self._last_byte_at = now
         self._open_since: dict[int, float] = {}
+        self._urgencies: dict[int, int] = {}
         self._paused_until = 0.0
         self.latency_s = 0.0
         """Running mean of the time to the first byte; 0 before the first response."""
+        self.hold_s = 0.0
+        """Running mean of the time from the first byte of a stream to its end; 0 before the
+        first."""
 
     @property
     def in_flight(self) -> int:
         """Requests of this router at the server."""
         return len(self._open_since)
 
-    def open(self, request: int, *, now: float) -> None:
-        """Count a request that was sent."""
+    def open(self, request: int, *, now: float, urgency: int = 0) -> None:
+        """Count a request that was sent.
+
+        :param urgency: 0 is the most urgent.
+        """
         self._open_since[request] = now
+        self._urgencies[request] = urgency
 
     def close(self, request: int) -> None:
         """Count a request that ended."""
         self._open_since.pop(request, None)
+        self._urgencies.pop(request, None)
+
+    def share_before(self, urgency: int) -> float:
+        """Return the share of the open requests that a server runs before a new one."""
+        if not self._urgencies:
+            return 1.0
+        before = sum(1 for other in self._urgencies.values() if other <= urgency)
+        return before / len(self._urgencies)
 
     def count_byte(self, *, now: float) -> None:
         """Count bytes from the server."""
@@ -60,6 +78,12 @@
             self.latency_s = seconds
         self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
 
+    def count_hold(self, seconds: float) -> None:
+        """Count the time for which a stream kept its place."""
+        if self.hold_s <= 0:
+            self.hold_s = seconds
+        self.hold_s += HOLD_WEIGHT * (seconds - self.hold_s)
+
     def count_outcome(self, *, ok: bool, now: float) -> None:
         """Count how a request ended at the server."""
         self._decay(now)
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -22,6 +22,7 @@
     :param first_byte_patience_s: Longest wait for the first byte, or ``None`` to wait as long as
         the server answers others.
     :param may_move: Whether the request may run at another server instead.
+    :param urgency: 0 is the most urgent.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         now: float,
         first_byte_patience_s: float | None,
         may_move: bool,
+        urgency: int = 0,
     ) -> None:
         self.state = state
         self.exchange = exchange
@@ -44,7 +46,7 @@
         self._patience_s = first_byte_patience_s
         self._may_move = may_move
         self._last_byte_at: float | None = None
-        state.health.open(self._number, now=now)
+        state.health.open(self._number, now=now, urgency=urgency)
 
     def count_byte(self, *, now: float) -> None:
         """Count bytes from the server."""
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -80,6 +80,7 @@
                 SAFE_PATIENCE_FACTOR * job.route.target_latency_s if safe else None
             ),
             may_move=repeatable and job.rights.may_send(now=now),
+            urgency=job.urgency,
         )
         self._open.add(attempt)
         return attempt
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -114,6 +114,7 @@
     async def _serve(self, job: Job, journey: Journey, out: ResponseWriter) -> None:
         events = EventSplitter(last_event=job.caller.last_event)
         fallback: Answered | None = None
+        wait_s: float | None = None
         unsent = 0
         while job.rights.time_left_s(now=self._clock()) > 0:
             if job.rights.sends and not self._may_retry(job, journey, fallback):
@@ -121,6 +122,7 @@
             picked = await self._pick(job, journey)
             if isinstance(picked, NoServer):
                 journey.note(f"no_server_of_{picked.listed}")
+                wait_s = picked.wait_s
                 break
             job.rights.count_send()
             outcome = await self._try_server(job, journey, picked, events, out)
@@ -139,7 +141,7 @@
                 fallback = outcome
             if isinstance(outcome, Broken):
                 events.restart()
-        self._finish_failed(job, journey, fallback, out)
+        self._finish_failed(job, journey, fallback, out, wait_s=wait_s)
 
     def _may_retry(self, job: Job, journey: Journey, fallback: Answered | None) -> bool:
         now = self._clock()
@@ -197,7 +199,13 @@
         return outcome
 
     def _finish_failed(
-        self, job: Job, journey: Journey, fallback: Answered | None, out: ResponseWriter
+        self,
+        job: Job,
+        journey: Journey,
+        fallback: Answered | None,
+        out: ResponseWriter,
+        *,
+        wait_s: float | None,
     ) -> None:
         if out.started:
             out.abort()
@@ -205,6 +213,10 @@
         elif fallback is not None:
             out.respond(fallback.status, fallback.headers, fallback.body)
             journey.end(fallback.status, "server_failure")
+        elif job.rights.refusable and wait_s is not None:
+            journey.note(f"place_expected_in_{wait_s:.1f}s")
+            back_s = self._back_in(job, wait_s)
+            self._refuse(journey, out, Rejected(UNAVAILABLE, "no_place_in_time", back_s))
         elif job.rights.refusable:
             wait_s = FULL_RETRY_S if job.rights.sends else NO_SERVER_RETRY_S
             self._refuse(journey, out, Rejected(UNAVAILABLE, "not_run", self._back_in(job, wait_s)))
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -70,12 +70,15 @@
         reply: ServerReply,
         out: ResponseWriter,
     ) -> AttemptOutcome:
+        started_at: float | None = None
         while True:
             data = await attempt.exchange.read()
             if data is None:
                 return Broken("gave_up_silent" if attempt.gave_up else "stream_broken")
             if data:
-                attempt.count_byte(now=self._clock())
+                now = self._clock()
+                started_at = now if started_at is None else started_at
+                attempt.count_byte(now=now)
                 whole = events.feed(data)
                 if events.gap:
                     return Broken("events_missing")
@@ -89,5 +92,7 @@
                 await out.write(whole)
                 attempt.waits_for_caller = False
             if not data:
+                if started_at is not None:
+                    attempt.state.health.count_hold(self._clock() - started_at)
                 out.end()
                 return Delivered(status)
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from cornellead.gateway.policy import exclude
+from cornellead.gateway.policy import expected_wait_s
 from cornellead.gateway.policy import find_prompt_source
 from cornellead.gateway.policy import order_by_cost
 from cornellead.gateway.policy import order_for_chat
@@ -23,6 +24,8 @@
 
 MIN_FETCHED_TOKENS = 256
 """Shared tokens from which a prompt is fetched: fewer are read about as fast as a fetch starts."""
+MAX_WAIT_SHARE = 0.5
+"""Part of its time left for which a request may wait for a place; the rest is for its answer."""
 
 
 class NoServer(NamedTuple):
@@ -32,6 +35,8 @@
     """When a cold server may take it, in seconds; ``None`` if none will."""
     listed: int
     """Usable servers of the service."""
+    wait_s: float | None = None
+    """Shortest expected wait for a place, if that is why none is left."""
 
 
 class ServerPicker:
@@ -80,7 +85,12 @@
             ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
         rate_per_s = job.service.cold_rate_per_s
         opens_at: float | None = None
+        shortest_wait_s: float | None = None
         for state in exclude(ordered, tried):
+            wait_s = self._expected_wait_s(job, state, loads[state.entry.server])
+            if wait_s > MAX_WAIT_SHARE * job.rights.time_left_s(now=now):
+                shortest_wait_s = min(wait_s, shortest_wait_s or wait_s)
+                continue
             if rate_per_s <= 0 or not state.cold(now=now):
                 return state
             name = state.entry.server
@@ -89,7 +99,7 @@
             at = self._gate.opens_at(name, rate_per_s=rate_per_s, routers=routers, now=now)
             if at is not None and (opens_at is None or at < opens_at):
                 opens_at = at
-        return NoServer(opens_at, len(servers))
+        return NoServer(opens_at, len(servers), shortest_wait_s)
 
     def prompt_source(self, job: Job, target: ServerState, *, now: float) -> ServerState | None:
         """Return the server from which the target should fetch the prompt, if any."""
@@ -104,5 +114,15 @@
             now=now,
         )
 
+    def _expected_wait_s(self, job: Job, state: ServerState, load: float) -> float:
+        if not job.affinity:
+            return 0.0
+        health = state.health
+        return expected_wait_s(
+            ahead=load * health.share_before(job.urgency),
+            slots=state.entry.slots,
+            hold_s=health.hold_s,
+        )
+
     def _allowed(self, job: Job, state: ServerState) -> bool:
         return not job.regions or self._regions.get(state.entry.data_centre) in job.regions
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -9,6 +9,7 @@
 from cornellead.gateway.policy._choice import rank_homes
 from cornellead.gateway.policy._choice import split_service
 from cornellead.gateway.policy._cold_gate import ColdGate
+from cornellead.gateway.policy._expected_wait import expected_wait_s
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_rights import RequestRights
 from cornellead.gateway.policy._request_rights import RunState
@@ -23,6 +24,7 @@
     "RetryShare",
     "RunState",
     "exclude",
+    "expected_wait_s",
     "find_prompt_source",
     "order_by_cost",
     "order_for_chat",
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import pytest
 
+from cornellead.gateway.forwarding import _server_picker
 from cornellead_emulator.experiments import LOADS
 from cornellead_emulator.experiments import Result
 from cornellead_emulator.experiments import draw_plots
@@ -54,6 +56,23 @@
     assert _play(load, "gateway").over_bound <= 0.03
 
 
+@pytest.mark.parametrize("load", ["overload", "impatient"])
+def test_fewer_callers_wait_in_vain_in_an_overload(
+    load: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that wait for a place until their deadline has passed."""
+    bounded = _play(load, "gateway")
+    monkeypatch.setattr(_server_picker, "MAX_WAIT_SHARE", math.inf)
+    patient = _play(load, "gateway")
+    assert _in_vain(bounded) < 0.8 * _in_vain(patient)
+    assert bounded.finished >= patient.finished
+    assert bounded.in_aim >= patient.in_aim
+
+
+def _in_vain(result: Result) -> float:
+    return 1.0 - result.finished - result.refused
+
+
 @pytest.mark.parametrize("routers", [1, 20, 60])
 def test_more_routers_serve_as_well(routers: int) -> None:
     """Guards against placement that gets worse as routers see less of each other."""
--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -379,3 +379,23 @@
     found = re.search(r"(?i)retry-after: ([0-9.]+)", answer.head)
     assert found
     return float(found[1])
+
+
+async def test_caller_is_told_when_a_place_is_expected(
+    gateway: Gateway, start_server: Start
+) -> None:
+    """Guards against a caller that waits for a full server until its deadline has passed."""
+    server = await start_server(_answer_ok)
+    gateway.know(server)
+    state = gateway.view.servers.get("s0")
+    assert state is not None
+    state.health.count_hold(2.0)
+    for number in range(-200, 0):
+        state.health.open(number, now=time.monotonic())
+        state.health.count_byte(now=time.monotonic())
+    answer = await gateway.call(
+        "/stream/1", "X-Deadline-Ms: 1500", "X-Prompt-Prefix: a1:10,b2:10,c3:10"
+    )
+    assert answer.status == 503
+    assert 0.4 <= _retry_after(answer) <= 0.5
+    assert server.seen == []
--- /dev/null
+++ b/tests/router/gateway/policy/test_expected_wait.py
@@ -0,0 +1,35 @@
+"""Expected wait for a place at a full server."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cornellead.gateway.policy import expected_wait_s
+
+HOLDS = st.floats(0.0, 30.0)
+SLOTS = st.integers(1, 128)
+
+
+@given(st.floats(0.0, 500.0), SLOTS, HOLDS)
+def test_no_wait_while_places_are_free(ahead: float, slots: int, hold_s: float) -> None:
+    """Guards against refusing a request that a server would run at once."""
+    wait_s = expected_wait_s(ahead=ahead, slots=slots, hold_s=hold_s)
+    assert wait_s >= 0.0
+    if ahead <= slots - 1:
+        assert wait_s == 0.0
+
+
+@given(st.floats(0.0, 500.0), st.floats(0.0, 100.0), SLOTS, HOLDS)
+def test_wait_grows_with_the_requests_ahead(
+    ahead: float, more: float, slots: int, hold_s: float
+) -> None:
+    """Guards against a longer queue that looks shorter."""
+    shorter = expected_wait_s(ahead=ahead, slots=slots, hold_s=hold_s)
+    assert expected_wait_s(ahead=ahead + more, slots=slots, hold_s=hold_s) >= shorter
+
+
+def test_unknown_server_is_not_expected_to_be_full() -> None:
+    """Guards against refusing everything before the first answer."""
+    assert expected_wait_s(ahead=900.0, slots=0, hold_s=2.0) == 0.0
+    assert expected_wait_s(ahead=900.0, slots=64, hold_s=0.0) == 0.0
