--- /dev/null
+++ b/tests/router/gateway/process/test_rotation.py
@@ -0,0 +1,121 @@
+"""When a router is in rotation, and what it does with requests meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from tests.router.gateway.builders import HOST
+from tests.router.gateway.builders import KEY
+from tests.router.gateway.builders import make_config
+
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.forwarding import Admission
+from cornellead.gateway.forwarding import Job
+from cornellead.gateway.ingress import CallerRequest
+from cornellead.gateway.ingress import Serving
+from cornellead.gateway.ingress import ServingPhase
+from cornellead.gateway.process import AdminHandler
+from cornellead_core.metrics import Metrics
+from cornellead_platform import PlatformHeaders
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+READY_PATH = "/ready"
+
+
+class StatusRecorder:
+    """Keeps the status of one response."""
+
+    started = False
+
+    def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
+        self.status = status
+
+    def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
+        raise AssertionError
+
+    async def write(self, data: bytes) -> None:
+        raise AssertionError
+
+    def end(self) -> None:
+        raise AssertionError
+
+    def abort(self) -> None:
+        raise AssertionError
+
+
+class Rotation(RuleBasedStateMachine):
+    """A router that learns, is paused, loses the store and stops, in any order."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 100.0
+        self.view = FleetView(router="r1")
+        self.serving = Serving()
+        self.admission = Admission(view=self.view, serving=self.serving)
+        self.admin = AdminHandler(
+            view=self.view, serving=self.serving, metrics=Metrics(), ready_path=READY_PATH
+        )
+        self.phase = ServingPhase.RUNNING
+        self.was_leaving = False
+
+    @rule()
+    def learn_configuration(self) -> None:
+        self.view.take_config(make_config())
+        self.view.confirmed_at = self.now
+
+    @rule()
+    def learn_servers(self) -> None:
+        self.view.servers_known = True
+
+    @rule(seconds=st.floats(0.1, 60.0))
+    def be_paused(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(phase=st.sampled_from(list(ServingPhase)))
+    def advance(self, phase: ServingPhase) -> None:
+        self.serving.advance(phase)
+        self.phase = max(self.phase, phase)
+        self.was_leaving = self.was_leaving or phase > ServingPhase.RUNNING
+
+    @invariant()
+    def ready_only_with_beliefs_and_before_a_stop(self) -> None:
+        """Guards against new connections for a router that cannot serve, or is about to end."""
+        known = self.view.config is not None and self.view.servers_known
+        assert (self._ready_status() == 200) == (known and not self.was_leaving)
+
+    @invariant()
+    def requests_are_served_until_the_balancer_has_noticed(self) -> None:
+        """Guards against refusing callers while the balancer still sends them, and against taking
+        requests that the process will not finish."""
+        known = self.view.config is not None and self.view.servers_known
+        serves = known and self.phase < ServingPhase.REFUSING
+        assert self._admits() == serves
+
+    def _ready_status(self) -> int:
+        out = StatusRecorder()
+        req = CallerRequest(b"GET", READY_PATH.encode(), [], b"", self.now)
+        asyncio.run(self.admin.handle(req, out))
+        return out.status
+
+    def _admits(self) -> bool:
+        headers = [
+            (b"Host", HOST.encode()),
+            (b"X-Request-Id", b"7f"),
+            (b"X-Api-Key", KEY.encode()),
+        ]
+        req = CallerRequest(b"POST", b"/unsafe/1", headers, b"", self.now)
+        caller = PlatformHeaders().decode_caller(headers)
+        return isinstance(self.admission.admit(req, caller, now=self.now), Job)
+
+
+Rotation.TestCase.settings = settings(max_examples=40, stateful_step_count=20, deadline=None)
+TestRotation = Rotation.TestCase
