--- a/packages/router/src/cornellead/cli/_status.py
+++ b/packages/router/src/cornellead/cli/_status.py
@@ -15,6 +15,7 @@
 from cornellead.cli._fleet_status import collect_status
 from cornellead.cli._fleet_status import reuse
 from cornellead.cli._fleet_status import total
+from cornellead.cli._gateway_status import collect_gateways
 from cornellead.cli._output import format_table
 from cornellead.cli._output import print_errors
 from cornellead.cli._output import print_json
@@ -39,21 +40,41 @@
         usage="[flags]",
         summary="Shows for data centres, servers and routers: state, load against its limit, cold "
         "limit,\ncache reuse, configuration offset and control bytes a second.",
-        examples=["status", "status --output=json", "status --host=10.0.1.5:7100"],
+        examples=[
+            "status",
+            "status --output=json",
+            "status --host=10.0.1.5:7100",
+            "status --metrics=10.0.1.5:9464",
+        ],
         notes="A value that a process does not report is shown as -. Processes that do not answer "
         "are\nlisted and do not change the exit code.",
     )
     verb.platform(required=False)
     verb.output()
     verb.strings("host", "ip:port of a process to ask instead of the host list; repeatable")
+    verb.strings("metrics", "ip:port of a gateway's metrics to show instead; repeatable")
     values = verb.parse(argv)
     if isinstance(values, ExitCode):
         return values
+    if values.metrics:
+        return asyncio.run(_run_gateways(values))
     if not values.platform and not values.host:
-        return verb.fail("give --platform=URL or --host=IP:PORT")
+        return verb.fail("give --platform=URL, --host=IP:PORT or --metrics=IP:PORT")
     return asyncio.run(_run(values))
 
 
+async def _run_gateways(values: flags.FlagValues) -> int:
+    async with httpx.AsyncClient() as client:
+        found = await collect_gateways(client, values.metrics, timeout_s=values.timeout)
+    print_errors(status.problem for status in found if status.problem)
+    rows = [status.describe() for status in found]
+    if values.output == "json":
+        print_json({"gateways": rows})
+    else:
+        _print_rows(rows)
+    return ExitCode.OK
+
+
 async def _run(values: flags.FlagValues) -> int:
     async with httpx.AsyncClient() as client:
         hosts = [_unlisted(address) for address in values.host]
@@ -163,9 +184,13 @@
     print(f"configuration on the log: offset {MISSING if offset is None else offset}")
     for rows in (report["data_centres"], report["servers"], report["routers"]):
         if rows:
-            header = [key.upper().replace("_", " ") for key in rows[0]]
             print()
-            print(format_table(header, [[_cell(*cell) for cell in row.items()] for row in rows]))
+            _print_rows(rows)
+
+
+def _print_rows(rows: list[dict[str, Any]]) -> None:
+    header = [key.upper().replace("_", " ") for key in rows[0]]
+    print(format_table(header, [[_cell(*cell) for cell in row.items()] for row in rows]))
 
 
 def _cell(key: str, value: Any) -> str:
--- a/tests/router/cli/test_verbs.py
+++ b/tests/router/cli/test_verbs.py
@@ -13,9 +13,11 @@
 
 from cornellead.cli._exit_code import ExitCode
 from cornellead.cli._main import VERBS
+from cornellead.gateway.stats import GatewayStats
 from cornellead_core.config import ConfigState
 from cornellead_core.config import make_snapshot
 from cornellead_core.config import reduce_record
+from cornellead_core.metrics import Metrics
 from cornellead_core.platform import HttpLog
 from cornellead_core.platform import LogRecord
 
@@ -275,6 +277,31 @@
     assert asked["servers"][0]["load"] == 3 and asked["config_offset"] is None
 
 
+def test_status_of_gateways(operator: Operator) -> None:
+    """Guards against a gateway that is down, or metrics without a value, hiding the others."""
+    metrics = Metrics()
+    stats = GatewayStats(metrics=metrics)
+    metrics.gauge("gateway_config_version", "Configuration").set_function(lambda: 7.0)
+    for status in (200, 200, 503):
+        stats.count_request(status, "cause", 0.25)
+
+    def answer(request: httpx.Request) -> httpx.Response:
+        if request.url.host == "entry-1":
+            return httpx.Response(200, content=metrics.render())
+        raise httpx.ConnectTimeout("down")
+
+    operator.transport = httpx.MockTransport(answer)
+    flags = ["status", "--platform=", "--metrics=entry-1:9464", "--metrics=entry-2:9464"]
+    first, second = operator.run(*flags, "--output=json").json["gateways"]
+    assert (first["state"], first["config_version"], first["routers"]) == ("serving", 7.0, None)
+    assert (first["requests"], first["refused"]) == (3.0, 1.0)
+    assert first["request_seconds_p95"] == pytest.approx(0.25, rel=0.01)
+    assert (second["state"], second["requests"]) == ("no answer", None)
+    table = operator.run(*flags)
+    assert "no answer" in table.out and "entry-1:9464" in table.out
+    assert "entry-2:9464" in table.err and "down" in table.err
+
+
 def test_wait_until_the_change_is_in_force(operator: Operator) -> None:
     """Guards against a report that a change is in force while a process lags or is silent."""
     _add_hosts(operator)
