Keep popular chats within the bound between two reports of routers

Routers report to each other every 0.2 s; meanwhile all of them fill the same server, and all turn to the next one at once. The load in a server's answers, often a few ms old, was only used when no report had come.

Change: a load in an answer counts first up to an age of 0.1 s, the mean age of reports. Each request takes a limit between 0.9 and 1 of the bound, so that chats begin to move before it.

--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -14,6 +14,7 @@
 from cornellead.gateway.policy import RetryShare
 from cornellead.gateway.policy import retry_after_s
 from cornellead_core.routing import Bounds
+from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import RouterPlace
 from cornellead_emulator.routing._job_factory import SERVICE
 from cornellead_emulator.routing._pending import Pending
@@ -179,8 +180,15 @@
         state.health.count_byte(now=now)
         if pending.started_at is None:
             pending.started_at = now
+            self._take_load(state)
             self._tally.count_first_token(pending.req, now)
 
+    def _take_load(self, state: ServerState) -> None:
+        server = self._find(state.entry.server)
+        if server is not None:
+            load = ReportedLoad(server.running, server.waiting, state.entry.slots)
+            state.report_load(load, now=self._queue.now)
+
     def _finish(self, pending: Pending, state: ServerState, gen: Generation, *, ok: bool) -> None:
         if pending.ended:
             return
--- a/packages/emulator/src/cornellead_emulator/routing/_orders.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_orders.py
@@ -30,6 +30,7 @@
         loads: Mapping[str, float],
         *,
         load_factor: float,
+        spread: float,
         now: float,
     ) -> list[ServerState]:
         """Return the servers in random order."""
@@ -49,6 +50,7 @@
         loads: Mapping[str, float],
         *,
         load_factor: float,
+        spread: float,
         now: float,
     ) -> list[ServerState]:
         """Return the servers by load, equal ones in random order."""
@@ -62,6 +64,7 @@
     loads: Mapping[str, float],
     *,
     load_factor: float,
+    spread: float,
     now: float,
 ) -> list[ServerState]:
     """Order by rendezvous alone, without a bound on the load."""
--- a/packages/emulator/src/cornellead_emulator/servers/_model_server.py
+++ b/packages/emulator/src/cornellead_emulator/servers/_model_server.py
@@ -38,10 +38,20 @@
         self.preempted = 0
         """Requests that were put back."""
 
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._batch)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a place."""
+        return len(self._waiting)
+
     @property
     def load(self) -> int:
         """Requests in the batch and those that wait for a place."""
-        return len(self._batch) + len(self._waiting)
+        return self.running + self.waiting
 
     def submit(self, gen: Generation, *, source: ModelServer | None = None) -> bool:
         """Take a request.
--- a/packages/router/src/cornellead/gateway/beliefs/_server_state.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_state.py
@@ -13,6 +13,9 @@
     from cornellead_core.routing import ReportedLoad
     from cornellead_core.routing import ServerEntry
 
+FRESH_LOAD_S = 0.1
+"""Age up to which the load in a response is better than the reports of other routers, which arrive
+every 0.2 s and are half as old on average."""
 LOAD_TRUST_S = 1.0
 """Age up to which the load in a response is used: requests last a few seconds at most."""
 
@@ -65,16 +68,22 @@
     def load(self, fleet: FleetLoad, *, routers: int, now: float) -> float:
         """Return the estimated requests at the server from all routers.
 
-        Reports of other routers come first, then the load that the server reported. Without
-        either, the other routers are taken to send as much as this one.
+        Load: a popular chat whose requests come faster than routers report to each other. The load
+        that the server reported comes first while it is fresh, then reports of other routers, then
+        an older load. Without any, the other routers are taken to send as much as this one.
 
         :param routers: Number of running routers.
         """
         own = self.health.in_flight
+        if self._load is not None and now - self._load_at <= FRESH_LOAD_S:
+            return self._reported(self._load, own)
         others = fleet.others(self.name_hash, routers=routers, now=now)
         if others is not None:
             return own + others
         if self._load is not None and now - self._load_at <= LOAD_TRUST_S:
-            change = own - self._own_at_load
-            return float(max(own, self._load.running + self._load.waiting + change))
+            return self._reported(self._load, own)
         return float(own * max(1, routers))
+
+    def _reported(self, load: ReportedLoad, own: int) -> float:
+        change = own - self._own_at_load
+        return float(max(own, load.running + load.waiting + change))
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.policy import find_prompt_source
 from cornellead.gateway.policy import order_by_cost
 from cornellead.gateway.policy import order_for_chat
+from cornellead.gateway.policy import spread_of
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -79,7 +80,12 @@
         }
         if job.affinity:
             ordered = self._order(
-                job.affinity, servers, loads, load_factor=self.load_factor, now=now
+                job.affinity,
+                servers,
+                loads,
+                load_factor=self.load_factor,
+                spread=spread_of(job.caller.request_id),
+                now=now,
             )
         else:
             ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.policy._request_rights import RunState
 from cornellead.gateway.policy._retry_after import outage_wait_s
 from cornellead.gateway.policy._retry_after import retry_after_s
+from cornellead.gateway.policy._retry_after import spread_of
 from cornellead.gateway.policy._retry_share import RetryShare
 
 __all__ = [
@@ -32,4 +33,5 @@
     "rank_homes",
     "retry_after_s",
     "split_service",
+    "spread_of",
 ]
--- a/packages/router/src/cornellead/gateway/policy/_chat_order.py
+++ b/packages/router/src/cornellead/gateway/policy/_chat_order.py
@@ -22,6 +22,7 @@
         loads: Mapping[str, float],
         *,
         load_factor: float,
+        spread: float,
         now: float,
     ) -> list[ServerState]:
         """Return the servers, the best first.
@@ -30,6 +31,7 @@
         :param servers: Servers that may be used.
         :param loads: Estimated requests at each server of the service, by name.
         :param load_factor: Multiple of the mean load that a server may have.
+        :param spread: Number from 0 to 1 that differs between requests.
         :param now: Seconds.
         """
         ...
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -20,6 +20,9 @@
 HOME_SLACK = 3.0
 """Requests above the multiple of the mean that are allowed, so that small counts do not move chats
 from the servers that have their prompts."""
+SOFT_SHARE = 0.1
+"""Part of the limit over which chats begin to move: routers that see the same loads, a fraction of
+a second old, must not all turn to the next server at the same moment."""
 SAME_LOAD = 4.0
 """Difference in load of full servers below which the one with the prompt is preferred."""
 MIN_RELATIVE_SUCCESS = 0.7
@@ -37,23 +40,27 @@
     loads: Mapping[str, float],
     *,
     load_factor: float,
+    spread: float,
     now: float,
 ) -> list[ServerState]:
     """Order model servers for a request that shares its prompt with others.
 
     Load: returning chats whose prompts are cached where the chat was before. All routers compute
     the same order for a key, so they need no messages to agree on the home of a chat. A server
-    above the bound on load comes after those below it, so a popular chat spills over. The mean is
-    taken over all servers of the service: those that take no requests now are part of it.
+    above the bound on load comes after those below it, so a popular chat spills over, a growing
+    part of its requests first. The mean is taken over all servers of the service: those that take
+    no requests now are part of it.
 
     :param key: Identity of the shared part of the prompt.
     :param servers: Servers that may be used.
     :param loads: Estimated requests at each server of the service, by name.
     :param load_factor: Multiple of the mean load that a server may have.
+    :param spread: Number from 0 to 1 that differs between requests.
     :param now: Seconds.
     """
     ranked = rank_homes(key, servers)
     limit = HOME_BOUND_SHARE * load_factor * sum(loads.values()) / max(1, len(loads)) + HOME_SLACK
+    limit *= 1.0 - SOFT_SHARE * spread
     avoided = _unsound(ranked, now=now)
 
     def rank(state: ServerState) -> tuple[bool, int]:
--- a/packages/router/src/cornellead/gateway/policy/_retry_after.py
+++ b/packages/router/src/cornellead/gateway/policy/_retry_after.py
@@ -13,6 +13,15 @@
 SPREAD_STEPS = 1000
 
 
+def spread_of(request_id: str) -> float:
+    """Return a number from 0 to 1 that is fixed for a request and even over many.
+
+    >>> 0.0 <= spread_of("7f") < 1.0
+    True
+    """
+    return (xxhash.xxh3_64_intdigest(request_id.encode()) % SPREAD_STEPS) / SPREAD_STEPS
+
+
 def retry_after_s(*, wait_s: float, time_left_s: float | None, request_id: str) -> float:
     """Return after which time a refused caller should come back.
 
@@ -26,8 +35,7 @@
     >>> retry_after_s(wait_s=9.0, time_left_s=3.0, request_id="7f")
     1.0
     """
-    spread = (xxhash.xxh3_64_intdigest(request_id.encode()) % SPREAD_STEPS) / SPREAD_STEPS
-    wanted_s = wait_s * (1.0 + spread)
+    wanted_s = wait_s * (1.0 + spread_of(request_id))
     if time_left_s is not None:
         wanted_s = min(wanted_s, time_left_s * USABLE_SHARE)
     return max(SHORTEST_S, wanted_s)
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 
 from cornellead.gateway.forwarding import _server_picker
@@ -56,6 +57,25 @@
     assert _play(load, "gateway").over_bound <= 0.03
 
 
+@pytest.mark.parametrize("routers", [5, 20])
+def test_popular_chat_before_many_servers_keeps_the_bound(routers: int) -> None:
+    """Load: 260 requests a second of one chat, more than a router hears of between two reports.
+    Guards against servers that are above the allowed load in over 3 of 100 requests."""
+    result = run_load(
+        "hot_chat",
+        LOADS["hot_chat"],
+        policy="gateway",
+        settings=msgspec.structs.replace(FleetSettings(), servers=20, routers=routers),
+        classes=[
+            msgspec.structs.replace(kind, per_s=rate, sessions=3 * kind.sessions)
+            for kind, rate in zip(USERS_CLASSES, (30.5, 40.0, 130.0), strict=True)
+        ],
+        seconds=26.0,
+        seed=1,
+    )
+    assert result.over_bound <= 0.03
+
+
 @pytest.mark.parametrize("load", ["overload", "impatient"])
 def test_fewer_callers_wait_in_vain_in_an_overload(
     load: str, monkeypatch: pytest.MonkeyPatch
--- a/tests/router/gateway/beliefs/test_fleet_view.py
+++ b/tests/router/gateway/beliefs/test_fleet_view.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.beliefs import FleetLoad
 from cornellead.gateway.beliefs import FleetView
 from cornellead.gateway.beliefs import RouterLoad
+from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import RouterPlace
 
 
@@ -48,3 +49,14 @@
     """Guards against a router without reports that sees a hundredth of the load."""
     state = make_state(in_flight=3)
     assert state.load(FleetLoad(), routers=5, now=0.0) == 15.0
+
+
+def test_fresh_load_of_a_server_is_better_than_reports() -> None:
+    """Guards against a popular chat that overloads a server between two reports of routers."""
+    state = make_state(in_flight=3)
+    load = FleetLoad()
+    load.take(RouterLoad("r2", {state.name_hash: 4}), now=0.0)
+    state.report_load(ReportedLoad(20, 5, 64), now=0.0)
+    state.health.open(99, now=0.05)
+    assert state.load(load, routers=2, now=0.05) == 26.0
+    assert state.load(load, routers=2, now=0.3) == 8.0
--- a/tests/router/gateway/policy/test_choice.py
+++ b/tests/router/gateway/policy/test_choice.py
@@ -30,7 +30,9 @@
     """Guards against prompts that are read once for each router."""
     servers = _servers()
     homes = {
-        order_for_chat("chat", order, _loads(order), load_factor=2.0, now=0.0)[0].entry.server
+        order_for_chat("chat", order, _loads(order), load_factor=2.0, spread=0.0, now=0.0)[
+            0
+        ].entry.server
         for order in (servers, servers[::-1], servers[3:] + servers[:3])
     }
     assert len(homes) == 1
@@ -42,15 +44,37 @@
     home = rank_homes("chat", _servers())[0].entry.server
     for _ in range(60):
         servers = _servers(**counts)
-        chosen = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, now=0.0)[
-            0
-        ].entry.server
+        chosen = order_for_chat(
+            "chat", servers, _loads(servers), load_factor=2.0, spread=0.0, now=0.0
+        )[0].entry.server
         counts[chosen] += 1
     mean = sum(counts.values()) / len(counts)
     assert counts[home] > mean
     assert max(counts.values()) <= 2 * mean + 3
 
 
+def test_requests_begin_to_move_before_the_limit() -> None:
+    """Guards against routers that all turn to the next server at once, since they see the same
+    loads a fraction of a second old."""
+    home = rank_homes("chat", _servers())[0].entry.server
+    limit = 0.925 * 2.0 * 20 + 3
+    for load, least, most in (
+        (0.85 * limit, 1.0, 1.0),
+        (0.95 * limit, 0.3, 0.7),
+        (limit + 1, 0, 0),
+    ):
+        others = (20 * len(NAMES) - load) / (len(NAMES) - 1)
+        loads = {name: load if name == home else others for name in NAMES}
+        stays = sum(
+            order_for_chat("chat", _servers(), loads, load_factor=2.0, spread=step / 100, now=0.0)[
+                0
+            ].entry.server
+            == home
+            for step in range(100)
+        )
+        assert least <= stays / 100 <= most
+
+
 def test_few_usable_servers_share_the_load_evenly() -> None:
     """Load: a data centre is out, so most servers of the service are idle. Guards against one of
     the others at twice the mean over all of them."""
@@ -60,7 +84,7 @@
         servers = _servers(**counts)
         allowed = [state for state in servers if state.entry.server in usable]
         chosen = order_for_chat(
-            f"chat{number}", allowed, _loads(servers), load_factor=2.0, now=0.0
+            f"chat{number}", allowed, _loads(servers), load_factor=2.0, spread=0.0, now=0.0
         )[0]
         counts[chosen.entry.server] += 1
     mean = sum(counts.values()) / len(counts)
@@ -72,7 +96,7 @@
     servers = _servers()
     home = rank_homes("chat", servers)[0]
     home.health.open(1, now=0.0)
-    order = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, now=5.0)
+    order = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, spread=0.0, now=5.0)
     assert order[-1] is home
 
 
