--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -20,7 +20,7 @@
 HOME_SLACK = 3.0
 """Requests above the multiple of the mean that are allowed, so that small counts do not move chats
 from the servers that have their prompts."""
-SOFT_SHARE = 0.1
+SOFT_SHARE = 0.2
 """Part of the limit over which chats begin to move: routers that see the same loads, a fraction of
 a second old, must not all turn to the next server at the same moment."""
 SAME_LOAD = 4.0
