Read the store over the product's connection pool

Cause: of the 471 modules that a gateway loads at a start, 74 were httpx and what it needs, and its connections were a second HTTP client beside the one for servers and routers.

Change: StoreClient sends through the interface HttpCaller; PooledCaller of cornellead.upstream implements it and also fetches the pages of other routers.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.routing._http_caller import HttpCaller
+from cornellead_core.routing._http_caller import HttpReply
 from cornellead_core.routing._node_settings import Bounds
 from cornellead_core.routing._node_settings import NodeSettings
 from cornellead_core.routing._node_settings import StoreSettings
@@ -43,6 +45,8 @@
     "ForwardTarget",
     "HeaderList",
     "HistoryGone",
+    "HttpCaller",
+    "HttpReply",
     "NodeSettings",
     "Notice",
     "NoticeBatch",
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -116,7 +116,3 @@
     async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
         """Write that a router runs, and where, or that it stops."""
         ...
-
-    async def close(self) -> None:
-        """Close the connections."""
-        ...
--- a/packages/router/src/cornellead/cli/_gateway.py
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -39,7 +39,7 @@
         return values
     # A reload that is asked for during the start must not end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Keeps structlog and httpx from importing rich, which takes 3 MB.
+    # Keeps structlog from importing rich, which takes 3 MB.
     sys.modules["rich"] = None  # type: ignore[assignment]
     from cornellead_platform import NODE_FILE_VARIABLE
     from cornellead_platform import load_node_settings
@@ -76,14 +76,14 @@
     from cornellead.gateway.process import GatewayProcess
     from cornellead_platform import READY_PATH
     from cornellead_platform import PlatformHeaders
+    from cornellead_platform import StoreClient
     from cornellead_platform import load_node_settings
-    from cornellead_platform.store import StoreClient
 
     process = GatewayProcess(
         settings=settings,
         settings_path=path,
         load=load_node_settings,
-        store=StoreClient(address=settings.store.address),
+        open_store=lambda http: StoreClient(address=settings.store.address, http=http),
         wire=PlatformHeaders(),
         ready_path=READY_PATH,
         metrics_port=metrics_port,
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -34,6 +34,7 @@
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.sync import TopicReader
 from cornellead.upstream import ConnectionPool
+from cornellead.upstream import PooledCaller
 from cornellead_core.blackboard import run_controllers
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import CallerLimits
@@ -50,6 +51,7 @@
     from cornellead.gateway.ingress import RequestHandler
     from cornellead_core.blackboard import Controller
     from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import HttpCaller
     from cornellead_core.routing import NodeSettings
     from cornellead_core.routing import WireFormat
 
@@ -80,6 +82,7 @@
     """Builds the parts of a gateway and runs them until it is stopped.
 
     :param load: Reads and checks the settings file.
+    :param open_store: Makes the client of the store that uses this process's connections.
     :param callers: Socket that listens on the address for callers already, if any.
     """
 
@@ -89,7 +92,7 @@
         settings: NodeSettings,
         settings_path: str,
         load: Callable[[str], Result[NodeSettings, str]],
-        store: FleetStore,
+        open_store: Callable[[HttpCaller], FleetStore],
         wire: WireFormat,
         ready_path: str,
         metrics_port: int,
@@ -105,6 +108,8 @@
         self._pool = ConnectionPool(
             loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
         )
+        http = PooledCaller(pool=self._pool)
+        store = open_store(http)
         self._sender = AttemptSender(pool=self._pool, wire=wire, clock=read_clock)
         self._retries = RetryShare(bounds=settings.bounds)
         self._picker = ServerPicker(
@@ -131,7 +136,7 @@
         self._store = RelayedStore(
             store=store,
             view=self._view,
-            pool=self._pool,
+            http=http,
             data_centre=settings.data_centre,
             clock=read_clock,
         )
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -24,8 +23,8 @@
 
     from cornellead.gateway.beliefs import FleetView
     from cornellead.gateway.relay._change_log import RelayPage
-    from cornellead.upstream import ConnectionPool
     from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import HttpCaller
     from cornellead_core.routing import RouterPlace
     from cornellead_core.routing import StoreError
 
@@ -42,9 +41,9 @@
 millisecond apart."""
 PAUSE_S = 2.0
 """Time for which a router that did not answer, or whose pages were old, is not asked."""
+OK = 200
 MAX_ASKED = 4
 """Routers that are asked, one after the other, when the store does not answer at a start."""
-MAX_PAGE_BYTES = 16 << 20
 
 
 class RelayedStore:
@@ -63,13 +62,13 @@
         *,
         store: FleetStore,
         view: FleetView,
-        pool: ConnectionPool,
+        http: HttpCaller,
         data_centre: str,
         clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._view = view
-        self._pool = pool
+        self._http = http
         self._data_centre = data_centre
         self._clock = clock
         self._paused_until: dict[tuple[str, Topic], float] = {}
@@ -116,10 +115,6 @@
         """Write that a router runs, and where, or that it stops."""
         return await self._store.announce(router, place)
 
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._store.close()
-
     def _replace(self, topic: Topic, page: RelayPage) -> NoticeBatch:
         now = self._clock() - page.age_s
         self.logs[topic].replace(page.notices, page.next_offset, now=now)
@@ -168,17 +163,8 @@
         self, address: str, topic: Topic, *, offset: int | None, wait_s: float
     ) -> RelayPage | None:
         query = "" if offset is None else f"?after={offset}&wait={wait_s:.2f}"
-        head = f"GET {PATH_PREFIX}{topic.value}{query} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-        try:
-            async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
-                sent = await self._pool.send(address, head.encode(), b"")
-                if isinstance(sent, Failure):
-                    return None
-                exchange = sent.unwrap()
-                response = await exchange.head()
-                body = await exchange.read_all(limit=MAX_PAGE_BYTES)
-        except TimeoutError:
-            return None
-        if response is None or response.status != 200 or body is None:
+        target = f"{PATH_PREFIX}{topic.value}{query}"
+        result = await self._http.call(address, "GET", target, timeout_s=wait_s + ANSWER_TIMEOUT_S)
+        if isinstance(result, Failure) or result.unwrap().status != OK:
             return None
-        return decode_page(body)
+        return decode_page(result.unwrap().body)
--- a/packages/router/src/cornellead/upstream/__init__.py
+++ b/packages/router/src/cornellead/upstream/__init__.py
@@ -7,5 +7,13 @@
 from cornellead.upstream._connection_pool import ConnectionPool
 from cornellead.upstream._exchange import Exchange
 from cornellead.upstream._exchange import ResponseHead
+from cornellead.upstream._pooled_caller import PooledCaller
 
-__all__ = ["ConnectError", "ConnectionPool", "EchoedHeader", "Exchange", "ResponseHead"]
+__all__ = [
+    "ConnectError",
+    "ConnectionPool",
+    "EchoedHeader",
+    "Exchange",
+    "PooledCaller",
+    "ResponseHead",
+]
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
 from tests.platform_adapter.store_standin import StoreStandin
 
-from cornellead_platform.store import StoreClient
+from cornellead.upstream import ConnectionPool
+from cornellead.upstream import PooledCaller
+from cornellead_platform import StoreClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -20,7 +23,8 @@
     address = free_address()
     standin = StoreStandin(address=address)
     await standin.start()
-    client = StoreClient(address=address)
+    pool = ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=0.4)
+    client = StoreClient(address=address, http=PooledCaller(pool=pool))
     yield standin, client
-    await client.close()
+    pool.close()
     standin.stop()
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from tests.platform_adapter.store_standin import StoreStandin
 
-    from cornellead_platform.store import StoreClient
+    from cornellead_platform import StoreClient
 
 Store = tuple["StoreStandin", "StoreClient"]
 
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -19,6 +19,7 @@
 from cornellead.gateway.relay import RelayedStore
 from cornellead.gateway.relay import RelayHandler
 from cornellead.upstream import ConnectionPool
+from cornellead.upstream import PooledCaller
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import RouterPlace
@@ -58,9 +59,6 @@
     async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
         return Success(None)
 
-    async def close(self) -> None:
-        pass
-
 
 class Router:
     """One router's view of the store, and the listener for its peers."""
@@ -72,7 +70,9 @@
         self.store = RelayedStore(
             store=store,
             view=self.view,
-            pool=ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=0.2),
+            http=PooledCaller(
+                pool=ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=0.2)
+            ),
             data_centre="dc-a",
             clock=time.monotonic,
         )
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -39,9 +39,6 @@
     async def announce(self, router: str, place: RouterPlace | None) -> Result[None, StoreError]:
         return Success(None)
 
-    async def close(self) -> None:
-        pass
-
     async def _next(self) -> Result[NoticeBatch, Any]:
         if not self._answers:
             await asyncio.sleep(3600)
--- a/tests/router/gateway/test_listening_socket.py
+++ b/tests/router/gateway/test_listening_socket.py
@@ -21,7 +21,7 @@
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ResponseWriter
 
-LOADED_LATER = ("asyncio", "httpx", "prometheus_client", "structlog", "cornellead.gateway.process")
+LOADED_LATER = ("asyncio", "prometheus_client", "structlog", "cornellead.gateway.process")
 
 
 class Echo:
