--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -22,8 +22,9 @@
 """Shortest time between reports: a tenth of the time that a request takes."""
 MAX_PEERS = 8
 """Routers that get each report; with more routers, each is told by a random part of them."""
-BYTES_PER_S = 2000.0
-"""Bytes a second that reports may take, of the 3 KB/s that a node may spend on control."""
+BYTES_PER_S = 1900.0
+"""Bytes a second that reports may take, of the 3 KB/s that a node may spend on control; the rest is
+for notices."""
 DATAGRAM_OVERHEAD_BYTES = 28
 """Headers of IP and UDP."""
 
--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -9,6 +9,7 @@
 from cornellead.gateway.ingress._request_parser import Rejection
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import ResponseWriter
+from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving import Serving
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 
@@ -22,4 +23,5 @@
     "ResponseWriter",
     "Serving",
     "ServingPhase",
+    "encode_head",
 ]
--- a/packages/router/src/cornellead/upstream/__init__.py
+++ b/packages/router/src/cornellead/upstream/__init__.py
@@ -8,6 +8,7 @@
 from cornellead.upstream._exchange import Exchange
 from cornellead.upstream._exchange import ResponseHead
 from cornellead.upstream._pooled_caller import PooledCaller
+from cornellead.upstream._pooled_caller import encode_call
 
 __all__ = [
     "ConnectError",
@@ -16,4 +17,5 @@
     "Exchange",
     "PooledCaller",
     "ResponseHead",
+    "encode_call",
 ]
--- a/packages/router/src/cornellead/upstream/_pooled_caller.py
+++ b/packages/router/src/cornellead/upstream/_pooled_caller.py
@@ -18,6 +18,16 @@
 """Longest response that is read: a list of some ten thousand servers."""
 
 
+def encode_call(address: str, method: str, target: str, length: int) -> bytes:
+    """Return the head of a request.
+
+    >>> encode_call("10.0.0.1:80", "GET", "/x", 0)
+    b'GET /x HTTP/1.1\\r\\nHost: 10.0.0.1:80\\r\\nContent-Length: 0\\r\\n\\r\\n'
+    """
+    lines = f"{method} {target} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {length}\r\n\r\n"
+    return lines.encode()
+
+
 class PooledCaller:
     """Sends requests and reads whole responses."""
 
@@ -34,10 +44,10 @@
         :param timeout_s: Longest time until the response has arrived whole.
         :returns: Why there is no whole response, if so; the request may have been received.
         """
-        head = f"{method} {target} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len(body)}\r\n"
+        head = encode_call(address, method, target, len(body))
         try:
             async with asyncio.timeout(timeout_s):
-                sent = await self._pool.send(address, f"{head}\r\n".encode(), body)
+                sent = await self._pool.send(address, head, body)
                 if isinstance(sent, Failure):
                     return Failure(sent.failure().message)
                 exchange = sent.unwrap()
--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -15,6 +15,7 @@
 from scripts.fleet import BUILD
 from scripts.fleet import exit_on_sigterm
 from scripts.measurements import measure_data_centre
+from scripts.measurements import measure_gateway_slopes
 from scripts.measurements import measure_reuse
 from scripts.measurements import measure_router
 from scripts.measurements import measure_skew_and_control
@@ -30,6 +31,7 @@
     "data_centre_out_and_back": measure_data_centre,
     "one_router": measure_router,
     "slopes": measure_slopes,
+    "gateway_slopes": measure_gateway_slopes,
 }
 
 
--- a/scripts/measurements/__init__.py
+++ b/scripts/measurements/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from scripts.measurements._data_centre import measure_data_centre
+from scripts.measurements._gateway_slopes import measure_gateway_slopes
 from scripts.measurements._reuse import measure_reuse
 from scripts.measurements._router import measure_router
 from scripts.measurements._skew_and_control import measure_skew_and_control
@@ -10,6 +11,7 @@
 
 __all__ = [
     "measure_data_centre",
+    "measure_gateway_slopes",
     "measure_reuse",
     "measure_router",
     "measure_skew_and_control",
--- /dev/null
+++ b/scripts/measurements/_gateway_slopes.py
@@ -0,0 +1,157 @@
+"""Slopes of a gateway's control traffic and decisions against the size of the fleet."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.beliefs import RouterLoad
+from cornellead.gateway.ingress import encode_head
+from cornellead.gateway.policy import order_for_chat
+from cornellead.gateway.relay import ChangeLog
+from cornellead.gateway.relay import encode_page
+from cornellead.upstream import encode_call
+from cornellead_core.routing import CallerLimits
+from cornellead_core.routing import RequestKind
+from cornellead_core.routing import Route
+from cornellead_core.routing import RoutingData
+from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import ServerEntry
+from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Service
+from cornellead_core.routing import Team
+from cornellead_core.routing import TeamKeys
+from cornellead_core.routing import WeightedService
+from scripts.measurements._slopes import measure_slope
+from scripts.measurements._slopes import time_us
+
+if TYPE_CHECKING:
+    from cornellead.gateway.beliefs import ServerState
+
+SERVERS = [10, 100, 1000]
+BUSY_SERVERS = [1, 10, 40]
+"""Servers at which one router has requests: 11 requests a second of 2 s each are 22."""
+TEAMS = [10, 90, 270]
+"""Teams of one configuration, each with a key and a route of its own."""
+READER = "10.0.0.1:7100"
+
+
+async def measure_gateway_slopes() -> dict[str, Any]:
+    """Measure bytes of notices and reports, and the time of a choice."""
+    return {
+        "met": True,
+        "whole_list_bytes": measure_slope(SERVERS, _bytes_of_list),
+        "change_bytes": measure_slope([1, 10, 100], _bytes_of_changes),
+        "question_without_changes_bytes": _bytes_of_question(),
+        "configuration_bytes": measure_slope(TEAMS, _bytes_of_configuration),
+        "load_report_bytes": measure_slope(BUSY_SERVERS, _bytes_of_report),
+        "choice_us_per_request": measure_slope(SERVERS, _time_of_choice),
+    }
+
+
+def _entry(number: int) -> ServerEntry:
+    return ServerEntry(
+        server=f"i-{number:010x}",
+        service="assistant",
+        address=f"10.{number // 250}.0.{number % 250}:8000",
+        data_centre=f"dc-{number % 14:02}",
+        slots=64,
+        draining=False,
+        cold_s=0.0,
+        started_ms=1_790_000_000_000 + number,
+    )
+
+
+def _notices(count: int) -> list[ServerNotice]:
+    return [ServerNotice(_entry(n).server, _entry(n), removed=False) for n in range(count)]
+
+
+def _log(count: int) -> ChangeLog:
+    log = ChangeLog()
+    log.replace(_notices(count), count, now=0.0)
+    return log
+
+
+def _bytes_of_list(count: int) -> float:
+    page = _log(count).read(None, now=0.1)
+    assert page is not None
+    return float(len(encode_page(page)))
+
+
+def _bytes_of_changes(count: int) -> float:
+    log = _log(0)
+    log.add(_notices(count), count, now=0.0)
+    page = log.read(0, now=0.1)
+    assert page is not None
+    return float(len(encode_page(page)))
+
+
+def _bytes_of_configuration(count: int) -> float:
+    teams = tuple(
+        TeamKeys(
+            Team(f"team-{number:03}", number % 10),
+            (sha256(bytes([number % 256, number // 256])).hexdigest()[:20],),
+        )
+        for number in range(count)
+    )
+    data = RoutingData(
+        version=1,
+        routes=tuple(_route(number) for number in range(count)),
+        services=(Service("assistant", 370, 3.0, 11.0, 64, 528_867),),
+        limits=CallerLimits(16_384, 4_194_304, 3.0, 15.0),
+        teams=teams,
+        keys_required=True,
+    )
+    log = _log(0)
+    log.add([RoutingNotice(data, "")], 1, now=0.0)
+    page = log.read(0, now=0.1)
+    assert page is not None
+    return float(len(encode_page(page)))
+
+
+def _route(number: int) -> Route:
+    return Route(
+        name=f"route-{number:03}",
+        host=f"host-{number:03}.example",
+        path_prefix=f"/team-{number:03}/",
+        kind=RequestKind.STREAMING,
+        timeout_s=15.0,
+        target_latency_s=0.8,
+        priority=1,
+        services=(WeightedService("assistant", 1.0),),
+        max_attempts=2,
+        public=False,
+        resumable=True,
+        target_gap_s=0.5,
+    )
+
+
+def _bytes_of_question() -> int:
+    """Return the bytes of a question and its answer when nothing changed."""
+    page = _log(1000).read(1000, now=0.1)
+    assert page is not None
+    body = encode_page(page)
+    question = encode_call(READER, "GET", "/notices/servers?after=123456&wait=0.40", 0)
+    return len(question) + len(encode_head(200, (), length=len(body), close=False)) + len(body)
+
+
+def _bytes_of_report(count: int) -> float:
+    counts = {hash(f"i-{number:010x}") & 0xFFFFFFFF: 1 for number in range(count)}
+    return float(len(msgspec.msgpack.encode(RouterLoad("front-dc-01-17", counts))))
+
+
+def _time_of_choice(count: int) -> float:
+    view = FleetView(router="r1")
+    for number in range(count):
+        view.servers.put(_entry(number), now=0.0)
+    servers = view.servers.usable("assistant")
+
+    def choose() -> list[ServerState]:
+        loads = {s.entry.server: s.load(view.load, routers=330, now=1.0) for s in servers}
+        return order_for_chat("chat", servers, loads, load_factor=2.0, spread=0.5, now=1.0)
+
+    return time_us(choose)
--- a/scripts/measurements/_slopes.py
+++ b/scripts/measurements/_slopes.py
@@ -66,18 +66,19 @@
     """Measure all slopes."""
     return {
         "met": True,
-        "host_list_bytes_of_memory": _measure([100, 400, 1330], _memory_of_hosts),
-        "host_list_bytes_on_the_wire": _measure([100, 400, 1330], _wire_of_hosts),
-        "chat_index_bytes_of_memory": _measure([1000, 5000, 20_000], _memory_of_chats),
-        "placement_us_per_request": _measure([10, 100, 250, 1000], _time_of_placement),
-        "estimate_us_per_admission": _measure([3, 14, 70], _time_of_estimate),
-        "digest_header_bytes": _measure([3, 14, 70], _bytes_of_digest),
-        "demand_bytes": _measure([10, 90, 270], _bytes_of_demand),
-        "sign_and_encode_us": round(_time_us(lambda: encode_message(HostDigest(1, 2, 3), key=KEY))),
+        "host_list_bytes_of_memory": measure_slope([100, 400, 1330], _memory_of_hosts),
+        "host_list_bytes_on_the_wire": measure_slope([100, 400, 1330], _wire_of_hosts),
+        "chat_index_bytes_of_memory": measure_slope([1000, 5000, 20_000], _memory_of_chats),
+        "placement_us_per_request": measure_slope([10, 100, 250, 1000], _time_of_placement),
+        "estimate_us_per_admission": measure_slope([3, 14, 70], _time_of_estimate),
+        "digest_header_bytes": measure_slope([3, 14, 70], _bytes_of_digest),
+        "demand_bytes": measure_slope([10, 90, 270], _bytes_of_demand),
+        "sign_and_encode_us": round(time_us(lambda: encode_message(HostDigest(1, 2, 3), key=KEY))),
     }
 
 
-def _measure(sizes: Sequence[int], cost: Callable[[int], float]) -> dict[str, Any]:
+def measure_slope(sizes: Sequence[int], cost: Callable[[int], float]) -> dict[str, Any]:
+    """Return a cost at several sizes and the line through them."""
     costs = [cost(size) for size in sizes]
     line = fit_line(sizes, costs)
     measured = dict(zip(map(str, sizes), (round(value, 2) for value in costs), strict=True))
@@ -88,7 +89,8 @@
     }
 
 
-def _time_us(call: Callable[[], object]) -> float:
+def time_us(call: Callable[[], object]) -> float:
+    """Return the mean processor time of a call in microseconds."""
     calls, started_at = 0, time.process_time()
     while time.process_time() - started_at < REPEAT_S:
         call()
@@ -150,7 +152,7 @@
     board = Blackboard()
     board.write(HOSTS, tuple(hosts))
     directory = EngineDirectory(board=board)
-    return _time_us(
+    return time_us(
         lambda: order_by_rendezvous(b"model-1\x00chat", directory.find("model-1").weighted)
     )
 
@@ -162,7 +164,7 @@
 def _time_of_estimate(count: int) -> float:
     table = LoadTable()
     table.merge(Digest(_summaries(count)), now=0.0)
-    return _time_us(lambda: table.estimate(now=0.1))
+    return time_us(lambda: table.estimate(now=0.1))
 
 
 def _bytes_of_digest(count: int) -> float:
