Ask other routers at once at a start in an outage

Cause: asked one after the other, four routers that are gone take 1.2 s, and the store is not asked meanwhile, although its end of the outage is awaited.

Change: up to four are asked together, and the newest of their pages is taken.

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING
 
@@ -43,7 +44,7 @@
 """Time for which a router that did not answer, or whose pages were old, is not asked."""
 OK = 200
 MAX_ASKED = 4
-"""Routers that are asked, one after the other, when the store does not answer at a start."""
+"""Routers that are asked, all at once, when the store does not answer at a start."""
 
 
 class RelayedStore:
@@ -121,14 +122,14 @@
         return NoticeBatch(page.notices, page.next_offset, page.age_s)
 
     async def _ask_anyone(self, topic: Topic) -> RelayPage | None:
-        """Ask a few routers of any data centre for what they know, whatever its age."""
+        """Ask a few routers of any data centre and return the newest of what they know."""
         peers = [place.address for place in self._view.peers(now=self._clock()).values()]
-        random.shuffle(peers)
-        for address in peers[:MAX_ASKED]:
-            page = await self._fetch(address, topic, offset=None, wait_s=0.0)
-            if page is not None:
-                return page
-        return None
+        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
+        answers = await asyncio.gather(
+            *(self._fetch(address, topic, offset=None, wait_s=0.0) for address in asked)
+        )
+        pages = [page for page in answers if page is not None]
+        return min(pages, key=lambda page: page.age_s, default=None)
 
     def _readers(self) -> dict[str, str]:
         """Return names and addresses of the readers of this data centre, none for a reader."""
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -174,6 +174,21 @@
     assert not batch.current
 
 
+async def test_start_in_an_outage_takes_the_newest_beliefs_of_others(routers: Routers) -> None:
+    """Guards against beliefs of a router that was cut off earlier, and against routers that are
+    gone and delay the next call to the store."""
+    store, (first, *others) = routers
+    store.out = True
+    for number, router in enumerate(others):
+        known = [ServerNotice(f"s{number}", make_entry(f"s{number}"), removed=False)]
+        router.store.logs[Topic.SERVERS].replace(known, 9, now=time.monotonic() - 5.0 - number)
+    others[-1].listener.stop_accepting()
+    before = time.monotonic()
+    batch = (await first.store.read_newest(Topic.SERVERS)).unwrap()
+    assert time.monotonic() - before < 0.6
+    assert batch.age_s < 7.0
+
+
 async def test_router_that_knows_servers_takes_no_older_ones(routers: Routers) -> None:
     """Guards against beliefs that go back to those of a router which is cut off."""
     store, (first, *others) = routers
