Refuse for a full server only on what the server said

Cause: read again, the expected wait also took loads that are worked out from a few routers' reports. With 300 routers, one that has three requests at a server stands for 900, and a request would be refused although places are free.

Change: only the load in a response of the last second counts for the expected wait.

--- a/packages/emulator/src/cornellead_emulator/servers/__init__.py
+++ b/packages/emulator/src/cornellead_emulator/servers/__init__.py
@@ -4,16 +4,12 @@
 
 from cornellead_emulator.servers._generation import Generation
 from cornellead_emulator.servers._model_server import ModelServer
-from cornellead_emulator.servers._plain_server import PlainServer
 from cornellead_emulator.servers._prompt_cache import PromptCache
 from cornellead_emulator.servers._server_settings import ModelServerSettings
-from cornellead_emulator.servers._server_settings import PlainServerSettings
 
 __all__ = [
     "Generation",
     "ModelServer",
     "ModelServerSettings",
-    "PlainServer",
-    "PlainServerSettings",
     "PromptCache",
 ]
--- a/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
+++ b/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
@@ -1,4 +1,4 @@
-"""Figures of emulated servers."""
+"""Figures of emulated model servers."""
 
 from __future__ import annotations
 
@@ -31,12 +31,3 @@
     """Time for which a new server is cold."""
     cold_rate_per_s: float = 11.0
     """Requests a second that a cold server bears."""
-
-
-class PlainServerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A server of a plain service."""
-
-    slots: int = 6
-    queue: int = 24
-    work_ms: float = 45.0
-    """Mean time of a call."""
--- a/packages/router/src/cornellead/gateway/beliefs/_server_state.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_state.py
@@ -74,16 +74,22 @@
 
         :param routers: Number of running routers.
         """
+        answered = self.answered_load(now=now)
+        if answered is not None and now - self._load_at <= FRESH_LOAD_S:
+            return answered
         own = self.health.in_flight
-        if self._load is not None and now - self._load_at <= FRESH_LOAD_S:
-            return self._reported(self._load, own)
         others = fleet.others(self.name_hash, routers=routers, now=now)
         if others is not None:
             return own + others
-        if self._load is not None and now - self._load_at <= LOAD_TRUST_S:
-            return self._reported(self._load, own)
-        return float(own * max(1, routers))
+        return float(own * max(1, routers)) if answered is None else answered
 
-    def _reported(self, load: ReportedLoad, own: int) -> float:
+    def answered_load(self, *, now: float) -> float | None:
+        """Return the load that the server reported in a response, with this router's changes since.
+
+        :returns: ``None`` without a response of the last second.
+        """
+        if self._load is None or now - self._load_at > LOAD_TRUST_S:
+            return None
+        own = self.health.in_flight
         change = own - self._own_at_load
-        return float(max(own, load.running + load.waiting + change))
+        return float(max(own, self._load.running + self._load.waiting + change))
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -93,7 +93,7 @@
         opens_at: float | None = None
         shortest_wait_s: float | None = None
         for state in exclude(ordered, tried):
-            wait_s = self._expected_wait_s(job, state, loads[state.entry.server])
+            wait_s = self._expected_wait_s(job, state, now=now)
             if wait_s > MAX_WAIT_SHARE * job.rights.time_left_s(now=now):
                 shortest_wait_s = min(wait_s, shortest_wait_s or wait_s)
                 continue
@@ -120,8 +120,11 @@
             now=now,
         )
 
-    def _expected_wait_s(self, job: Job, state: ServerState, load: float) -> float:
-        if not job.affinity:
+    def _expected_wait_s(self, job: Job, state: ServerState, *, now: float) -> float:
+        # Only what the server said itself is a reason to refuse: the sum of a few routers' reports
+        # is an estimate, and too high an estimate would refuse while places are free.
+        load = state.answered_load(now=now)
+        if not job.affinity or load is None:
             return 0.0
         health = state.health
         return expected_wait_s(
--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -13,6 +13,7 @@
 from tests.router.gateway.raw_server import event
 
 from cornellead.gateway.ingress import ServingPhase
+from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -393,6 +394,7 @@
     for number in range(-200, 0):
         state.health.open(number, now=time.monotonic())
         state.health.count_byte(now=time.monotonic())
+    state.report_load(ReportedLoad(64, 136, 64), now=time.monotonic())
     answer = await gateway.call(
         "/stream/1", "X-Deadline-Ms: 1500", "X-Prompt-Prefix: a1:10,b2:10,c3:10"
     )
--- a/tests/router/gateway/forwarding/test_server_picker.py
+++ b/tests/router/gateway/forwarding/test_server_picker.py
@@ -10,6 +10,7 @@
 from tests.router.gateway.policy.test_retry_share import BOUNDS
 
 from cornellead.gateway.beliefs import FleetView
+from cornellead.gateway.beliefs import RouterLoad
 from cornellead.gateway.beliefs import ServerState
 from cornellead.gateway.forwarding import Job
 from cornellead.gateway.forwarding import NoServer
@@ -17,6 +18,8 @@
 from cornellead.gateway.ingress import CallerRequest
 from cornellead.gateway.policy import ColdGate
 from cornellead.gateway.policy import RequestRights
+from cornellead_core.routing import ReportedLoad
+from cornellead_core.routing import RouterPlace
 from cornellead_platform import PlatformHeaders
 
 if TYPE_CHECKING:
@@ -74,6 +77,8 @@
         state.health.count_hold(HOLD_S)
         for number in range(requests):
             state.health.open(number, now=0.0, urgency=urgency)
+        running = min(SLOTS, requests)
+        state.report_load(ReportedLoad(running, requests - running, SLOTS), now=0.0)
 
 
 def test_request_that_would_wait_too_long_is_refused(fleet: Pick) -> None:
@@ -106,3 +111,17 @@
     view, pick = fleet
     _fill(view, SLOTS - 1)
     assert isinstance(pick(time_left_s=0.5), ServerState)
+
+
+def test_estimate_from_other_routers_is_no_reason_to_refuse(fleet: Pick) -> None:
+    """Guards against a refusal while places are free: a few busy routers are taken for all."""
+    view, pick = fleet
+    for number in range(300):
+        view.see_router(f"r{number}", RouterPlace("10.0.0.1:1", "dc-a"), now=0.0)
+    for name in ("s1", "s2"):
+        state = view.servers.get(name)
+        assert state is not None
+        state.health.count_hold(HOLD_S)
+        view.load.take(RouterLoad("r2", {state.name_hash: 3}), now=0.0)
+        assert state.load(view.load, routers=300, now=0.0) > 10 * SLOTS
+    assert isinstance(pick(time_left_s=3.0), ServerState)
