--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -7,6 +7,7 @@
 from cornellead.gateway.beliefs import FleetView
 from cornellead.gateway.beliefs import RouterLoad
 from cornellead.gateway.beliefs import ServerState
+from cornellead.gateway.forwarding import FULL_RETRY_S
 from cornellead.gateway.forwarding import HOLD_SHARE
 from cornellead.gateway.forwarding import NoServer
 from cornellead.gateway.forwarding import ServerPicker
@@ -33,8 +34,6 @@
     from cornellead_emulator.traffic import ChatRequest
 
 MS = 1e-3
-FULL_RETRY_S = 0.4
-"""Time in which a server usually has room again."""
 MEMBER_INTERVAL_S = 4.0
 """Interval of announcements of routers."""
 
--- a/packages/emulator/src/cornellead_emulator/routing/_orders.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_orders.py
@@ -11,10 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
-    from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import ServerState
     from cornellead.gateway.policy import ChatOrder
+    from cornellead.gateway.policy import ChatPlacement
 
 
 class RandomOrder:
@@ -23,52 +23,26 @@
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
 
-    def __call__(
-        self,
-        key: str,
-        servers: Sequence[ServerState],
-        loads: Mapping[str, float],
-        *,
-        load_factor: float,
-        spread: float,
-        now: float,
-    ) -> list[ServerState]:
+    def __call__(self, placement: ChatPlacement) -> list[ServerState]:
         """Return the servers in random order."""
-        return self._rng.sample(list(servers), len(servers))
+        return self._rng.sample(list(placement.servers), len(placement.servers))
 
 
 class LeastLoadedOrder:
     """By the believed load, whatever the chat."""
 
     def __init__(self, *, rng: random.Random) -> None:
-        self._rng = rng
+        self._shuffle = RandomOrder(rng=rng)
 
-    def __call__(
-        self,
-        key: str,
-        servers: Sequence[ServerState],
-        loads: Mapping[str, float],
-        *,
-        load_factor: float,
-        spread: float,
-        now: float,
-    ) -> list[ServerState]:
+    def __call__(self, placement: ChatPlacement) -> list[ServerState]:
         """Return the servers by load, equal ones in random order."""
-        shuffled = self._rng.sample(list(servers), len(servers))
-        return sorted(shuffled, key=lambda state: loads[state.entry.server])
-
-
-def order_by_home(
-    key: str,
-    servers: Sequence[ServerState],
-    loads: Mapping[str, float],
-    *,
-    load_factor: float,
-    spread: float,
-    now: float,
-) -> list[ServerState]:
+        shuffled = self._shuffle(placement)
+        return sorted(shuffled, key=lambda state: placement.loads[state.entry.server])
+
+
+def order_by_home(placement: ChatPlacement) -> list[ServerState]:
     """Order by rendezvous alone, without a bound on the load."""
-    return rank_homes(key, servers)
+    return rank_homes(placement.key, placement.servers)
 
 
 ORDERS: Mapping[str, Callable[[int], ChatOrder]] = {
--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from cornellead.gateway.forwarding._attempt_sender import WATCH_INTERVAL_S
 from cornellead.gateway.forwarding._attempt_sender import AttemptSender
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
+from cornellead.gateway.forwarding._forwarder import FULL_RETRY_S
 from cornellead.gateway.forwarding._forwarder import HOLD_SHARE
 from cornellead.gateway.forwarding._forwarder import Forwarder
 from cornellead.gateway.forwarding._job import Job
@@ -14,6 +15,7 @@
 from cornellead.gateway.forwarding._server_picker import ServerPicker
 
 __all__ = [
+    "FULL_RETRY_S",
     "HOLD_SHARE",
     "WATCH_INTERVAL_S",
     "Admission",
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead.gateway.policy import ChatPlacement
 from cornellead.gateway.policy import exclude
 from cornellead.gateway.policy import expected_wait_s
 from cornellead.gateway.policy import find_prompt_source
@@ -79,13 +80,9 @@
             for state in self._view.servers.listed(job.service.name)
         }
         if job.affinity:
+            spread = spread_of(job.caller.request_id)
             ordered = self._order(
-                job.affinity,
-                servers,
-                loads,
-                load_factor=self.load_factor,
-                spread=spread_of(job.caller.request_id),
-                now=now,
+                ChatPlacement(job.affinity, servers, loads, self.load_factor, spread, now)
             )
         else:
             ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cornellead.gateway.policy._chat_order import ChatOrder
+from cornellead.gateway.policy._chat_order import ChatPlacement
 from cornellead.gateway.policy._choice import exclude
 from cornellead.gateway.policy._choice import order_by_cost
 from cornellead.gateway.policy._choice import order_for_chat
@@ -20,6 +21,7 @@
 
 __all__ = [
     "ChatOrder",
+    "ChatPlacement",
     "ColdGate",
     "RequestRights",
     "RetryShare",
--- a/packages/router/src/cornellead/gateway/policy/_choice.py
+++ b/packages/router/src/cornellead/gateway/policy/_choice.py
@@ -13,6 +13,7 @@
     from collections.abc import Sequence
 
     from cornellead.gateway.beliefs import ServerState
+    from cornellead.gateway.policy._chat_order import ChatPlacement
 
 HOME_BOUND_SHARE = 0.925
 """Part of the multiple of the mean load that the deployment allows. Above it, chats of a server
@@ -34,15 +35,7 @@
 """Latency assumed of a server that has not answered yet."""
 
 
-def order_for_chat(
-    key: str,
-    servers: Sequence[ServerState],
-    loads: Mapping[str, float],
-    *,
-    load_factor: float,
-    spread: float,
-    now: float,
-) -> list[ServerState]:
+def order_for_chat(placement: ChatPlacement) -> list[ServerState]:
     """Order model servers for a request that shares its prompt with others.
 
     Load: returning chats whose prompts are cached where the chat was before. All routers compute
@@ -50,18 +43,13 @@
     above the bound on load comes after those below it, so a popular chat spills over, a growing
     part of its requests first. The mean is taken over all servers of the service: those that take
     no requests now are part of it.
-
-    :param key: Identity of the shared part of the prompt.
-    :param servers: Servers that may be used.
-    :param loads: Estimated requests at each server of the service, by name.
-    :param load_factor: Multiple of the mean load that a server may have.
-    :param spread: Number from 0 to 1 that differs between requests.
-    :param now: Seconds.
     """
-    ranked = rank_homes(key, servers)
-    limit = HOME_BOUND_SHARE * load_factor * sum(loads.values()) / max(1, len(loads)) + HOME_SLACK
-    limit *= 1.0 - SOFT_SHARE * spread
-    avoided = _unsound(ranked, now=now)
+    ranked = rank_homes(placement.key, placement.servers)
+    loads = placement.loads
+    mean = sum(loads.values()) / max(1, len(loads))
+    limit = HOME_BOUND_SHARE * placement.load_factor * mean + HOME_SLACK
+    limit *= 1.0 - SOFT_SHARE * placement.spread
+    avoided = _unsound(ranked, now=placement.now)
 
     def rank(state: ServerState) -> tuple[bool, int]:
         load = loads[state.entry.server]
--- a/scripts/measurements/_gateway_slopes.py
+++ b/scripts/measurements/_gateway_slopes.py
@@ -11,6 +11,7 @@
 from cornellead.gateway.beliefs import FleetView
 from cornellead.gateway.beliefs import RouterLoad
 from cornellead.gateway.ingress import encode_head
+from cornellead.gateway.policy import ChatPlacement
 from cornellead.gateway.policy import order_for_chat
 from cornellead.gateway.relay import ChangeLog
 from cornellead.gateway.relay import encode_page
@@ -152,6 +153,6 @@
 
     def choose() -> list[ServerState]:
         loads = {s.entry.server: s.load(view.load, routers=330, now=1.0) for s in servers}
-        return order_for_chat("chat", servers, loads, load_factor=2.0, spread=0.5, now=1.0)
+        return order_for_chat(ChatPlacement("chat", servers, loads, 2.0, 0.5, 1.0))
 
     return time_us(choose)
--- a/tests/router/gateway/policy/test_choice.py
+++ b/tests/router/gateway/policy/test_choice.py
@@ -6,6 +6,7 @@
 
 from tests.router.gateway.builders import make_state
 
+from cornellead.gateway.policy import ChatPlacement
 from cornellead.gateway.policy import find_prompt_source
 from cornellead.gateway.policy import order_by_cost
 from cornellead.gateway.policy import order_for_chat
@@ -30,9 +31,7 @@
     """Guards against prompts that are read once for each router."""
     servers = _servers()
     homes = {
-        order_for_chat("chat", order, _loads(order), load_factor=2.0, spread=0.0, now=0.0)[
-            0
-        ].entry.server
+        order_for_chat(ChatPlacement("chat", order, _loads(order), 2.0, 0.0, 0.0))[0].entry.server
         for order in (servers, servers[::-1], servers[3:] + servers[:3])
     }
     assert len(homes) == 1
@@ -44,9 +43,9 @@
     home = rank_homes("chat", _servers())[0].entry.server
     for _ in range(60):
         servers = _servers(**counts)
-        chosen = order_for_chat(
-            "chat", servers, _loads(servers), load_factor=2.0, spread=0.0, now=0.0
-        )[0].entry.server
+        chosen = order_for_chat(ChatPlacement("chat", servers, _loads(servers), 2.0, 0.0, 0.0))[
+            0
+        ].entry.server
         counts[chosen] += 1
     mean = sum(counts.values()) / len(counts)
     assert counts[home] > mean
@@ -66,7 +65,7 @@
         others = (20 * len(NAMES) - load) / (len(NAMES) - 1)
         loads = {name: load if name == home else others for name in NAMES}
         stays = sum(
-            order_for_chat("chat", _servers(), loads, load_factor=2.0, spread=step / 100, now=0.0)[
+            order_for_chat(ChatPlacement("chat", _servers(), loads, 2.0, step / 100, 0.0))[
                 0
             ].entry.server
             == home
@@ -84,7 +83,7 @@
         servers = _servers(**counts)
         allowed = [state for state in servers if state.entry.server in usable]
         chosen = order_for_chat(
-            f"chat{number}", allowed, _loads(servers), load_factor=2.0, spread=0.0, now=0.0
+            ChatPlacement(f"chat{number}", allowed, _loads(servers), 2.0, 0.0, 0.0)
         )[0]
         counts[chosen.entry.server] += 1
     mean = sum(counts.values()) / len(counts)
@@ -96,7 +95,7 @@
     servers = _servers()
     home = rank_homes("chat", servers)[0]
     home.health.open(1, now=0.0)
-    order = order_for_chat("chat", servers, _loads(servers), load_factor=2.0, spread=0.0, now=5.0)
+    order = order_for_chat(ChatPlacement("chat", servers, _loads(servers), 2.0, 0.0, 5.0))
     assert order[-1] is home
 
 
