Give an address to the server that started last there

Of 218 requests that were refused as misdirected (421), 96 went to a server whose address had been listed for a later one before; each takes a retry from the budget, and 133 requests were refused because it was empty.

Change: an entry with the address of a server that started earlier ends that server; an older entry for a taken address is ignored.

--- a/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -33,6 +33,7 @@
         self.return_cold_s = return_cold_s
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
+        self._by_address: dict[str, ServerState] = {}
         self._out: set[str] = set()
         self._store_back_at: float | None = None
         self._store_away = False
@@ -49,11 +50,14 @@
         """Return a server by its name."""
         return self._servers.get(server)
 
-    def put(self, entry: ServerEntry, *, now: float) -> ServerState | None:
+    def put(self, entry: ServerEntry, *, now: float) -> list[ServerState]:
         """Take an entry.
 
+        An address belongs to the server that started last there: the entry of one that ended stays
+        for some heartbeats, and whatever is sent to it is misdirected.
+
         :param now: Seconds.
-        :returns: The state that the entry replaced, if it was of an earlier incarnation.
+        :returns: The states that ended by it: an earlier incarnation, or what had its address.
         """
         state = self._servers.get(entry.server)
         if state is not None and state.entry.started_ms == entry.started_ms:
@@ -61,10 +65,18 @@
             state.update(entry, now=now)
             if moved:
                 self._index()
-            return None
+            return []
+        ended = [] if state is None else [state]
+        other = self._by_address.get(entry.address)
+        if other is not None and other is not state and other.entry.started_ms:
+            if other.entry.started_ms > entry.started_ms > 0:
+                return []
+            if entry.started_ms > other.entry.started_ms:
+                del self._servers[other.entry.server]
+                ended.append(other)
         self._servers[entry.server] = ServerState(entry=entry, now=now)
         self._index()
-        return state
+        return ended
 
     def remove(self, server: str, *, now: float) -> ServerState | None:
         """Take the removal of an entry.
@@ -88,12 +100,12 @@
         """
         listed = {entry.server: entry for entry in entries}
         first = not self._servers
-        ended = [self.put(entry, now=now) for entry in listed.values()]
+        ended = [state for entry in listed.values() for state in self.put(entry, now=now)]
         if first:
             for state in self._servers.values():
                 state.listed_at = LISTED_BEFORE
-        ended += [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
-        return [state for state in ended if state is not None]
+        removed = [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
+        return ended + [state for state in removed if state is not None]
 
     def expire_lapsed(self, *, now: float) -> list[ServerState]:
         """Drop servers whose entries lapsed and did not come back in time."""
@@ -171,5 +183,6 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        self._by_address = {state.entry.address: state for state in self._servers.values()}
         for state in self._servers.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -63,9 +63,9 @@
                     self._end(state, "removed" if notice.removed else "unreadable_entry")
                 continue
             self._log_change(notice.entry)
-            replaced = self._view.servers.put(notice.entry, now=now)
-            if replaced is not None:
-                self._end(replaced, "restarted")
+            for state in self._view.servers.put(notice.entry, now=now):
+                same = state.entry.server == notice.server
+                self._end(state, "restarted" if same else "address_taken")
         for state in self._view.servers.expire_lapsed(now=now):
             self._end(state, "lapsed_while_store_was_away")
 
--- a/tests/router/gateway/beliefs/test_server_registry.py
+++ b/tests/router/gateway/beliefs/test_server_registry.py
@@ -109,7 +109,7 @@
     registry.put(make_entry(started_ms=1), now=0.0)
     first = registry.get("s1")
     ended = registry.put(make_entry(started_ms=2, cold_s=3.0), now=5.0)
-    assert ended is first
+    assert ended == [first]
     state = registry.get("s1")
     assert state is not None and state.cold(now=6.0)
 
@@ -133,3 +133,33 @@
     registry.put(make_entry("s2"), now=101.0)
     ages = [101.0 - state.listed_at for state in registry.listed("llm")]
     assert ages == [float("inf"), 0.0]
+
+
+def test_address_belongs_to_the_server_that_started_last() -> None:
+    """Guards against requests to a server that ended and whose entry outlives it: each is refused
+    by the server that has its address now, and takes from the retry budget."""
+    registry = ServerRegistry()
+    old = make_entry("s1", address="10.0.0.1:80", started_ms=1)
+    new = make_entry("s2", address="10.0.0.1:80", started_ms=2)
+    registry.put(old, now=0.0)
+    assert [state.entry.server for state in registry.put(new, now=1.0)] == ["s1"]
+    assert registry.put(old, now=2.0) == []
+    assert [state.entry.server for state in registry.usable("llm")] == ["s2"]
+
+
+def test_order_of_a_whole_list_does_not_matter() -> None:
+    """Guards against an older server that displaces the one that has its address now."""
+    old = make_entry("s1", address="10.0.0.1:80", started_ms=1)
+    new = make_entry("s2", address="10.0.0.1:80", started_ms=2)
+    for entries in ([old, new], [new, old]):
+        registry = ServerRegistry()
+        registry.replace_all(entries, now=0.0)
+        assert [state.entry.server for state in registry.usable("llm")] == ["s2"]
+
+
+def test_servers_of_unknown_start_keep_their_addresses() -> None:
+    """Guards against an entry without a start that ends another server."""
+    registry = ServerRegistry()
+    registry.put(make_entry("s1", address="10.0.0.1:80", started_ms=5), now=0.0)
+    assert registry.put(make_entry("s2", address="10.0.0.1:80", started_ms=0), now=1.0) == []
+    assert len(registry.usable("llm")) == 2
