Let only entries of configured services take an address

Cause: read again, an entry of another writer with the address of a server and a later start would have ended that server, or kept it from its address.

Change: addresses count only for entries whose service the configuration in force names.

--- a/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_fleet_view.py
@@ -44,6 +44,7 @@
         self.config = config
         cold_start_s = max((s.cold_start_s for s in config.services.values()), default=0.0)
         self.servers.return_cold_s = cold_start_s
+        self.servers.set_services(config.services)
         return True
 
     def config_age_s(self, *, now: float) -> float:
--- a/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/beliefs/_server_registry.py
@@ -31,6 +31,7 @@
 
     def __init__(self, *, return_cold_s: float = 0.0) -> None:
         self.return_cold_s = return_cold_s
+        self._services: frozenset[str] = frozenset()
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._by_address: dict[str, ServerState] = {}
@@ -46,6 +47,11 @@
         """Data centres that operators have taken out of service."""
         return frozenset(self._out)
 
+    def set_services(self, services: Iterable[str]) -> None:
+        """Take the services of the configuration in force."""
+        self._services = frozenset(services)
+        self._index()
+
     def get(self, server: str) -> ServerState | None:
         """Return a server by its name."""
         return self._servers.get(server)
@@ -54,7 +60,8 @@
         """Take an entry.
 
         An address belongs to the server that started last there: the entry of one that ended stays
-        for some heartbeats, and whatever is sent to it is misdirected.
+        for some heartbeats, and whatever is sent to it is misdirected. Entries of services that are
+        not configured may come from another writer and take no address.
 
         :param now: Seconds.
         :returns: The states that ended by it: an earlier incarnation, or what had its address.
@@ -68,10 +75,11 @@
             return []
         ended = [] if state is None else [state]
         other = self._by_address.get(entry.address)
-        if other is not None and other is not state and other.entry.started_ms:
-            if other.entry.started_ms > entry.started_ms > 0:
+        if other is not None and other is not state and entry.service in self._services:
+            first, last = sorted((entry.started_ms, other.entry.started_ms))
+            if 0 < first < last == other.entry.started_ms:
                 return []
-            if entry.started_ms > other.entry.started_ms:
+            if 0 < first < last:
                 del self._servers[other.entry.server]
                 ended.append(other)
         self._servers[entry.server] = ServerState(entry=entry, now=now)
@@ -183,6 +191,10 @@
 
     def _index(self) -> None:
         self._by_service = {}
-        self._by_address = {state.entry.address: state for state in self._servers.values()}
+        self._by_address = {
+            state.entry.address: state
+            for state in self._servers.values()
+            if state.entry.service in self._services
+        }
         for state in self._servers.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
--- a/tests/router/gateway/beliefs/test_server_registry.py
+++ b/tests/router/gateway/beliefs/test_server_registry.py
@@ -135,10 +135,16 @@
     assert ages == [float("inf"), 0.0]
 
 
+def _registry() -> ServerRegistry:
+    registry = ServerRegistry()
+    registry.set_services({"llm", "box"})
+    return registry
+
+
 def test_address_belongs_to_the_server_that_started_last() -> None:
     """Guards against requests to a server that ended and whose entry outlives it: each is refused
     by the server that has its address now, and takes from the retry budget."""
-    registry = ServerRegistry()
+    registry = _registry()
     old = make_entry("s1", address="10.0.0.1:80", started_ms=1)
     new = make_entry("s2", address="10.0.0.1:80", started_ms=2)
     registry.put(old, now=0.0)
@@ -152,14 +158,34 @@
     old = make_entry("s1", address="10.0.0.1:80", started_ms=1)
     new = make_entry("s2", address="10.0.0.1:80", started_ms=2)
     for entries in ([old, new], [new, old]):
-        registry = ServerRegistry()
+        registry = _registry()
         registry.replace_all(entries, now=0.0)
         assert [state.entry.server for state in registry.usable("llm")] == ["s2"]
 
 
+def test_addresses_are_known_when_the_configuration_comes_last() -> None:
+    """Guards against a start at which servers are listed before the configuration is read."""
+    registry = ServerRegistry()
+    registry.put(make_entry("s1", address="10.0.0.1:80", started_ms=1), now=0.0)
+    registry.set_services({"llm"})
+    ended = registry.put(make_entry("s2", address="10.0.0.1:80", started_ms=2), now=1.0)
+    assert [state.entry.server for state in ended] == ["s1"]
+
+
 def test_servers_of_unknown_start_keep_their_addresses() -> None:
     """Guards against an entry without a start that ends another server."""
-    registry = ServerRegistry()
+    registry = _registry()
     registry.put(make_entry("s1", address="10.0.0.1:80", started_ms=5), now=0.0)
     assert registry.put(make_entry("s2", address="10.0.0.1:80", started_ms=0), now=1.0) == []
     assert len(registry.usable("llm")) == 2
+
+
+def test_entry_of_an_unknown_service_takes_no_address() -> None:
+    """Guards against an entry of another writer that ends a server or keeps it from its address."""
+    real = make_entry("s1", address="10.0.0.1:80", started_ms=5)
+    forged = make_entry("s2", address="10.0.0.1:80", started_ms=9, service="nobody")
+    for entries in ([real, forged], [forged, real]):
+        registry = _registry()
+        for entry in entries:
+            assert registry.put(entry, now=0.0) == []
+        assert [state.entry.server for state in registry.usable("llm")] == ["s1"]
