--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -57,22 +57,37 @@
     assert _play(load, "gateway").over_bound <= 0.03
 
 
-@pytest.mark.parametrize("routers", [5, 20])
-def test_popular_chat_before_many_servers_keeps_the_bound(routers: int) -> None:
-    """Load: 260 requests a second of one chat, more than a router hears of between two reports.
-    Guards against servers that are above the allowed load in over 3 of 100 requests."""
-    result = run_load(
+def _play_popular_chat(
+    *, routers: int, servers: int, rates_per_s: tuple[float, ...], sessions: int
+) -> Result:
+    return run_load(
         "hot_chat",
         LOADS["hot_chat"],
         policy="gateway",
-        settings=msgspec.structs.replace(FleetSettings(), servers=20, routers=routers),
+        settings=msgspec.structs.replace(FleetSettings(), servers=servers, routers=routers),
         classes=[
-            msgspec.structs.replace(kind, per_s=rate, sessions=3 * kind.sessions)
-            for kind, rate in zip(USERS_CLASSES, (30.5, 40.0, 130.0), strict=True)
+            msgspec.structs.replace(kind, per_s=rate, sessions=sessions * kind.sessions)
+            for kind, rate in zip(USERS_CLASSES, rates_per_s, strict=True)
         ],
         seconds=26.0,
         seed=1,
     )
+
+
+@pytest.mark.parametrize("routers", [5, 20])
+def test_popular_chat_before_many_servers_keeps_the_bound(routers: int) -> None:
+    """Load: 260 requests a second of one chat, more than a router hears of between two reports.
+    Guards against servers that are above the allowed load in over 3 of 100 requests."""
+    rates = (30.5, 40.0, 130.0)
+    result = _play_popular_chat(routers=routers, servers=20, rates_per_s=rates, sessions=3)
+    assert result.over_bound <= 0.03
+
+
+def test_popular_chat_before_hundreds_of_routers_keeps_the_bound() -> None:
+    """Load: the same with 300 routers, of which each hears eight. Guards against a bound that only
+    holds in small fleets."""
+    rates = (91.5, 119.0, 129.0)
+    result = _play_popular_chat(routers=300, servers=60, rates_per_s=rates, sessions=10)
     assert result.over_bound <= 0.03
 
 
