--- a/tests/platform_adapter/wire.py
+++ b/tests/platform_adapter/wire.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Any
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
-def config(version: int = 7, **changes: Any) -> dict[str, Any]:
-    """Return a configuration with two routes of one model service and one plain route."""
+
+TEAM_HEADER = "x-tenant"
+"""Header that names the team to a server."""
+
+
+def config(
+    version: int = 7, *, keys: Sequence[str] | None = None, **changes: Any
+) -> dict[str, Any]:
+    """Return a configuration with two routes of one model service and one plain route.
+
+    :param keys: Keys of the only team; without any there is no team.
+    """
     body: dict[str, Any] = {
         "version": version,
         "routes": [
@@ -54,6 +67,8 @@
         },
         "tenants": [{"name": "schools", "api_keys": ["k1", "k2"], "priority": 2}],
     }
+    if keys is not None:
+        body["tenants"] = [{"name": "schools", "api_keys": list(keys)}] if keys else []
     return body | changes
 
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -98,7 +98,7 @@
         self.store.stop()
 
     def config(self, version: int, *, keys: tuple[str, ...] = ("k1",)) -> dict[str, object]:
-        return wire.config(version, tenants=[{"name": "schools", "api_keys": list(keys)}])
+        return wire.config(version, keys=keys)
 
     def _entry(self, number: int, **changes: object) -> dict[str, object]:
         return wire.server(self.servers[number].address, service="app", slots=6, **changes)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -102,7 +102,7 @@
             _route("many", "safe", max_attempts=3),
             _route("stream", "streaming", max_attempts=3, stream_resume=True),
         ]
-        store.put("keyed.op", "config", wire.config(7, routes=routes, tenants=[]))
+        store.put("keyed.op", "config", wire.config(7, keys=(), routes=routes))
         for number in range(GATEWAYS):
             await self._proxy(f"store-{number}", address)
             await self._start_gateway(number)
