Log how each configuration was read and what it waited for

The logs of the incident show when a version is in force at a router, but not what it waited for: its reader, its link, its processor or records that the read left behind. A batch now carries how it was read, and the gateway logs it for operators' changes ("operator changes read": source, versions, bytes, wait, transfer, decoding, records left); "configuration in force" also gives routes and activation time. No decision reads these figures.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -18,11 +18,13 @@
 from cornellead_core.routing._routing_config import TeamKeys
 from cornellead_core.routing._server_entry import ReportedLoad
 from cornellead_core.routing._server_entry import ServerEntry
+from cornellead_core.routing._store import STORE_SOURCE
 from cornellead_core.routing._store import DataCentreNotice
 from cornellead_core.routing._store import FleetStore
 from cornellead_core.routing._store import Notice
 from cornellead_core.routing._store import NoticeBatch
 from cornellead_core.routing._store import OffsetExpired
+from cornellead_core.routing._store import ReadStats
 from cornellead_core.routing._store import RouterLocation
 from cornellead_core.routing._store import RouterNotice
 from cornellead_core.routing._store import RoutingNotice
@@ -37,6 +39,7 @@
 from cornellead_core.routing._wire_format import WireFormat
 
 __all__ = [
+    "STORE_SOURCE",
     "Bounds",
     "CallerHeaders",
     "CallerLimits",
@@ -51,6 +54,7 @@
     "NoticeBatch",
     "OffsetExpired",
     "PromptPart",
+    "ReadStats",
     "ReportedLoad",
     "RequestKind",
     "Route",
--- a/packages/core/src/cornellead_core/routing/_http_client.py
+++ b/packages/core/src/cornellead_core/routing/_http_client.py
@@ -15,6 +15,10 @@
 
     status: int
     body: bytes
+    wait_s: float = 0.0
+    """Time from the request to the start of the response."""
+    transfer_s: float = 0.0
+    """Time from the start to the end of the response."""
 
 
 class HttpClient(Protocol):
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -74,6 +74,25 @@
 """Age up to which notices count as current: the shortest deadline for applying a change."""
 
 
+class ReadStats(NamedTuple):
+    """How a batch was read, for logs and metrics."""
+
+    source: str
+    """``store``, or the name of the router that relayed the batch."""
+    body_bytes: int
+    wait_s: float
+    """Time until the response began, including the time for which it was held."""
+    transfer_s: float
+    """Time from the start to the end of the response."""
+    decode_s: float
+    records_left: int = 0
+    """Records after the batch that the topic contained when the response began."""
+
+
+STORE_SOURCE = "store"
+"""`ReadStats.source` of batches that were read from the store itself."""
+
+
 class NoticeBatch(NamedTuple):
     """Notices in the order of their offsets in the store."""
 
@@ -82,6 +101,7 @@
     """Offset at which to continue reading."""
     age_s: float = 0.0
     """Time since a read of the store confirmed them; above 0 if another router relayed them."""
+    read: ReadStats | None = None
 
     @property
     def is_current(self) -> bool:
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+import time
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import structlog
 from returns.result import Failure
@@ -12,17 +14,18 @@
 from returns.result import Success
 
 from cornellead.gateway.relay._change_log import ChangeLog
+from cornellead.gateway.relay._change_log import RelayPage
 from cornellead.gateway.relay._relay_codec import decode_page
 from cornellead.gateway.relay._relay_handler import PATH_PREFIX
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import ReadStats
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from cornellead.gateway.relay._change_log import RelayPage
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import HttpClient
@@ -49,6 +52,11 @@
 """Number of routers queried concurrently when the store is unavailable at startup."""
 
 
+class _FetchedPage(NamedTuple):
+    page: RelayPage
+    read: ReadStats
+
+
 class RelayedStore:
     """Reads the store directly if this router is a reader of its data centre, else via a reader.
 
@@ -81,9 +89,9 @@
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         """Return the newest notice of each writer."""
-        page = await self._query_reader(topic, offset=None, wait_s=0.0)
-        if page is not None:
-            return Success(self._apply_snapshot(topic, page))
+        fetched = await self._query_reader(topic, offset=None, wait_s=0.0)
+        if fetched is not None:
+            return Success(self._apply_snapshot(topic, fetched))
         result = await self._store.read_newest(topic)
         if isinstance(result, Success):
             batch = result.unwrap()
@@ -91,8 +99,8 @@
             return result
         if self.logs[topic].loaded:
             return result
-        old_page = await self._query_any_peer(topic)
-        return result if old_page is None else Success(self._apply_snapshot(topic, old_page))
+        old = await self._query_any_peer(topic)
+        return result if old is None else Success(self._apply_snapshot(topic, old))
 
     async def read_after(
         self, topic: Topic, *, offset: int, wait_s: float
@@ -101,13 +109,16 @@
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
-        page = await self._query_reader(topic, offset=offset, wait_s=min(MAX_WAIT_S, wait_s))
-        if page is not None:
+        fetched = await self._query_reader(topic, offset=offset, wait_s=min(MAX_WAIT_S, wait_s))
+        if fetched is not None:
+            page = fetched.page
             if page.snapshot:
                 return Failure(OffsetExpired(offset))
             now = self._clock() - page.age_s
             self.logs[topic].add(page.notices, page.next_offset, now=now)
-            return Success(NoticeBatch(page.notices, page.next_offset, page.age_s))
+            return Success(
+                NoticeBatch(page.notices, page.next_offset, page.age_s, read=fetched.read)
+            )
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
         if isinstance(result, Success):
             batch = result.unwrap()
@@ -123,20 +134,24 @@
         """
         return await self._store.announce(router, location)
 
-    def _apply_snapshot(self, topic: Topic, page: RelayPage) -> NoticeBatch:
+    def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
+        page = fetched.page
         now = self._clock() - page.age_s
         self.logs[topic].replace(page.notices, page.next_offset, now=now)
-        return NoticeBatch(page.notices, page.next_offset, page.age_s)
+        return NoticeBatch(page.notices, page.next_offset, page.age_s, read=fetched.read)
 
-    async def _query_any_peer(self, topic: Topic) -> RelayPage | None:
+    async def _query_any_peer(self, topic: Topic) -> _FetchedPage | None:
         """Query a few routers of any data centre and return the most recently confirmed page."""
-        peers = [location.address for location in self._view.peers(now=self._clock()).values()]
+        peers = list(self._view.peers(now=self._clock()).items())
         queried = random.sample(peers, min(MAX_QUERIED_PEERS, len(peers)))
         responses = await asyncio.gather(
-            *(self._fetch(address, topic, offset=None, wait_s=0.0) for address in queried)
+            *(
+                self._fetch(name, location.address, topic, offset=None, wait_s=0.0)
+                for name, location in queried
+            )
         )
-        pages = [page for page in responses if page is not None]
-        return min(pages, key=lambda page: page.age_s, default=None)
+        pages = [fetched for fetched in responses if fetched is not None]
+        return min(pages, key=lambda fetched: fetched.page.age_s, default=None)
 
     def _readers(self) -> dict[str, str]:
         """Return the addresses of this data centre's readers by name; empty if this router is
@@ -153,26 +168,26 @@
 
     async def _query_reader(
         self, topic: Topic, *, offset: int | None, wait_s: float
-    ) -> RelayPage | None:
+    ) -> _FetchedPage | None:
         for name, address in self._readers().items():
             if self._clock() < self._backoff_until.get((name, topic), 0.0):
                 continue
-            page = await self._fetch(address, topic, offset=offset, wait_s=wait_s)
-            if page is not None and page.age_s <= MAX_PAGE_AGE_S[topic]:
+            fetched = await self._fetch(name, address, topic, offset=offset, wait_s=wait_s)
+            if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
-                return page
+                return fetched
             self._backoff_until[name, topic] = self._clock() + READER_BACKOFF_S
             structlog.get_logger().info(
                 "reader not used",
                 topic=topic.value,
                 reader=name,
-                age_s=None if page is None else round(page.age_s, 2),
+                age_s=None if fetched is None else round(fetched.page.age_s, 2),
             )
         return None
 
     async def _fetch(
-        self, address: str, topic: Topic, *, offset: int | None, wait_s: float
-    ) -> RelayPage | None:
+        self, name: str, address: str, topic: Topic, *, offset: int | None, wait_s: float
+    ) -> _FetchedPage | None:
         query = "" if offset is None else f"?after={offset}&wait={wait_s:.2f}"
         target = f"{PATH_PREFIX}{topic.value}{query}"
         result = await self._http.call(
@@ -180,4 +195,16 @@
         )
         if isinstance(result, Failure) or result.unwrap().status != HTTP_OK:
             return None
-        return decode_page(result.unwrap().body)
+        response = result.unwrap()
+        decode_started_at = time.perf_counter()
+        page = decode_page(response.body)
+        if page is None:
+            return None
+        read = ReadStats(
+            source=name,
+            body_bytes=len(response.body),
+            wait_s=response.wait_s,
+            transfer_s=response.transfer_s,
+            decode_s=time.perf_counter() - decode_started_at,
+        )
+        return _FetchedPage(page, read)
--- a/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -24,6 +24,9 @@
         self._view_changes = metrics.counter(
             "gateway_belief_changes", "Changes of belief", ["belief"]
         )
+        self._operator_bytes = metrics.counter(
+            "gateway_operator_read_bytes", "Bytes of reads with operators' changes", ["source"]
+        )
         self._latency = LatencyHistogram()
         gauge = metrics.gauge(
             "gateway_request_seconds", "Time to the end of requests", ["quantile"]
@@ -43,6 +46,13 @@
         """Count a decision on a request, such as a retry."""
         self._decisions.labels(decision).inc()
 
+    def count_operator_read(self, source: str, body_bytes: int) -> None:
+        """Count the bytes of a read that brought operators' changes.
+
+        :param source: ``store`` or ``router``.
+        """
+        self._operator_bytes.labels(source).inc(body_bytes)
+
     def count_view_change(self, kind: str) -> None:
         """Count a change of this router's view of the fleet, such as a server that ended."""
         self._view_changes.labels(kind).inc()
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import structlog
 
+from cornellead_core.routing import STORE_SOURCE
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingNotice
@@ -19,6 +21,9 @@
     from cornellead_core.routing import NoticeBatch
 
 
+MS_PER_S = 1000
+
+
 class OperatorSink:
     """Applies routing configurations and the set of data centres out of service."""
 
@@ -36,6 +41,7 @@
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices; an empty batch confirms that nothing changed."""
+        self._report_read(batch)
         now = self._clock()
         self._view.confirmed_at = now - batch.age_s
         if batch.is_current:
@@ -50,17 +56,45 @@
         """Record the outage and keep the active configuration."""
         self._view.mark_store_unavailable(Topic.OPERATOR, now=self._clock())
 
+    def _report_read(self, batch: NoticeBatch) -> None:
+        read = batch.read
+        if read is None or not batch.notices:
+            return
+        source = "store" if read.source == STORE_SOURCE else "router"
+        self._stats.count_operator_read(source, read.body_bytes)
+        routing = [n.data for n in batch.notices if isinstance(n, RoutingNotice)]
+        structlog.get_logger().info(
+            "operator changes read",
+            source=read.source,
+            configs=[data.version for data in routing if data is not None],
+            notices=len(batch.notices),
+            next_offset=batch.next_offset,
+            records_left=read.records_left,
+            age_s=round(batch.age_s, 2),
+            body_bytes=read.body_bytes,
+            wait_ms=round(read.wait_s * MS_PER_S),
+            transfer_ms=round(read.transfer_s * MS_PER_S),
+            decode_ms=round(read.decode_s * MS_PER_S),
+        )
+
     def _apply_config(self, notice: RoutingNotice) -> None:
         log = structlog.get_logger()
         if notice.data is None:
             log.error("configuration unreadable", problem=notice.problem)
             self._stats.count_view_change("config_unreadable")
             return
+        started_at = time.perf_counter()
         cfg = RoutingConfig(data=notice.data)
         previous = self._view.config.version if self._view.config else None
         if self._view.activate_config(cfg):
             self._stats.count_view_change("config")
-            log.info("configuration in force", config=cfg.version, before=previous)
+            log.info(
+                "configuration in force",
+                config=cfg.version,
+                before=previous,
+                routes=len(cfg.data.routes),
+                activate_ms=round((time.perf_counter() - started_at) * MS_PER_S),
+            )
 
     def _set_out_of_service(self, data_centre: str, *, out: bool) -> None:
         if self._view.servers.set_out_of_service(data_centre, out=out, now=self._clock()):
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -46,6 +46,8 @@
             may have received the request in either case.
         """
         head = encode_request_head(address, method, target, len(body))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         try:
             async with asyncio.timeout(timeout_s):
                 sent = await self._pool.send(address, head, body)
@@ -55,9 +57,17 @@
                 response = await exchange.head()
                 if response is None:
                     return Failure("the connection closed before the response")
+                response_at = loop.time()
                 response_body = await exchange.read_all(limit=MAX_BODY_BYTES)
         except TimeoutError:
             return Failure(f"no complete response within {timeout_s:.2f} s")
         if response_body is None:
             return Failure("the connection closed before the end of the response")
-        return Success(HttpResponse(response.status, response_body))
+        return Success(
+            HttpResponse(
+                response.status,
+                response_body,
+                wait_s=response_at - started_at,
+                transfer_s=loop.time() - response_at,
+            )
+        )
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import structlog
 from tests.router.gateway.builders import make_config
 from tests.router.gateway.builders import make_entry
 
@@ -11,6 +12,7 @@
 from cornellead.gateway.view import FleetView
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import NoticeBatch
+from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
 
@@ -67,3 +69,20 @@
     assert view.outage_s(now=NOW + 1.0) == 1.0
     server_sink.apply_changes(NoticeBatch([], 5))
     assert view.outage_s(now=NOW + 1.0) is None
+
+
+def test_read_of_a_configuration_is_logged() -> None:
+    """Guards against logs that do not tell what a late configuration waited for."""
+    read = ReadStats("r2", 500, wait_s=0.2, transfer_s=0.7, decode_s=0.05, records_left=3)
+    notice = RoutingNotice(make_config(version=4).data, "")
+    with structlog.testing.capture_logs() as lines:
+        _operator_sink(FleetView(router="r1")).apply_changes(NoticeBatch([notice], 5, read=read))
+    read_line, active_line = lines
+    assert (read_line["source"], read_line["configs"], read_line["body_bytes"]) == ("r2", [4], 500)
+    assert (read_line["wait_ms"], read_line["transfer_ms"], read_line["decode_ms"]) == (
+        200,
+        700,
+        50,
+    )
+    assert read_line["records_left"] == 3
+    assert (active_line["config"], active_line["routes"]) == (4, 4)
