Add failing tests of a large configuration on slow links

A reader that the store rejects does not ask other routers.

The fake store limits the size of a read as the platform's page says, but returns at least one record.

--- a/tests/platform_adapter/fake_store.py
+++ b/tests/platform_adapter/fake_store.py
@@ -125,5 +125,10 @@
             except TimeoutError:
                 pass
         records = self._records.get(topic, [])
-        data = b"".join(encode_record(*record) for record in records[start:])
+        data = b""
+        for record in records[start:]:
+            encoded = encode_record(*record)
+            if data and len(data) + len(encoded) > int(params.get("max_kb", "1024")) << 10:
+                break
+            data += encoded
         out.respond(200, (), struct.pack(">QQ", len(records), first) + data)
--- a/tests/platform_adapter/payloads.py
+++ b/tests/platform_adapter/payloads.py
@@ -74,6 +74,28 @@
     return body | changes
 
 
+def large_operator_config(version: int, *, route_count: int) -> dict[str, Any]:
+    """Return a routing configuration with many plain routes, of about 200 bytes each."""
+    routes = [
+        {
+            "name": f"r-{number:06d}",
+            "hostname": "box.example",
+            "path_prefix": f"/{number:06d}/",
+            "kind": "safe",
+            "timeout_ms": 1500,
+            "target_latency_ms": 200,
+            "priority": 2,
+            "service": "app",
+            "max_attempts": 2,
+            "public": False,
+            "sticky_sessions": False,
+            "stream_resume": False,
+        }
+        for number in range(route_count)
+    ]
+    return operator_config(version, routes=routes)
+
+
 def server_entry(address: str = "10.0.0.9:8080", **changes: Any) -> dict[str, Any]:
     """Return the entry of a server.
 
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -54,6 +54,8 @@
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         self.calls += 1
+        if self.unavailable:
+            return Failure(StoreError("no answer"))
         return Success(NoticeBatch([*self.notices[offset:]], len(self.notices)))
 
     async def announce(
@@ -194,6 +196,29 @@
     assert batch.age_s < 7.0
 
 
+async def test_reader_cut_off_from_the_store_follows_other_routers(
+    free_address: Callable[[], str],
+) -> None:
+    """Guards against a reader that misses changes while the store rejects only this router."""
+    rejecting, serving = CountingStore(), CountingStore()
+    rejecting.unavailable = True
+    names = rank_members("dc-a", NAMES)
+    cut_off = RouterFixture(names[0], free_address(), rejecting)
+    others = [RouterFixture(name, free_address(), serving) for name in names[1:]]
+    serving.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
+    for router in (cut_off, *others):
+        await router.listener.start()
+        await router.store.read_newest(Topic.OPERATOR)
+        for other in (cut_off, *others):
+            router.view.apply_announcement(other.name, other.location, now=time.monotonic())
+    result = await cut_off.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    for router in (cut_off, *others):
+        router.listener.stop_accepting()
+    batch = result.unwrap()
+    assert [n.server for n in batch.notices if isinstance(n, ServerNotice)] == ["s1"]
+    assert batch.is_current
+
+
 async def test_loaded_router_ignores_older_pages(routers: RouterGroup) -> None:
     """Guards against replacing newer notices with those of a router that lost its connection to the
     store."""
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -22,6 +22,7 @@
 
 DELAY_S = 0.15
 POLL_S = 0.02
+READ_BYTES = 16 << 10
 
 
 class FaultProxy:
@@ -35,6 +36,8 @@
         self.address = address
         self._target = target
         self.fault = Fault.NONE
+        self.bytes_per_s: float | None = None
+        """Rate of responses; unlimited if ``None``."""
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -90,11 +93,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, responses: bool
     ) -> None:
         try:
-            while data := await reader.read(1 << 16):
+            while data := await reader.read(READ_BYTES):
                 if self.fault is Fault.DELAY:
                     await asyncio.sleep(DELAY_S)
                 while self.fault is Fault.SILENT or (self.fault is Fault.ONE_WAY and responses):
                     await asyncio.sleep(POLL_S)
+                if responses and self.bytes_per_s is not None:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
