Read the newest state when a read leaves records, and confirm only that

Cause: callers got 404 for a route that had been acknowledged 3.9 s before. The router had been cut off from the store and read all versions that it had missed, in order and in full: 0.8 MB a read, 1.4 s on a link of 5 Mbit/s, while a new version came every 1.7 s. The time to catch up is the bytes of all missed versions, not of the newest one. Each of these reads counted as a confirmation at the time at which its last byte arrived, so the router answered 404 and not 503.

If it leaves records in the store, the next read is of the newest records. Only a read that leaves none confirms the configuration, and the age of a batch counts from the time at which the store sent it.

--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -85,8 +85,6 @@
     transfer_s: float
     """Time from the start to the end of the response."""
     decode_s: float
-    records_left: int = 0
-    """Records after the batch that the topic contained when the response began."""
 
 
 STORE_SOURCE = "store"
@@ -100,7 +98,11 @@
     next_offset: int
     """Offset at which to continue reading."""
     age_s: float = 0.0
-    """Time since a read of the store confirmed them; above 0 if another router relayed them."""
+    """Time since the store sent them: the time to receive them, and to relay them if another router
+    read them."""
+    records_left: int = 0
+    """Later records that the topic contained already. Unless 0, the notices are not its newest
+    state, and the rest is to be read with `read_newest`."""
     read: ReadStats | None = None
 
     @property
@@ -131,7 +133,7 @@
     async def read_after(
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        """Return the notices from an offset on, with long polling.
+        """Return the next notices from an offset on, with long polling.
 
         :param wait_s: Maximum time to wait for the first notice; 0 returns immediately.
         """
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -75,18 +75,21 @@
             self._changes[_writer(notice)] = _Change(next_offset - 1, now, notice)
         self._record_confirmation(next_offset, now=now)
 
-    def add(self, notices: Sequence[Notice], next_offset: int, *, now: float) -> None:
+    def add(
+        self, notices: Sequence[Notice], next_offset: int, *, now: float, complete: bool = True
+    ) -> None:
         """Apply later notices.
 
         :param next_offset: Offset after the last notice.
         :param now: Seconds.
+        :param complete: Whether the store had no further notices.
         """
         for notice in notices:
             previous = self._changes.get(_writer(notice))
             if previous is None or previous.notice != notice:
                 self._changes[_writer(notice)] = _Change(next_offset - 1, now, notice)
         self._evict_removals(now)
-        self._record_confirmation(next_offset, now=now)
+        self._record_confirmation(next_offset, now=now if complete else self._confirmed_at)
 
     def read(self, offset: int | None, *, now: float) -> RelayPage | None:
         """Return the changes since an offset, or a snapshot if the offset is too old.
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -56,6 +56,11 @@
     page: RelayPage
     read: ReadStats
 
+    @property
+    def age_s(self) -> float:
+        """Time since the store sent the notices, with the transfer from the other router."""
+        return self.page.age_s + self.read.transfer_s + self.read.decode_s
+
 
 class RelayedStore:
     """Reads the store directly if this router is a reader of its data centre, else via a reader.
@@ -95,7 +100,8 @@
         result = await self._store.read_newest(topic)
         if isinstance(result, Success):
             batch = result.unwrap()
-            self.logs[topic].replace(batch.notices, batch.next_offset, now=self._clock())
+            sent_at = self._clock() - batch.age_s
+            self.logs[topic].replace(batch.notices, batch.next_offset, now=sent_at)
             return result
         if self.logs[topic].loaded:
             return result
@@ -111,18 +117,18 @@
         """
         fetched = await self._query_reader(topic, offset=offset, wait_s=min(MAX_WAIT_S, wait_s))
         if fetched is not None:
-            page = fetched.page
-            if page.snapshot:
+            if fetched.page.snapshot:
                 return Failure(OffsetExpired(offset))
-            now = self._clock() - page.age_s
-            self.logs[topic].add(page.notices, page.next_offset, now=now)
-            return Success(
-                NoticeBatch(page.notices, page.next_offset, page.age_s, read=fetched.read)
-            )
+            return Success(self._apply_changes(topic, fetched))
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
         if isinstance(result, Success):
             batch = result.unwrap()
-            self.logs[topic].add(batch.notices, batch.next_offset, now=self._clock())
+            self.logs[topic].add(
+                batch.notices,
+                batch.next_offset,
+                now=self._clock() - batch.age_s,
+                complete=batch.records_left == 0,
+            )
         return result
 
     async def announce(
@@ -135,10 +141,14 @@
         return await self._store.announce(router, location)
 
     def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
-        page = fetched.page
-        now = self._clock() - page.age_s
-        self.logs[topic].replace(page.notices, page.next_offset, now=now)
-        return NoticeBatch(page.notices, page.next_offset, page.age_s, read=fetched.read)
+        page, age_s = fetched.page, fetched.age_s
+        self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
+        return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
+
+    def _apply_changes(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
+        page, age_s = fetched.page, fetched.age_s
+        self.logs[topic].add(page.notices, page.next_offset, now=self._clock() - age_s)
+        return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
 
     async def _query_any_peer(self, topic: Topic) -> _FetchedPage | None:
         """Query a few routers of any data centre and return the most recently confirmed page."""
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -43,7 +43,8 @@
         """Apply later notices; an empty batch confirms that nothing changed."""
         self._report_read(batch)
         now = self._clock()
-        self._view.confirmed_at = now - batch.age_s
+        if batch.records_left == 0:
+            self._view.confirmed_at = now - batch.age_s
         if batch.is_current:
             self._view.mark_store_available(Topic.OPERATOR)
         for notice in batch.notices:
@@ -69,7 +70,7 @@
             configs=[data.version for data in routing if data is not None],
             notices=len(batch.notices),
             next_offset=batch.next_offset,
-            records_left=read.records_left,
+            records_left=batch.records_left,
             age_s=round(batch.age_s, 2),
             body_bytes=read.body_bytes,
             wait_ms=round(read.wait_s * MS_PER_S),
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -46,7 +46,8 @@
 class TopicReader:
     """Reads the newest notice of each writer once, then all later notices.
 
-    It starts over when the store no longer has the history after its offset.
+    It starts over when the store no longer has the history after its offset, or when it is so far
+    behind that a read leaves later notices in the store.
 
     :param wait_s: Maximum time for which the store holds a read while it has no new records.
     :param interval_s: Returns the minimum time between reads.
@@ -111,7 +112,8 @@
         batch = later.unwrap()
         self._record_success(batch)
         self._sink.apply_changes(batch)
-        self._offset = batch.next_offset
+        # The newest records are one transfer, however many there are before them.
+        self._offset = batch.next_offset if batch.records_left == 0 else None
         return True
 
     def _record_failure(self, message: str) -> None:
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -73,10 +73,12 @@
 
 def test_read_of_a_configuration_is_logged() -> None:
     """Guards against logs that do not tell what a late configuration waited for."""
-    read = ReadStats("r2", 500, wait_s=0.2, transfer_s=0.7, decode_s=0.05, records_left=3)
+    read = ReadStats("r2", 500, wait_s=0.2, transfer_s=0.7, decode_s=0.05)
     notice = RoutingNotice(make_config(version=4).data, "")
     with structlog.testing.capture_logs() as lines:
-        _operator_sink(FleetView(router="r1")).apply_changes(NoticeBatch([notice], 5, read=read))
+        _operator_sink(FleetView(router="r1")).apply_changes(
+            NoticeBatch([notice], 5, records_left=3, read=read)
+        )
     read_line, active_line = lines
     assert (read_line["source"], read_line["configs"], read_line["body_bytes"]) == ("r2", [4], 500)
     assert (read_line["wait_ms"], read_line["transfer_ms"], read_line["decode_ms"]) == (
