Let the time for a response grow with its size

Cause: a call ended after a fixed time, 0.8 s for the store and 0.3 s for a router of the data centre, whatever its size. The newest records of a configuration of 2,050 routes are 0.54 MB and take 0.87 s on a link of 5 Mbit/s: cut off and requested again, each time from the beginning.

Change: the body of a response extends the timeout of its call while it arrives at 100 KB/s or more on average and without a pause of 0.8 s, by at most 6 s. A body without end stops there, or at 16 MB.

--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -112,10 +112,13 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
-    async def read_all(self, *, limit: int) -> bytes | None:
+    async def read_all(
+        self, *, limit: int, on_progress: Callable[[int], None] | None = None
+    ) -> bytes | None:
         """Read the whole body.
 
         :param limit: Maximum size in bytes; a longer body closes the connection.
+        :param on_progress: Called with the size so far whenever bytes arrive.
         :returns: ``None`` if the body is incomplete or too long.
         """
         parts: list[bytes] = []
@@ -131,6 +134,8 @@
                 self.abort()
                 return None
             parts.append(data)
+            if on_progress is not None:
+                on_progress(size)
 
     def abort(self) -> None:
         """Close the connection and mark the response as broken, unless it is complete."""
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -1,4 +1,4 @@
-"""Requests with short responses over pooled connections."""
+"""Requests whose responses are read into memory, over pooled connections."""
 
 from __future__ import annotations
 
@@ -16,6 +16,13 @@
 
 MAX_BODY_BYTES = 16 << 20
 """Maximum size of a response body; enough for a list of about ten thousand servers."""
+STALL_TIMEOUT_S = 0.8
+"""Maximum pause in a response body. A connection may go silent without being closed."""
+MIN_BODY_BYTES_PER_S = 100_000.0
+"""Minimum average rate of a body that may exceed the timeout of the call: a sixth of the slowest
+link, which callers use as well."""
+MAX_EXTENSION_S = 6.0
+"""Maximum extension of the timeout of a call: 3.7 MB over a link of 5 Mbit/s."""
 
 
 def encode_request_head(address: str, method: str, target: str, length: int) -> bytes:
@@ -29,7 +36,11 @@
 
 
 class PooledHttpClient:
-    """Sends requests and reads their complete responses."""
+    """Sends requests and reads their complete responses.
+
+    The time for a body grows with its size, since a large one that is cut off by a fixed timeout
+    never arrives, however often it is requested.
+    """
 
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
@@ -41,15 +52,21 @@
 
         :param address: ``ip:port``.
         :param target: Path and query.
-        :param timeout_s: Maximum time until the response is complete.
+        :param timeout_s: Maximum time until the response is complete, in addition to the time that
+            a large body takes.
         :returns: The response, or a message that says why it is missing or incomplete. The server
             may have received the request in either case.
         """
         head = encode_request_head(address, method, target, len(body))
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+
+        def deadline_of_size(size: int) -> float:
+            extension_s = min(MAX_EXTENSION_S, size / MIN_BODY_BYTES_PER_S)
+            return started_at + timeout_s + extension_s
+
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as deadline:
                 sent = await self._pool.send(address, head, body)
                 if isinstance(sent, Failure):
                     return Failure(sent.failure().message)
@@ -58,9 +75,14 @@
                 if response is None:
                     return Failure("the connection closed before the response")
                 response_at = loop.time()
-                response_body = await exchange.read_all(limit=MAX_BODY_BYTES)
+                response_body = await exchange.read_all(
+                    limit=MAX_BODY_BYTES,
+                    on_progress=lambda size: deadline.reschedule(
+                        min(loop.time() + STALL_TIMEOUT_S, deadline_of_size(size))
+                    ),
+                )
         except TimeoutError:
-            return Failure(f"no complete response within {timeout_s:.2f} s")
+            return Failure(f"no complete response within {loop.time() - started_at:.2f} s")
         if response_body is None:
             return Failure("the connection closed before the end of the response")
         return Success(
