Let a router that the store rejects follow other routers

Cause: the reader of a data centre asked only the store.

Change: when the store fails, a router takes recent notices (1.2 s) from two other routers, and asks the store again after 1 s. Routers rely on a reader only while it reads the store itself; it says 503 at once otherwise, also to reads that it holds, so that two routers never wait for each other. When the reader fails, the next in rank is asked before the store.

--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -57,6 +57,9 @@
         self._next_offset: int | None = None
         self._confirmed_at = 0.0
         self._changed = asyncio.Event()
+        self.from_store = False
+        """Whether the router reads the topic from the store itself, so that others may rely on it.
+        Two routers that read from each other would both stop receiving changes."""
 
     @property
     def loaded(self) -> bool:
@@ -108,8 +111,16 @@
         notices = [change.notice for change in changes]
         return RelayPage(notices, max(offset, self._next_offset), False, age_s)
 
+    def set_from_store(self, from_store: bool) -> None:
+        """Set `from_store` and end all waits if the store was lost."""
+        lost = self.from_store and not from_store
+        self.from_store = from_store
+        if lost:
+            self._wake()
+
     async def wait(self, offset: int, *, timeout_s: float) -> None:
-        """Wait until the log has notices beyond an offset or the timeout expires.
+        """Wait until the log has notices beyond an offset, the store is lost, or the timeout
+        expires.
 
         Returns immediately if the log is still empty.
 
@@ -127,8 +138,11 @@
         self._next_offset = next_offset
         self._confirmed_at = now
         if advanced:
-            self._changed.set()
-            self._changed = asyncio.Event()
+            self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _evict_removals(self, now: float) -> None:
         expired = [
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -22,7 +22,10 @@
 
 
 class RelayHandler:
-    """Handles ``GET /notices/<topic>?after=<offset>&wait=<seconds>``."""
+    """Handles ``GET /notices/<topic>?after=<offset>&wait=<seconds>&reader=1``.
+
+    With ``reader``, the other router relies on this one to read the store.
+    """
 
     def __init__(self, *, logs: Mapping[Topic, ChangeLog], clock: Callable[[], float]) -> None:
         self._logs = logs
@@ -30,7 +33,8 @@
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
         """Respond with a page, with 400 or 404 to an invalid request, or with 503 until the first
-        notices were read."""
+        notices were read, and to a router that relies on this one while it does not read the store.
+        """
         topic = req.path.removeprefix(PATH_PREFIX)
         if topic not in list(Topic):
             out.respond(404, (), b"")
@@ -43,10 +47,11 @@
         except ValueError:
             out.respond(400, (), b"")
             return
-        if offset is not None and wait_s > 0:
+        relied_on = "reader" in query
+        if offset is not None and wait_s > 0 and (log.from_store or not relied_on):
             await log.wait(offset, timeout_s=wait_s)
         page = log.read(offset, now=self._clock())
-        if page is None:
+        if page is None or (relied_on and not log.from_store):
             out.respond(503, (), b"")
             return
         out.respond(200, (), encode_page(page))
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 from typing import NamedTuple
+from urllib.parse import urlencode
 
 import structlog
 from returns.result import Failure
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
@@ -32,9 +34,9 @@
     from cornellead_core.routing import RouterLocation
     from cornellead_core.routing import StoreError
 
-READERS_PER_DATA_CENTRE = 1
-"""Routers in each data centre that read the store. When one fails, the others read the store
-themselves until the next router in rank has become the reader."""
+MAX_READERS_QUERIED = 2
+"""Routers queried before a router reads the store itself: the reader of the data centre and, when
+it fails, the next in rank, which has become the reader once it has noticed."""
 MAX_PAGE_AGE_S = {Topic.OPERATOR: 1.2, Topic.SERVERS: 1.2, Topic.ROUTERS: 10.0}
 """Maximum age of a page that is used: longer than the interval at which readers confirm the topic.
 For operators' changes and servers, this age plus the time to detect an unresponsive reader is below
@@ -47,9 +49,14 @@
 centre takes about a millisecond."""
 READER_BACKOFF_S = 2.0
 """Time for which a reader is skipped after it did not respond or returned an old page."""
+STORE_BACKOFF_S = 1.0
+"""Time for which the store is skipped after it failed while another router has recent notices."""
 HTTP_OK = 200
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
+MAX_BACKUPS_QUERIED = 2
+"""Number of routers queried concurrently when the store rejects this router. In an outage of the
+store all routers do so, within the budget of control traffic."""
 
 
 class _FetchedPage(NamedTuple):
@@ -67,8 +74,9 @@
 
     This limits traffic with hundreds of routers and a thousand servers whose entries are renewed
     every second: only the readers receive every renewal, and the other routers receive just the
-    changes. If no reader returns recent notices, a router reads the store itself. A router that
-    starts during a store outage uses the notices of any other router, even old ones.
+    changes. If no reader returns recent notices, a router reads the store itself. If the store
+    fails, it takes recent notices of any other router, and in a store outage at startup even old
+    ones.
 
     :param data_centre: Data centre of this router.
     """
@@ -88,6 +96,7 @@
         self._data_centre = data_centre
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
+        self._store_backoff_until: dict[Topic, float] = {}
         self.logs = {topic: ChangeLog() for topic in Topic}
         self.relayed = 0
         """Number of reads served by another router."""
@@ -102,11 +111,16 @@
             batch = result.unwrap()
             sent_at = self._clock() - batch.age_s
             self.logs[topic].replace(batch.notices, batch.next_offset, now=sent_at)
+            self.logs[topic].set_from_store(True)
             return result
-        if self.logs[topic].loaded:
+        self.logs[topic].set_from_store(False)
+        peers = self._sample_peers(MAX_QUERIED_PEERS)
+        youngest = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+        if youngest is None:
             return result
-        old = await self._query_any_peer(topic)
-        return result if old is None else Success(self._apply_snapshot(topic, old))
+        if self.logs[topic].loaded and youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
+            return result
+        return Success(self._apply_snapshot(topic, youngest))
 
     async def read_after(
         self, topic: Topic, *, offset: int, wait_s: float
@@ -115,11 +129,12 @@
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
-        fetched = await self._query_reader(topic, offset=offset, wait_s=min(MAX_WAIT_S, wait_s))
+        hold_s = min(MAX_WAIT_S, wait_s)
+        fetched = await self._query_reader(topic, offset=offset, wait_s=hold_s)
+        if fetched is None and self._clock() < self._store_backoff_until.get(topic, 0.0):
+            fetched = await self._query_backups(topic, offset=offset, wait_s=hold_s)
         if fetched is not None:
-            if fetched.page.snapshot:
-                return Failure(OffsetExpired(offset))
-            return Success(self._apply_changes(topic, fetched))
+            return self._apply_changes(topic, fetched, offset=offset)
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
         if isinstance(result, Success):
             batch = result.unwrap()
@@ -129,7 +144,16 @@
                 now=self._clock() - batch.age_s,
                 complete=batch.records_left == 0,
             )
-        return result
+            self.logs[topic].set_from_store(True)
+            return result
+        if isinstance(result.failure(), OffsetExpired):
+            return result
+        self.logs[topic].set_from_store(False)
+        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
+        if fetched is None:
+            return result
+        self._store_backoff_until[topic] = self._clock() + STORE_BACKOFF_S
+        return self._apply_changes(topic, fetched, offset=offset)
 
     async def announce(
         self, router: str, location: RouterLocation | None
@@ -143,38 +167,60 @@
     def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
+        self.logs[topic].set_from_store(False)
         return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
 
-    def _apply_changes(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
+    def _apply_changes(
+        self, topic: Topic, fetched: _FetchedPage, *, offset: int
+    ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         page, age_s = fetched.page, fetched.age_s
+        if page.snapshot:
+            return Failure(OffsetExpired(offset))
         self.logs[topic].add(page.notices, page.next_offset, now=self._clock() - age_s)
-        return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
+        self.logs[topic].set_from_store(False)
+        return Success(NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read))
 
-    async def _query_any_peer(self, topic: Topic) -> _FetchedPage | None:
-        """Query a few routers of any data centre and return the most recently confirmed page."""
+    def _sample_peers(self, count: int) -> dict[str, str]:
+        """Return the addresses of a few random routers of any data centre by name."""
         peers = list(self._view.peers(now=self._clock()).items())
-        queried = random.sample(peers, min(MAX_QUERIED_PEERS, len(peers)))
+        sample = random.sample(peers, min(count, len(peers)))
+        return {name: location.address for name, location in sample}
+
+    async def _query_backups(
+        self, topic: Topic, *, offset: int, wait_s: float
+    ) -> _FetchedPage | None:
+        """Return recent notices of another router, if one has them."""
+        peers = self._sample_peers(MAX_BACKUPS_QUERIED)
+        youngest = await self._query_peers(peers, topic, offset=offset, wait_s=wait_s)
+        if youngest is None or youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
+            return None
+        self.relayed += 1
+        return youngest
+
+    async def _query_peers(
+        self, addresses: Mapping[str, str], topic: Topic, *, offset: int | None, wait_s: float
+    ) -> _FetchedPage | None:
+        """Query routers concurrently and return the most recently confirmed page."""
         responses = await asyncio.gather(
             *(
-                self._fetch(name, location.address, topic, offset=None, wait_s=0.0)
-                for name, location in queried
+                self._fetch(name, address, topic, offset=offset, wait_s=wait_s)
+                for name, address in addresses.items()
             )
         )
         pages = [fetched for fetched in responses if fetched is not None]
         return min(pages, key=lambda fetched: fetched.page.age_s, default=None)
 
     def _readers(self) -> dict[str, str]:
-        """Return the addresses of this data centre's readers by name; empty if this router is
-        one."""
+        """Return the addresses of the routers of this data centre that read the store before this
+        one does, by name in order of rank; empty if this router is the reader."""
         peers = {
             name: location.address
             for name, location in self._view.peers(now=self._clock()).items()
             if location.data_centre == self._data_centre
         }
-        ranked = rank_members(self._data_centre, {*peers, self._view.router})[
-            :READERS_PER_DATA_CENTRE
-        ]
-        return {} if self._view.router in ranked else {name: peers[name] for name in ranked}
+        ranked = rank_members(self._data_centre, {*peers, self._view.router})
+        preceding = ranked[: ranked.index(self._view.router)]
+        return {name: peers[name] for name in preceding[:MAX_READERS_QUERIED]}
 
     async def _query_reader(
         self, topic: Topic, *, offset: int | None, wait_s: float
@@ -182,7 +228,9 @@
         for name, address in self._readers().items():
             if self._clock() < self._backoff_until.get((name, topic), 0.0):
                 continue
-            fetched = await self._fetch(name, address, topic, offset=offset, wait_s=wait_s)
+            fetched = await self._fetch(
+                name, address, topic, offset=offset, wait_s=wait_s, as_reader=True
+            )
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
                 return fetched
@@ -196,10 +244,23 @@
         return None
 
     async def _fetch(
-        self, name: str, address: str, topic: Topic, *, offset: int | None, wait_s: float
+        self,
+        name: str,
+        address: str,
+        topic: Topic,
+        *,
+        offset: int | None,
+        wait_s: float,
+        as_reader: bool = False,
     ) -> _FetchedPage | None:
-        query = "" if offset is None else f"?after={offset}&wait={wait_s:.2f}"
-        target = f"{PATH_PREFIX}{topic.value}{query}"
+        """Read the notices of another router.
+
+        :param as_reader: Whether to rely on the other router to read the store.
+        """
+        query: dict[str, str] = {"reader": "1"} if as_reader else {}
+        if offset is not None:
+            query |= {"after": str(offset), "wait": f"{wait_s:.2f}"}
+        target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
         result = await self._http.call(
             address, "GET", target, timeout_s=wait_s + RESPONSE_TIMEOUT_S
         )
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -9,6 +9,7 @@
 import structlog
 from returns.result import Failure
 
+from cornellead_core.routing import STORE_SOURCE
 from cornellead_core.routing import OffsetExpired
 
 if TYPE_CHECKING:
@@ -130,4 +131,5 @@
             log.info("old notices taken", topic=self._topic.value, age_s=round(batch.age_s, 2))
         elif self._unavailable:
             self._unavailable = False
-            log.info("store back", topic=self._topic.value, offset=self._offset)
+            source = STORE_SOURCE if batch.read is None else batch.read.source
+            log.info("store back", topic=self._topic.value, offset=self._offset, source=source)
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -201,16 +201,17 @@
 ) -> None:
     """Guards against a reader that misses changes while the store rejects only this router."""
     rejecting, serving = CountingStore(), CountingStore()
-    rejecting.unavailable = True
     names = rank_members("dc-a", NAMES)
     cut_off = RouterFixture(names[0], free_address(), rejecting)
     others = [RouterFixture(name, free_address(), serving) for name in names[1:]]
-    serving.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
     for router in (cut_off, *others):
         await router.listener.start()
         await router.store.read_newest(Topic.OPERATOR)
-        for other in (cut_off, *others):
-            router.view.apply_announcement(other.name, other.location, now=time.monotonic())
+    rejecting.unavailable = True
+    serving.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
+    for router in others:
+        await router.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+        cut_off.view.apply_announcement(router.name, router.location, now=time.monotonic())
     result = await cut_off.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
     for router in (cut_off, *others):
         router.listener.stop_accepting()
@@ -219,6 +220,30 @@
     assert batch.is_current
 
 
+async def test_router_does_not_rely_on_a_reader_without_the_store(routers: RouterGroup) -> None:
+    """Guards against routers that wait for changes at a reader which lost the store, or that read
+    from each other."""
+    store, (first, _, third, *_) = routers
+    await first.store.read_newest(Topic.OPERATOR)
+    reading = asyncio.create_task(third.store.read_after(Topic.OPERATOR, offset=0, wait_s=1.0))
+    await asyncio.sleep(0.1)
+    store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
+    first.store.logs[Topic.OPERATOR].set_from_store(False)
+    batch = (await asyncio.wait_for(reading, 0.2)).unwrap()
+    assert len(batch.notices) == 1
+    assert third.store.logs[Topic.OPERATOR].from_store
+
+
+async def test_next_router_in_rank_replaces_a_failed_reader(routers: RouterGroup) -> None:
+    """Guards against a data centre whose routers all read the store when its reader fails."""
+    store, (first, second, third, *_) = routers
+    first.listener.stop_accepting()
+    await second.store.read_newest(Topic.SERVERS)
+    before = store.calls
+    assert (await third.store.read_newest(Topic.SERVERS)).unwrap().next_offset == 0
+    assert store.calls == before
+
+
 async def test_loaded_router_ignores_older_pages(routers: RouterGroup) -> None:
     """Guards against replacing newer notices with those of a router that lost its connection to the
     store."""
