Catch up from other routers after an outage, and confirm slow reads at once

After new notices that are older than 0.3 s the next read does not wait.

Result: new tests of TopicReader (the second one fails on the earlier code).

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -50,7 +50,7 @@
 READER_BACKOFF_S = 2.0
 """Time for which a reader is skipped after it did not respond or returned an old page."""
 STORE_BACKOFF_S = 1.0
-"""Time for which the store is skipped after it failed while another router has recent notices."""
+"""Time for which the store is skipped after it failed if another router has recent notices."""
 HTTP_OK = 200
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
@@ -96,7 +96,8 @@
         self._data_centre = data_centre
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
-        self._store_backoff_until: dict[Topic, float] = {}
+        self._store_retry_at: dict[Topic, float] = {}
+        """Time of the next read of the store, by the topics whose last read of it failed."""
         self.logs = {topic: ChangeLog() for topic in Topic}
         self.relayed = 0
         """Number of reads served by another router."""
@@ -131,8 +132,14 @@
         """
         hold_s = min(MAX_WAIT_S, wait_s)
         fetched = await self._query_reader(topic, offset=offset, wait_s=hold_s)
-        if fetched is None and self._clock() < self._store_backoff_until.get(topic, 0.0):
-            fetched = await self._query_backups(topic, offset=offset, wait_s=hold_s)
+        if fetched is None and topic in self._store_retry_at:
+            # After an outage, other routers have the newest state in a small part of its size.
+            skip_store = self._clock() < self._store_retry_at[topic]
+            fetched = await self._query_backups(
+                topic, offset=offset, wait_s=hold_s if skip_store else 0.0
+            )
+            if fetched is not None and not (skip_store or fetched.page.notices):
+                fetched = None
         if fetched is not None:
             return self._apply_changes(topic, fetched, offset=offset)
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
@@ -145,15 +152,14 @@
                 complete=batch.records_left == 0,
             )
             self.logs[topic].set_from_store(True)
+            self._store_retry_at.pop(topic, None)
             return result
         if isinstance(result.failure(), OffsetExpired):
             return result
         self.logs[topic].set_from_store(False)
+        self._store_retry_at[topic] = self._clock() + STORE_BACKOFF_S
         fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
-        if fetched is None:
-            return result
-        self._store_backoff_until[topic] = self._clock() + STORE_BACKOFF_S
-        return self._apply_changes(topic, fetched, offset=offset)
+        return result if fetched is None else self._apply_changes(topic, fetched, offset=offset)
 
     async def announce(
         self, router: str, location: RouterLocation | None
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -26,6 +26,9 @@
 during the outage must take effect within a bounded time after it."""
 MAX_STARTUP_BACKOFF_S = 0.25
 """Maximum backoff before the first successful read: until then the router cannot serve callers."""
+MAX_UNCONFIRMED_AGE_S = 0.3
+"""Age of new notices above which the next read does not wait for later ones: with the time of a long
+poll, routers that rely on this one would take its notices for old."""
 
 
 class NoticeSink(Protocol):
@@ -69,6 +72,7 @@
         self._wait_s = wait_s
         self._interval_s = interval_s
         self._offset: int | None = None
+        self._confirm_at_once = False
         self._unavailable = False
 
     @property
@@ -99,7 +103,8 @@
             self._sink.apply_snapshot(batch)
             self._offset = batch.next_offset
             return True
-        later = await self._store.read_after(self._topic, offset=self._offset, wait_s=self._wait_s)
+        wait_s = 0.0 if self._confirm_at_once else self._wait_s
+        later = await self._store.read_after(self._topic, offset=self._offset, wait_s=wait_s)
         if isinstance(later, Failure):
             error = later.failure()
             if isinstance(error, OffsetExpired):
@@ -127,6 +132,7 @@
 
     def _record_success(self, batch: NoticeBatch) -> None:
         log = structlog.get_logger()
+        self._confirm_at_once = bool(batch.notices) and batch.age_s > MAX_UNCONFIRMED_AGE_S
         if not batch.is_current:
             log.info("old notices taken", topic=self._topic.value, age_s=round(batch.age_s, 2))
         elif self._unavailable:
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -25,6 +25,7 @@
     def __init__(self, *responses: object) -> None:
         self._responses = list(responses)
         self.reads: list[object] = []
+        self.waits: list[float] = []
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         self.reads.append("newest")
@@ -34,6 +35,7 @@
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         self.reads.append(offset)
+        self.waits.append(wait_s)
         return await self._next()
 
     async def announce(
@@ -77,7 +79,7 @@
 async def _read(*responses: object) -> tuple[ScriptedStore, RecordingSink]:
     store, sink = ScriptedStore(*responses), RecordingSink()
     reader = TopicReader(
-        store=store, topic=Topic.ROUTERS, sink=sink, wait_s=0.0, interval_s=lambda: 0.0
+        store=store, topic=Topic.ROUTERS, sink=sink, wait_s=1.0, interval_s=lambda: 0.0
     )
     task = asyncio.create_task(reader.run())
     async with asyncio.timeout(3.0):
@@ -115,3 +117,20 @@
     store, sink = await _read(_batch(3), StoreError("503"), StoreError("503"), _batch(4, "r2"))
     assert store.reads[1:4] == [3, 3, 3]
     assert sink.calls == [("snapshot", []), "unavailable", "unavailable", ["r2"]]
+
+
+async def test_reader_that_is_far_behind_reads_the_newest_records() -> None:
+    """Guards against a reader that transfers all records that it missed."""
+    behind = _batch(4, "r2")._replace(records_left=9)
+    store, sink = await _read(_batch(3, "r1"), behind, _batch(13, "r11"), _batch(14, "r12"))
+    assert store.reads[:4] == ["newest", 3, "newest", 13]
+    assert sink.calls == [("snapshot", ["r1"]), ["r2"], ("snapshot", ["r11"]), ["r12"]]
+
+
+async def test_slow_notices_are_confirmed_without_a_wait() -> None:
+    """Guards against routers that leave their reader because its transfer of a large change and a
+    long poll took longer than the age that they allow."""
+    slow = _batch(4, "r2")._replace(age_s=0.8)
+    relayed = _batch(4)._replace(age_s=0.8)
+    store, _ = await _read(_batch(3, "r1"), slow, relayed, _batch(5, "r3"))
+    assert store.waits[:4] == [1.0, 0.0, 1.0, 1.0]
