Let the router with the fastest link read the store for its data centre

Cause: the reader was chosen by rendezvous rank alone.

Change: routers announce the bandwidth of their link, and rank by it first.

Result: test_reader_is_the_router_with_the_fastest_link and a test that a router asks others before a store that it lost.

--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -47,5 +47,7 @@
     first_internal_port: int
     max_descriptors: int
     """Maximum number of open file descriptors that the host allows."""
+    link_mbps: float
+    """Bandwidth of the host's link in Mbit/s; 0 if unknown."""
     bounds: Bounds
     store: StoreSettings
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -52,11 +52,13 @@
 
 
 class RouterLocation(NamedTuple):
-    """Address and data centre of a router."""
+    """Address, data centre and link of a router."""
 
     address: str
     """``ip:port`` for other routers."""
     data_centre: str
+    link_mbps: float = 0.0
+    """Bandwidth of the host's link in Mbit/s; 0 if unknown."""
 
 
 class RouterNotice(NamedTuple):
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -138,15 +138,13 @@
         admin = AdminHandler(
             view=self._view, serving=self._serving, metrics=metrics, ready_path=ready_path
         )
-        self._store = RelayedStore(
-            store=store,
-            view=self._view,
-            http=http,
-            data_centre=settings.data_centre,
-            clock=read_clock,
-        )
         location = RouterLocation(
-            f"{settings.ip}:{settings.first_internal_port}", settings.data_centre
+            f"{settings.ip}:{settings.first_internal_port}",
+            settings.data_centre,
+            settings.link_mbps,
+        )
+        self._store = RelayedStore(
+            store=store, view=self._view, http=http, location=location, clock=read_clock
         )
         self._exchange = LoadExchange(view=self._view, address=location.address, clock=read_clock)
         relay = RelayHandler(logs=self._store.logs, clock=read_clock)
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -78,7 +78,7 @@
     fails, it takes recent notices of any other router, and in a store outage at startup even old
     ones.
 
-    :param data_centre: Data centre of this router.
+    :param location: Where this router runs.
     """
 
     def __init__(
@@ -87,13 +87,13 @@
         store: FleetStore,
         view: FleetView,
         http: HttpClient,
-        data_centre: str,
+        location: RouterLocation,
         clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._view = view
         self._http = http
-        self._data_centre = data_centre
+        self._location = location
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
         self._store_retry_at: dict[Topic, float] = {}
@@ -218,15 +218,22 @@
 
     def _readers(self) -> dict[str, str]:
         """Return the addresses of the routers of this data centre that read the store before this
-        one does, by name in order of rank; empty if this router is the reader."""
-        peers = {
-            name: location.address
+        one does, by name in order of rank; empty if this router is the reader.
+
+        Hosts with faster links come first: a reader receives whole configurations from the store
+        and sends them to all other routers of its data centre.
+        """
+        data_centre = self._location.data_centre
+        members = {
+            name: location
             for name, location in self._view.peers(now=self._clock()).items()
-            if location.data_centre == self._data_centre
+            if location.data_centre == data_centre
         }
-        ranked = rank_members(self._data_centre, {*peers, self._view.router})
+        members[self._view.router] = self._location
+        ranked = rank_members(data_centre, members)
+        ranked.sort(key=lambda name: members[name].link_mbps, reverse=True)
         preceding = ranked[: ranked.index(self._view.router)]
-        return {name: peers[name] for name in preceding[:MAX_READERS_QUERIED]}
+        return {name: members[name].address for name in preceding[:MAX_READERS_QUERIED]}
 
     async def _query_reader(
         self, topic: Topic, *, offset: int | None, wait_s: float
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -27,8 +27,8 @@
 MAX_STARTUP_BACKOFF_S = 0.25
 """Maximum backoff before the first successful read: until then the router cannot serve callers."""
 MAX_UNCONFIRMED_AGE_S = 0.3
-"""Age of new notices above which the next read does not wait for later ones: with the time of a long
-poll, routers that rely on this one would take its notices for old."""
+"""Age of new notices above which the next read does not wait for later ones: with the time of a
+long poll, routers that rely on this one would take its notices for old."""
 
 
 class NoticeSink(Protocol):
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -74,6 +74,9 @@
         RouterNotice("r2", RouterLocation("10.0.0.2:7340", "kgl-b")),
         RouterNotice("r1", None),
     ]
+    await client.announce("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))
+    batch = (await client.read_after(Topic.ROUTERS, offset=3, wait_s=0.0)).unwrap()
+    assert batch.notices == [RouterNotice("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))]
 
 
 async def test_unavailable_store_is_reported_as_an_error(store: Store) -> None:
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -17,6 +17,7 @@
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.relay import RelayedStore
 from cornellead.gateway.relay import RelayHandler
+from cornellead.gateway.relay._relayed_store import STORE_BACKOFF_S
 from cornellead.gateway.view import FleetView
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
@@ -67,9 +68,11 @@
 class RouterFixture:
     """A router's view of the fleet, its relayed store, and the listener for other routers."""
 
-    def __init__(self, name: str, address: str, store: CountingStore) -> None:
+    def __init__(
+        self, name: str, address: str, store: CountingStore, *, link_mbps: float = 0.0
+    ) -> None:
         self.name = name
-        self.location = RouterLocation(address, "dc-a")
+        self.location = RouterLocation(address, "dc-a", link_mbps)
         self.view = FleetView(router=name)
         self.store = RelayedStore(
             store=store,
@@ -77,7 +80,7 @@
             http=PooledHttpClient(
                 pool=ConnectionPool(loop=asyncio.get_running_loop(), connect_timeout_s=0.2)
             ),
-            data_centre="dc-a",
+            location=self.location,
             clock=time.monotonic,
         )
         self.listener = CallerListener(
@@ -244,6 +247,46 @@
     assert store.calls == before
 
 
+async def test_reader_is_the_router_with_the_fastest_link(free_address: Callable[[], str]) -> None:
+    """Guards against a data centre that waits while its reader receives a large configuration over
+    a slow link."""
+    store = CountingStore()
+    slow, *_, fast = rank_members("dc-a", NAMES)
+    reader = RouterFixture(fast, free_address(), store, link_mbps=100.0)
+    follower = RouterFixture(slow, free_address(), store, link_mbps=5.0)
+    for router, other in ((reader, follower), (follower, reader)):
+        await router.listener.start()
+        router.view.apply_announcement(other.name, other.location, now=time.monotonic())
+    for router in (reader, follower):
+        await router.store.read_newest(Topic.OPERATOR)
+    for router in (reader, follower):
+        router.listener.stop_accepting()
+    assert (store.calls, reader.store.relayed, follower.store.relayed) == (1, 0, 1)
+
+
+async def test_other_routers_are_asked_before_a_store_that_was_lost(
+    routers: RouterGroup,
+) -> None:
+    """Guards against a router that transfers large records from the store after an outage though
+    other routers have them in a small part of their size."""
+    store, (first, *others) = routers
+    for router in (first, *others):
+        await router.store.read_newest(Topic.OPERATOR)
+    store.unavailable = True
+    relayed = await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    assert isinstance(relayed, Success)
+    store.unavailable = False
+    store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
+    for router in others:
+        router.store.logs[Topic.OPERATOR].add([*store.notices], 1, now=time.monotonic())
+    await asyncio.sleep(STORE_BACKOFF_S)
+    before = store.calls
+    batch = (await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)).unwrap()
+    assert (len(batch.notices), batch.next_offset, store.calls) == (1, 1, before)
+    await first.store.read_after(Topic.OPERATOR, offset=1, wait_s=0.0)
+    assert store.calls == before + 1
+
+
 async def test_loaded_router_ignores_older_pages(routers: RouterGroup) -> None:
     """Guards against replacing newer notices with those of a router that lost its connection to the
     store."""
