Take the age for final refusals from the settings

Cause: an unknown route or key got 404 or 401 until the configuration was 3 s old, on every deployment. Where a change has to be in force within 2 s, a router whose store was lost 2.5 s ago may refuse for good what it should know.

Result: the test of a fresh configuration now uses this limit in place of 10 s and fails on the earlier code (401 at 2.1 s); the state machine of the active configuration checks 2 s in place of 3 s.

--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -20,6 +20,8 @@
     """Requests that a cold server accepts within one second in addition to its cold rate."""
     load_factor: float
     """Maximum load of a server as a multiple of the mean load of its service."""
+    config_delay_s: float
+    """Time after its acknowledgement within which a configuration has to be in force."""
 
 
 class StoreSettings(NamedTuple):
--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -80,6 +80,7 @@
                 retry_minimum=settings.retry_minimum,
                 cold_slack=settings.cold_slack,
                 load_factor=settings.load_factor,
+                config_delay_s=0.0,
             )
         )
         self._picker = ServerPicker(
--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -20,10 +20,6 @@
     from cornellead_core.routing import Route
     from cornellead_core.routing import Team
 
-MAX_FRESH_CONFIG_AGE_S = 3.0
-"""Age of the configuration above which an unknown route or key is rejected with 503 instead of 404
-or 401, because a newer configuration may contain it. The store confirms the configuration about
-once a second."""
 NOT_READY_RETRY_AFTER_S = 0.3
 """Retry-After of a router without a configuration: it usually has one by then, or the load balancer
 has moved the caller to another router."""
@@ -32,11 +28,17 @@
 
 
 class Admission:
-    """Finds the route, team and service of a request, or the reason to refuse it."""
+    """Finds the route, team and service of a request, or the reason to refuse it.
 
-    def __init__(self, *, view: FleetView, serving: ServingState) -> None:
+    :param max_config_age_s: Age of the configuration above which an unknown route or key is
+        rejected with 503 instead of 404 or 401: the time within which a newer configuration, which
+        may contain it, has to be in force.
+    """
+
+    def __init__(self, *, view: FleetView, serving: ServingState, max_config_age_s: float) -> None:
         self._view = view
         self._serving = serving
+        self.max_config_age_s = max_config_age_s
 
     def admit(
         self, req: CallerRequest, caller: CallerHeaders, *, now: float
@@ -52,7 +54,7 @@
             return self._refuse_not_ready(caller, now=now)
         if caller.ambiguous or not caller.request_id:
             return RefusalResponse(400, "ambiguous_or_missing_header")
-        stale = self._view.config_age_s(now=now) > MAX_FRESH_CONFIG_AGE_S
+        stale = self._view.config_age_s(now=now) > self.max_config_age_s
         route = cfg.match(req.header(b"host"), req.path)
         if route is None:
             return _refuse_if_stale(stale) or RefusalResponse(404, "no_route")
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -124,9 +124,14 @@
             regions=settings.regions,
             load_factor=settings.bounds.load_factor,
         )
+        self._admission = Admission(
+            view=self._view,
+            serving=self._serving,
+            max_config_age_s=settings.bounds.config_delay_s,
+        )
         forwarder = Forwarder(
             view=self._view,
-            admission=Admission(view=self._view, serving=self._serving),
+            admission=self._admission,
             picker=self._picker,
             sender=self._sender,
             relay=ResponseRelay(wire=wire, clock=read_clock),
@@ -282,6 +287,7 @@
         self._settings = settings
         self._retries.bounds = settings.bounds
         self._picker.load_factor = settings.bounds.load_factor
+        self._admission.max_config_age_s = settings.bounds.config_delay_s
         self._cold_limiter.burst = settings.bounds.cold_slack
 
     def _read_interval_s(self, min_interval_s: float) -> float:
--- a/tests/router/gateway/forwarding/test_forwarder.py
+++ b/tests/router/gateway/forwarding/test_forwarder.py
@@ -10,6 +10,7 @@
 from tests.platform_adapter.payloads import TEAM_HEADER
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
+from tests.router.gateway.policy.test_retry_budgets import BOUNDS
 from tests.router.gateway.scripted_server import encode_event
 
 from cornellead.gateway.ingress import ServingPhase
@@ -303,7 +304,7 @@
     gateway.configure()
     assert (await gateway.call("/unsafe/1", key="other")).status == 401
     assert (await gateway.call("/nowhere/1")).status == 404
-    gateway.view.confirmed_at = time.monotonic() - 10.0
+    gateway.view.confirmed_at = time.monotonic() - BOUNDS.config_delay_s - 0.1
     assert (await gateway.call("/unsafe/1", key="other")).status == 503
     assert (await gateway.call("/nowhere/1")).status == 503
 
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -58,7 +58,11 @@
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
         forwarder = Forwarder(
             view=self.view,
-            admission=Admission(view=self.view, serving=self.serving),
+            admission=Admission(
+                view=self.view,
+                serving=self.serving,
+                max_config_age_s=BOUNDS.config_delay_s,
+            ),
             picker=ServerPicker(
                 view=self.view,
                 cold_limiter=ColdStartLimiter(router="r1", burst=BOUNDS.cold_slack),
--- a/tests/router/gateway/policy/test_retry_budgets.py
+++ b/tests/router/gateway/policy/test_retry_budgets.py
@@ -14,6 +14,7 @@
     retry_minimum=56.0,
     cold_slack=5.0,
     load_factor=2.0,
+    config_delay_s=2.0,
 )
 QUIET_S = 15.0
 
--- a/tests/router/gateway/process/test_readiness.py
+++ b/tests/router/gateway/process/test_readiness.py
@@ -60,7 +60,7 @@
         self.now = 100.0
         self.view = FleetView(router="r1")
         self.serving = ServingState()
-        self.admission = Admission(view=self.view, serving=self.serving)
+        self.admission = Admission(view=self.view, serving=self.serving, max_config_age_s=2.0)
         self.admin = AdminHandler(
             view=self.view, serving=self.serving, metrics=Metrics(), ready_path=READY_PATH
         )
--- a/tests/router/gateway/view/test_active_config.py
+++ b/tests/router/gateway/view/test_active_config.py
@@ -24,9 +24,9 @@
 from cornellead_core.routing import RoutingNotice
 from cornellead_platform import PlatformHeaders
 
-CONFIG_MAX_AGE_S = 3.0
-"""Maximum age of a configuration that may cause permanent rejections: the 2 s within
-which a change must take effect, plus the time of a read."""
+CONFIG_MAX_AGE_S = 2.0
+"""Maximum age of a configuration that may cause permanent rejections: the time within
+which a change must take effect."""
 CURRENT_AGE_S = 2.0
 """Maximum age at which notices of another router count as current: the time
 within which a change must take effect."""
@@ -56,7 +56,9 @@
         self.sink = OperatorSink(
             view=self.view, stats=GatewayStats(metrics=Metrics()), clock=lambda: self.now
         )
-        self.admission = Admission(view=self.view, serving=ServingState())
+        self.admission = Admission(
+            view=self.view, serving=ServingState(), max_config_age_s=CONFIG_MAX_AGE_S
+        )
         self.newest_version = None
         self.confirmed_at = None
         self.unavailable_since = None
