Bound what a server in trouble can make the gateway keep in memory

Cause: a server that sends bytes without end made the gateway keep them: a header or trailer grew in the parser without a limit, each of the concurrent responses could take 16 MB, an event of a stream without its end was buffered whole, and the body of a refusal was read to its end though nothing needs it. Callers of unsafe routes waited for their deadline.

Change: a connection is closed after 64 KB without a complete head or body data and after 1 MB of late responses; all buffered responses together take 32 MB, small ones excepted; an event takes 1 MB; a refusal's body gets 50 ms and 64 KB.

--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from cornellead.gateway.forwarding._outcome import BrokenResponse
@@ -18,11 +19,22 @@
     from cornellead.gateway.forwarding._event_splitter import EventSplitter
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.upstream import Exchange
     from cornellead_core.routing import ServerReply
     from cornellead_core.routing import WireFormat
 
 MAX_RESPONSE_BYTES = 16 << 20
 """Maximum size of a response that is buffered in memory."""
+MAX_BUFFERED_BYTES = 32 << 20
+"""Maximum size of all responses that are buffered at the same time: a sixth of the memory of the
+smallest hosts."""
+MAX_SMALL_RESPONSE_BYTES = 256 << 10
+"""Size up to which a response is buffered even if others have used up `MAX_BUFFERED_BYTES`."""
+REFUSAL_BODY_TIMEOUT_S = 0.05
+"""Maximum time for the body of a refusal, which is read only to reuse the connection."""
+MAX_REFUSAL_BYTES = 64 << 10
+MAX_EVENT_BYTES = 1 << 20
+"""Maximum size of an event, which is buffered until it is complete."""
 OK = 200
 SERVER_ERROR = 500
 CONTENT_ENCODING = "content-encoding"
@@ -34,6 +46,7 @@
     def __init__(self, *, wire: WireFormat, clock: Callable[[], float]) -> None:
         self._wire = wire
         self._clock = clock
+        self._buffered_bytes = 0
 
     async def relay(
         self,
@@ -51,14 +64,14 @@
         if reply.load is not None:
             attempt.state.record_reported_load(reply.load, now=self._clock())
         if reply.not_run:
-            await attempt.exchange.read_all(limit=MAX_RESPONSE_BYTES)
+            await _skip_refusal_body(attempt.exchange)
             return NotRunResponse(head.status)
         wrong_request = reply.request_id != admitted.caller.request_id
         if wrong_request or not reply.sealed or CONTENT_ENCODING in head.headers:
             return BrokenResponse("not_the_servers_response")
         if admitted.route.kind is RequestKind.STREAMING and head.status == OK:
             return await self._relay_stream(attempt, events, head.status, reply, out)
-        body = await attempt.exchange.read_all(limit=MAX_RESPONSE_BYTES)
+        body = await self._read_body(attempt)
         if body is None:
             return BrokenResponse("gave_up_silent" if attempt.stalled else "truncated")
         if head.status >= SERVER_ERROR or out.started:
@@ -66,6 +79,22 @@
         out.respond(head.status, reply.forwarded, body)
         return DeliveredResponse(head.status)
 
+    async def _read_body(self, attempt: Attempt) -> bytes | None:
+        """Read the whole body, unless it or all bodies that are being read become too large."""
+        counted_bytes = 0
+
+        def count(size: int) -> None:
+            nonlocal counted_bytes
+            self._buffered_bytes += size - counted_bytes
+            counted_bytes = size
+            if self._buffered_bytes > MAX_BUFFERED_BYTES and size > MAX_SMALL_RESPONSE_BYTES:
+                attempt.exchange.abort()
+
+        try:
+            return await attempt.exchange.read_all(limit=MAX_RESPONSE_BYTES, on_progress=count)
+        finally:
+            self._buffered_bytes -= counted_bytes
+
     async def _relay_stream(
         self,
         attempt: Attempt,
@@ -86,6 +115,8 @@
                 complete = events.feed(data)
                 if events.has_gap:
                     return BrokenResponse("events_missing")
+                if len(events.tail) > MAX_EVENT_BYTES:
+                    return BrokenResponse("event_too_large")
             else:
                 complete = events.tail
             # The head is written with the first event: until then, another server can be tried.
@@ -100,3 +131,12 @@
                     attempt.state.health.record_stream_duration(self._clock() - first_data_at)
                 out.end()
                 return DeliveredResponse(status)
+
+
+async def _skip_refusal_body(exchange: Exchange) -> None:
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+            await exchange.read_all(limit=MAX_REFUSAL_BYTES)
+    except TimeoutError:
+        # The cancelled read has closed the connection.
+        return
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -25,6 +25,11 @@
 """
 
 
+MAX_OVERHEAD_BYTES = 64 << 10
+"""Maximum number of bytes without a complete head or body data: long headers, interim responses,
+chunk extensions or trailers. The parser stores a header until its end."""
+MAX_DISCARDED_BYTES = 1 << 20
+"""Maximum size of late responses to earlier requests that are skipped."""
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 KEEP_ALIVE_TIMEOUT_PARAM = "timeout="
@@ -56,6 +61,8 @@
         self._raw_headers: list[tuple[bytes, bytes]] = []
         self._expected_header: EchoedHeader | None = None
         self._discarding = False
+        self._overhead_bytes = 0
+        self._discarded_bytes = 0
         self._ends_at_eof = False
         self._paused = False
         self.idle_since = 0.0
@@ -86,6 +93,8 @@
         self._raw_headers = []
         self._expected_header = expect
         self._discarding = False
+        self._overhead_bytes = 0
+        self._discarded_bytes = 0
         self._ends_at_eof = False
         self._exchange = Exchange(loop=self._loop, abort=self.close, resume_reading=self._resume)
         self._transport.write(head + body)
@@ -115,11 +124,15 @@
             # response to the next request, so the connection is not reused.
             self.close()
             return
+        self._overhead_bytes += nbytes
         try:
             self._parser.feed_data(_read_buffer[:nbytes])
         except httptools.HttpParserError:
             self._fail()
             return
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES or self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail()
+            return
         if exchange.pending_bytes > HIGH_WATER_BYTES and not self._paused and not self.closed:
             self._paused = True
             assert self._transport is not None
@@ -158,6 +171,7 @@
         if status < 200:
             self._reset_headers()
             return
+        self._overhead_bytes = 0
         expected = self._expected_header
         if expected is not None and self._headers.get(expected.name) not in (None, expected.value):
             self._discarding = True
@@ -172,7 +186,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass body bytes on to the exchange."""
-        if self._exchange is not None and not self.closed and not self._discarding:
+        self._overhead_bytes = 0
+        if self._discarding:
+            self._discarded_bytes += len(data)
+        elif self._exchange is not None and not self.closed:
             self._exchange.receive_body(data)
 
     def on_message_complete(self) -> None:
