Bound what an engine in trouble can make its agent keep in memory

A connection is now closed after 64 KB without a complete head or body data, a body that is read whole takes 16 MB, and a stream with an incomplete event of more than 1 MB is resumed.

--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -18,6 +18,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_CONNECTIONS = 32
+MAX_RESPONSE_BYTES = 16 << 20
+"""Maximum size of a response that is read whole."""
 """Idle connections kept open for reuse."""
 
 
@@ -122,10 +124,14 @@
     ) -> Result[CompleteResponse, EngineRequestError]:
         head = await conn.read_head()
         parts: list[bytes] = []
+        size = 0
         while not conn.complete:
             data = await conn.read()
             if not data and not conn.complete:
                 break
+            size += len(data)
+            if size > MAX_RESPONSE_BYTES:
+                return Failure(EngineRequestError("the response is too large", sent=True))
             parts.append(data)
         if head is None or not conn.complete:
             return Failure(
--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -10,6 +10,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 """Unread response bytes above which reading from the socket is paused."""
 LOW_WATER_BYTES = 64 * 1024
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Maximum number of bytes without a complete head or body data; the parser stores a header until
+its end."""
 
 
 class ResponseHead(NamedTuple):
@@ -32,6 +35,7 @@
         self._headers: dict[str, str] = {}
         self._body_parts: list[bytes] = []
         self._unread_bytes = 0
+        self._overhead_bytes = 0
         self._paused = False
         self._response_head: ResponseHead | None = None
         self._complete = False
@@ -52,10 +56,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; pause reading while too much of the body is unread."""
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self.abort()
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.abort()
         if (
             self._unread_bytes > HIGH_WATER_BYTES
             and not self._paused
@@ -71,10 +78,12 @@
 
     def on_headers_complete(self) -> None:
         """Store status and headers for `read_head`."""
+        self._overhead_bytes = 0
         self._response_head = ResponseHead(self._parser.get_status_code(), self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the response body for `read`."""
+        self._overhead_bytes = 0
         self._body_parts.append(body)
         self._unread_bytes += len(body)
 
@@ -91,6 +100,7 @@
         self._complete = False
         self._body_parts.clear()
         self._unread_bytes = 0
+        self._overhead_bytes = 0
         self.sent = True
         self._transport.write(head + body)
 
--- a/packages/agent/src/cornellead_agent/relay/_event_assembler.py
+++ b/packages/agent/src/cornellead_agent/relay/_event_assembler.py
@@ -8,6 +8,8 @@
 NULL_USAGE = (b'"usage":null', b'"usage": null')
 MAX_BUFFERED_EVENTS = 256
 """Events buffered behind a missing one; above this number the stream is resumed instead."""
+MAX_EVENT_BYTES = 1 << 20
+"""Size of an incomplete event above which the stream is resumed instead."""
 
 
 class EventAssembler:
@@ -48,8 +50,11 @@
 
     @property
     def overflowed(self) -> bool:
-        """Whether too many events are buffered behind a missing one."""
-        return len(self._out_of_order) > MAX_BUFFERED_EVENTS
+        """Whether too many events, or too long an incomplete one, are buffered."""
+        return (
+            len(self._out_of_order) > MAX_BUFFERED_EVENTS
+            or len(self._partial_event) > MAX_EVENT_BYTES
+        )
 
     def reset(self) -> None:
         """Discard partial and buffered input before the stream is resumed on a new connection."""
