Treat a record that is nested too deeply as unreadable

Found while looking for processes that end by themselves: a record of nested brackets, such as another writer may leave in the store, raised RecursionError in the decoder, which ends the reader's task and with it the process. It now counts as unreadable like other bytes that are no entry.

--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -101,7 +101,8 @@
     fake_store.put("keyed.servers", "s4", payloads.server_entry(address="somewhere"))
     fake_store.put("keyed.servers", "s5", payloads.server_entry())
     fake_store.put("keyed.servers", "s6", ["no object"])
+    fake_store.put_raw("keyed.servers", "s7", b"[" * 100_000)
     batch = (await client.read_after(Topic.SERVERS, offset=0, wait_s=0.0)).unwrap()
     usable = [n.server for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
     assert usable == ["s5"]
-    assert len(batch.notices) == 6
+    assert len(batch.notices) == 7
