Publish configurations in series in the soak, and check when they are in force

The soak published one configuration. On one open connection to each gateway, requests on added routes check that a version is in force 3 s after it was published at a gateway without a fault of its own, and that no process goes back. After the last fault, gateways that still run get 4 s to catch up before they are restarted.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import sys
+import time
 from collections import Counter
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -16,6 +17,8 @@
 from tests.platform_adapter.fake_store import FakeStore
 from tests.router.gateway.gateway_harness import read_response
 from tests.router.gateway.scripted_server import encode_event
+from tests.soak.config_series import MAX_CONFIG_DELAY_S
+from tests.soak.config_series import ConfigSeries
 from tests.soak.fault_proxy import Fault
 from tests.soak.fault_proxy import FaultProxy
 from tests.soak.servers import EVENTS_PER_STREAM
@@ -31,13 +34,21 @@
 GATEWAY_COUNT = 3
 SERVER_COUNT = 3
 CALLER_COUNT = 6
+REQUEST_TIMEOUT_S = 3.0
+CATCH_UP_S = MAX_CONFIG_DELAY_S + 1.0
+"""Time after the last fault in which gateways that still run have to catch up."""
 RECOVERY_S = 5.0
 """Time after the last fault in which all gateways have to serve again."""
+STORE_BYTES_PER_S = 625_000.0
+"""Rate at which gateways receive from the store: the slowest link of the deployments."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes by which a gateway promises that an unsafe request did not run."""
 COMPLETE_STREAM = b"".join(encode_event(number) for number in range(1, EVENTS_PER_STREAM + 1))
 
 
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
 class Violation(NamedTuple):
     """One observed violation of a guarantee."""
 
@@ -84,21 +95,33 @@
         ]
         """Addresses of each gateway for readiness checks, other gateways and metrics."""
         self._processes: list[asyncio.subprocess.Process | None] = [None] * GATEWAY_COUNT
+        self._stopped: set[int] = set()
+        """Gateways that are paused by SIGSTOP, as far as the soak knows."""
 
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
         address = self._find_address()
         store = FakeStore(address=address)
         await store.start()
+        routes = [
+            _route("many", "safe", max_attempts=3),
+            _route("once", "unsafe", max_attempts=1),
+            _route("stream", "streaming", max_attempts=3, stream_resume=True),
+        ]
+        configs = ConfigSeries(store=store, rng=self._rng, routes=routes)
         try:
             await self._start_fleet(store, address)
             callers = [asyncio.create_task(self._send_requests()) for _ in range(CALLER_COUNT)]
-            await self._inject_faults(store)
-            await self._clear_faults(store)
+            callers += [
+                asyncio.create_task(self._check_configs(number, configs, store))
+                for number in range(GATEWAY_COUNT)
+            ]
+            await self._inject_faults(store, configs)
+            await self._clear_faults(store, configs)
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
-            await self._check_recovery()
+            await self._check_recovery(configs)
             self._check_runs()
         finally:
             await self._stop_all(store)
@@ -110,14 +133,9 @@
             proxy = await self._start_proxy(f"server-{number}", server.http_server.address)
             entry = payloads.server_entry(proxy.address, service="app", slots=6)
             store.put("keyed.servers", f"s{number}", entry)
-        routes = [
-            _route("once", "unsafe", max_attempts=1),
-            _route("many", "safe", max_attempts=3),
-            _route("stream", "streaming", max_attempts=3, stream_resume=True),
-        ]
-        store.put("keyed.op", "config", payloads.operator_config(7, keys=(), routes=routes))
         for number in range(GATEWAY_COUNT):
-            await self._start_proxy(f"store-{number}", address)
+            proxy = await self._start_proxy(f"store-{number}", address)
+            proxy.bytes_per_s = STORE_BYTES_PER_S
             await self._start_gateway(number)
         await asyncio.sleep(1.5)
 
@@ -146,26 +164,36 @@
                 env=dict(os.environ),
             )
 
-    async def _inject_faults(self, store: FakeStore) -> None:
+    async def _inject_faults(self, store: FakeStore, configs: ConfigSeries) -> None:
         loop = asyncio.get_running_loop()
         faults_end_at = loop.time() + self._duration_s
         while loop.time() < faults_end_at:
             await asyncio.sleep(self._rng.uniform(0.1, 0.8))
-            kind = self._rng.choice(["proxy", "proxy", "signal", "signal", "store", "servers"])
+            kind = self._rng.choice(
+                ["proxy", "proxy", "signal", "signal", "store", "servers", "config", "config"]
+            )
             if kind == "proxy":
                 name = self._rng.choice(sorted(self._proxies))
                 fault = self._rng.choice(list(Fault))
                 self.faults.append(f"{name} {fault}")
                 self._proxies[name].set_fault(fault)
+                if name.startswith("store-"):
+                    configs.record_disturbance(int(name.removeprefix("store-")))
+            elif kind == "config":
+                self.faults.append(f"{configs.publish_series()} configurations")
             elif kind == "store":
                 store.down = not store.down
+                for number in range(GATEWAY_COUNT):
+                    configs.record_disturbance(number)
                 self.faults.append(f"store down={store.down}")
             elif kind == "servers":
                 server = self._rng.choice(self._servers)
                 server.failure_rate = self._rng.choice([0.0, 0.2, 0.6])
                 self.faults.append(f"servers failing={server.failure_rate}")
             else:
-                await self._signal_gateway(self._rng.randrange(GATEWAY_COUNT))
+                number = self._rng.randrange(GATEWAY_COUNT)
+                configs.record_disturbance(number)
+                await self._signal_gateway(number)
 
     async def _signal_gateway(self, number: int) -> None:
         process = self._processes[number]
@@ -178,9 +206,14 @@
         )
         self.faults.append(f"gateway-{number} {sig.name}")
         process.send_signal(sig)
+        if sig is signal.SIGSTOP:
+            self._stopped.add(number)
+        elif sig is signal.SIGCONT or sig is signal.SIGKILL:
+            self._stopped.discard(number)
 
-    async def _clear_faults(self, store: FakeStore) -> None:
+    async def _clear_faults(self, store: FakeStore, configs: ConfigSeries) -> None:
         store.down = False
+        self._stopped.clear()
         for proxy in self._proxies.values():
             proxy.set_fault(Fault.NONE)
         for server in self._servers:
@@ -188,9 +221,14 @@
         for number, process in enumerate(self._processes):
             if process is not None and process.returncode is None:
                 process.send_signal(signal.SIGCONT)
+            configs.record_disturbance(number)
+        await asyncio.sleep(CATCH_UP_S)
+        for number, process in enumerate(self._processes):
+            if process is not None and process.returncode is None:
                 process.send_signal(signal.SIGKILL)
                 await process.wait()
             await self._start_gateway(number)
+            configs.record_disturbance(number)
         await asyncio.sleep(RECOVERY_S)
 
     async def _send_requests(self) -> None:
@@ -212,14 +250,11 @@
     async def _send_request(
         self, caller_address: str, kind: str, request_id: str
     ) -> CallerResponse | None:
-        host, _, port = caller_address.rpartition(":")
         try:
-            async with asyncio.timeout(3.0):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                head = f"POST /{kind}/x HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: {request_id}"
-                writer.write(f"{head}\r\nX-Deadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n".encode())
-                response = await read_response(reader)
-                writer.close()
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                streams = await _connect(caller_address)
+                response = await _exchange(streams, kind, request_id)
+                streams[1].close()
                 return response
         except (OSError, TimeoutError):
             return None
@@ -239,7 +274,54 @@
                 Violation("complete response", request_id, repr(response.body[:200]))
             )
 
-    async def _check_recovery(self) -> None:
+    def _is_disturbed(self, number: int, store: FakeStore) -> bool:
+        process = self._processes[number]
+        return (
+            store.down
+            or number in self._stopped
+            or process is None
+            or process.returncode is not None
+            or self._proxies[f"store-{number}"].fault is not Fault.NONE
+        )
+
+    async def _check_configs(self, number: int, configs: ConfigSeries, store: FakeStore) -> None:
+        """Send requests on added routes to a gateway, on one connection while it stays open."""
+        streams: Streams | None = None
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.02, 0.06))
+            if self._is_disturbed(number, store):
+                configs.record_disturbance(number)
+            route, process = configs.choose(), self._processes[number]
+            if route is None or process is None:
+                continue
+            sent_at = time.monotonic()
+            try:
+                async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                    streams = streams or await _connect(self._caller_addresses[number])
+                    response = await _exchange(streams, route.name, self._new_request_id("many"))
+            except (OSError, TimeoutError):
+                response = None
+            if response is None or not response.complete or "close" in response.head.lower():
+                if streams is not None:
+                    streams[1].close()
+                streams = None
+            if response is None or self._processes[number] is not process:
+                continue
+            detail = configs.find_violation(
+                number, process.pid, route, response.status, sent_at=sent_at
+            )
+            if detail:
+                address = self._caller_addresses[number]
+                self.violations.append(Violation("configuration", address, detail))
+
+    async def _check_recovery(self, configs: ConfigSeries) -> None:
+        for address in self._caller_addresses:
+            newest = configs.newest
+            response = await self._send_request(
+                address, newest.name if newest else "many", self._new_request_id("many")
+            )
+            if response is None or response.status != 200:
+                self.violations.append(Violation("newest configuration", address, str(response)))
         for address in self._caller_addresses:
             responses = [
                 await self._send_request(address, "many", self._new_request_id("many"))
@@ -275,6 +357,18 @@
         store.stop()
 
 
+async def _connect(address: str) -> Streams:
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def _exchange(streams: Streams, path: str, request_id: str) -> CallerResponse:
+    reader, writer = streams
+    head = f"POST /{path}/x HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: {request_id}"
+    writer.write(f"{head}\r\nX-Deadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n".encode())
+    return await read_response(reader)
+
+
 def _route(name: str, kind: str, **changes: object) -> dict[str, object]:
     route: dict[str, object] = {
         "name": name,
