Separate the ways to read the store, and measure slopes against routes

Read as a newcomer: RelayedStore.read_after did three things, a constant of EngineClient stood between another one and its text, and the interface of the HTTP client did not tell that a large body may exceed its timeout. A question to a reader leaves out a wait of zero, so that the parameter added for readers does not exceed the 3 KB/s of control traffic. make measure gives bytes, time and memory of a configuration against its routes.

--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -18,9 +18,9 @@
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_IDLE_CONNECTIONS = 32
+"""Idle connections kept open for reuse."""
 MAX_RESPONSE_BYTES = 16 << 20
 """Maximum size of a response that is read whole."""
-"""Idle connections kept open for reuse."""
 
 
 class EngineRequestError(NamedTuple):
--- a/packages/core/src/cornellead_core/routing/_http_client.py
+++ b/packages/core/src/cornellead_core/routing/_http_client.py
@@ -31,7 +31,8 @@
 
         :param address: ``ip:port``.
         :param target: Path and query.
-        :param timeout_s: Maximum time until the complete response is received.
+        :param timeout_s: Maximum time until the complete response is received. A large body that
+            keeps arriving may take longer.
         :returns: The response or an error message. After an error, the receiver may still have
             processed the request.
         """
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -33,6 +33,7 @@
 REFUSAL_BODY_TIMEOUT_S = 0.05
 """Maximum time for the body of a refusal, which is read only to reuse the connection."""
 MAX_REFUSAL_BYTES = 64 << 10
+"""Maximum size of the body of a refusal; a larger one closes the connection."""
 MAX_EVENT_BYTES = 1 << 20
 """Maximum size of an event, which is buffered until it is complete."""
 OK = 200
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -133,15 +133,24 @@
         hold_s = min(MAX_WAIT_S, wait_s)
         fetched = await self._query_reader(topic, offset=offset, wait_s=hold_s)
         if fetched is None and topic in self._store_retry_at:
-            # After an outage, other routers have the newest state in a small part of its size.
-            skip_store = self._clock() < self._store_retry_at[topic]
-            fetched = await self._query_backups(
-                topic, offset=offset, wait_s=hold_s if skip_store else 0.0
-            )
-            if fetched is not None and not (skip_store or fetched.page.notices):
-                fetched = None
+            fetched = await self._query_backups_in_outage(topic, offset=offset, wait_s=hold_s)
         if fetched is not None:
             return self._apply_changes(topic, fetched, offset=offset)
+        return await self._read_store_after(topic, offset=offset, wait_s=wait_s)
+
+    async def announce(
+        self, router: str, location: RouterLocation | None
+    ) -> Result[None, StoreError]:
+        """Announce a router in the store.
+
+        :param location: Where the router runs; ``None`` if it is stopping.
+        """
+        return await self._store.announce(router, location)
+
+    async def _read_store_after(
+        self, topic: Topic, *, offset: int, wait_s: float
+    ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
+        """Read the store, or other routers if it fails."""
         result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
         if isinstance(result, Success):
             batch = result.unwrap()
@@ -161,15 +170,6 @@
         fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
         return result if fetched is None else self._apply_changes(topic, fetched, offset=offset)
 
-    async def announce(
-        self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
-        """Announce a router in the store.
-
-        :param location: Where the router runs; ``None`` if it is stopping.
-        """
-        return await self._store.announce(router, location)
-
     def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
@@ -192,6 +192,20 @@
         sample = random.sample(peers, min(count, len(peers)))
         return {name: location.address for name, location in sample}
 
+    async def _query_backups_in_outage(
+        self, topic: Topic, *, offset: int, wait_s: float
+    ) -> _FetchedPage | None:
+        """Return what other routers have while the store counts as lost; ``None`` if it is to be
+        read.
+
+        They are asked even when the store is due for another read: after an outage they have the
+        newest state in a small part of its size.
+        """
+        if self._clock() < self._store_retry_at[topic]:
+            return await self._query_backups(topic, offset=offset, wait_s=wait_s)
+        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
+        return fetched if fetched is not None and fetched.page.notices else None
+
     async def _query_backups(
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> _FetchedPage | None:
@@ -272,7 +286,9 @@
         """
         query: dict[str, str] = {"reader": "1"} if as_reader else {}
         if offset is not None:
-            query |= {"after": str(offset), "wait": f"{wait_s:.2f}"}
+            query["after"] = str(offset)
+        if wait_s > 0:
+            query["wait"] = f"{wait_s:.2f}"
         target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
         result = await self._http.call(
             address, "GET", target, timeout_s=wait_s + RESPONSE_TIMEOUT_S
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -84,7 +84,7 @@
         except TimeoutError:
             return Failure(f"no complete response within {loop.time() - started_at:.2f} s")
         if response_body is None:
-            return Failure("the connection closed before the end of the response")
+            return Failure("the response is incomplete or too large")
         return Success(
             HttpResponse(
                 response.status,
--- a/scripts/measurements/_gateway_slopes.py
+++ b/scripts/measurements/_gateway_slopes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from hashlib import sha256
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,6 +13,8 @@
 from cornellead.gateway.policy import PlacementContext
 from cornellead.gateway.policy import order_for_chat
 from cornellead.gateway.relay import ChangeLog
+from cornellead.gateway.relay import RelayPage
+from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
 from cornellead.gateway.view import FleetView
 from cornellead.gateway.view import RouterLoad
@@ -19,6 +22,7 @@
 from cornellead_core.routing import CallerLimits
 from cornellead_core.routing import RequestKind
 from cornellead_core.routing import Route
+from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingData
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerEntry
@@ -38,6 +42,8 @@
 """Servers with requests of one router: 11 requests per second of 2 s each are 22 in flight."""
 TEAM_COUNTS = [10, 90, 270]
 """Teams in one configuration, each with its own key and route."""
+ROUTE_COUNTS = [250, 500, 1000, 2000, 4000]
+"""Routes in one configuration without teams."""
 READER_ADDRESS = "10.0.0.1:7100"
 
 
@@ -49,6 +55,11 @@
         "change_bytes": measure_slope([1, 10, 100], _changes_bytes),
         "question_without_changes_bytes": _idle_poll_bytes(),
         "configuration_bytes": measure_slope(TEAM_COUNTS, _configuration_bytes),
+        "configuration_bytes_by_routes": measure_slope(ROUTE_COUNTS, _routes_bytes),
+        "configuration_encode_us_by_routes": measure_slope(ROUTE_COUNTS, _encode_us),
+        "configuration_decode_us_by_routes": measure_slope(ROUTE_COUNTS, _decode_us),
+        "configuration_activate_us_by_routes": measure_slope(ROUTE_COUNTS, _activate_us),
+        "configuration_memory_bytes_by_routes": measure_slope(ROUTE_COUNTS, _memory_bytes),
         "load_report_bytes": measure_slope(BUSY_SERVER_COUNTS, _load_report_bytes),
         "choice_us_per_request": measure_slope(SERVER_COUNTS, _placement_us),
     }
@@ -101,19 +112,58 @@
         )
         for number in range(count)
     )
-    data = RoutingData(
+    return float(len(encode_page(_config_page(_routing_data(count, teams=teams)))))
+
+
+def _routes_bytes(count: int) -> float:
+    return float(len(encode_page(_config_page(_routing_data(count)))))
+
+
+def _encode_us(count: int) -> float:
+    page = _config_page(_routing_data(count))
+    return time_us(lambda: encode_page(page))
+
+
+def _decode_us(count: int) -> float:
+    encoded = encode_page(_config_page(_routing_data(count)))
+    return time_us(lambda: decode_page(encoded))
+
+
+def _activate_us(count: int) -> float:
+    data = _routing_data(count)
+    return time_us(lambda: RoutingConfig(data=data))
+
+
+def _memory_bytes(count: int) -> float:
+    encoded = encode_page(_config_page(_routing_data(count)))
+    tracemalloc.start()
+    page = decode_page(encoded)
+    assert page is not None and isinstance(page.notices[0], RoutingNotice)
+    assert page.notices[0].data is not None
+    config = RoutingConfig(data=page.notices[0].data)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del config
+    return float(size)
+
+
+def _routing_data(route_count: int, *, teams: tuple[TeamKeys, ...] = ()) -> RoutingData:
+    return RoutingData(
         version=1,
-        routes=tuple(_route(number) for number in range(count)),
+        routes=tuple(_route(number) for number in range(route_count)),
         services=(Service("assistant", 370, 3.0, 11.0, 64, 528_867),),
         limits=CallerLimits(16_384, 4_194_304, 3.0, 15.0),
         teams=teams,
         keys_required=True,
     )
+
+
+def _config_page(data: RoutingData) -> RelayPage:
     log = _change_log(0)
     log.add([RoutingNotice(data, "")], 1, now=0.0)
     page = log.read(0, now=0.1)
     assert page is not None
-    return float(len(encode_page(page)))
+    return page
 
 
 def _route(number: int) -> Route:
@@ -139,7 +189,7 @@
     assert page is not None
     body = encode_page(page)
     request = encode_request_head(
-        READER_ADDRESS, "GET", "/notices/servers?after=123456&wait=0.40", 0
+        READER_ADDRESS, "GET", "/notices/servers?reader=1&after=123456&wait=0.40", 0
     )
     return len(request) + len(encode_head(200, (), length=len(body), close=False)) + len(body)
 
