Keep routers that respond in the view of routers that do not read the store

Cause: announcements are renewed every 4 s and expire after 20 s, but a reader relays only those that change. A router that reads them from its reader therefore dropped its peers 20 s after its start, also the reader itself, and got them back without data centre from their load reports.

Change: a response and a load report of a router renew its announcement and keep its location.

Result: test_router_that_responds_keeps_its_location and test_reader_that_responds_does_not_expire; the second one fails without the change.

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -307,4 +307,5 @@
             transfer_s=response.transfer_s,
             decode_s=time.perf_counter() - decode_started_at,
         )
+        self._view.renew_router(name, now=self._clock())
         return _FetchedPage(page, read)
--- a/packages/router/src/cornellead/gateway/view/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_view.py
@@ -88,9 +88,21 @@
             self._routers[router] = (now, location)
 
     def add_reporting_router(self, router: str, location: RouterLocation, *, now: float) -> None:
-        """Add a router that sent a load report before its announcement was read."""
-        if router not in self._routers and router != self.router:
-            self._routers[router] = (now, location)
+        """Add a router that sent a load report before its announcement was read, or renew it.
+
+        :param location: Used until the router's announcement is read.
+        """
+        if router != self.router:
+            _, known = self._routers.get(router, (now, location))
+            self._routers[router] = (now, known)
+
+    def renew_router(self, router: str, *, now: float) -> None:
+        """Renew the announcement of a router that has responded.
+
+        Routers that read announcements from another router receive only those that change.
+        """
+        if router in self._routers:
+            self._routers[router] = (now, self._routers[router][1])
 
     def routers(self, *, now: float) -> list[str]:
         """Remove expired routers and return the sorted names of the rest, this one included."""
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -19,6 +19,7 @@
 from cornellead.gateway.relay import RelayHandler
 from cornellead.gateway.relay._relayed_store import STORE_BACKOFF_S
 from cornellead.gateway.view import FleetView
+from cornellead.gateway.view._fleet_view import ROUTER_EXPIRY_S
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.placement import rank_members
@@ -237,6 +238,16 @@
     assert third.store.logs[Topic.OPERATOR].from_store
 
 
+async def test_reader_that_responds_does_not_expire(routers: RouterGroup) -> None:
+    """Guards against routers that leave a reader whose announcement did not change."""
+    _, (first, _, third, *_) = routers
+    await first.store.read_newest(Topic.OPERATOR)
+    read_at = time.monotonic()
+    third.view.apply_announcement(first.name, first.location, now=read_at - ROUTER_EXPIRY_S + 0.5)
+    await third.store.read_newest(Topic.OPERATOR)
+    assert third.view.peers(now=read_at + 1.0)[first.name] == first.location
+
+
 async def test_next_router_in_rank_replaces_a_failed_reader(routers: RouterGroup) -> None:
     """Guards against a data centre whose routers all read the store when its reader fails."""
     store, (first, second, third, *_) = routers
--- a/tests/router/gateway/view/test_fleet_view.py
+++ b/tests/router/gateway/view/test_fleet_view.py
@@ -36,6 +36,21 @@
     assert view.peers(now=26.0) == {}
 
 
+def test_router_that_responds_keeps_its_location() -> None:
+    """Guards against routers that lose their reader because an unchanged announcement is not
+    relayed to them."""
+    view = FleetView(router="r1")
+    reader = RouterLocation("10.0.0.2:7000", "dc-a", 100.0)
+    reporting = RouterLocation("10.0.0.3:7000", "dc-a", 5.0)
+    view.apply_announcement("r2", reader, now=0.0)
+    view.apply_announcement("r3", reporting, now=0.0)
+    view.renew_router("r2", now=15.0)
+    view.add_reporting_router("r3", reporting._replace(data_centre=""), now=15.0)
+    view.renew_router("r4", now=15.0)
+    assert view.peers(now=25.0) == {"r2": reader, "r3": reporting}
+    assert view.peers(now=40.0) == {}
+
+
 def test_load_of_routers_without_reports_is_estimated() -> None:
     """Guards against a load bound that omits most of the load because few reports arrive."""
     load = FleetLoad()
