Log crashes of servers and the requests that may have caused them

Cause: the logs of a router show a broken attempt, but neither whether the server ended or only the connection, nor the parts of the prompts that were at the server.

Change: after a connection broke, one further connection to the server tells a crash from a reset; requests whose answer had not begun, or just had, are logged with their parts, at most eight of a crash. No decision depends on it.

--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -6,6 +6,7 @@
 from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
 from cornellead.gateway.forwarding._attempt_sender import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding._attempt_sender import AttemptSender
+from cornellead.gateway.forwarding._crash_watch import CrashWatch
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
 from cornellead.gateway.forwarding._forwarder import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding._forwarder import SERVICE_FULL_RETRY_AFTER_S
@@ -21,6 +22,7 @@
     "Admission",
     "AdmittedRequest",
     "AttemptSender",
+    "CrashWatch",
     "EventSplitter",
     "Forwarder",
     "NoServer",
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -13,6 +13,10 @@
 """Time without data after which a stream is resumed at another server: model servers emit events
 every few tens of milliseconds, and callers disconnect after four seconds."""
 
+ANSWER_PROOF_S = 0.5
+"""Time from the head to an event after which the answer counts as begun: a server that crashes on a
+request may have sent a first event."""
+
 _attempt_ids = count(1)
 
 
@@ -42,6 +46,9 @@
         """Whether the router aborted the attempt because the server sent nothing for too long."""
         self.blocked_on_caller = False
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
+        self.answered = False
+        """Whether the server began to answer the request and survived that."""
+        self._head_at: float | None = None
         self._attempt_id = next(_attempt_ids)
         self._first_byte_timeout_s = first_byte_timeout_s
         self._can_fail_over = can_fail_over
@@ -55,6 +62,20 @@
         self._last_byte_at = now
         self.state.health.record_data_received(now=now)
 
+    def record_head(self, *, now: float) -> None:
+        """Record that the head of a successful response arrived."""
+        self._head_at = now
+
+    def record_event(self, *, now: float) -> None:
+        """Record an event of the response, which counts as answered once it has lasted."""
+        if self._head_at is not None and now - self._head_at >= ANSWER_PROOF_S:
+            self.answered = True
+
+    @property
+    def has_head(self) -> bool:
+        """Whether the head of a successful response arrived."""
+        return self._head_at is not None
+
     def close(self) -> None:
         """Remove the request from the server's in-flight requests, and close the connection if the
         response is incomplete."""
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -24,6 +24,7 @@
     from cornellead.gateway.forwarding._admission import Admission
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
+    from cornellead.gateway.forwarding._crash_watch import CrashWatch
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.forwarding._response_relay import ResponseRelay
     from cornellead.gateway.forwarding._server_picker import ServerPicker
@@ -68,6 +69,7 @@
         retries: RetryBudgets,
         wire: WireFormat,
         stats: GatewayStats,
+        crashes: CrashWatch,
         clock: Callable[[], float],
     ) -> None:
         self._view = view
@@ -78,6 +80,7 @@
         self._retries = retries
         self._wire = wire
         self._stats = stats
+        self._crashes = crashes
         self._clock = clock
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
@@ -195,6 +198,8 @@
             return None
         try:
             outcome = await self._relay.relay(admitted, attempt, events, out)
+            if attempt.exchange.broken and isinstance(outcome, BrokenResponse):
+                self._crashes.record_broken(admitted, attempt)
         except BaseException:
             trace.add_attempt(name, "cancelled")
             raise
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -70,6 +70,8 @@
         wrong_request = reply.request_id != admitted.caller.request_id
         if wrong_request or not reply.sealed or CONTENT_ENCODING in head.headers:
             return BrokenResponse("not_the_servers_response")
+        if head.status == OK:
+            attempt.record_head(now=self._clock())
         if admitted.route.kind is RequestKind.STREAMING and head.status == OK:
             return await self._relay_stream(attempt, events, head.status, reply, out)
         body = await self._read_body(attempt)
@@ -123,6 +125,8 @@
             # The head is written with the first event: until then, another server can be tried.
             if not out.started and (complete or not data):
                 out.begin(status, reply.forwarded)
+            if complete and data:
+                attempt.record_event(now=self._clock())
             if complete:
                 attempt.blocked_on_caller = True
                 await out.write(complete)
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.forwarding import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
+from cornellead.gateway.forwarding import CrashWatch
 from cornellead.gateway.forwarding import Forwarder
 from cornellead.gateway.forwarding import ResponseRelay
 from cornellead.gateway.forwarding import ServerPicker
@@ -138,6 +139,7 @@
             retries=self._retries,
             wire=wire,
             stats=self._stats,
+            crashes=CrashWatch(pool=self._pool, stats=self._stats, clock=read_clock),
             clock=read_clock,
         )
         admin = AdminHandler(
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -72,21 +72,13 @@
         if conn is not None:
             self.reused += 1
             return Success(conn.send(head, body, expect=expect))
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(self._connect_timeout_s):
-                _, conn = await self._loop.create_connection(
-                    lambda: Connection(
-                        loop=self._loop, release=lambda conn: self._add_idle(address, conn)
-                    ),
-                    host,
-                    int(port),
-                )
-        except (OSError, TimeoutError, ValueError) as exc:
-            return Failure(ConnectError(f"no connection to {address}: {exc!r}"))
-        conn.set_user_timeout(TCP_USER_TIMEOUT_MS)
-        self.opened += 1
-        return Success(conn.send(head, body, expect=expect))
+        opened = await self._open(address)
+        return opened.map(lambda conn: conn.send(head, body, expect=expect))
+
+    async def probe(self, address: str) -> Result[None, ConnectError]:
+        """Open a connection and keep it as an idle one, to find out whether a server listens."""
+        opened = await self._open(address)
+        return opened.map(lambda conn: self._add_idle(address, conn))
 
     def close_idle(self, *, now: float) -> None:
         """Close connections whose idle timeout has passed.
@@ -119,6 +111,23 @@
         for conn in self._idle.pop(address, []):
             conn.close()
 
+    async def _open(self, address: str) -> Result[Connection, ConnectError]:
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                _, conn = await self._loop.create_connection(
+                    lambda: Connection(
+                        loop=self._loop, release=lambda conn: self._add_idle(address, conn)
+                    ),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError, ValueError) as exc:
+            return Failure(ConnectError(f"no connection to {address}: {exc!r}"))
+        conn.set_user_timeout(TCP_USER_TIMEOUT_MS)
+        self.opened += 1
+        return Success(conn)
+
     def _pop_idle(self, address: str, max_idle_s: float) -> Connection | None:
         conns = self._idle.get(address, [])
         while conns:
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -16,6 +16,7 @@
 
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
+from cornellead.gateway.forwarding import CrashWatch
 from cornellead.gateway.forwarding import Forwarder
 from cornellead.gateway.forwarding import ResponseRelay
 from cornellead.gateway.forwarding import ServerPicker
@@ -56,6 +57,7 @@
         self.limits = LIMITS
         self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
+        stats = GatewayStats(metrics=Metrics())
         forwarder = Forwarder(
             view=self.view,
             admission=Admission(
@@ -74,7 +76,8 @@
             relay=ResponseRelay(wire=wire, clock=clock),
             retries=RetryBudgets(bounds=BOUNDS),
             wire=wire,
-            stats=GatewayStats(metrics=Metrics()),
+            stats=stats,
+            crashes=CrashWatch(pool=self.pool, stats=stats, clock=clock),
             clock=clock,
         )
         self.listener = CallerListener(
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -99,6 +99,12 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections, as when the process ends."""
+        self.stop()
+        for seen in self.received:
+            seen.reset()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while not writer.is_closing():
