--- a/tests/router/gateway/builders.py
+++ b/tests/router/gateway/builders.py
@@ -63,8 +63,13 @@
     return route._replace(**changes)
 
 
-def make_config(version: int = 1, *, cold_rate_per_s: float = 0.0) -> RoutingConfig:
-    """Return a configuration with a route of each kind."""
+def make_config(
+    version: int = 1, *, cold_rate_per_s: float = 0.0, max_attempts: int = 2
+) -> RoutingConfig:
+    """Return a configuration with a route of each kind.
+
+    :param max_attempts: Maximum number of servers that may run a request of the resumable route.
+    """
     return RoutingConfig(
         data=RoutingData(
             version=version,
@@ -72,7 +77,13 @@
                 make_route("safe", RequestKind.SAFE),
                 make_route("unsafe", RequestKind.UNSAFE),
                 make_route("stream", RequestKind.STREAMING),
-                make_route("resumable", RequestKind.STREAMING, resumable=True, timeout_s=10.0),
+                make_route(
+                    "resumable",
+                    RequestKind.STREAMING,
+                    resumable=True,
+                    timeout_s=10.0,
+                    max_attempts=max_attempts,
+                ),
             ),
             services=(
                 Service(
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -47,12 +47,12 @@
 class Gateway:
     """Listener, forwarder and fleet view of one gateway."""
 
-    def __init__(self, address: str, *, max_connections: int = 100) -> None:
+    def __init__(self, address: str, *, max_connections: int = 100, router: str = "r1") -> None:
         loop = asyncio.get_running_loop()
         clock = time.monotonic
         wire = PlatformHeaders()
         self.address = address
-        self.view = FleetView(router="r1")
+        self.view = FleetView(router=router)
         self.serving = ServingState()
         self.limits = LIMITS
         self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
@@ -67,7 +67,7 @@
             ),
             picker=ServerPicker(
                 view=self.view,
-                cold_limiter=ColdStartLimiter(router="r1", burst=BOUNDS.cold_slack),
+                cold_limiter=ColdStartLimiter(router=router, burst=BOUNDS.cold_slack),
                 data_centre="dc-a",
                 regions={},
                 load_factor=BOUNDS.load_factor,
@@ -90,11 +90,17 @@
         )
 
     def configure(
-        self, *servers: ScriptedServer, cold_rate_per_s: float = 0.0, cold_s: float = 0.0
+        self,
+        *servers: ScriptedServer,
+        cold_rate_per_s: float = 0.0,
+        cold_s: float = 0.0,
+        max_attempts: int = 2,
     ) -> None:
         """Put a configuration into force and add servers to the fleet view."""
         now = time.monotonic()
-        self.view.activate_config(make_config(cold_rate_per_s=cold_rate_per_s))
+        self.view.activate_config(
+            make_config(cold_rate_per_s=cold_rate_per_s, max_attempts=max_attempts)
+        )
         self.view.confirmed_at = now
         self.view.servers_loaded = True
         for number, server in enumerate(servers):
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -40,6 +42,10 @@
 
     def reset(self) -> None:
         """Reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        if sock is not None and not self.writer.transport.is_closing():
+            # Without a linger time of 0, closing sends a regular end of the connection.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
     def response(self, status: int, *headers: str, body: bytes = b"") -> bytes:
