Treat a stream that ends inside an event as broken off

Callers took part of an event for the end of a complete stream, and a resumable stream was not resumed.

Cause: the relay passed on the bytes after the last complete event when the response ended without an error, also if the server had stopped in an event.

Change: such a response counts as broken: it is resumed where the route allows it, and cut off for the caller otherwise.

Result: the three tests of it failed before and pass; so do tests of bodies and streams without a length, which passed before.

--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -120,8 +120,10 @@
                     return BrokenResponse("events_missing")
                 if len(events.tail) > MAX_EVENT_BYTES:
                     return BrokenResponse("event_too_large")
+            elif events.tail:
+                return BrokenResponse("ended_inside_event")
             else:
-                complete = events.tail
+                complete = b""
             # The head is written with the first event: until then, another server can be tried.
             if not out.started and (complete or not data):
                 out.begin(status, reply.forwarded)
