Do not blame a part for crashes at which a quarantined part was present

Cause: a crash was explained only for the requests that had the quarantined part themselves, not for the others that were at the server at that moment.

Change: reports on the same server within 1.5 s are about one crash; if a quarantined part was there, the crash is no evidence against other parts.

--- a/packages/router/src/cornellead/gateway/quarantine/_culprits.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_culprits.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
@@ -26,8 +28,6 @@
 SAME_CRASH_S = 1.5
 """Time within which reports on the same server are about the same crash: routers notice a crash
 within a fraction of a second, and a server takes longer to start."""
-MIN_UNEXPLAINED_CRASHES = 2
-"""Crashes without a quarantined part in the request that a further part needs."""
 
 
 class Culprit(NamedTuple):
@@ -44,9 +44,10 @@
 
 
 def find_culprits(
-    evidence: Mapping[str, Sequence[CrashReport]],
+    candidates: Collection[str],
     *,
-    answered: Collection[str],
+    evidence: Callable[[str], Sequence[CrashReport]],
+    answered: Callable[[str], bool],
     quarantined: Collection[str],
     on_probation: Collection[str],
 ) -> list[Culprit]:
@@ -55,28 +56,36 @@
     A part that crashes every server has no answer after its first crash, while a sound part that
     was at a crash by chance is answered elsewhere. The culprit's requests may share all their other
     parts, so of the parts of a request the one that was never answered is blamed, then the one with
-    the most crashes, then the one that comes last and thus concerns the fewest requests.
+    the most crashes, then the one that comes last and thus concerns the fewest requests. A crash at
+    which a culprit was present is no evidence against other parts.
 
-    :param evidence: Reports since the latest answer, by part.
-    :param answered: Parts of which an answer is known.
-    :param quarantined: Parts that are quarantined already; they explain the crashes of their
-        requests.
+    :param candidates: Parts to be judged.
+    :param evidence: Returns the reports on a part since its latest answer.
+    :param answered: Returns whether an answer to a request with a part is known.
+    :param quarantined: Parts that are quarantined already.
     :param on_probation: Parts whose quarantine has ended; a single crash suffices for them.
     """
     culprits: list[Culprit] = []
-    explained_by = set(quarantined)
+    explaining = [evidence(part) for part in quarantined]
+    undecided = set(candidates) - set(quarantined)
     while True:
-        candidates = [
-            culprit
-            for part, reports in evidence.items()
-            if part not in explained_by and reports
-            if (culprit := _judge(part, reports, answered, explained_by, on_probation))
-        ]
-        if not candidates:
+        explained = _times_by_server(chain.from_iterable(explaining))
+        judged = (
+            _judge(
+                part,
+                [report for report in evidence(part) if not _is_explained(report, explained)],
+                answered(part),
+                part in on_probation,
+            )
+            for part in undecided
+        )
+        found = [culprit for culprit in judged if culprit is not None]
+        if not found:
             return culprits
-        best = min(candidates, key=lambda c: (c.answered, -c.crashes, -c.depth, c.part))
+        best = min(found, key=lambda c: (c.answered, -c.crashes, -c.depth, c.part))
         culprits.append(best)
-        explained_by.add(best.part)
+        undecided.discard(best.part)
+        explaining.append(evidence(best.part))
 
 
 def count_crashes(reports: Iterable[CrashReport]) -> int:
@@ -85,26 +94,29 @@
 
 
 def _judge(
-    part: str,
-    reports: Sequence[CrashReport],
-    answered: Collection[str],
-    explained_by: Collection[str],
-    on_probation: Collection[str],
+    part: str, reports: Sequence[CrashReport], answered_before: bool, on_probation: bool
 ) -> Culprit | None:
     times = _crash_times(reports)
-    answered_before = part in answered
-    if part not in on_probation:
-        min_crashes = MIN_CRASHES_AFTER_ANSWER if answered_before else MIN_CRASHES
-        min_occasions = MIN_OCCASIONS_AFTER_ANSWER if answered_before else MIN_OCCASIONS
-        if len(times) < min_crashes or _count_occasions(times) < min_occasions:
-            return None
-        unexplained = [r for r in reports if not set(explained_by).intersection(r.parts)]
-        if count_crashes(unexplained) < MIN_UNEXPLAINED_CRASHES:
-            return None
+    min_crashes = MIN_CRASHES_AFTER_ANSWER if answered_before else MIN_CRASHES
+    min_occasions = MIN_OCCASIONS_AFTER_ANSWER if answered_before else MIN_OCCASIONS
+    enough = len(times) >= min_crashes and _count_occasions(times) >= min_occasions
+    if not times or not (enough or on_probation):
+        return None
     depth = max(report.parts.index(part) for report in reports)
     return Culprit(part, len(times), times[0], times[-1], answered_before, depth)
 
 
+def _times_by_server(reports: Iterable[CrashReport]) -> dict[int, list[float]]:
+    times: dict[int, list[float]] = {}
+    for report in reports:
+        times.setdefault(report.server, []).append(report.at)
+    return times
+
+
+def _is_explained(report: CrashReport, explained: Mapping[int, Sequence[float]]) -> bool:
+    return any(abs(report.at - at) <= SAME_CRASH_S for at in explained.get(report.server, ()))
+
+
 def _crash_times(reports: Iterable[CrashReport]) -> list[float]:
     """Return the times of the crashes, where reports on a server within a short time are one."""
     latest: dict[int, float] = {}
--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from cornellead.gateway.quarantine._crash_history import NEVER
 from cornellead.gateway.quarantine._crash_history import CrashHistory
 from cornellead.gateway.quarantine._crash_history import union_of_parts
 from cornellead.gateway.quarantine._crash_report import CrashReport
@@ -200,17 +201,15 @@
         """Quarantine parts of new reports if the evidence suffices."""
         held = {part for part, entry in self._quarantined.items() if now < entry.until}
         probation = {part: entry.until for part, entry in self._quarantined.items()}
-        evidence = {
-            part: [
-                report
-                for report in self._history.evidence(part)
-                if report.at > probation.get(part, float("-inf"))
-            ]
-            for part in union_of_parts(added)
-        }
+
+        def evidence(part: str) -> list[CrashReport]:
+            counted_from = probation.get(part, NEVER) if part not in held else NEVER
+            return [r for r in self._history.evidence(part) if r.at > counted_from]
+
         for culprit in find_culprits(
-            evidence,
-            answered={part for part in evidence if self.was_answered(part)},
+            union_of_parts(added),
+            evidence=evidence,
+            answered=self.was_answered,
             quarantined=held,
             on_probation=set(probation) - held,
         ):
@@ -240,7 +239,7 @@
     def _start_trial(self, part: str, routers: Sequence[str], now: float) -> bool:
         if rank_members(part, sorted({*routers, self._router}))[0] != self._router:
             return False
-        if now - self._trial_at.get(part, float("-inf")) < TRIAL_S:
+        if now - self._trial_at.get(part, NEVER) < TRIAL_S:
             return False
         self._trial_at[part] = now
         return True
