Keep quarantines of prompt parts in the store

Cause: the evidence and the quarantine were in the memory of the routers alone.

Change: the first router in rendezvous order for a part publishes its quarantine in the topic of the routers, which all of them read at their start and every 4 s, so no further reads are needed. The next in rank does so if it is missing for 6 s. Records of ended quarantines are removed. Routers of an earlier build skip the records, and pages without quarantines are encoded as before.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -24,6 +24,8 @@
 from cornellead_core.routing._store import Notice
 from cornellead_core.routing._store import NoticeBatch
 from cornellead_core.routing._store import OffsetExpired
+from cornellead_core.routing._store import QuarantineMark
+from cornellead_core.routing._store import QuarantineNotice
 from cornellead_core.routing._store import ReadStats
 from cornellead_core.routing._store import RouterLocation
 from cornellead_core.routing._store import RouterNotice
@@ -54,6 +56,8 @@
     "NoticeBatch",
     "OffsetExpired",
     "PromptPart",
+    "QuarantineMark",
+    "QuarantineNotice",
     "ReadStats",
     "ReportedLoad",
     "RequestKind",
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -22,7 +22,7 @@
     SERVERS = "servers"
     """Registry entries of the servers."""
     ROUTERS = "routers"
-    """Addresses of the running routers."""
+    """Addresses of the running routers, and the prompt parts that they quarantined."""
 
 
 class RoutingNotice(NamedTuple):
@@ -69,7 +69,26 @@
     """Location of the running router; ``None`` if the router shuts down."""
 
 
-Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice
+class QuarantineMark(NamedTuple):
+    """Decision of a router to refuse requests with a prompt part."""
+
+    strikes: int
+    """Number of quarantines of the part, this one included."""
+    crashes: int
+    """Crashes of servers that led to it."""
+    since_ms: int
+    """Time of the latest crash in Unix milliseconds."""
+
+
+class QuarantineNotice(NamedTuple):
+    """Start or end of the quarantine of a prompt part."""
+
+    part: str
+    mark: QuarantineMark | None
+    """``None`` if the quarantine was lifted."""
+
+
+Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice | QuarantineNotice
 
 
 CURRENT_AGE_S = 2.0
@@ -146,3 +165,9 @@
     ) -> Result[None, StoreError]:
         """Announce the location of a running router; ``None`` announces its shutdown."""
         ...
+
+    async def publish_quarantine(
+        self, part: str, mark: QuarantineMark | None
+    ) -> Result[None, StoreError]:
+        """Publish the quarantine of a prompt part; ``None`` publishes its end."""
+        ...
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -30,6 +30,7 @@
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import Announcer
 from cornellead.gateway.sync import OperatorSink
+from cornellead.gateway.sync import QuarantinePublisher
 from cornellead.gateway.sync import RouterSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.sync import TopicReader
@@ -205,6 +206,7 @@
 
     def _make_controllers(self) -> list[Controller]:
         stats, view = self._stats, self._view
+        router_sink = RouterSink(view=view, clock=read_clock)
         return [
             TopicReader(
                 store=self._store,
@@ -225,10 +227,11 @@
             TopicReader(
                 store=self._store,
                 topic=Topic.ROUTERS,
-                sink=RouterSink(view=view, clock=read_clock),
+                sink=router_sink,
                 wait_s=0.0,
                 interval_s=lambda: self._read_interval_s(ROUTERS_INTERVAL_S),
             ),
+            QuarantinePublisher(store=self._store, view=view, sink=router_sink, clock=read_clock),
             self._announcer,
             self._exchange,
             self._watcher,
--- a/packages/router/src/cornellead/gateway/quarantine/_quarantined_part.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_quarantined_part.py
@@ -7,6 +7,7 @@
 QUARANTINE_S = 600.0
 """Duration of the first quarantine; each further one lasts twice as long."""
 MAX_QUARANTINE_S = 86_400.0
+MAX_DOUBLINGS = 8
 
 
 class QuarantinedPart(NamedTuple):
@@ -40,4 +41,5 @@
 
     @property
     def _duration_s(self) -> float:
-        return min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0 ** (self.strikes - 1))
+        doublings = min(MAX_DOUBLINGS, max(0, self.strikes - 1))
+        return min(MAX_QUARANTINE_S, QUARANTINE_S * 2.0**doublings)
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -8,6 +8,7 @@
 
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
+from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import ServerNotice
 
@@ -160,6 +161,8 @@
         return notice.server
     if isinstance(notice, RouterNotice):
         return notice.router
+    if isinstance(notice, QuarantineNotice):
+        return f"part/{notice.part}"
     if isinstance(notice, DataCentreNotice):
         return f"data_centre/{notice.data_centre}"
     return "configuration"
@@ -170,4 +173,6 @@
         return notice.removed
     if isinstance(notice, RouterNotice):
         return notice.location is None
+    if isinstance(notice, QuarantineNotice):
+        return notice.mark is None
     return isinstance(notice, DataCentreNotice) and not notice.out
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.relay._change_log import RelayPage
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
+from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
@@ -23,6 +24,8 @@
     data_centres: list[DataCentreNotice]
     servers: list[ServerNotice]
     routers: list[RouterNotice]
+    quarantines: list[QuarantineNotice] = []
+    """Encoded only if there are some: routers of earlier builds reject longer pages."""
 
 
 MAX_PAGE_BYTES = 64 << 20
@@ -43,17 +46,17 @@
     depends on one of another kind. Compression reduces the traffic of configurations, which are
     repetitive with many teams and are sent to every router after each change.
     """
-    data = _encoder.encode(
-        _EncodedPage(
-            next_offset=page.next_offset,
-            snapshot=page.snapshot,
-            age_s=page.age_s,
-            routing=[n for n in page.notices if isinstance(n, RoutingNotice)],
-            data_centres=[n for n in page.notices if isinstance(n, DataCentreNotice)],
-            servers=[n for n in page.notices if isinstance(n, ServerNotice)],
-            routers=[n for n in page.notices if isinstance(n, RouterNotice)],
-        )
+    encoded = _EncodedPage(
+        next_offset=page.next_offset,
+        snapshot=page.snapshot,
+        age_s=page.age_s,
+        routing=[n for n in page.notices if isinstance(n, RoutingNotice)],
+        data_centres=[n for n in page.notices if isinstance(n, DataCentreNotice)],
+        servers=[n for n in page.notices if isinstance(n, ServerNotice)],
+        routers=[n for n in page.notices if isinstance(n, RouterNotice)],
+        quarantines=[n for n in page.notices if isinstance(n, QuarantineNotice)],
     )
+    data = _encoder.encode(encoded if encoded.quarantines else encoded[:-1])
     return (
         UNCOMPRESSED + data
         if len(data) < MIN_COMPRESSED_BYTES
@@ -72,6 +75,7 @@
         *encoded.data_centres,
         *encoded.servers,
         *encoded.routers,
+        *encoded.quarantines,
     ]
     return RelayPage(notices, encoded.next_offset, encoded.snapshot, encoded.age_s)
 
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -31,6 +31,7 @@
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import HttpClient
+    from cornellead_core.routing import QuarantineMark
     from cornellead_core.routing import RouterLocation
     from cornellead_core.routing import StoreError
 
@@ -147,6 +148,12 @@
         """
         return await self._store.announce(router, location)
 
+    async def publish_quarantine(
+        self, part: str, mark: QuarantineMark | None
+    ) -> Result[None, StoreError]:
+        """Publish the quarantine of a prompt part in the store; ``None`` publishes its end."""
+        return await self._store.publish_quarantine(part, mark)
+
     async def _read_store_after(
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -10,6 +10,8 @@
 
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import QuarantineMark
+from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
@@ -79,6 +81,22 @@
     assert batch.notices == [RouterNotice("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))]
 
 
+async def test_published_quarantines_are_read_back(store: Store) -> None:
+    """Guards against a quarantine that no router finds after all of them were restarted."""
+    fake_store, client = store
+    mark = QuarantineMark(strikes=2, crashes=4, since_ms=1_796_000_000_000)
+    await client.announce("r1", RouterLocation("10.0.0.1:7340", "kgl-a"))
+    await client.publish_quarantine("48720f", mark)
+    await client.publish_quarantine("a05928", mark)
+    await client.publish_quarantine("a05928", None)
+    fake_store.put_raw("keyed.routers", "part/bad", b'["many"]')
+    batch = (await client.read_newest(Topic.ROUTERS)).unwrap()
+    assert QuarantineNotice("48720f", mark) in batch.notices
+    assert not any(n for n in batch.notices if n == QuarantineNotice("a05928", mark))
+    later = (await client.read_after(Topic.ROUTERS, offset=3, wait_s=0.0)).unwrap()
+    assert later.notices == [QuarantineNotice("a05928", None)]
+
+
 async def test_unavailable_store_is_reported_as_an_error(store: Store) -> None:
     """Guards against a process that stops or hangs when the store is down or does not respond."""
     fake_store, client = store
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -4,6 +4,7 @@
 
 import zlib
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +14,9 @@
 from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
+from cornellead_core.routing import QuarantineMark
+from cornellead_core.routing import QuarantineNotice
+from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
 
@@ -26,6 +30,15 @@
     assert decode_page(encode_page(page)) == page
 
 
+def test_quarantines_round_trip_and_pages_without_them_stay_as_they_were() -> None:
+    """Guards against routers of an earlier build that reject every page of a newer one."""
+    notice = QuarantineNotice("48720f", QuarantineMark(1, 3, 1_796_000_000_000))
+    page = RelayPage([RouterNotice("r1", None), notice], 9, False, 0.5)
+    assert decode_page(encode_page(page)) == page
+    earlier = encode_page(RelayPage([RouterNotice("r1", None)], 9, False, 0.5))
+    assert len(msgspec.msgpack.decode(earlier[1:])) == 7
+
+
 def test_large_page_is_compressed() -> None:
     """Guards against configuration changes that exceed a node's 3 KB/s for control traffic."""
     names = [f"s{number}" for number in range(300)]
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -24,6 +24,7 @@
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
+from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import ServerNotice
 from cornellead_core.routing import StoreError
@@ -65,6 +66,11 @@
     ) -> Result[None, StoreError]:
         return Success(None)
 
+    async def publish_quarantine(
+        self, part: str, mark: QuarantineMark | None
+    ) -> Result[None, StoreError]:
+        return Success(None)
+
 
 class RouterFixture:
     """A router's view of the fleet, its relayed store, and the listener for other routers."""
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.sync import TopicReader
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import StoreError
@@ -43,6 +44,11 @@
     ) -> Result[None, StoreError]:
         return Success(None)
 
+    async def publish_quarantine(
+        self, part: str, mark: QuarantineMark | None
+    ) -> Result[None, StoreError]:
+        return Success(None)
+
     async def _next(self) -> Result[NoticeBatch, Any]:
         if not self._responses:
             await asyncio.sleep(3600)
