Do not send a chat of the own interface to a third engine that it broke

Change: after two failures before the first part of a response that may have run, the request gets its final answer. Refusals, planned moves and streams that had begun are not counted.

--- a/packages/router/src/cornellead/api/_chat_handler.py
+++ b/packages/router/src/cornellead/api/_chat_handler.py
@@ -124,6 +124,9 @@
                 self._dispatcher.release(job, placed)
             if error is None:
                 return None
+            state.unanswered_failures += 1
+            if state.may_crash_servers:
+                return error
             now = asyncio.get_running_loop().time()
             if now >= job.request.deadline:
                 return deadline_error(may_have_run=True)
@@ -228,6 +231,10 @@
                     self._dispatcher.release(job, placed)
             placed.exchange.abort()
             state.may_have_run = True
+            state.unanswered_failures += not stream_filter.moved and not stream_filter.delivered
+            if state.may_crash_servers:
+                message = stream_filter.fault or "the stream broke before its first event"
+                return upstream_error(message, may_have_run=True)
             now = loop.time()
             if stream_filter.moved:
                 moves += 1
--- a/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_chat_dispatcher.py
@@ -159,6 +159,9 @@
             else:
                 message, may_have_run = result.message, result.may_have_run
             state.may_have_run |= may_have_run
+            state.unanswered_failures += may_have_run
+            if state.may_crash_servers:
+                return upstream_error(message, may_have_run=True)
             if loop.time() >= job.request.deadline:
                 return deadline_error(may_have_run=state.may_have_run)
             if not self._budget.try_spend(now=loop.time()):
--- a/tests/router/test_chat_api.py
+++ b/tests/router/test_chat_api.py
@@ -10,7 +10,9 @@
 from tests.router.fake_agent import FakeRequest
 from tests.router.fake_agent import Script
 from tests.router.fake_agent import close_connection
+from tests.router.fake_agent import encode_chunk
 from tests.router.fake_agent import encode_head
+from tests.router.fake_agent import encode_stream_head
 from tests.router.fake_agent import never_respond
 from tests.router.fake_agent import refuse
 from tests.router.fake_agent import respond_with
@@ -149,6 +151,23 @@
     assert sum(len(agent.requests) for agent in agents) == 20 + 5
 
 
+async def break_off_stream(request: FakeRequest, writer: asyncio.StreamWriter) -> None:
+    """Begin a stream and close the connection before its first event."""
+    writer.write(encode_stream_head(request) + encode_chunk(b"id: 1\n"))
+    await writer.drain()
+    await close_connection(request, writer)
+
+
+@pytest.mark.parametrize("failure", [close_connection, break_off_stream])
+async def test_chat_that_crashes_engines_is_not_sent_on_and_on(failure: Script) -> None:
+    """Guards against one chat that ends engine after engine as long as its deadline allows."""
+    agents = [FakeAgent(f"s{n}", failure) for n in range(12)]
+    async with running_router(agents, retry_ratio=100.0, retry_min_per_s=100.0) as router:
+        caller = await router.caller().chat(x_deadline_ms="3000")
+    assert not caller.stream_complete
+    assert sum(len(agent.requests) for agent in agents) == 2
+
+
 @pytest.mark.parametrize("reason", ["over_bound", "cold", "draining", "server_down"])
 async def test_refused_request_is_sent_to_the_next_server(reason: str) -> None:
     """Guards against giving up after a refusal, and against charging it to the retry budget."""
