Use one queue class for news that is sent several times

The queue of evidence on crashes knew the kinds of evidence. Other news between routers needs the same repetition, so it becomes a generic class; each kind has a queue of its own. No change of behaviour: the tests of the quarantine and of the exchange pass as before.

--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -6,6 +6,9 @@
 
 import structlog
 
+from cornellead.gateway.gossip import OWN_ROUNDS
+from cornellead.gateway.gossip import RELAY_ROUNDS
+from cornellead.gateway.gossip import SendQueue
 from cornellead.gateway.quarantine._crash_history import NEVER
 from cornellead.gateway.quarantine._crash_history import CrashHistory
 from cornellead.gateway.quarantine._crash_history import union_of_parts
@@ -13,13 +16,9 @@
 from cornellead.gateway.quarantine._culprits import MIN_CRASHES_AFTER_ANSWER
 from cornellead.gateway.quarantine._culprits import count_crashes
 from cornellead.gateway.quarantine._culprits import find_culprits
-from cornellead.gateway.quarantine._evidence import OWN_ROUNDS
-from cornellead.gateway.quarantine._evidence import RELAY_ROUNDS
 from cornellead.gateway.quarantine._evidence import AnswerItem
 from cornellead.gateway.quarantine._evidence import CrashItem
 from cornellead.gateway.quarantine._evidence import Evidence
-from cornellead.gateway.quarantine._evidence import EvidenceKind
-from cornellead.gateway.quarantine._evidence import EvidenceQueue
 from cornellead.gateway.quarantine._evidence import QuarantineItem
 from cornellead.gateway.quarantine._quarantined_part import QuarantinedPart
 from cornellead_core.placement import rank_members
@@ -53,7 +52,9 @@
         self._history = CrashHistory()
         self._quarantined: dict[str, QuarantinedPart] = {}
         self._trial_at: dict[str, float] = {}
-        self._queue = EvidenceQueue()
+        self._crash_queue = SendQueue[int]()
+        self._answer_queue = SendQueue[str]()
+        self._quarantine_queue = SendQueue[str]()
         self._repeated_at = 0.0
         self._repeat_position = 0
 
@@ -96,7 +97,7 @@
         """Add the reports of this router on one crash."""
         added = [report for report in reports if self._history.add(report)]
         for report in added:
-            self._queue.put(EvidenceKind.CRASH, report.request, rounds=OWN_ROUNDS)
+            self._crash_queue.put(report.request, rounds=OWN_ROUNDS)
         self._quarantine_culprits(added, now=now)
 
     def record_answer(self, parts: Sequence[str], *, now: float) -> None:
@@ -111,19 +112,20 @@
         part that was answered before.
         """
         if self._refutes(held):
-            self._queue.put(EvidenceKind.ANSWER, held.part, rounds=OWN_ROUNDS)
+            self._answer_queue.put(held.part, rounds=OWN_ROUNDS)
             return
         known = self._quarantined.get(held.part)
         if known is not None and known.strikes >= held.strikes:
             return
         self._hold(held)
-        self._queue.put(EvidenceKind.QUARANTINE, held.part, rounds=RELAY_ROUNDS)
+        self._quarantine_queue.put(held.part, rounds=RELAY_ROUNDS)
         structlog.get_logger().info("quarantine learned", source=source, **_log_fields(held))
 
     @property
     def has_new_evidence(self) -> bool:
         """Whether there is something to tell that was in no message yet."""
-        return self._queue.has_new
+        queues = (self._crash_queue, self._answer_queue, self._quarantine_queue)
+        return any(queue.has_new for queue in queues)
 
     def make_evidence(self, *, now: float) -> Evidence | None:
         """Return the next message to other routers; ``None`` if there is nothing to tell."""
@@ -131,18 +133,18 @@
         self._repeat_quarantines(now)
         crashes = [
             CrashItem(r.request, r.server, r.parts, max(0.0, now - r.at))
-            for key in self._queue.take(EvidenceKind.CRASH)
-            if isinstance(key, int) and (r := self._history.get(key))
+            for key in self._crash_queue.take()
+            if (r := self._history.get(key))
         ]
         answers = [
             AnswerItem(part, max(0.0, now - self._history.answered_at(part)))
-            for part in self._queue.take(EvidenceKind.ANSWER)
-            if isinstance(part, str) and self._history.was_answered(part)
+            for part in self._answer_queue.take()
+            if self._history.was_answered(part)
         ]
         quarantined = [
             QuarantineItem(part, held.strikes, held.crashes, max(0.0, now - held.since))
-            for part in self._queue.take(EvidenceKind.QUARANTINE)
-            if isinstance(part, str) and (held := self._quarantined.get(part))
+            for part in self._quarantine_queue.take()
+            if (held := self._quarantined.get(part))
         ]
         if not crashes and not answers and not quarantined:
             return None
@@ -159,10 +161,10 @@
             report = CrashReport(item.request, item.server, item.parts, now - item.age_s)
             if self._history.add(report):
                 added.append(report)
-                self._queue.put(EvidenceKind.CRASH, report.request, rounds=RELAY_ROUNDS)
+                self._crash_queue.put(report.request, rounds=RELAY_ROUNDS)
         for part in union_of_parts(added):
             if self._history.was_answered(part):
-                self._queue.put(EvidenceKind.ANSWER, part, rounds=OWN_ROUNDS)
+                self._answer_queue.put(part, rounds=OWN_ROUNDS)
         if added:
             structlog.get_logger().info(
                 "crashes reported",
@@ -195,7 +197,7 @@
             structlog.get_logger().info("quarantine lifted", source=source, **_log_fields(held))
         # A popular part is answered all the time, and only the first answer after a crash counts.
         if refuted or lifted:
-            self._queue.put(EvidenceKind.ANSWER, part, rounds=rounds)
+            self._answer_queue.put(part, rounds=rounds)
 
     def _quarantine_culprits(self, added: Sequence[CrashReport], *, now: float) -> None:
         """Quarantine parts of new reports if the evidence suffices."""
@@ -221,7 +223,7 @@
                 since=culprit.last_at,
             )
             self._hold(entry)
-            self._queue.put(EvidenceKind.QUARANTINE, entry.part, rounds=OWN_ROUNDS)
+            self._quarantine_queue.put(entry.part, rounds=OWN_ROUNDS)
             structlog.get_logger().warning(
                 "part quarantined",
                 answered_before=culprit.answered,
@@ -251,7 +253,7 @@
         parts = sorted(self._quarantined)
         for offset in range(min(MAX_REPEATED, len(parts))):
             part = parts[(self._repeat_position + offset) % len(parts)]
-            self._queue.put(EvidenceKind.QUARANTINE, part, rounds=1)
+            self._quarantine_queue.put(part, rounds=1)
         self._repeat_position += MAX_REPEATED
 
     def _forget_expired(self, now: float) -> None:
