Log the rate limits that servers name in their responses

Change: the header is decoded, the limit is kept with the server's state until a later response of the server, and its changes are logged. No decision reads it.

--- a/packages/core/src/cornellead_core/routing/_wire_format.py
+++ b/packages/core/src/cornellead_core/routing/_wire_format.py
@@ -53,6 +53,9 @@
     not_run: bool
     """Whether the server states that it did not run the request."""
     load: ReportedLoad | None
+    rate_limit_per_s: float | None
+    """Requests per second that the server accepts from all routers together; ``None`` if it names
+    no limit."""
     forwarded: HeaderList
     """Headers that are forwarded unchanged."""
 
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -19,6 +19,8 @@
     from cornellead.gateway.forwarding._event_splitter import EventSplitter
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.gateway.view import RateLimits
+    from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
     from cornellead_core.routing import ServerReply
     from cornellead_core.routing import WireFormat
@@ -37,6 +39,8 @@
 MAX_EVENT_BYTES = 1 << 20
 """Maximum size of an event, which is buffered until it is complete."""
 OK = 200
+MISDIRECTED = 421
+"""Status of a response by another server, which has taken over the address."""
 SERVER_ERROR = 500
 CONTENT_ENCODING = "content-encoding"
 
@@ -44,8 +48,11 @@
 class ResponseRelay:
     """Checks that responses come from the intended server, and writes them to the caller."""
 
-    def __init__(self, *, wire: WireFormat, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, wire: WireFormat, rate_limits: RateLimits, clock: Callable[[], float]
+    ) -> None:
         self._wire = wire
+        self._rate_limits = rate_limits
         self._clock = clock
         self._buffered_bytes = 0
 
@@ -64,6 +71,8 @@
         reply = self._wire.decode_reply(head.status, head.raw)
         if reply.load is not None:
             attempt.state.record_reported_load(reply.load, now=self._clock())
+        if head.status != MISDIRECTED and reply.request_id == admitted.caller.request_id:
+            self._record_rate_limit(attempt.state, reply)
         if reply.not_run:
             await _skip_refusal_body(attempt.exchange)
             return NotRunResponse(head.status)
@@ -82,6 +91,11 @@
         out.respond(head.status, reply.forwarded, body)
         return DeliveredResponse(head.status)
 
+    def _record_rate_limit(self, state: ServerState, reply: ServerReply) -> None:
+        # Only a response of the server itself shows that it has lifted its limit.
+        if reply.rate_limit_per_s is not None or reply.sealed:
+            self._rate_limits.record_response(state, reply.rate_limit_per_s, now=self._clock())
+
     async def _read_body(self, attempt: Attempt) -> bytes | None:
         """Read the whole body, unless it or all bodies that are being read become too large."""
         counted_bytes = 0
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -6,7 +6,9 @@
 from cornellead.gateway.view._fleet_load import RouterLoad
 from cornellead.gateway.view._fleet_view import FleetView
 from cornellead.gateway.view._prompt_directory import PromptDirectory
+from cornellead.gateway.view._rate_limits import RateLimits
 from cornellead.gateway.view._server_health import ServerHealth
+from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._server_state import ServerState
 
@@ -14,8 +16,10 @@
     "FleetLoad",
     "FleetView",
     "PromptDirectory",
+    "RateLimits",
     "RouterLoad",
     "ServerHealth",
+    "ServerRateLimit",
     "ServerRegistry",
     "ServerState",
 ]
--- a/packages/router/src/cornellead/gateway/view/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_view.py
@@ -7,6 +7,7 @@
 from cornellead.gateway.quarantine import PromptGuard
 from cornellead.gateway.view._fleet_load import FleetLoad
 from cornellead.gateway.view._prompt_directory import PromptDirectory
+from cornellead.gateway.view._rate_limits import RateLimits
 from cornellead.gateway.view._server_registry import ServerRegistry
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
         self.prompts = PromptDirectory()
         self.load = FleetLoad()
         self.guard = PromptGuard(router=router)
+        self.rate_limits = RateLimits(router=router)
         self.servers_loaded = False
         """Whether the list of servers has been read at least once."""
         self.confirmed_at: float | None = None
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from cornellead.gateway.view._fleet_load import FleetLoad
+    from cornellead.gateway.view._server_rate_limit import ServerRateLimit
     from cornellead_core.routing import ReportedLoad
     from cornellead_core.routing import ServerEntry
 
@@ -36,6 +37,8 @@
         self.missing_since: float | None = None
         """When the entry was removed while removals were deferred; ``None`` if it was not."""
         self.health = ServerHealth(now=now)
+        self.rate_limit: ServerRateLimit | None = None
+        """Limit that the server named last; ``None`` if it never named one."""
         self._reported_load: ReportedLoad | None = None
         self._reported_at = 0.0
         self._in_flight_at_report = 0
@@ -65,6 +68,19 @@
         self._reported_at = now
         self._in_flight_at_report = self.health.in_flight
 
+    def record_rate_limit(self, limit: ServerRateLimit) -> bool:
+        """Store what a response told about the server's rate limit, unless later news is known.
+
+        :returns: Whether the limit changed.
+        """
+        known = self.rate_limit
+        if known is None and limit.per_s is None:
+            return False
+        if limit.at < (self.listed_at if known is None else known.at):
+            return False
+        self.rate_limit = limit
+        return known is None or known.per_s != limit.per_s
+
     def load(self, fleet: FleetLoad, *, routers: int, now: float) -> float:
         """Return the estimated in-flight requests of all routers at the server.
 
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -135,3 +135,13 @@
     assert decode(503, [(b"X-Not-Executed", b"1")]).not_run
     assert decode(421, []).not_run
     assert not decode(503, [(b"X-Response-Seal", b"s")]).not_run
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [(b"3.5", 3.5), (b"0", 0.0), (b"2", 2.0), (b"", None), (b"-1", None), (b"inf", None)],
+)
+def test_rate_limit_of_a_server_is_decoded(value: bytes, limit: float | None) -> None:
+    """Guards against a limit that is ignored, or that a malformed value sets."""
+    headers = [(b"X-Response-Seal", b"s")] + ([(b"Server-Limit", value)] if value else [])
+    assert PlatformHeaders().decode_reply(200, headers).rate_limit_per_s == limit
