Keep the rate limit that a server names for all routers together

Servers in need got as many requests as before: up to 31 in 4 s where 25 are allowed.

Cause: the limit was not read. The class: a bound on what all routers do together that each router would have to keep from its own requests.

Change: a limit that one router sees in a response is told to the others at once, and again for routers that start or were cut off. The first few routers in rendezvous order for the server send to it, each at an equal part of nine tenths of the limit and one request at a time; the class is shared with the limit of cold servers. A server that names 0 still gets one request in 5 s, since only a response lifts the limit. What no server may take is rejected at once with the time until the next place. The ranking of routers is kept while they stay the same.

--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.forwarding import ServerPicker
 from cornellead.gateway.policy import ColdStartLimiter
 from cornellead.gateway.policy import RetryBudgets
+from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import FleetView
 from cornellead.gateway.view import RouterLoad
@@ -86,6 +87,7 @@
         self._picker = ServerPicker(
             view=self.view,
             cold_limiter=ColdStartLimiter(router=name, burst=settings.cold_slack),
+            rate_limiter=ServerRateLimiter(router=name),
             data_centre=data_centre,
             regions={},
             load_factor=settings.load_factor,
--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -1,5 +1,5 @@
-"""Sends this router's in-flight requests at each server, and evidence on crashes, to other
-routers."""
+"""Sends this router's in-flight requests at each server, evidence on crashes, and rate limits of
+servers to other routers."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 import structlog
 
 from cornellead.gateway.quarantine import Evidence
+from cornellead.gateway.view import RateLimitReport
 from cornellead.gateway.view import RouterLoad
 from cornellead_core.routing import RouterLocation
 
@@ -34,16 +35,19 @@
 
 EVIDENCE_PREFIX = b"\xc1"
 """First byte of datagrams with evidence on crashes; no MessagePack value begins with it."""
+RATE_LIMIT_PREFIX = b"\xc1\xc1"
+"""First bytes of datagrams with rate limits of servers."""
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(RouterLoad)
 _evidence_decoder = msgspec.msgpack.Decoder(Evidence)
+_rate_limit_decoder = msgspec.msgpack.Decoder(RateLimitReport)
 
 
 class LoadExchange(asyncio.DatagramProtocol):
-    """Sends and receives load reports and evidence on crashes.
+    """Sends and receives load reports, evidence on crashes, and rate limits.
 
-    A lost load report is superseded by the next one; evidence is sent several times.
+    A lost load report is superseded by the next one; all else is sent several times.
 
     :param address: ``ip:port`` to listen on.
     """
@@ -71,8 +75,8 @@
             next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
             while (wait_s := next_report_at - self._clock()) > 0:
                 await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
-                if self._view.guard.has_new_evidence:
-                    next_report_at += self._send(self._encode_evidence()) / MAX_BYTES_PER_S
+                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
+                    next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, which the event loop passes once the socket is bound."""
@@ -87,6 +91,10 @@
         """
         now = self._clock()
         try:
+            if data.startswith(RATE_LIMIT_PREFIX):
+                report = _rate_limit_decoder.decode(data[len(RATE_LIMIT_PREFIX) :])
+                self._view.rate_limits.apply_report(report, now=now)
+                return
             if data.startswith(EVIDENCE_PREFIX):
                 evidence = _evidence_decoder.decode(data[len(EVIDENCE_PREFIX) :])
                 self._view.guard.apply_evidence(evidence, now=now)
@@ -115,11 +123,16 @@
         self._view.load.evict_expired(now=self._clock())
         self._log_reception(len(self._view.load) > 0)
         load = _encoder.encode(RouterLoad(self._view.router, self._view.servers.in_flight_counts()))
-        return self._send([load, *self._encode_evidence()])
+        return self._send([load, *self._encode_news()])
 
-    def _encode_evidence(self) -> list[bytes]:
-        evidence = self._view.guard.make_evidence(now=self._clock())
-        return [] if evidence is None else [EVIDENCE_PREFIX + _encoder.encode(evidence)]
+    def _encode_news(self) -> list[bytes]:
+        now = self._clock()
+        datagrams = []
+        if (evidence := self._view.guard.make_evidence(now=now)) is not None:
+            datagrams.append(EVIDENCE_PREFIX + _encoder.encode(evidence))
+        if (limits := self._view.rate_limits.make_report(now=now)) is not None:
+            datagrams.append(RATE_LIMIT_PREFIX + _encoder.encode(limits))
+        return datagrams
 
     def _send(self, datagrams: Sequence[bytes]) -> int:
         """Send datagrams to some routers and return the bytes on the wire."""
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -136,6 +136,9 @@
             if isinstance(picked, NoServer):
                 trace.add_note(f"no_server_of_{picked.usable_servers}")
                 wait_s = picked.wait_s
+                if picked.rate_limited:
+                    trace.add_note("rate_limited")
+                    self._stats.count_decision("rate_limited")
                 break
             admitted.attempts.count_send()
             outcome = await self._try_server(admitted, trace, picked, events, out)
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -16,10 +16,12 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.policy import ChatOrder
     from cornellead.gateway.policy import ColdStartLimiter
+    from cornellead.gateway.policy import ServerRateLimiter
     from cornellead.gateway.view import FleetView
     from cornellead.gateway.view import ServerState
 
@@ -30,6 +32,9 @@
 MAX_WAIT_SHARE = 0.5
 """Maximum expected wait for a slot, as a fraction of the time until the deadline; the rest is left
 for the response."""
+RATE_LIMIT_WAIT_S = 0.2
+"""Expected wait if only other routers may send to the servers with a rate limit: a caller usually
+reaches one of them with its next connections."""
 
 
 class NoServer(NamedTuple):
@@ -40,7 +45,10 @@
     usable_servers: int
     """Number of servers of the service that could be chosen, tried ones included."""
     wait_s: float | None = None
-    """Shortest expected wait for a slot; ``None`` if no server was ruled out by its wait."""
+    """Shortest expected wait for a slot or for a rate limit; ``None`` if no server was ruled out by
+    either."""
+    rate_limited: bool = False
+    """Whether a server was ruled out by the rate limit that it names."""
 
 
 class ServerPicker:
@@ -56,6 +64,7 @@
         *,
         view: FleetView,
         cold_limiter: ColdStartLimiter,
+        rate_limiter: ServerRateLimiter,
         data_centre: str,
         regions: Mapping[str, str],
         load_factor: float,
@@ -63,6 +72,7 @@
     ) -> None:
         self._view = view
         self._cold_limiter = cold_limiter
+        self._rate_limiter = rate_limiter
         self._data_centre = data_centre
         self._regions = regions
         self.load_factor = load_factor
@@ -71,7 +81,7 @@
     def pick(
         self, admitted: AdmittedRequest, *, tried: Collection[str], now: float
     ) -> ServerState | NoServer:
-        """Choose a server; if it is cold, count the request against its cold-start rate limit.
+        """Choose a server, and count the request against the rate limits that apply to it.
 
         :param tried: Servers that are excluded because this request was already sent to them.
         :param now: Seconds.
@@ -95,22 +105,57 @@
         rate_per_s = admitted.service.cold_rate_per_s
         next_send_at: float | None = None
         shortest_wait_s: float | None = None
+        rate_limited = False
         for state in exclude(ordered, tried):
             wait_s = self._expected_wait_s(admitted, state, now=now)
             if wait_s > MAX_WAIT_SHARE * admitted.attempts.time_left_s(now=now):
                 shortest_wait_s = min(wait_s, shortest_wait_s or wait_s)
                 continue
-            if rate_per_s <= 0 or not state.cold(now=now):
+            next_at = self._next_send_at(state, rate_per_s, routers, now=now)
+            if next_at == now:
+                self._count_send(state, rate_per_s, routers, now=now)
                 return state
-            name = state.entry.server
-            if self._cold_limiter.try_send(name, rate_per_s=rate_per_s, routers=routers, now=now):
-                return state
-            next_at = self._cold_limiter.next_send_at(
-                name, rate_per_s=rate_per_s, routers=routers, now=now
-            )
+            rate_limited = rate_limited or self._limit_per_s(state) is not None
             if next_at is not None and (next_send_at is None or next_at < next_send_at):
                 next_send_at = next_at
-        return NoServer(next_send_at, len(servers), shortest_wait_s)
+        if rate_limited and shortest_wait_s is None:
+            shortest_wait_s = RATE_LIMIT_WAIT_S if next_send_at is None else next_send_at - now
+        return NoServer(next_send_at, len(servers), shortest_wait_s, rate_limited)
+
+    def _next_send_at(
+        self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
+    ) -> float | None:
+        """Return when the server may get the next request of this router, ``now`` if at once."""
+        name, times = state.entry.server, [now]
+        limit_per_s = self._limit_per_s(state)
+        if limit_per_s is not None:
+            limited_until = self._rate_limiter.next_send_at(
+                name, limit_per_s=limit_per_s, routers=routers, now=now
+            )
+            if limited_until is None:
+                return None
+            times.append(limited_until)
+        if cold_rate_per_s > 0 and state.cold(now=now):
+            cold_until = self._cold_limiter.next_send_at(
+                name, rate_per_s=cold_rate_per_s, routers=routers, now=now
+            )
+            if cold_until is None:
+                return None
+            times.append(cold_until)
+        return max(times)
+
+    def _count_send(
+        self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
+    ) -> None:
+        name = state.entry.server
+        limit_per_s = self._limit_per_s(state)
+        if limit_per_s is not None:
+            self._rate_limiter.try_send(name, limit_per_s=limit_per_s, routers=routers, now=now)
+        if cold_rate_per_s > 0 and state.cold(now=now):
+            self._cold_limiter.try_send(name, rate_per_s=cold_rate_per_s, routers=routers, now=now)
+
+    def _limit_per_s(self, state: ServerState) -> float | None:
+        return None if state.rate_limit is None else state.rate_limit.per_s
 
     def prompt_source(
         self, admitted: AdmittedRequest, target: ServerState, *, now: float
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -18,6 +18,7 @@
 from cornellead.gateway.policy._server_order import order_for_chat
 from cornellead.gateway.policy._server_order import rank_homes
 from cornellead.gateway.policy._server_order import split_service
+from cornellead.gateway.policy._server_rate_limiter import ServerRateLimiter
 
 __all__ = [
     "ChatOrder",
@@ -26,6 +27,7 @@
     "RequestAttempts",
     "RetryBudgets",
     "RunState",
+    "ServerRateLimiter",
     "exclude",
     "expected_outage_s",
     "expected_wait_s",
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -20,6 +20,7 @@
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.policy import ColdStartLimiter
 from cornellead.gateway.policy import RetryBudgets
+from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.process._admin_handler import AdminHandler
 from cornellead.gateway.process._clock import read_clock
 from cornellead.gateway.process._graceful_shutdown import GracefulShutdown
@@ -109,6 +110,7 @@
         self._cold_limiter = ColdStartLimiter(
             router=settings.node, burst=settings.bounds.cold_slack
         )
+        self._rate_limiter = ServerRateLimiter(router=settings.node)
         metrics = Metrics()
         self._stats = GatewayStats(metrics=metrics)
         self._register_gauges(metrics)
@@ -122,6 +124,7 @@
         self._picker = ServerPicker(
             view=self._view,
             cold_limiter=self._cold_limiter,
+            rate_limiter=self._rate_limiter,
             data_centre=settings.data_centre,
             regions=settings.regions,
             load_factor=settings.bounds.load_factor,
@@ -288,6 +291,7 @@
     def _on_server_removed(self, state: ServerState) -> None:
         self._pool.discard(state.entry.address)
         self._cold_limiter.remove_server(state.entry.server)
+        self._rate_limiter.remove_server(state.entry.server)
         self._view.prompts.remove_server(state.entry.server)
 
     def _apply_settings(self, settings: NodeSettings) -> None:
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -6,6 +6,7 @@
 from cornellead.gateway.view._fleet_load import RouterLoad
 from cornellead.gateway.view._fleet_view import FleetView
 from cornellead.gateway.view._prompt_directory import PromptDirectory
+from cornellead.gateway.view._rate_limits import RateLimitReport
 from cornellead.gateway.view._rate_limits import RateLimits
 from cornellead.gateway.view._server_health import ServerHealth
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
@@ -16,6 +17,7 @@
     "FleetLoad",
     "FleetView",
     "PromptDirectory",
+    "RateLimitReport",
     "RateLimits",
     "RouterLoad",
     "ServerHealth",
--- a/packages/router/src/cornellead/gateway/view/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_view.py
@@ -31,7 +31,7 @@
         self.prompts = PromptDirectory()
         self.load = FleetLoad()
         self.guard = PromptGuard(router=router)
-        self.rate_limits = RateLimits(router=router)
+        self.rate_limits = RateLimits(router=router, servers=self.servers)
         self.servers_loaded = False
         """Whether the list of servers has been read at least once."""
         self.confirmed_at: float | None = None
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -38,6 +38,7 @@
         self._servers: dict[str, ServerState] = {}
         self._by_service: dict[str, list[ServerState]] = {}
         self._by_address: dict[str, ServerState] = {}
+        self._by_hash: dict[int, ServerState] = {}
         self._out_of_service: set[str] = set()
         self._store_recovered_at: float | None = None
         self._store_unavailable = False
@@ -177,6 +178,18 @@
             if self._accepts_requests(state) and (allow is None or allow(state))
         ]
 
+    def by_hash(self, name_hash: int) -> ServerState | None:
+        """Return the state of the server whose name has a hash; ``None`` if there is none."""
+        return self._by_hash.get(name_hash)
+
+    def rate_limited(self) -> list[ServerState]:
+        """Return the servers that name a rate limit."""
+        return [
+            state
+            for state in self._servers.values()
+            if state.rate_limit is not None and state.rate_limit.per_s is not None
+        ]
+
     def listed(self, service: str) -> list[ServerState]:
         """Return all servers of a service, including those that may not receive requests."""
         return list(self._by_service.get(service, ()))
@@ -205,6 +218,7 @@
 
     def _rebuild_indexes(self) -> None:
         self._by_service = {}
+        self._by_hash = {state.name_hash: state for state in self._servers.values()}
         self._by_address = {
             state.entry.address: state
             for state in self._servers.values()
--- a/tests/router/gateway/forwarding/test_server_picker.py
+++ b/tests/router/gateway/forwarding/test_server_picker.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.ingress import CallerRequest
 from cornellead.gateway.policy import ColdStartLimiter
 from cornellead.gateway.policy import RequestAttempts
+from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.view import FleetView
 from cornellead.gateway.view import RouterLoad
 from cornellead.gateway.view import ServerState
@@ -40,6 +41,7 @@
     picker = ServerPicker(
         view=view,
         cold_limiter=ColdStartLimiter(router="r1", burst=5.0),
+        rate_limiter=ServerRateLimiter(router="r1"),
         data_centre="dc-a",
         regions={},
         load_factor=BOUNDS.load_factor,
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -24,6 +24,7 @@
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.policy import ColdStartLimiter
 from cornellead.gateway.policy import RetryBudgets
+from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.view import FleetView
 from cornellead.upstream import ConnectionPool
@@ -68,6 +69,7 @@
             picker=ServerPicker(
                 view=self.view,
                 cold_limiter=ColdStartLimiter(router=router, burst=BOUNDS.cold_slack),
+                rate_limiter=ServerRateLimiter(router=router),
                 data_centre="dc-a",
                 regions={},
                 load_factor=BOUNDS.load_factor,
