Let the next router publish a quarantine after one second

A quarantine that only the routers knew was lost if the first router in rendezvous order had just been lost and all others were restarted within 6 s.

Change: each further router in rank waits one second in place of six. Routers read what others published every 4 s, so up to five publish the same.

--- a/packages/router/src/cornellead/gateway/sync/_quarantine_publisher.py
+++ b/packages/router/src/cornellead/gateway/sync/_quarantine_publisher.py
@@ -20,9 +20,9 @@
     from cornellead_core.routing import FleetStore
 
 CHECK_INTERVAL_S = 0.5
-RANK_DELAY_S = 6.0
-"""Time for which each further router in rank leaves a difference to those before it: longer than
-the interval at which routers read what others published."""
+RANK_DELAY_S = 1.0
+"""Time for which each further router in rank leaves a difference to those before it, which may have
+been lost. Routers read what others published every 4 s, so a few may publish the same."""
 MS_PER_S = 1000.0
 
 
