Replace the files of a build by rename

Cause: the build copied modules over the installed ones, so a process could read a file of which only a part was written.

Change: the packages are staged and compiled beside the installed ones, and each file replaces the earlier one by rename.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,11 @@
         --target target/deps --requirement deploy/requirements.txt
     cp deploy/requirements.txt "$stamp"
 fi
+# Processes may start during a build, so each file is replaced in one step by a complete one.
+staging=$(mktemp -d target/staging.XXXXXX)
+trap 'rm -rf "$staging"' EXIT
 for source in packages/core/src packages/router/src platform/src; do
-    cp -R "$source"/. target/deps/
+    cp -R "$source"/. "$staging"/
 done
-python3 -m compileall -q target/deps/cornellead target/deps/cornellead_core target/deps/cornellead_platform
+python3 -m compileall -q -s "$staging" -p target/deps "$staging"
+python3 scripts/replace_files.py "$staging" target/deps
