Crash servers and let them name rate limits in the soak

Change: a part of some prompts crashes the soak's servers, which refuse connections for a second; servers name rate limits. When all faults are gone, a limit has to hold for 4 s, and after a restart of all gateways a part that had crashed servers has to be refused by each, sound prompts served.

--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -21,6 +21,8 @@
         self.head = head
         self.body = body
         self.writer = writer
+        self.rate_limit: float | None = None
+        """Rate of requests that the responses name."""
         self.disconnected = asyncio.Event()
         """Set once the router has closed the connection."""
 
@@ -51,6 +53,7 @@
     def response(self, status: int, *headers: str, body: bytes = b"") -> bytes:
         """Return a complete response without a seal."""
         lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {self.request_id}", *headers]
+        lines += self._limit_header()
         lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -58,6 +61,9 @@
         """Return a complete response with the seal that marks it as the server's own."""
         return self.response(status, "X-Response-Seal: seal", *headers, body=body)
 
+    def _limit_header(self) -> list[str]:
+        return [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
+
     async def begin_stream(self) -> None:
         """Write the head of an event stream."""
         lines = (
@@ -66,6 +72,7 @@
             "X-Response-Seal: seal",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *self._limit_header(),
         )
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from collections import deque
 from typing import TYPE_CHECKING
 
 from tests.router.gateway.scripted_server import ScriptedServer
+from tests.soak.server_trouble import CRASHING_PART
 
 if TYPE_CHECKING:
     import random
     from collections import Counter
+    from collections.abc import Callable
 
     from tests.router.gateway.scripted_server import ScriptedExchange
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.02
+MAX_ARRIVALS = 10_000
 
 
 class RecordingServer:
@@ -27,11 +32,18 @@
     def __init__(self, *, runs: Counter[str], rng: random.Random) -> None:
         self._runs = runs
         self._rng = rng
+        self.limit_per_s: float | None = None
+        """Rate of requests that the server names in its responses."""
+        self.arrivals: deque[float] = deque(maxlen=MAX_ARRIVALS)
+        self.crash: Callable[[], None] = lambda: None
+        """Called when a request crashes the server."""
         self.failure_rate = 0.0
         """Fraction of the requests that fail, in a way chosen at random."""
         self.http_server = ScriptedServer(self._serve)
 
     async def _serve(self, exchange: ScriptedExchange) -> None:
+        self.arrivals.append(time.monotonic())
+        exchange.rate_limit = self.limit_per_s
         failure = ""
         if self._rng.random() < self.failure_rate:
             failure = self._rng.choice(["refuse", "error", "reset", "mute", "late", "extra"])
@@ -40,6 +52,11 @@
             return
         self._runs[exchange.request_id] += 1
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+        if f"{CRASHING_PART}:" in exchange.header("x-prompt-prefix"):
+            await exchange.begin_stream()
+            await exchange.send(b"6\r\nid: 1\n\r\n")
+            self.crash()
+            return
         if failure == "reset":
             exchange.reset()
         elif failure == "mute":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,12 +15,20 @@
 import msgspec
 from tests.platform_adapter import payloads
 from tests.platform_adapter.fake_store import FakeStore
-from tests.router.gateway.gateway_harness import read_response
 from tests.router.gateway.scripted_server import encode_event
 from tests.soak.config_series import MAX_CONFIG_DELAY_S
 from tests.soak.config_series import ConfigSeries
 from tests.soak.fault_proxy import Fault
 from tests.soak.fault_proxy import FaultProxy
+from tests.soak.requests import connect
+from tests.soak.requests import exchange
+from tests.soak.requests import make_route
+from tests.soak.server_trouble import CRASHING_PART
+from tests.soak.server_trouble import PROVOKED_REQUESTS
+from tests.soak.server_trouble import PROVOKED_REQUESTS_INTERVAL_S
+from tests.soak.server_trouble import SHARED_PART
+from tests.soak.server_trouble import ServerTrouble
+from tests.soak.server_trouble import prompt_header
 from tests.soak.servers import EVENTS_PER_STREAM
 from tests.soak.servers import RecordingServer
 from tests.soak.servers import expected_body
@@ -30,6 +38,7 @@
     from pathlib import Path
 
     from tests.router.gateway.gateway_harness import CallerResponse
+    from tests.soak.requests import Streams
 
 GATEWAY_COUNT = 3
 SERVER_COUNT = 3
@@ -46,9 +55,6 @@
 COMPLETE_STREAM = b"".join(encode_event(number) for number in range(1, EVENTS_PER_STREAM + 1))
 
 
-Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-
-
 class Violation(NamedTuple):
     """One observed violation of a guarantee."""
 
@@ -100,13 +106,12 @@
 
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
-        address = self._find_address()
-        store = FakeStore(address=address)
+        store = FakeStore(address=(address := self._find_address()))
         await store.start()
         routes = [
-            _route("many", "safe", max_attempts=3),
-            _route("once", "unsafe", max_attempts=1),
-            _route("stream", "streaming", max_attempts=3, stream_resume=True),
+            make_route("many", "safe", max_attempts=3),
+            make_route("once", "unsafe", max_attempts=1),
+            make_route("stream", "streaming", max_attempts=3, stream_resume=True),
         ]
         configs = ConfigSeries(store=store, rng=self._rng, routes=routes)
         try:
@@ -122,6 +127,7 @@
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
             await self._check_recovery(configs)
+            await self._check_quarantine()
             self._check_runs()
         finally:
             await self._stop_all(store)
@@ -133,6 +139,9 @@
             proxy = await self._start_proxy(f"server-{number}", server.http_server.address)
             entry = payloads.server_entry(proxy.address, service="app", slots=6)
             store.put("keyed.servers", f"s{number}", entry)
+        proxies = [self._proxies[f"server-{number}"] for number in range(SERVER_COUNT)]
+        servers = list(zip(self._servers, proxies, strict=True))
+        self._trouble = ServerTrouble(servers=servers, rng=self._rng)
         for number in range(GATEWAY_COUNT):
             proxy = await self._start_proxy(f"store-{number}", address)
             proxy.bytes_per_s = STORE_BYTES_PER_S
@@ -170,7 +179,7 @@
         while loop.time() < faults_end_at:
             await asyncio.sleep(self._rng.uniform(0.1, 0.8))
             kind = self._rng.choice(
-                ["proxy", "proxy", "signal", "signal", "store", "servers", "config", "config"]
+                [*("proxy", "signal", "config") * 2, "store", "servers", "limit"]
             )
             if kind == "proxy":
                 name = self._rng.choice(sorted(self._proxies))
@@ -179,6 +188,8 @@
                 self._proxies[name].set_fault(fault)
                 if name.startswith("store-"):
                     configs.record_disturbance(int(name.removeprefix("store-")))
+            elif kind == "limit":
+                self.faults.append(self._trouble.toggle_limit())
             elif kind == "config":
                 self.faults.append(f"{configs.publish_series()} configurations")
             elif kind == "store":
@@ -216,6 +227,7 @@
         self._stopped.clear()
         for proxy in self._proxies.values():
             proxy.set_fault(Fault.NONE)
+        self._trouble.clear()
         for server in self._servers:
             server.failure_rate = 0.0
         for number, process in enumerate(self._processes):
@@ -223,6 +235,11 @@
                 process.send_signal(signal.SIGCONT)
             configs.record_disturbance(number)
         await asyncio.sleep(CATCH_UP_S)
+        if all(process is not None and process.returncode is None for process in self._processes):
+            exceeded = await self._trouble.check_limit()
+            if exceeded:
+                self.violations.append(Violation("rate limit", "server-0", exceeded))
+        await self._provoke_crashes()
         for number, process in enumerate(self._processes):
             if process is not None and process.returncode is None:
                 process.send_signal(signal.SIGKILL)
@@ -248,12 +265,14 @@
         return request_id
 
     async def _send_request(
-        self, caller_address: str, kind: str, request_id: str
+        self, caller_address: str, kind: str, request_id: str, *, prompt: str = ""
     ) -> CallerResponse | None:
+        if kind == "stream" and not prompt:
+            prompt = self._trouble.choose_prompt(self._request_count)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                streams = await _connect(caller_address)
-                response = await _exchange(streams, kind, request_id)
+                streams = await connect(caller_address)
+                response = await exchange(streams, kind, request_id, prompt)
                 streams[1].close()
                 return response
         except (OSError, TimeoutError):
@@ -297,8 +316,8 @@
             sent_at = time.monotonic()
             try:
                 async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                    streams = streams or await _connect(self._caller_addresses[number])
-                    response = await _exchange(streams, route.name, self._new_request_id("many"))
+                    streams = streams or await connect(self._caller_addresses[number])
+                    response = await exchange(streams, route.name, self._new_request_id("many"))
             except (OSError, TimeoutError):
                 response = None
             if response is None or not response.complete or "close" in response.head.lower():
@@ -335,6 +354,29 @@
                     Violation("recovery", address, f"{success_count} of 5 served")
                 )
 
+    async def _provoke_crashes(self) -> None:
+        """Send requests with the crashing part to the gateways in turn, enough for a quarantine."""
+        prompt = prompt_header([SHARED_PART, "b1", CRASHING_PART, "own"])
+        for number in range(PROVOKED_REQUESTS):
+            address = self._caller_addresses[number % GATEWAY_COUNT]
+            request_id = self._new_request_id("stream")
+            await self._send_request(address, "stream", request_id, prompt=prompt)
+            await asyncio.sleep(PROVOKED_REQUESTS_INTERVAL_S)
+
+    async def _check_quarantine(self) -> None:
+        """Check after a restart of all gateways that none sends what crashed many servers."""
+        expected = {
+            prompt_header([SHARED_PART, "b1", "own"]): 200,
+            prompt_header([SHARED_PART, "b1", CRASHING_PART, "own"]): 503,
+        }
+        for address in self._caller_addresses:
+            for prompt, status in expected.items():
+                request_id = self._new_request_id("stream")
+                response = await self._send_request(address, "stream", request_id, prompt=prompt)
+                if response is None or response.status != status:
+                    detail = f"{prompt}: {response and response.status}, not {status}"
+                    self.violations.append(Violation("quarantine", address, detail))
+
     def _check_runs(self) -> None:
         for request_id in sorted(self._unsafe_ids):
             if self._runs[request_id] > 1:
@@ -355,30 +397,3 @@
         for server in self._servers:
             server.http_server.stop()
         store.stop()
-
-
-async def _connect(address: str) -> Streams:
-    host, _, port = address.rpartition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
-async def _exchange(streams: Streams, path: str, request_id: str) -> CallerResponse:
-    reader, writer = streams
-    head = f"POST /{path}/x HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: {request_id}"
-    writer.write(f"{head}\r\nX-Deadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n".encode())
-    return await read_response(reader)
-
-
-def _route(name: str, kind: str, **changes: object) -> dict[str, object]:
-    route: dict[str, object] = {
-        "name": name,
-        "hostname": "box.example",
-        "path_prefix": f"/{name}/",
-        "kind": kind,
-        "timeout_ms": 2500,
-        "target_latency_ms": 200,
-        "priority": 1,
-        "service": "app",
-        "public": True,
-    }
-    return route | changes
