Count the crashes of earlier quarantines of a part

Other routers would have sent a part again right after its second quarantine.

Cause: a single crash suffices for a part on probation, but a quarantine with fewer than five crashes counts as refuted if an answer from before the first one is known.

Change: a quarantine carries the crashes of the earlier ones too.

Result: the test failed before and passes.

--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -219,7 +219,7 @@
             entry = QuarantinedPart(
                 culprit.part,
                 strikes=1 if previous is None else previous.strikes + 1,
-                crashes=culprit.crashes,
+                crashes=culprit.crashes + (0 if previous is None else previous.crashes),
                 since=culprit.last_at,
             )
             self._hold(entry)
--- a/packages/router/src/cornellead/gateway/quarantine/_quarantined_part.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_quarantined_part.py
@@ -25,7 +25,7 @@
     strikes: int
     """Number of quarantines of the part, this one included."""
     crashes: int
-    """Crashes that led to this quarantine."""
+    """Crashes that led to this quarantine and to the earlier ones."""
     since: float
     """Time of the latest crash, in seconds."""
 
--- a/tests/router/gateway/quarantine/test_prompt_guard.py
+++ b/tests/router/gateway/quarantine/test_prompt_guard.py
@@ -111,3 +111,17 @@
     message = guard.make_evidence(now=31.0)
     assert message is not None
     assert len(msgspec.msgpack.encode(message)) < 4096
+
+
+def test_part_that_turned_bad_is_quarantined_again_by_all_routers() -> None:
+    """Guards against routers that take an answer from before the first quarantine as a refutation
+    of the second one."""
+    guards = [PromptGuard(router=f"r{number}") for number in range(2)]
+    held = QuarantinedPart("bad", strikes=1, crashes=5, since=10.0)
+    for guard in guards:
+        guard.record_answer(("bad",), now=0.0)
+        guard.restore(held, source="store")
+    crashed_at = held.until + 5.0
+    guards[0].record_crash([CrashReport(1, 1, ("bad",), crashed_at)], now=crashed_at)
+    spread(guards, now=crashed_at, rounds=6)
+    assert all(refuses(guard, "bad", now=crashed_at + 2.0) for guard in guards)
