Start all gateways before the soak checks limits and quarantines

Change: gateways that do not run are started when the faults are gone. The check of the limit runs always; it was left out if a gateway did not run.

--- a/tests/soak/requests.py
+++ b/tests/soak/requests.py
@@ -1,15 +1,26 @@
-"""Requests of the soak test to gateways, and the routes for them."""
+"""Requests of the soak test to gateways, the routes for them, and violations that they show."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from tests.router.gateway.gateway_harness import read_response
 
 if TYPE_CHECKING:
     from tests.router.gateway.gateway_harness import CallerResponse
 
+
+class Violation(NamedTuple):
+    """One observed violation of a guarantee."""
+
+    guarantee: str
+    subject: str
+    """Request id, or address of the gateway."""
+    detail: str
+
+
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,7 +10,6 @@
 import time
 from collections import Counter
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 import msgspec
 from tests.platform_adapter import payloads
@@ -20,6 +19,7 @@
 from tests.soak.config_series import ConfigSeries
 from tests.soak.fault_proxy import Fault
 from tests.soak.fault_proxy import FaultProxy
+from tests.soak.requests import Violation
 from tests.soak.requests import connect
 from tests.soak.requests import exchange
 from tests.soak.requests import make_route
@@ -46,6 +46,8 @@
 REQUEST_TIMEOUT_S = 3.0
 CATCH_UP_S = MAX_CONFIG_DELAY_S + 1.0
 """Time after the last fault in which gateways that still run have to catch up."""
+START_S = 1.5
+"""Time after which a started gateway serves."""
 RECOVERY_S = 5.0
 """Time after the last fault in which all gateways have to serve again."""
 STORE_BYTES_PER_S = 625_000.0
@@ -55,15 +57,6 @@
 COMPLETE_STREAM = b"".join(encode_event(number) for number in range(1, EVENTS_PER_STREAM + 1))
 
 
-class Violation(NamedTuple):
-    """One observed violation of a guarantee."""
-
-    guarantee: str
-    subject: str
-    """Request id, or address of the gateway."""
-    detail: str
-
-
 class Soak:
     """Runs gateways, a store and servers under faults drawn from a seeded generator.
 
@@ -146,7 +139,7 @@
             proxy = await self._start_proxy(f"store-{number}", address)
             proxy.bytes_per_s = STORE_BYTES_PER_S
             await self._start_gateway(number)
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(START_S)
 
     async def _start_proxy(self, name: str, target: str) -> FaultProxy:
         proxy = FaultProxy(address=self._find_address(), target=target)
@@ -235,10 +228,14 @@
                 process.send_signal(signal.SIGCONT)
             configs.record_disturbance(number)
         await asyncio.sleep(CATCH_UP_S)
-        if all(process is not None and process.returncode is None for process in self._processes):
-            exceeded = await self._trouble.check_limit()
-            if exceeded:
-                self.violations.append(Violation("rate limit", "server-0", exceeded))
+        for number, process in enumerate(self._processes):
+            if process is None or process.returncode is not None:
+                await self._start_gateway(number)
+                configs.record_disturbance(number)
+        await asyncio.sleep(START_S)
+        exceeded = await self._trouble.check_limit()
+        if exceeded:
+            self.violations.append(Violation("rate limit", "server-0", exceeded))
         await self._provoke_crashes()
         for number, process in enumerate(self._processes):
             if process is not None and process.returncode is None:
