Believe a response only if it can belong to this attempt

A faulty server wrote an earlier refusal once more on a kept connection. A copy without a request id was taken for the answer to the next request; a copy with the id of a request that was sent to the same server again, for the answer to the repeat. Callers were told "not run" for requests that ran.

A connection now carries no second request with an id that was unsuccessful on it, and responses without an id are discarded on a reused connection. On a new connection they are believed, since it carries one request only. Alternatives: no kept connection after a refusal (a new connection for each refusal of a full server); an id for each attempt (servers echo the caller's id, which may not be changed).

The price is a new connection for a repeat at the same server.

--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -73,10 +73,11 @@
             attempt.state.record_reported_load(reply.load, now=self._clock())
         if head.status != MISDIRECTED and reply.request_id == admitted.caller.request_id:
             self._record_rate_limit(attempt.state, reply)
-        if reply.not_run:
+        wrong_request = reply.request_id != admitted.caller.request_id
+        # A refusal without an id is believed: the connection is new and has carried nothing else.
+        if reply.not_run and (not wrong_request or not reply.request_id):
             await _skip_refusal_body(attempt.exchange)
             return NotRunResponse(head.status)
-        wrong_request = reply.request_id != admitted.caller.request_id
         if wrong_request or not reply.sealed or CONTENT_ENCODING in head.headers:
             return BrokenResponse("not_the_servers_response")
         if head.status == OK:
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -30,7 +30,10 @@
 chunk extensions or trailers. The parser stores a header until its end."""
 MAX_DISCARDED_BYTES = 1 << 20
 """Maximum size of late responses to earlier requests that are skipped."""
+MAX_UNSUCCESSFUL_IDS = 32
+"""Ids of unsuccessful requests that a connection remembers; above it, the connection is closed."""
 NO_CONTENT = 204
+FIRST_UNSUCCESSFUL_STATUS = 300
 NOT_MODIFIED = 304
 KEEP_ALIVE_TIMEOUT_PARAM = "timeout="
 
@@ -65,6 +68,8 @@
         self._discarded_bytes = 0
         self._ends_at_eof = False
         self._paused = False
+        self._reused = False
+        self._unsuccessful_ids: set[str] = set()
         self.idle_since = 0.0
         self.keep_alive_timeout_s: float | None = None
         """Idle timeout that the server announced in its ``Keep-Alive`` header."""
@@ -84,7 +89,8 @@
         """Send a request.
 
         :param head: Request line and headers, including the empty line at the end.
-        :param expect: Responses in which this header has another value are discarded.
+        :param expect: Responses in which this header has another value are discarded. On a reused
+            connection, so are responses without it, since they may belong to an earlier request.
         """
         assert self._transport is not None and self._exchange is None
         # With a new parser for each response, no state of an earlier response can leak into it.
@@ -100,6 +106,13 @@
         self._transport.write(head + body)
         return self._exchange
 
+    def may_carry(self, expect: EchoedHeader | None) -> bool:
+        """Return whether a response to this request can be told from late copies of earlier ones.
+
+        A copy of an earlier refusal of the same request has the same id as the awaited response.
+        """
+        return expect is None or expect.value not in self._unsuccessful_ids
+
     def close(self) -> None:
         """Close immediately and discard unsent bytes."""
         self.closed = True
@@ -172,10 +185,11 @@
             self._reset_headers()
             return
         self._overhead_bytes = 0
-        expected = self._expected_header
-        if expected is not None and self._headers.get(expected.name) not in (None, expected.value):
+        if not self._belongs_to_request():
             self._discarding = True
             return
+        if self._expected_header is not None and status >= FIRST_UNSUCCESSFUL_STATUS:
+            self._unsuccessful_ids.add(self._expected_header.value)
         self._parse_keep_alive()
         self._ends_at_eof = (
             "content-length" not in self._headers
@@ -206,14 +220,24 @@
         # The rest of this read may contain another response. The exchange keeps the old header
         # objects, so new ones are created for the headers of that response.
         self._reset_headers()
-        if not parser.should_keep_alive() or self.closed:
+        if not parser.should_keep_alive() or len(self._unsuccessful_ids) > MAX_UNSUCCESSFUL_IDS:
             self.close()
             return
+        if self.closed:
+            return
+        self._reused = True
         self._resume()
         # The connection is released in the next iteration of the event loop, because the rest of
         # this read may contain unexpected bytes. They close the connection instead.
         self._loop.call_soon(self._release_if_open)
 
+    def _belongs_to_request(self) -> bool:
+        expected = self._expected_header
+        if expected is None:
+            return True
+        value = self._headers.get(expected.name)
+        return value == expected.value or (value is None and not self._reused)
+
     def _release_if_open(self) -> None:
         if not self.closed:
             self._release(self)
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -66,9 +66,10 @@
             the request is in transit, and then it is unknown whether the request ran.
         :param max_idle_s: Maximum idle time of a connection that is reused.
         :param expect: Header that distinguishes the response from late responses to earlier
-            requests on the connection.
+            requests on the connection. A connection on which a request with the same value was
+            unsuccessful is not reused for it.
         """
-        conn = None if fresh else self._pop_idle(address, max_idle_s)
+        conn = None if fresh else self._pop_idle(address, max_idle_s, expect)
         if conn is not None:
             self.reused += 1
             return Success(conn.send(head, body, expect=expect))
@@ -128,17 +129,25 @@
         self.opened += 1
         return Success(conn)
 
-    def _pop_idle(self, address: str, max_idle_s: float) -> Connection | None:
-        conns = self._idle.get(address, [])
-        while conns:
+    def _pop_idle(
+        self, address: str, max_idle_s: float, expect: EchoedHeader | None
+    ) -> Connection | None:
+        conns, skipped = self._idle.get(address, []), []
+        found = None
+        while conns and found is None:
             # The last one has the shortest idle time; if it is too old, so are the others.
-            conn = conns[-1]
+            conn = conns.pop()
             idle_s = self._loop.time() - conn.idle_since
-            if not conn.closed and idle_s < _idle_timeout_s(conn, IDLE_TIMEOUT_S):
-                return conns.pop() if idle_s < max_idle_s else None
-            conns.pop()
-            conn.close()
-        return None
+            if conn.closed or idle_s >= _idle_timeout_s(conn, IDLE_TIMEOUT_S):
+                conn.close()
+            elif idle_s < max_idle_s and conn.may_carry(expect):
+                found = conn
+            else:
+                skipped.append(conn)
+                if idle_s >= max_idle_s:
+                    break
+        conns.extend(reversed(skipped))
+        return found
 
     def _add_idle(self, address: str, conn: Connection) -> None:
         conns = self._idle.setdefault(address, [])
