Resume streams with events only

A resumable stream broke off, and the next server answered 200 with a JSON body, an error event or text: it was written into the stream, which then ended as complete. An event was sent twice if a comment followed it in the same read, and events without ids were sent again from the first.

A resumed stream now takes only events whose ids continue it, and only bodies that may be event streams. The id of the last event is found behind comments; events without ids are not resumed. A plain success on a streaming route is delivered as it is.

--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -4,6 +4,7 @@
 
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
 
 
 class EventSplitter:
@@ -26,15 +27,24 @@
     def __init__(self, *, last_event_id: str) -> None:
         self.last_event_id = last_event_id
         self.has_gap = False
-        """Whether the resumed stream skipped event ids, so that the caller would miss events."""
+        """Whether the resumed stream skipped event ids or contains something else than the missing
+        events, so that the caller would not get the rest of its stream."""
+        self.progressed = False
+        """Whether the latest bytes contained the end of an event that the caller lacked."""
         self._tail = b""
         self._resumed = False
+        self._delivered = False
 
     @property
     def tail(self) -> bytes:
         """Bytes after the last complete event."""
         return self._tail
 
+    @property
+    def resumable(self) -> bool:
+        """Whether another server can be told where to continue."""
+        return not self._delivered or bool(self.last_event_id)
+
     def restart(self) -> None:
         """Expect the stream of another attempt, which resumes after ``last_event_id``."""
         self._tail = b""
@@ -45,31 +55,60 @@
         """Buffer bytes of the stream and return the complete events that the caller lacks."""
         buffer = self._tail + data if self._tail else data
         end = buffer.rfind(SEPARATOR)
+        self.progressed = False
         if end < 0:
             self._tail = buffer
             return b""
         complete, self._tail = buffer[: end + 2], buffer[end + 2 :]
-        if not self._resumed:
-            previous_end = complete.rfind(SEPARATOR, 0, end)
-            self.last_event_id = _event_id(complete[max(0, previous_end) :]) or self.last_event_id
-            return complete
-        return b"".join(self._drop_delivered(complete))
+        if self._resumed:
+            complete = b"".join(self._drop_delivered(complete))
+        else:
+            self.last_event_id = _last_event_id(complete) or self.last_event_id
+        self.progressed = not _is_comment(complete)
+        self._delivered = self._delivered or self.progressed
+        return complete
 
     def _drop_delivered(self, complete: bytes) -> list[bytes]:
         new_events = []
         for event in complete.split(SEPARATOR)[:-1]:
             event_id = _event_id(event)
-            if event_id.isdecimal() and self.last_event_id.isdecimal():
-                step = int(event_id) - int(self.last_event_id)
-                if step <= 0:
-                    continue
-                if step > 1:
-                    self.has_gap = True
-                    break
+            if not event_id and _is_comment(event):
+                continue
+            if not self._continues(event_id):
+                self.has_gap = True
+                break
+            if self._was_delivered(event_id):
+                continue
             self.last_event_id = event_id or self.last_event_id
             new_events.append(event + SEPARATOR)
         return new_events
 
+    def _was_delivered(self, event_id: str) -> bool:
+        if not event_id.isdecimal() or not self.last_event_id.isdecimal():
+            return False
+        return int(event_id) <= int(self.last_event_id)
+
+    def _continues(self, event_id: str) -> bool:
+        """Return whether an event with this id may follow, or was delivered before."""
+        if not self.last_event_id.isdecimal():
+            return bool(event_id) or not self.last_event_id
+        return event_id.isdecimal() and int(event_id) <= int(self.last_event_id) + 1
+
+
+def _is_comment(event: bytes) -> bool:
+    return all(line.startswith(COMMENT) for line in event.split(b"\n") if line)
+
+
+def _last_event_id(events: bytes) -> str:
+    end = len(events) - len(SEPARATOR)
+    while end >= 0:
+        start = events.rfind(SEPARATOR, 0, end)
+        event_id = _event_id(events[max(0, start) : end])
+        if event_id:
+            return event_id
+        end = start
+    return ""
+
 
 def _event_id(event: bytes) -> str:
     for line in event.split(b"\n"):
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -132,6 +132,9 @@
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
             if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
                 break
+            if not events.resumable:
+                trace.add_note("events_without_id")
+                break
             picked = await self._pick_server(admitted, trace)
             if isinstance(picked, NoServer):
                 trace.add_note(f"no_server_of_{picked.usable_servers}")
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -22,6 +22,7 @@
     from cornellead.gateway.view import RateLimits
     from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
+    from cornellead.upstream import ResponseHead
     from cornellead_core.routing import ServerReply
     from cornellead_core.routing import WireFormat
 
@@ -43,6 +44,7 @@
 """Status of a response by another server, which has taken over the address."""
 SERVER_ERROR = 500
 CONTENT_ENCODING = "content-encoding"
+EVENT_STREAM = "text/event-stream"
 
 
 class ResponseRelay:
@@ -82,7 +84,8 @@
             return BrokenResponse("not_the_servers_response")
         if head.status == OK:
             attempt.record_head(now=self._clock())
-        if admitted.route.kind is RequestKind.STREAMING and head.status == OK:
+        streaming = admitted.route.kind is RequestKind.STREAMING and head.status == OK
+        if streaming and _may_be_event_stream(head):
             return await self._relay_stream(attempt, events, head.status, reply, out)
         body = await self._read_body(attempt)
         if body is None:
@@ -155,6 +158,11 @@
                 return DeliveredResponse(status)
 
 
+def _may_be_event_stream(head: ResponseHead) -> bool:
+    content_type = head.headers.get("content-type", EVENT_STREAM)
+    return content_type.strip().lower().startswith(EVENT_STREAM)
+
+
 async def _skip_refusal_body(exchange: Exchange) -> None:
     try:
         async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
