Let events move the stall timeout, not bytes

A server that sent a byte or a comment now and then kept a stream until its deadline although another server was sound. And the body of a safe request was given up 1.5 s after its head even while it arrived.

Bytes now end silence only; without a new event, or 1 KiB more of a long event or body, for two seconds the stream is resumed elsewhere.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -14,6 +14,11 @@
 STREAM_STALL_TIMEOUT_S = 1.5
 """Time without data after which a stream is resumed at another server: model servers emit events
 every few tens of milliseconds, and callers disconnect after four seconds."""
+PROGRESS_TIMEOUT_S = 2.0
+"""Time without progress after which the same happens to a server that sends a few bytes or comments
+now and then: half of the time after which callers disconnect."""
+MIN_PROGRESS_BYTES = 1024
+"""Growth of an incomplete event or body that counts as progress."""
 
 ANSWER_PROOF_S = 0.5
 """Time from the head to an event after which the answer counts as begun: a server that crashes on a
@@ -57,15 +62,31 @@
         self._first_byte_timeout_s = first_byte_timeout_s
         self._can_fail_over = can_fail_over
         self._last_byte_at: float | None = None
+        self._last_progress_at = now
+        self._buffered_bytes = 0
         state.health.start_request(self._attempt_id, now=now, urgency=urgency)
 
     def record_data(self, *, now: float) -> None:
-        """Restart the stall timeout, and record the latency if this is the first data."""
+        """Restart the timeout for silence, and record the latency if this is the first data."""
         if self._last_byte_at is None:
             self.state.health.record_latency(now - self.sent_at)
+            self._last_progress_at = now
         self._last_byte_at = now
         self.state.health.record_data_received(now=now)
 
+    def record_progress(self, *, buffered_bytes: int, now: float) -> None:
+        """Restart the timeout for progress: the caller can be sent more of the response.
+
+        :param buffered_bytes: Size of the incomplete event or body that is left.
+        """
+        self._last_progress_at = now
+        self._buffered_bytes = buffered_bytes
+
+    def record_buffered(self, size: int, *, now: float) -> None:
+        """Record the size of the incomplete event or body that was received so far."""
+        if size - self._buffered_bytes >= MIN_PROGRESS_BYTES:
+            self.record_progress(buffered_bytes=size, now=now)
+
     def record_head(self, *, now: float) -> None:
         """Record that the head of a successful response arrived."""
         self._head_at = now
@@ -101,6 +122,7 @@
         """Abort the exchange if the server has stalled and the request can fail over."""
         if self.blocked_on_caller:
             self.record_data(now=now)
+            self.record_progress(buffered_bytes=self._buffered_bytes, now=now)
             return
         if self._can_fail_over and self._is_stalled(now):
             self.stalled = True
@@ -108,7 +130,8 @@
 
     def _is_stalled(self, now: float) -> bool:
         if self._last_byte_at is not None:
-            return now - self._last_byte_at > STREAM_STALL_TIMEOUT_S
+            silent = now - self._last_byte_at > STREAM_STALL_TIMEOUT_S
+            return silent or now - self._last_progress_at > PROGRESS_TIMEOUT_S
         if self._first_byte_timeout_s is not None:
             return now - self.sent_at > self._first_byte_timeout_s
         return not self.state.health.responsive(now=now)
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -108,6 +108,9 @@
             nonlocal counted_bytes
             self._buffered_bytes += size - counted_bytes
             counted_bytes = size
+            now = self._clock()
+            attempt.record_data(now=now)
+            attempt.record_buffered(size, now=now)
             if self._buffered_bytes > MAX_BUFFERED_BYTES and size > MAX_SMALL_RESPONSE_BYTES:
                 attempt.exchange.abort()
 
@@ -134,6 +137,9 @@
                 first_data_at = now if first_data_at is None else first_data_at
                 attempt.record_data(now=now)
                 complete = events.feed(data)
+                if events.progressed:
+                    attempt.record_progress(buffered_bytes=len(events.tail), now=now)
+                attempt.record_buffered(len(events.tail), now=now)
                 if events.has_gap:
                     return BrokenResponse("events_missing")
                 if len(events.tail) > MAX_EVENT_BYTES:
