Finish what callers send and receive before a planned stop ends

The process exited 50 ms after the last request in progress: a response that a slow caller had not read yet was cut, and so was a connection on which a request was being received.

The listening socket now closes first, idle connections are half-closed, and the process waits until the others are done, within the grace period.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -82,6 +82,13 @@
         """Whether no request is in progress or partly received."""
         return self._task is None and not self._parser.has_partial_request
 
+    @property
+    def settled(self) -> bool:
+        """Whether closing the connection would cut off neither a request nor a response."""
+        return self.idle and (
+            self._transport is None or self._transport.get_write_buffer_size() == 0
+        )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first request."""
         assert isinstance(transport, asyncio.Transport)
@@ -142,6 +149,11 @@
         if self.idle:
             self._close_transport()
 
+    def finish(self) -> None:
+        """Close the connection once it is idle and its last response was sent completely."""
+        if self.idle and not self._closing:
+            self._close_after_linger()
+
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a complete response."""
         self.started = True
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -73,6 +73,21 @@
         for conn in list(self._conns):
             conn.close_idle()
 
+    def finish(self) -> int:
+        """Stop accepting, and close the connections on which nothing is in progress.
+
+        :returns: Number of connections that are still open.
+        """
+        self.stop_accepting()
+        for conn in list(self._conns):
+            conn.finish()
+        return len(self._conns)
+
+    @property
+    def unsettled(self) -> int:
+        """Number of connections with a request or a response that is not complete."""
+        return sum(1 for conn in self._conns if not conn.settled)
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -200,7 +200,7 @@
         shutdown = GracefulShutdown(
             serving=self._serving,
             grace_period_s=self._settings.bounds.drain_grace_s,
-            close_idle=self._caller_listener.close_idle,
+            callers=self._caller_listener,
         )
         cut_requests = await shutdown.run()
         controllers.cancel()
--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -4,14 +4,13 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 
 from cornellead.gateway.ingress import ServingPhase
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from cornellead.gateway.ingress import ServingState
 
 BALANCER_REMOVAL_S = 2.5
@@ -22,19 +21,32 @@
 POLL_INTERVAL_S = 0.05
 
 
+class CallerSide(Protocol):
+    """Connections of callers that have to end before the process exits."""
+
+    @property
+    def unsettled(self) -> int:
+        """Number of connections with a request or a response that is not complete."""
+        ...
+
+    def finish(self) -> int:
+        """Stop accepting, close connections without work, and return how many are open."""
+        ...
+
+
 class GracefulShutdown:
     """Leaves the load balancer's rotation, waits for requests in progress, then closes connections.
 
     :param grace_period_s: Time from SIGTERM to SIGKILL.
-    :param close_idle: Closes the connections without a request in progress.
+    :param callers: Listener of callers.
     """
 
     def __init__(
-        self, *, serving: ServingState, grace_period_s: float, close_idle: Callable[[], None]
+        self, *, serving: ServingState, grace_period_s: float, callers: CallerSide
     ) -> None:
         self._serving = serving
         self._grace_period_s = grace_period_s
-        self._close_idle = close_idle
+        self._callers = callers
 
     async def run(self) -> int:
         """Run all phases, within the grace period.
@@ -50,9 +62,10 @@
         while self._serving.in_progress and loop.time() < exit_at:
             await asyncio.sleep(POLL_INTERVAL_S)
         self._advance(ServingPhase.CLOSING)
-        self._close_idle()
-        await asyncio.sleep(POLL_INTERVAL_S)
-        return self._serving.in_progress
+        # Requests that are being received get an answer, and responses reach slow callers.
+        while self._callers.finish() and loop.time() < exit_at:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        return self._callers.unsettled
 
     def _advance(self, phase: ServingPhase) -> None:
         self._serving.advance(phase)
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -125,6 +125,12 @@
         writer.close()
         return response
 
+    def exit(self) -> None:
+        """Cut all connections of callers, as the exit of the process does."""
+        self.listener.stop_accepting()
+        for conn in list(self.listener._conns):
+            conn.abort()
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection to the gateway."""
         host, _, port = self.address.rpartition(":")
--- /dev/null
+++ b/tests/router/gateway/process/test_graceful_shutdown.py
@@ -0,0 +1,166 @@
+"""Planned stops while callers send requests, pipeline them, or read slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import suppress
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import pytest
+from tests.router.gateway.gateway_harness import CallerResponse
+from tests.router.gateway.gateway_harness import encode_request
+from tests.router.gateway.gateway_harness import read_response
+
+from cornellead.gateway.process import GracefulShutdown
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.router.gateway.gateway_harness import Gateway
+    from tests.router.gateway.scripted_server import Script
+    from tests.router.gateway.scripted_server import ScriptedExchange
+    from tests.router.gateway.scripted_server import ScriptedServer
+
+    StartServer = Callable[[Script], Awaitable[ScriptedServer]]
+
+GRACE_S = 3.0
+CALLERS = 150
+
+
+async def _stop(gateway: Gateway, *, grace_s: float = GRACE_S) -> int:
+    """Stop the gateway as its process does: afterwards, nothing more is read or sent."""
+    cut = await GracefulShutdown(
+        serving=gateway.serving, grace_period_s=grace_s, callers=gateway.listener
+    ).run()
+    gateway.exit()
+    return cut
+
+
+async def test_response_reaches_a_slow_caller(gateway: Gateway, start_server: StartServer) -> None:
+    """Guards against a response that is cut off by the exit since its caller reads slowly."""
+    body = b"x" * (8 << 20)
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.send(exchange.sealed_response(200, body))
+
+    gateway.configure(await start_server(script))
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/unsafe/1"))
+    await asyncio.sleep(0.2)
+    stop = asyncio.create_task(_stop(gateway))
+    await asyncio.sleep(1.8)
+    response = await read_response(reader)
+    assert response.complete and response.body == body
+    assert await stop == 0
+    writer.close()
+
+
+async def test_request_that_is_being_sent_is_answered(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a connection that is cut after a request was received on it in full."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.send(exchange.sealed_response(200, b"ok"))
+
+    gateway.configure(await start_server(script))
+    gateway.limits = gateway.limits._replace(header_timeout_s=2.0, idle_timeout_s=2.0)
+    reader, writer = await gateway.connect()
+    request = encode_request("/unsafe/1", body=b"payment")
+    writer.write(request[:-4])
+    await asyncio.sleep(0.05)
+    stop = asyncio.create_task(_stop(gateway))
+    await asyncio.sleep(GRACE_S / 2 + 0.2)
+    writer.write(request[-4:])
+    response = await read_response(reader)
+    assert response.status == 503 and "connection: close" in response.head.lower()
+    assert await stop == 0
+    writer.close()
+
+
+async def test_stalled_caller_does_not_outlast_the_grace_period(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a process that is killed because a caller never completes its request."""
+    gateway.configure()
+    gateway.limits = gateway.limits._replace(header_timeout_s=30.0)
+    _, writer = await gateway.connect()
+    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
+    await asyncio.sleep(0.05)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    assert await _stop(gateway, grace_s=2.0) == 1
+    assert loop.time() - started_at < 2.0
+    writer.close()
+
+
+class _Sent(NamedTuple):
+    request_id: str
+    response: CallerResponse | None
+    """``None`` if the connection ended without any byte of a response."""
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_stop_under_load_answers_all_that_reached_a_server(
+    gateway: Gateway, start_server: StartServer, seed: int
+) -> None:
+    """Guards against requests that are cut off without an answer although they were passed on, and
+    against partial answers, while callers open connections, reuse them and pipeline requests."""
+    rng = random.Random(seed)
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+        await exchange.send(exchange.sealed_response(200, exchange.request_id.encode() * 500))
+
+    servers = [await start_server(script) for _ in range(4)]
+    gateway.configure(*servers)
+    sent: list[_Sent] = []
+    stopped = asyncio.Event()
+
+    async def call_until_closed(number: int) -> None:
+        serial = 0
+        while not stopped.is_set():
+            try:
+                reader, writer = await gateway.connect()
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            response: CallerResponse | None = None
+            for _ in range(rng.randint(1, 5)):
+                ids = [f"{number}-{serial}-{part}" for part in range(rng.choice((1, 1, 3)))]
+                serial += 1
+                for request_id in ids:
+                    data = encode_request("/unsafe/1", request_id=request_id, body=b"pay")
+                    cut = rng.randint(1, len(data) - 1)
+                    writer.write(data[:cut])
+                    if rng.random() < 0.3:
+                        await asyncio.sleep(0.02)
+                    writer.write(data[cut:])
+                for request_id in ids:
+                    response = await read_response(reader)
+                    sent.append(_Sent(request_id, response if response.status else None))
+                    if response.status == 0:
+                        break
+                if response is None or "connection: close" in response.head.lower():
+                    break
+            writer.close()
+            with suppress(ConnectionError):
+                await writer.wait_closed()
+
+    callers = [asyncio.create_task(call_until_closed(number)) for number in range(CALLERS)]
+    await asyncio.sleep(0.3)
+    cut = await _stop(gateway)
+    stopped.set()
+    await asyncio.gather(*callers)
+    ran = {seen.request_id for server in servers for seen in server.received}
+    assert cut == 0 and len(ran) > CALLERS
+    for request_id, response in sent:
+        assert response is None or response.complete, f"{request_id} has a partial answer"
+        if response is None:
+            assert request_id not in ran, f"{request_id} ran and has no answer"
+        else:
+            assert response.status in (200, 503)
+            assert response.status == 200 or request_id not in ran
