Let the confirmation of a fencing token end by time

An agent that was paused after its token was confirmed, or whose read of the log was delayed, sent its command after another agent had taken over. Around a hand-over both sent the same command. Engines may ignore tokens.

A confirmation now counts from the moment at which it was asked for, for one second of a clock that runs while the host is suspended, and is checked again at the moment of sending. An agent that replaces another one waits two seconds before its first command.

The price: a restarted agent sends its first command two seconds later.

--- a/packages/agent/src/cornellead_agent/engine/_engine_reconciler.py
+++ b/packages/agent/src/cornellead_agent/engine/_engine_reconciler.py
@@ -67,6 +67,8 @@
                 return
 
     async def _send(self, command: Command, token: int) -> bool:
+        if not self._fence.confirmed:
+            return False
         body = msgspec.json.encode({"fence": token, "kind": command.kind, "value": command.value})
         fetched = await self._client.fetch(
             "POST",
--- a/packages/agent/src/cornellead_agent/engine/_fencing_token.py
+++ b/packages/agent/src/cornellead_agent/engine/_fencing_token.py
@@ -2,26 +2,49 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from returns.result import Success
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornellead_core.platform import LogClient
 
 PAGE_RECORDS = 1000
+CONFIRMATION_S = 1.0
+"""Age up to which the confirmation of a token is acted on."""
+TAKEOVER_DELAY_S = 2 * CONFIRMATION_S
+"""Time after which a replaced agent has stopped to act on its last confirmation, and its last
+command has ended at the engine."""
+
+
+def _read_clock() -> float:
+    # Includes the time for which the host was suspended.
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class FencingToken:
     """Fencing token from the stream ``fence.<server>`` of the log.
 
     Each agent process appends one record, whose offset is its token, so later processes have higher
-    tokens. An agent that reads a record after its own has been replaced and loses its token.
+    tokens. An agent that reads a record after its own has been replaced and loses its token. An
+    engine may ignore tokens, so the confirmation of a token ends by time, and an agent that
+    replaces another one waits until that one has no valid confirmation left.
 
     :param owner: Id of the process, by which it recognises its own record.
+    :param clock: Returns seconds, including the time for which the host was suspended.
     """
 
-    def __init__(self, *, log: LogClient, server: str, owner: str) -> None:
+    def __init__(
+        self,
+        *,
+        log: LogClient,
+        server: str,
+        owner: str,
+        clock: Callable[[], float] = _read_clock,
+    ) -> None:
         self._log = log
         self._stream = f"fence.{server}"
         self._owner = owner
@@ -29,14 +52,23 @@
         self._appended = False
         self._own_offset = -1
         self._latest_offset = -1
+        self._clock = clock
+        self._confirmed_at = float("-inf")
+        self._usable_at = float("-inf")
 
     @property
     def replaced(self) -> bool:
         """Whether another agent has a higher token."""
         return self._own_offset >= 0 and self._latest_offset > self._own_offset
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the latest token may still be acted on, for example after a pause."""
+        return self._clock() - self._confirmed_at < CONFIRMATION_S
+
     async def token(self) -> int | None:
-        """Return the token, or ``None`` if it cannot be confirmed as the highest."""
+        """Return the token, or ``None`` if it cannot be confirmed as the highest or may not be used
+        yet."""
         if not await self._read_to_end():
             return None
         if self._own_offset < 0 and not self._appended:
@@ -47,9 +79,13 @@
                 self._appended = False
             if not await self._read_to_end():
                 return None
-        return None if self._own_offset < 0 or self.replaced else self._own_offset
+        if self._own_offset < 0 or self.replaced or self._clock() < self._usable_at:
+            return None
+        return self._own_offset if self.confirmed else None
 
     async def _read_to_end(self) -> bool:
+        # A token is confirmed as of the time at which it was asked for.
+        asked_at = self._clock()
         while True:
             read = await self._log.read(
                 self._stream, from_offset=self._next_offset, limit=PAGE_RECORDS
@@ -61,6 +97,9 @@
                 self._latest_offset = record.offset
                 if record.value.get("owner") == self._owner:
                     self._own_offset = record.offset
+                    if record.offset > 0:
+                        self._usable_at = self._clock() + TAKEOVER_DELAY_S
             self._next_offset = max(page.next_offset, page.oldest_offset)
             if self._next_offset >= page.end_offset:
+                self._confirmed_at = asked_at
                 return True
--- a/tests/agent/engine/test_engine_reconciler.py
+++ b/tests/agent/engine/test_engine_reconciler.py
@@ -11,6 +11,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_agent.engine import TAKEOVER_DELAY_S
+from cornellead_agent.engine import Command
 from cornellead_agent.engine import EngineReconciler
 from cornellead_agent.engine import FencingToken
 from cornellead_agent.facts import SERVER
@@ -28,14 +30,27 @@
 from cornellead_core.platform import PlatformError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
 
+class ManualClock:
+    """A clock that only tests advance."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
 class MemoryLog:
     """A log with one stream in memory, whose appends may lose their response or be rejected."""
 
     def __init__(self) -> None:
+        self.on_read: Callable[[], None] = lambda: None
+        """Called before each read returns, for example to let time pass."""
         self.values: list[dict[str, Any]] = []
         self.append_result: AppendError | None = None
         self.readable = True
@@ -62,6 +77,7 @@
             if offset >= from_offset
         ]
         end = len(self.values)
+        self.on_read()
         return Success(LogPage(records, end, 0, end, 1e6, 0))
 
 
@@ -83,6 +99,7 @@
         headers: Sequence[tuple[str, str]] = (),
         body: bytes = b"",
         timeout_s: float,
+        shared: bool = False,
     ) -> Result[CompleteResponse, EngineRequestError]:
         """Execute a command, or reject it if its token is stale."""
         command = msgspec.json.decode(body)
@@ -100,10 +117,13 @@
 class ReconcilerHarness:
     """The reconciler of one agent process with its own blackboard."""
 
-    def __init__(self, log: MemoryLog, engine: ModelEngine, owner: str) -> None:
+    def __init__(
+        self, log: MemoryLog, engine: ModelEngine, owner: str, clock: ManualClock | None = None
+    ) -> None:
         self.board = Blackboard()
         self.engine = engine
-        self.fence = FencingToken(log=log, server="m0", owner=owner)
+        self.clock = clock or ManualClock()
+        self.fence = FencingToken(log=log, server="m0", owner=owner, clock=self.clock)
         self.reconciler = EngineReconciler(
             server="m0", board=self.board, client=engine, fence=self.fence
         )
@@ -116,6 +136,11 @@
         self.board.write(SERVER, ServerView(up=True, models=actual))
         await self.reconciler.reconcile()
 
+    async def take_over(self, *models: str) -> None:
+        """Run a round that takes the token, and wait until it may be used."""
+        await self.reconcile(*models)
+        self.clock.now += TAKEOVER_DELAY_S
+
 
 @pytest.mark.parametrize("checks_fence", [True, False])
 async def test_replaced_agent_sends_no_commands(checks_fence: bool) -> None:
@@ -123,6 +148,7 @@
     log, engine = MemoryLog(), ModelEngine(checks_fence=checks_fence)
     old, new = ReconcilerHarness(log, engine, "old"), ReconcilerHarness(log, engine, "new")
     await old.reconcile("b")
+    await new.take_over("c")
     await new.reconcile("c")
     sent = len(engine.commands)
     await old.reconcile("b")
@@ -136,6 +162,7 @@
     log, engine = MemoryLog(), ModelEngine(checks_fence=checks_fence)
     old, new = ReconcilerHarness(log, engine, "old"), ReconcilerHarness(log, engine, "new")
     token = await old.fence.token()
+    await new.take_over("c")
     for _ in range(2):
         await new.reconcile("c")
     command = msgspec.json.encode({"fence": token, "kind": "load_model", "value": "b"})
@@ -179,3 +206,48 @@
     log.readable = False
     await harness.reconcile("c")
     assert len(engine.commands) == 1
+
+
+@pytest.mark.parametrize("pause_s", [1.5, 10.0])
+@pytest.mark.parametrize("resumes_at", ["read", "command"])
+async def test_paused_agent_does_not_act_on_an_old_confirmation(
+    pause_s: float, resumes_at: str
+) -> None:
+    """Guards against a command of an agent that was paused after its token was confirmed, while
+    another agent took over: the engine ignores tokens."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=False), ManualClock()
+    old = ReconcilerHarness(log, engine, "old", clock)
+    assert await old.fence.token() == 0
+
+    def pause() -> None:
+        log.values.append({"owner": "new"})
+        clock.now += pause_s
+
+    if resumes_at == "read":
+        log.on_read = pause
+        await old.reconcile("b")
+    else:
+        command = Command("load_model", "b")
+        pause()
+        assert not await old.reconciler._send(command, 0)
+    assert engine.commands == []
+
+
+async def test_agents_do_not_act_at_the_same_time_around_a_handover() -> None:
+    """Guards against the same command from two agents: the former one acts on a confirmation that
+    it got just before the other one took over."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=False), ManualClock()
+    old = ReconcilerHarness(log, engine, "old", clock)
+    new = ReconcilerHarness(log, engine, "new", clock)
+    token = await old.fence.token()
+    assert token is not None
+    old_sent_at = clock.now
+    while True:
+        engine.models, sent = {"a"}, len(engine.commands)
+        await new.reconcile("a", "b")
+        if len(engine.commands) > sent:
+            break
+        if await old.reconciler._send(Command("load_model", "b"), token):
+            old_sent_at = clock.now
+        clock.now += 0.1
+    assert old_sent_at > 100.0 and clock.now - old_sent_at >= TAKEOVER_DELAY_S / 2
