Send each chat to an engine on a connection of its own

Engines do not repeat request ids, so a late copy of an earlier response on a kept connection was taken for the response to the next request: a chat was reported as not run, or got the answer to another one.

Only periodic reads share connections now, never with chats or commands, and a shared connection closes when bytes arrive between two requests.

The price: a connection from agent to engine for each chat, beside each other on a host.

--- a/packages/agent/src/cornellead_agent/engine/_cache_watcher.py
+++ b/packages/agent/src/cornellead_agent/engine/_cache_watcher.py
@@ -89,7 +89,7 @@
         if boot_id != self._cursor.boot_id:
             self._cursor = CacheCursor(boot_id)
         target = f"/cache/events?from={self._cursor.next_seq}&wait_ms={POLL_WAIT_MS}"
-        fetched = await self._client.fetch("GET", target, timeout_s=POLL_TIMEOUT_S)
+        fetched = await self._client.fetch("GET", target, timeout_s=POLL_TIMEOUT_S, shared=True)
         if not isinstance(fetched, Success) or fetched.unwrap().status != 200:
             return False
         try:
--- a/packages/agent/src/cornellead_agent/engine/_server_monitor.py
+++ b/packages/agent/src/cornellead_agent/engine/_server_monitor.py
@@ -72,7 +72,7 @@
 
     async def sample(self) -> None:
         """Read the server's load report once and record the result or the failure."""
-        fetched = await self._client.fetch("GET", "/load", timeout_s=SAMPLE_TIMEOUT_S)
+        fetched = await self._client.fetch("GET", "/load", timeout_s=SAMPLE_TIMEOUT_S, shared=True)
         if not isinstance(fetched, Success) or fetched.unwrap().status != 200:
             self._record_failure()
             return
--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -42,6 +42,10 @@
 class EngineClient:
     """Sends requests to one server and pools idle connections to it.
 
+    Engines do not repeat the id of a request in their responses, so a late copy of an earlier
+    response on a reused connection could be taken for the response to the next request. Therefore
+    only periodic reads share connections; other requests have one each.
+
     :param url: Base URL with a numeric address, such as ``http://127.0.0.1:8000``.
     """
 
@@ -58,13 +62,17 @@
         *,
         headers: Sequence[tuple[str, str]] = (),
         body: bytes = b"",
+        shared: bool = False,
     ) -> Result[EngineConnection, EngineRequestError]:
         """Send a request and return the connection on which its response arrives.
 
         The caller returns the connection with `release`.
+
+        :param shared: Whether the connection may be one of an earlier request, and be used by a
+            later one.
         """
         head = self._encode_head(method, target, headers, body)
-        conn = self._pop_idle_connection()
+        conn = self._pop_idle_connection() if shared else None
         if conn is None:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -75,6 +83,7 @@
                 return Failure(
                     EngineRequestError(f"cannot connect to the server: {exc!r}", sent=False)
                 )
+        conn.shared = shared
         conn.send(head, body)
         return Success(conn)
 
@@ -86,15 +95,19 @@
         headers: Sequence[tuple[str, str]] = (),
         body: bytes = b"",
         timeout_s: float,
+        shared: bool = False,
     ) -> Result[CompleteResponse, EngineRequestError]:
         """Send a request and read the whole response.
 
+        :param shared: As for `open`.
         :param timeout_s: Timeout for connecting, request and response together, in seconds.
         """
         conn: EngineConnection | None = None
         try:
             async with asyncio.timeout(timeout_s):
-                open_result = await self.open(method, target, headers=headers, body=body)
+                open_result = await self.open(
+                    method, target, headers=headers, body=body, shared=shared
+                )
                 if not isinstance(open_result, Success):
                     return Failure(open_result.failure())
                 conn = open_result.unwrap()
@@ -109,7 +122,7 @@
 
     def release(self, conn: EngineConnection) -> None:
         """Return a connection to the pool if it can be reused, else close it."""
-        if conn.reusable and len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
+        if conn.shared and conn.reusable and len(self._idle_connections) < MAX_IDLE_CONNECTIONS:
             self._idle_connections.append(conn)
             return
         conn.abort()
--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -42,6 +42,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self.sent = False
         """Whether a request was written to the transport."""
+        self.shared = False
+        """Whether other requests may use the connection."""
         self.closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -56,6 +58,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; pause reading while too much of the body is unread."""
+        if self._complete:
+            # Belongs to no request. More may follow that a later request could take for its own.
+            self.abort()
+            return
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
