Resume engine streams that send bytes but no events

A stalled engine that sent a byte or a comment now and then kept its stream until the caller's deadline. After the first event, two seconds without a new one now resume the stream; an engine that only pauses continues it, and after three resumes without an event the router takes it elsewhere.

--- a/packages/agent/src/cornellead_agent/api/_chat_relay.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -31,6 +31,9 @@
 MAX_RESUMES = 3
 """Resumes of a broken stream without a new event in between, and connection attempts per resume."""
 RESUME_RETRY_DELAY_S = 0.1
+EVENT_TIMEOUT_S = 2.0
+"""Time without a new event, after the first one, after which a stream is resumed. An engine that
+only pauses continues it."""
 
 
 class ChatRelay:
@@ -67,6 +70,8 @@
         self._disconnected = False
         self._started_at = clock.monotonic()
         self._first_token_s: float | None = None
+        self._event_deadline: float | None = None
+        """Event loop time from which the stream counts as stalled; ``None`` before an event."""
 
     async def run(self, receive: Any, send: Any, *, stream: bool) -> None:
         """Relay until the response ends, the router disconnects or the drain timeout passes.
@@ -153,9 +158,10 @@
 
     async def _relay_events(self, assembler: EventAssembler, send: Any) -> bool:
         failures = 0
+        loop = asyncio.get_running_loop()
         while not assembler.complete:
             assert self._conn is not None
-            data = await self._conn.read()
+            data = await self._read_until_stalled()
             if self._disconnected:
                 return False
             events = assembler.feed(data) if data else b""
@@ -166,6 +172,7 @@
                 if self._first_token_s is None:
                     self._first_token_s = self._clock.monotonic() - self._started_at
                 await send({"type": "http.response.body", "body": events, "more_body": True})
+                self._event_deadline = loop.time() + EVENT_TIMEOUT_S
             if self._board.read(MOVE_STREAMS):
                 await self._send_end_comment(send, b"moved", assembler.delivered)
                 self._counters.moved += 1
@@ -184,11 +191,23 @@
         await self._send_end_comment(send, b"end", assembler.delivered)
         return True
 
+    async def _read_until_stalled(self) -> bytes:
+        """Return data of the engine, or nothing if the connection ended or the stream stalled."""
+        assert self._conn is not None
+        try:
+            async with asyncio.timeout_at(self._event_deadline):
+                return await self._conn.read()
+        except TimeoutError:
+            self._conn.abort()
+            return b""
+
     async def _resume(self, assembler: EventAssembler) -> bool:
         assert self._conn is not None
         self._upstream.release(self._conn)
         assembler.reset()
         self._counters.resumes += 1
+        if self._event_deadline is not None:
+            self._event_deadline = asyncio.get_running_loop().time() + EVENT_TIMEOUT_S
         for _ in range(MAX_RESUMES):
             resumed = await self._upstream.resume(self._request, resume_from=assembler.resume_from)
             if isinstance(resumed, Success):
--- a/tests/agent/api/test_chat_relay.py
+++ b/tests/agent/api/test_chat_relay.py
@@ -137,3 +137,32 @@
     await harness.send_request(body=body)
     assert harness.status == 400
     assert (engine.requests, harness.admission.in_flight) == ([], 0)
+
+
+async def test_stream_that_sends_bytes_without_events_is_resumed(
+    engine: ScriptedEngine, harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stalled engine stream that never ends since a byte arrives now and then."""
+    monkeypatch.setattr("cornellead_agent.api._chat_relay.EVENT_TIMEOUT_S", 0.3)
+    comments = [chunk(b": wait\n\n")] * 30
+    engine.part_delay_s = 0.1
+    engine.prepare_response(sse_head(), chunk(event(1)), *comments, close=False)
+    engine.prepare_response(
+        sse_head(), chunk(event(1) + event(2) + event(3, usage=True) + DONE), LAST_CHUNK
+    )
+    async with asyncio.timeout(2.0):
+        await harness.send_request()
+    assert harness.content == COMPLETE_STREAM
+
+
+async def test_engine_that_pauses_between_events_is_not_cut(
+    engine: ScriptedEngine, harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a sound but slow engine stream that is resumed or cut."""
+    monkeypatch.setattr("cornellead_agent.api._chat_relay.EVENT_TIMEOUT_S", 0.3)
+    engine.part_delay_s = 0.15
+    parts = [chunk(event(1)), chunk(event(2)), chunk(event(3, usage=True)), chunk(DONE)]
+    engine.prepare_response(sse_head(), *parts, LAST_CHUNK)
+    await harness.send_request()
+    assert harness.content == COMPLETE_STREAM
+    assert len(engine.requests) == 1
--- a/tests/agent/harness.py
+++ b/tests/agent/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -46,6 +47,7 @@
         self.received = asyncio.Event()
         self.disconnects = 0
         self.port = 0
+        self.part_delay_s = 0.0
 
     def prepare_response(self, *parts: bytes, close: bool = True) -> None:
         """Append a prepared response.
@@ -70,7 +72,9 @@
         )
         for part in parts:
             writer.write(part)
-            await writer.drain()
+            with suppress(ConnectionError):
+                await writer.drain()
+            await asyncio.sleep(self.part_delay_s)
         if not close:
             await reader.read()
             self.disconnects += 1
