Run gateways by a clock that includes suspensions of the host

Idle times of pooled connections and time-outs used the steady clock, which stops while a host is suspended. Back, a router sent a request that must not be repeated on a connection which its server had closed meanwhile, and held requests past their deadline.

The event loop now uses the clock by which requests and the view are dated.

--- a/packages/router/src/cornellead/cli/_gateway.py
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -74,7 +74,10 @@
     from cornellead_core.logs import configure_service_logs
 
     configure_service_logs(process=settings.node)
-    asyncio.run(_serve(settings, path, values.metrics_port, caller_socket))
+    from cornellead.gateway.process import BootClockLoop
+
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        runner.run(_serve(settings, path, values.metrics_port, caller_socket))
     return ExitCode.OK
 
 
