Do not collect garbage while a gateway loads its modules

A restarted router serves nobody until its modules are loaded, and collections during the imports free nothing. After the imports, what was loaded is frozen.

--- a/packages/router/src/cornellead/cli/_gateway.py
+++ b/packages/router/src/cornellead/cli/_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import signal
 import sys
@@ -69,6 +70,8 @@
         caller_socket = open_listening_socket(settings.caller_address)
     except OSError as exc:
         return _print_usage_error(f"{path}: cannot listen on {settings.caller_address}: {exc}")
+    # Collections during the imports take a tenth of the time to start and free nothing.
+    gc.disable()
     import asyncio
 
     from cornellead_core.logs import configure_service_logs
@@ -76,6 +79,8 @@
     configure_service_logs(process=settings.node)
     from cornellead.gateway.process import BootClockLoop
 
+    gc.freeze()
+    gc.enable()
     with asyncio.Runner(loop_factory=BootClockLoop) as runner:
         runner.run(_serve(settings, path, values.metrics_port, caller_socket))
     return ExitCode.OK
