--- a/packages/router/src/cornellead/gateway/process/_admin_handler.py
+++ b/packages/router/src/cornellead/gateway/process/_admin_handler.py
@@ -36,7 +36,7 @@
         if req.path == self._ready_path:
             out.respond(200 if self._is_ready else 503, (), b"")
         elif req.path == METRICS_PATH:
-            out.respond(200, METRICS_HEADERS, self._metrics.render())
+            out.respond(200, METRICS_HEADERS, await self._metrics.render_in_background())
         else:
             out.respond(404, (), b"")
 
