Let a starting router take what it needs from a running one

A router that starts knows no reader, so it read the store, though load reports name a router within milliseconds whose page has a twentieth of the size.

The first read of operators' changes and servers asks routers as soon as they are known, beside the store; the first recent page counts.

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -6,6 +6,7 @@
 import random
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 from urllib.parse import urlencode
 
@@ -52,6 +53,10 @@
 """Time for which a reader is skipped after it did not respond or returned an old page."""
 STORE_BACKOFF_S = 1.0
 """Time for which the store is skipped after it failed if another router has recent notices."""
+FIRST_POLL_S = 0.02
+"""Interval until other routers are queried by a router that reads the store for the first time: the
+first load reports, which name routers, arrive within a few milliseconds."""
+MAX_POLL_S = 0.16
 HTTP_OK = 200
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
@@ -108,7 +113,13 @@
         fetched = await self._query_reader(topic, offset=None, wait_s=0.0)
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
-        result = await self._store.read_newest(topic)
+        if self.logs[topic].loaded or topic is Topic.ROUTERS:
+            result = await self._store.read_newest(topic)
+        else:
+            first = await self._read_first(topic)
+            if isinstance(first, _FetchedPage):
+                return Success(self._apply_snapshot(topic, first))
+            result = first
         if isinstance(result, Success):
             batch = result.unwrap()
             sent_at = self._clock() - batch.age_s
@@ -154,6 +165,34 @@
         """Publish the quarantine of a prompt part in the store; ``None`` publishes its end."""
         return await self._store.publish_quarantine(part, mark)
 
+    async def _read_first(self, topic: Topic) -> _FetchedPage | Result[NoticeBatch, StoreError]:
+        """Read the store and, once other routers are known, theirs as well; the first page counts.
+
+        A router that starts knows no reader yet, and the newest records of the store can be twenty
+        times as large as the page of a router.
+        """
+        from_store = asyncio.create_task(self._store.read_newest(topic))
+        from_router = asyncio.create_task(self._await_page(topic))
+        tasks: set[asyncio.Task[Any]] = {from_store, from_router}
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return from_store.result() if from_store.done() else from_router.result()
+        finally:
+            from_store.cancel()
+            from_router.cancel()
+
+    async def _await_page(self, topic: Topic) -> _FetchedPage:
+        """Query other routers until one has recent notices."""
+        interval_s = FIRST_POLL_S
+        while True:
+            await asyncio.sleep(interval_s)
+            interval_s = min(MAX_POLL_S, 2 * interval_s)
+            peers = self._readers() or self._sample_peers(MAX_BACKUPS_QUERIED)
+            fetched = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+            if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
+                self.relayed += 1
+                return fetched
+
     async def _read_store_after(
         self, topic: Topic, *, offset: int, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -314,3 +314,43 @@
     for router in others:
         router.store.logs[Topic.SERVERS].replace([], 0, now=time.monotonic() - 5.0)
     assert isinstance(await first.store.read_newest(Topic.SERVERS), Failure)
+
+
+class SlowStore(CountingStore):
+    """A store whose newest records take long to arrive over the link of a small host."""
+
+    async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
+        await asyncio.sleep(2.0)
+        return await super().read_newest(topic)
+
+
+@pytest.mark.parametrize("topic", [Topic.OPERATOR, Topic.SERVERS])
+async def test_starting_router_takes_the_page_of_one_that_it_hears_of(
+    free_address: Callable[[], str], topic: Topic
+) -> None:
+    """Guards against a restarted router that serves nobody while a large configuration arrives from
+    the store, though another router has it in a small page."""
+    running = RouterFixture("a", free_address(), CountingStore(), link_mbps=100.0)
+    starting = RouterFixture("b", free_address(), SlowStore(), link_mbps=10.0)
+    await running.listener.start()
+    assert isinstance(await running.store.read_newest(topic), Success)
+    read = asyncio.create_task(starting.store.read_newest(topic))
+    await asyncio.sleep(0.05)
+    starting.view.add_reporting_router("a", running.location, now=time.monotonic())
+    batch = (await asyncio.wait_for(read, 0.5)).unwrap()
+    assert batch.read is not None and batch.read.source == "a"
+    running.listener.stop_accepting()
+
+
+async def test_starting_router_does_not_take_an_old_page(
+    free_address: Callable[[], str],
+) -> None:
+    """Guards against a restarted router that begins with a configuration that has changed."""
+    running = RouterFixture("a", free_address(), CountingStore(), link_mbps=100.0)
+    starting = RouterFixture("b", free_address(), SlowStore(), link_mbps=10.0)
+    await running.listener.start()
+    running.store.logs[Topic.OPERATOR].replace([], 0, now=time.monotonic() - 1.5)
+    starting.view.add_reporting_router("a", running.location, now=time.monotonic())
+    batch = (await starting.store.read_newest(Topic.OPERATOR)).unwrap()
+    assert batch.read is None
+    running.listener.stop_accepting()
