--- a/tests/router/gateway/forwarding/test_stream_continuation.py
+++ b/tests/router/gateway/forwarding/test_stream_continuation.py
@@ -7,6 +7,7 @@
 
 import pytest
 from tests.router.gateway.scripted_server import encode_event
+from tests.router.gateway.scripted_server import encode_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -23,20 +24,6 @@
 ERROR_EVENT = b"event: error\ndata: out of memory\n\n"
 
 
-def _events(first: int, last: int) -> bytes:
-    return b"".join(encode_event(number) for number in range(first, last + 1))
-
-
-async def _finish_stream(exchange: ScriptedExchange) -> None:
-    await exchange.begin_stream()
-    await exchange.send_events(int(exchange.header("last-event-id") or "0") + 1, 4)
-    await exchange.end_stream()
-
-
-async def _chunk(exchange: ScriptedExchange, data: bytes) -> None:
-    await exchange.send(b"%x\r\n%b\r\n" % (len(data), data))
-
-
 def _json_answer(exchange: ScriptedExchange) -> bytes:
     return exchange.sealed_response(200, ERROR_TEXT, "Content-Type: application/json")
 
@@ -85,7 +72,7 @@
             await asyncio.sleep(0.05)
             exchange.reset()
         elif len(attempts) == 3 and sound_server:
-            await _finish_stream(exchange)
+            await exchange.resume_stream(4)
         else:
             await exchange.send(answer(exchange))
 
@@ -94,10 +81,10 @@
     assert response.status == 200
     resumed = sound_server and answer is not _failure
     if resumed:
-        assert response.complete and response.body == _events(1, 4)
+        assert response.complete and response.body == encode_events(1, 4)
     else:
-        assert not response.complete or response.body == _events(1, 4)
-        assert _events(1, 4).startswith(response.body)
+        assert not response.complete or response.body == encode_events(1, 4)
+        assert encode_events(1, 4).startswith(response.body)
 
 
 async def test_events_before_a_comment_are_not_sent_again(
@@ -108,19 +95,19 @@
 
     async def script(exchange: ScriptedExchange) -> None:
         if exchange.header("last-event-id"):
-            await _finish_stream(exchange)
+            await exchange.resume_stream(4)
             return
         await exchange.begin_stream()
         await exchange.send_events(1, 1)
         await asyncio.sleep(0.05)
-        await _chunk(exchange, encode_event(2) + b": keep-alive\n\n")
+        await exchange.send_chunk(encode_event(2) + b": keep-alive\n\n")
         await asyncio.sleep(0.05)
         exchange.reset()
 
     gateway.configure(*[await start_server(script) for _ in range(2)])
     response = await gateway.call("/resumable/1", body=b"prompt")
     assert response.complete
-    assert response.body.replace(b": keep-alive\n\n", b"") == _events(1, 4)
+    assert response.body.replace(b": keep-alive\n\n", b"") == encode_events(1, 4)
 
 
 async def test_stream_without_ids_is_not_resumed(
@@ -130,7 +117,7 @@
 
     async def script(exchange: ScriptedExchange) -> None:
         await exchange.begin_stream()
-        await _chunk(exchange, b"data: a\n\n")
+        await exchange.send_chunk(b"data: a\n\n")
         await asyncio.sleep(0.05)
         exchange.reset()
 
--- a/tests/router/gateway/forwarding/test_stream_progress.py
+++ b/tests/router/gateway/forwarding/test_stream_progress.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from tests.router.gateway.scripted_server import encode_event
+from tests.router.gateway.scripted_server import encode_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -24,20 +24,6 @@
 """Pause after which callers leave a stream."""
 
 
-def _events(first: int, last: int) -> bytes:
-    return b"".join(encode_event(number) for number in range(first, last + 1))
-
-
-async def _finish_stream(exchange: ScriptedExchange) -> None:
-    await exchange.begin_stream()
-    await exchange.send_events(int(exchange.header("last-event-id") or "0") + 1, 4)
-    await exchange.end_stream()
-
-
-async def _chunk(exchange: ScriptedExchange, data: bytes) -> None:
-    await exchange.send(b"%x\r\n%b\r\n" % (len(data), data))
-
-
 @pytest.mark.parametrize("filler", [b"i", b": wait\n\n", b"id: 2\n"])
 async def test_stream_that_sends_bytes_without_events_is_resumed_elsewhere(
     gateway: Gateway, start_server: StartServer, filler: bytes
@@ -47,12 +33,12 @@
 
     async def trickle(exchange: ScriptedExchange) -> None:
         if exchange.header("last-event-id"):
-            await _finish_stream(exchange)
+            await exchange.resume_stream(4)
             return
         await exchange.begin_stream()
         await exchange.send_events(1, 2)
         while not exchange.disconnected.is_set():
-            await _chunk(exchange, filler)
+            await exchange.send_chunk(filler)
             await asyncio.sleep(0.2)
 
     gateway.configure(*[await start_server(trickle) for _ in range(2)])
@@ -61,7 +47,7 @@
     assert time.monotonic() - started_at < CALLER_PATIENCE_S
     assert response.complete
     delivered = [line for line in response.body.split(b"\n\n") if line and line[:1] != b":"]
-    assert delivered == _events(1, 4).split(b"\n\n")[:-1]
+    assert delivered == encode_events(1, 4).split(b"\n\n")[:-1]
 
 
 async def test_slow_stream_is_not_cut(gateway: Gateway, start_server: StartServer) -> None:
@@ -77,7 +63,7 @@
     servers = [await start_server(script) for _ in range(2)]
     gateway.configure(*servers)
     response = await gateway.call("/resumable/1", "X-Deadline-Ms: 8000", body=b"prompt")
-    assert response.complete and response.body == _events(1, 5)
+    assert response.complete and response.body == encode_events(1, 5)
     assert sum(len(server.received) for server in servers) == 1
 
 
@@ -88,11 +74,11 @@
 
     async def script(exchange: ScriptedExchange) -> None:
         await exchange.begin_stream()
-        await _chunk(exchange, b"id: 1\ndata: ")
+        await exchange.send_chunk(b"id: 1\ndata: ")
         for _ in range(14):
-            await _chunk(exchange, b"x" * 600)
+            await exchange.send_chunk(b"x" * 600)
             await asyncio.sleep(0.2)
-        await _chunk(exchange, b"\n\n")
+        await exchange.send_chunk(b"\n\n")
         await exchange.end_stream()
 
     servers = [await start_server(script) for _ in range(2)]
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -79,8 +79,17 @@
     async def send_events(self, first: int, last: int) -> None:
         """Write numbered events, ``last`` included."""
         for number in range(first, last + 1):
-            data = encode_event(number)
-            await self.send(b"%x\r\n%b\r\n" % (len(data), data))
+            await self.send_chunk(encode_event(number))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Write bytes as a chunk of an event stream."""
+        await self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def resume_stream(self, last: int) -> None:
+        """Write an event stream that goes on after the last event id, up to ``last``."""
+        await self.begin_stream()
+        await self.send_events(int(self.header("last-event-id") or "0") + 1, last)
+        await self.end_stream()
 
     async def end_stream(self) -> None:
         """Write the end of an event stream."""
@@ -92,6 +101,11 @@
     return b"id: %d\ndata: x%d\n\n" % (number, number)
 
 
+def encode_events(first: int, last: int) -> bytes:
+    """Return numbered events, ``last`` included."""
+    return b"".join(encode_event(number) for number in range(first, last + 1))
+
+
 class ScriptedServer:
     """Listens on a local port and runs a script for each request."""
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -104,7 +104,7 @@
             await exchange.send_events(number, number)
             await asyncio.sleep(EVENT_INTERVAL_S)
         while failure == "trickle" and not exchange.disconnected.is_set():
-            await exchange.send(b"%x\r\n%b\r\n" % (len(COMMENT), COMMENT))
+            await exchange.send_chunk(COMMENT)
             await asyncio.sleep(TRICKLE_INTERVAL_S)
         if broken:
             exchange.reset()
