Log and count records that cannot be read, and tasks that fail

Callers saw connections cut without an answer while a gateway ended by itself. Neither the logs nor the metrics said which record of which topic was unreadable: such a server entry was dropped without a line, and a failed background task was named by nothing but its traceback at exit.

A background task that fails logs `background task failed` with its name and traceback. No decision changes.

--- a/packages/core/src/cornellead_core/blackboard/_controller.py
+++ b/packages/core/src/cornellead_core/blackboard/_controller.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+import structlog
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -30,4 +32,12 @@
     """
     async with asyncio.TaskGroup() as group:
         for controller in controllers:
-            group.create_task(controller.run(), name=controller.name)
+            group.create_task(_run(controller), name=controller.name)
+
+
+async def _run(controller: Controller) -> None:
+    try:
+        await controller.run()
+    except Exception:
+        structlog.get_logger().exception("background task failed", task=controller.name)
+        raise
--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -33,6 +33,7 @@
 from cornellead_core.routing._store import ServerNotice
 from cornellead_core.routing._store import StoreError
 from cornellead_core.routing._store import Topic
+from cornellead_core.routing._store import UnreadableRecord
 from cornellead_core.routing._wire_format import CallerHeaders
 from cornellead_core.routing._wire_format import ForwardTarget
 from cornellead_core.routing._wire_format import HeaderList
@@ -76,6 +77,7 @@
     "Team",
     "TeamKeys",
     "Topic",
+    "UnreadableRecord",
     "WeightedService",
     "WireFormat",
 ]
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -112,6 +112,14 @@
 """`ReadStats.source` of batches that were read from the store itself."""
 
 
+class UnreadableRecord(NamedTuple):
+    """Record that could not be decoded, or whose values are not plausible."""
+
+    key: str
+    reason: str
+    """Error message, cut to a bounded length."""
+
+
 class NoticeBatch(NamedTuple):
     """Notices in the order of their offsets in the store."""
 
@@ -125,6 +133,8 @@
     """Later records that the topic contained already. Unless 0, the notices are not its newest
     state, and the rest is to be read with `read_newest`."""
     read: ReadStats | None = None
+    unreadable: tuple[UnreadableRecord, ...] = ()
+    """Records of the store that name nothing to use; empty if another router relayed the batch."""
 
     @property
     def is_current(self) -> bool:
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -32,6 +32,7 @@
 from cornellead.gateway.sync import Announcer
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import QuarantinePublisher
+from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import RouterSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.sync import TopicReader
@@ -51,6 +52,7 @@
     from returns.result import Result
 
     from cornellead.gateway.ingress import RequestHandler
+    from cornellead.gateway.sync import NoticeSink
     from cornellead.gateway.view import ServerState
     from cornellead_core.blackboard import Controller
     from cornellead_core.routing import FleetStore
@@ -211,27 +213,22 @@
         stats, view = self._stats, self._view
         router_sink = RouterSink(view=view, clock=read_clock)
         return [
-            TopicReader(
-                store=self._store,
-                topic=Topic.OPERATOR,
-                sink=OperatorSink(view=view, stats=stats, clock=read_clock),
+            self._make_reader(
+                Topic.OPERATOR,
+                OperatorSink(view=view, stats=stats, clock=read_clock),
                 wait_s=OPERATOR_LONG_POLL_S,
                 interval_s=lambda: 0.0,
             ),
-            TopicReader(
-                store=self._store,
-                topic=Topic.SERVERS,
-                sink=ServerSink(
+            self._make_reader(
+                Topic.SERVERS,
+                ServerSink(
                     view=view, stats=stats, clock=read_clock, on_ended=self._on_server_removed
                 ),
-                wait_s=0.0,
                 interval_s=lambda: self._read_interval_s(SERVERS_READ_INTERVAL_S),
             ),
-            TopicReader(
-                store=self._store,
-                topic=Topic.ROUTERS,
-                sink=router_sink,
-                wait_s=0.0,
+            self._make_reader(
+                Topic.ROUTERS,
+                router_sink,
                 interval_s=lambda: self._read_interval_s(ROUTERS_INTERVAL_S),
             ),
             QuarantinePublisher(store=self._store, view=view, sink=router_sink, clock=read_clock),
@@ -252,6 +249,22 @@
             ),
         ]
 
+    def _make_reader(
+        self,
+        topic: Topic,
+        sink: NoticeSink,
+        *,
+        wait_s: float = 0.0,
+        interval_s: Callable[[], float],
+    ) -> TopicReader:
+        return TopicReader(
+            store=self._store,
+            topic=topic,
+            sink=ReportingSink(topic=topic, sink=sink, stats=self._stats),
+            wait_s=wait_s,
+            interval_s=interval_s,
+        )
+
     def _make_listener(
         self, address: str, handler: RequestHandler, *, sock: socket.socket | None = None
     ) -> CallerListener:
--- a/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -27,6 +27,9 @@
         self._operator_bytes = metrics.counter(
             "gateway_operator_read_bytes", "Bytes of reads with operators' changes", ["source"]
         )
+        self._unreadable_records = metrics.counter(
+            "gateway_unreadable_records", "Records that name nothing to use", ["topic"]
+        )
         self._latency = LatencyHistogram()
         gauge = metrics.gauge(
             "gateway_request_seconds", "Time to the end of requests", ["quantile"]
@@ -53,6 +56,10 @@
         """
         self._operator_bytes.labels(source).inc(body_bytes)
 
+    def count_unreadable_records(self, topic: str, count: int) -> None:
+        """Count records of the store that could not be decoded or are not plausible."""
+        self._unreadable_records.labels(topic).inc(count)
+
     def count_view_change(self, kind: str) -> None:
         """Count a change of this router's view of the fleet, such as a server that ended."""
         self._view_changes.labels(kind).inc()
--- a/packages/router/src/cornellead/gateway/sync/__init__.py
+++ b/packages/router/src/cornellead/gateway/sync/__init__.py
@@ -5,6 +5,7 @@
 from cornellead.gateway.sync._announcer import Announcer
 from cornellead.gateway.sync._operator_sink import OperatorSink
 from cornellead.gateway.sync._quarantine_publisher import QuarantinePublisher
+from cornellead.gateway.sync._reporting_sink import ReportingSink
 from cornellead.gateway.sync._router_sink import RouterSink
 from cornellead.gateway.sync._server_sink import ServerSink
 from cornellead.gateway.sync._topic_reader import NoticeSink
@@ -15,6 +16,7 @@
     "NoticeSink",
     "OperatorSink",
     "QuarantinePublisher",
+    "ReportingSink",
     "RouterSink",
     "ServerSink",
     "TopicReader",
--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -18,7 +18,7 @@
 from cornellead_platform import load_node_settings
 from cornellead_platform._config import decode_config
 from cornellead_platform._records import KeyedRecord
-from cornellead_platform._records import decode_notice
+from cornellead_platform._records import decode_record
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -65,7 +65,7 @@
 )
 def test_malformed_configuration_is_reported_as_a_notice(value: bytes) -> None:
     """Guards against a process that crashes on a malformed configuration."""
-    notice = decode_notice(Topic.OPERATOR, KeyedRecord("config", value))
+    notice = decode_record(Topic.OPERATOR, KeyedRecord("config", value)).notice
     assert isinstance(notice, RoutingNotice) and notice.data is None and notice.problem
 
 
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -8,6 +8,7 @@
 
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import OperatorSink
+from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.view import FleetView
 from cornellead_core.metrics import Metrics
@@ -15,6 +16,8 @@
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Topic
+from cornellead_core.routing import UnreadableRecord
 
 NOW = 100.0
 
@@ -88,3 +91,20 @@
     )
     assert read_line["records_left"] == 3
     assert (active_line["config"], active_line["routes"]) == (4, 4)
+
+
+def test_unreadable_record_is_logged_once_and_counted_each_time() -> None:
+    """Guards against an odd entry that nobody can find, and against a line at each heartbeat."""
+    metrics = Metrics()
+    stats = GatewayStats(metrics=metrics)
+    sink = ReportingSink(
+        topic=Topic.SERVERS, sink=_server_sink(FleetView(router="r1")), stats=stats
+    )
+    batch = NoticeBatch([], 5, unreadable=(UnreadableRecord("s1", "FieldError: slots"),))
+    with structlog.testing.capture_logs() as lines:
+        sink.apply_snapshot(batch)
+        sink.apply_changes(batch)
+    assert [(line["event"], line["topic"], line["key"], line["reason"]) for line in lines] == [
+        ("record unreadable", "servers", "s1", "FieldError: slots")
+    ]
+    assert 'gateway_unreadable_records_total{topic="servers"} 2.0' in metrics.render().decode()
