Add failing tests for odd records, pages, headers and datagrams

Operators of similar systems saw processes end again and again at one odd entry of another writer. These tests put such entries, configurations, announcements, quarantines, pages, headers, settings and datagrams before a gateway.

--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -145,3 +145,32 @@
     """Guards against a limit that is ignored, or that a malformed value sets."""
     headers = [(b"X-Response-Seal", b"s")] + ([(b"Server-Limit", value)] if value else [])
     assert PlatformHeaders().decode_reply(200, headers).rate_limit_per_s == limit
+
+
+def test_header_numbers_of_thousands_of_digits_are_ignored() -> None:
+    """Guards against a response or request that ends without an answer because of one number."""
+    wire, digits = PlatformHeaders(), b"9" * 5000
+    reply = wire.decode_reply(
+        200,
+        [
+            (b"X-Response-Seal", b"s"),
+            (b"X-Server-Load", digits + b",0,8"),
+            (b"Server-Limit", digits),
+        ],
+    )
+    assert reply.sealed and reply.load is None and reply.rate_limit_per_s is None
+    caller = wire.decode_caller(
+        [(b"X-Token-Counts", digits + b",1"), (b"X-Prompt-Prefix", b"a1:" + digits + b",b2:5")]
+    )
+    assert caller.prompt_tokens == 0 and [part.part for part in caller.prompt] == ["b2"]
+
+
+@pytest.mark.parametrize("depth", ["file", "number"])
+def test_odd_settings_file_is_rejected(tmp_path: Path, depth: str) -> None:
+    """Guards against a changed settings file that ends the process."""
+    path = tmp_path / "boot.json"
+    settings = msgspec.json.encode(payloads.node_settings("10.0.0.1:80"))
+    path.write_bytes(b"[" * 100_000 if depth == "file" else settings.replace(b"7340", b"9" * 5000))
+    assert isinstance(load_node_settings(str(path)), Failure)
+    path.write_bytes(settings.replace(b'"grace_s":8', b'"grace_s":' + b"9" * 400))
+    assert isinstance(load_node_settings(str(path)), Failure)
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -2,13 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
+import base64
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+import pytest
 from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
 from tests.platform_adapter import payloads
-
+from tests.platform_adapter.odd_records import odd_entries
+
+from cornellead.gateway.stats import GatewayStats
+from cornellead.gateway.sync import ReportingSink
+from cornellead.gateway.sync import ServerSink
+from cornellead.gateway.sync import TopicReader
+from cornellead.gateway.view import FleetView
+from cornellead_core.metrics import Metrics
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import HttpResponse
 from cornellead_core.routing import OffsetExpired
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import QuarantineNotice
@@ -18,12 +32,11 @@
 from cornellead_core.routing import ServerNotice
 from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
+from cornellead_platform import StoreClient
 
 if TYPE_CHECKING:
     from tests.platform_adapter.fake_store import FakeStore
 
-    from cornellead_platform import StoreClient
-
 Store = tuple["FakeStore", "StoreClient"]
 
 
@@ -124,3 +137,85 @@
     usable = [n.server for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
     assert usable == ["s5"]
     assert len(batch.notices) == 7
+
+
+async def test_reader_follows_a_topic_with_odd_entries(store: Store) -> None:
+    """Guards against a reader that one odd entry among sound ones ends or stops."""
+    fake_store, client = store
+    odd = odd_entries()
+    view = FleetView(router="r1")
+    stats = GatewayStats(metrics=Metrics())
+    servers = ServerSink(view=view, stats=stats, clock=time.monotonic, on_ended=lambda state: None)
+    sink = ReportingSink(topic=Topic.SERVERS, sink=servers, stats=stats)
+    reader = TopicReader(
+        store=client, topic=Topic.SERVERS, sink=sink, wait_s=0.1, interval_s=lambda: 0.01
+    )
+    for number, (key, value) in enumerate(odd.items()):
+        fake_store.put_raw("keyed.servers", key, value)
+        fake_store.put("keyed.servers", f"s{number}", payloads.server_entry(f"10.0.0.9:{number+1}"))
+    task = asyncio.create_task(reader.run())
+    while not view.servers_loaded and not task.done():
+        await asyncio.sleep(0.01)
+    for number, (key, value) in enumerate(odd.items()):
+        fake_store.put_raw("keyed.servers", key, value)
+        fake_store.put("keyed.servers", f"t{number}", payloads.server_entry(f"10.0.0.8:{number+1}"))
+    await asyncio.wait({task}, timeout=1.0)
+    listed = {state.entry.server for state in view.servers.listed("llm")}
+    assert not task.done(), task.exception()
+    assert listed == {f"{letter}{number}" for letter in "st" for number in range(len(odd))}
+    task.cancel()
+
+
+class PageClient:
+    """Answers each call with the next of some bodies."""
+
+    def __init__(self, *bodies: bytes) -> None:
+        self._bodies = list(bodies)
+
+    async def call(
+        self, address: str, method: str, target: str, *, body: bytes = b"", timeout_s: float
+    ) -> Result[HttpResponse, str]:
+        return Success(HttpResponse(200, self._bodies.pop(0), wait_s=0.0, transfer_s=0.0))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000,
+        b'{"items":[],"end_offset":' + b"9" * 400 + b"}",
+        b'{"items":[],"end_offset":1e300}',
+        b'{"items":[],"end_offset":-1}',
+        b'{"items":[],"end_offset":' + b"9" * 5000 + b"}",
+        b'{"items":5,"end_offset":1}',
+        b"\xff",
+    ],
+    ids=["nested", "400_digits", "exponent", "negative", "5000_digits", "no_list", "no_text"],
+)
+async def test_unreadable_page_is_a_failed_read(body: bytes) -> None:
+    """Guards against a page of the store that ends the reader, or leads it to no offset."""
+    result = await StoreClient(address="10.0.0.1:1", http=PageClient(body)).read_newest(
+        Topic.SERVERS
+    )
+    assert isinstance(result, Failure) and isinstance(result.failure(), StoreError)
+
+
+async def test_odd_item_of_a_page_does_not_hide_the_others() -> None:
+    """Guards against a page that cannot be read as a whole because of one of its items."""
+    value = base64.b64encode(msgspec.json.encode(payloads.server_entry())).decode()
+    items = [{"key": "a", "value": "=="}, 7, {"key": 5}, {"key": "é", "value": "é"}]
+    page = {"items": [*items, {"key": "s5", "value": value}], "end_offset": 9, "has_more": False}
+    http = PageClient(msgspec.json.encode(page))
+    batch = (await StoreClient(address="10.0.0.1:1", http=http).read_newest(Topic.SERVERS)).unwrap()
+    usable = [n.server for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
+    assert usable == ["s5"]
+    assert len(batch.unreadable) >= 3
+
+
+async def test_page_that_repeats_itself_is_a_failed_read() -> None:
+    """Guards against a reader that asks for the same page without end."""
+    page = msgspec.json.encode(
+        {"items": [{"key": "s1", "value": ""}], "end_offset": 9, "has_more": True}
+    )
+    http = PageClient(*[page] * 5)
+    result = await StoreClient(address="10.0.0.1:1", http=http).read_newest(Topic.SERVERS)
+    assert isinstance(result, Failure)
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -12,6 +12,8 @@
 import pytest
 from tests.platform_adapter import payloads
 from tests.platform_adapter.fake_store import FakeStore
+from tests.platform_adapter.odd_records import NESTED
+from tests.platform_adapter.odd_records import odd_entries
 from tests.router.gateway.gateway_harness import read_response
 from tests.router.gateway.scripted_server import ScriptedServer
 
@@ -206,3 +208,35 @@
     fleet.store.down = False
     await fleet.wait_readiness()
     assert (await fleet.send_payment()).status == 200
+
+
+async def test_payment_in_progress_is_answered_beside_odd_entries(fleet: GatewayFleet) -> None:
+    """Guards against a gateway that ends when another writer leaves an odd entry."""
+    await fleet.wait_readiness()
+    fleet.response_delay_s = 2.0
+    payment = asyncio.create_task(fleet.send_payment())
+    await asyncio.sleep(0.2)
+    for key, value in odd_entries().items():
+        fleet.store.put_raw("keyed.servers", key, value)
+    fleet.store.put_raw("keyed.op", "config", NESTED)
+    fleet.store.put_raw("keyed.routers", "r9", b'["10.0.0.9:99999","kgl-a",1]')
+    fleet.store.put_raw("keyed.routers", "part/x", NESTED)
+    assert (await payment).body == b"paid"
+    fleet.response_delay_s = 0.0
+    fleet.store.put("keyed.op", "config", fleet.config(9, keys=("k9",)))
+    await asyncio.sleep(APPLY_LIMIT_S)
+    assert (await fleet.send_payment(key="k9")).status == 200
+    assert fleet.process is not None and fleet.process.returncode is None
+
+
+async def test_gateway_starts_with_odd_entries_in_the_store(fleet: GatewayFleet) -> None:
+    """Guards against a gateway that ends at each start until an odd entry is gone."""
+    await fleet.wait_readiness()
+    assert fleet.process is not None
+    fleet.process.kill()
+    await fleet.process.wait()
+    for key, value in odd_entries().items():
+        fleet.store.put_raw("keyed.servers", key, value)
+    await fleet.start_gateway()
+    await fleet.wait_readiness()
+    assert (await fleet.send_payment()).status == 200
--- a/tests/router/gateway/exchange/test_load_exchange.py
+++ b/tests/router/gateway/exchange/test_load_exchange.py
@@ -6,10 +6,18 @@
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
+from hypothesis import example
+from hypothesis import given
+from hypothesis import strategies as st
 from tests.router.gateway.builders import make_entry
 
 from cornellead.gateway.exchange import LoadExchange
+from cornellead.gateway.exchange._load_exchange import EVIDENCE_PREFIX
+from cornellead.gateway.exchange._load_exchange import RATE_LIMIT_PREFIX
+from cornellead.gateway.quarantine import Evidence
+from cornellead.gateway.quarantine._evidence import QuarantineItem
 from cornellead.gateway.view import FleetView
 from cornellead_core.routing import RouterLocation
 
@@ -89,3 +97,41 @@
             await asyncio.sleep(0.02)
     assert {n: p.address for n, p in started.peers(now=time.monotonic()).items()} == {"r1": own}
     task.cancel()
+
+
+async def test_router_that_cannot_be_dialled_ends_no_reports(views: Pair) -> None:
+    """Guards against an announced address that ends the task which sends load reports."""
+    first, second = views
+    for number, address in enumerate(("10.0.0.9:65536", "somewhere", "10.0.0.9:", "x:7:y")):
+        odd = RouterLocation(address, "dc-a")
+        second.apply_announcement(f"odd{number}", odd, now=time.monotonic())
+    await asyncio.sleep(0.5)
+    state = second.servers.get("s1")
+    assert state is not None
+    state.health.start_request(1, now=time.monotonic())
+    async with asyncio.timeout(2.0):
+        while len(first.load) == 0 or _estimated_load(first) == 0.0:
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("age_s", [float("inf"), float("-inf"), float("nan"), -1e9, 1e300])
+def test_evidence_of_no_possible_age_is_ignored(age_s: float) -> None:
+    """Guards against a quarantine without end, and against a task that its time ends."""
+    view = FleetView(router="r1")
+    exchange = LoadExchange(view=view, address="127.0.0.1:1", clock=time.monotonic)
+    evidence = Evidence("r2", [], [], [QuarantineItem("48720f", 1, 3, age_s)])
+    exchange.datagram_received(EVIDENCE_PREFIX + msgspec.msgpack.encode(evidence), ("10.0.0.1", 1))
+    assert view.guard.quarantined(now=time.monotonic()) == []
+    assert exchange.invalid_datagrams == 1
+
+
+@given(st.binary(max_size=80), st.sampled_from([b"", EVIDENCE_PREFIX, RATE_LIMIT_PREFIX]))
+@example(b"\x91" * 100_000, EVIDENCE_PREFIX)
+@example(msgspec.msgpack.encode(["r2", {1: -5}]), b"")
+def test_datagram_of_any_bytes_is_ignored(data: bytes, prefix: bytes) -> None:
+    """Guards against a datagram that raises, or that makes a load negative."""
+    view = FleetView(router="r1")
+    exchange = LoadExchange(view=view, address="127.0.0.1:1", clock=time.monotonic)
+    exchange.datagram_received(prefix + data, ("10.0.0.1", 1))
+    assert view.guard.quarantined(now=time.monotonic()) == []
+    assert (view.load.estimate_others(1, routers=2, now=time.monotonic()) or 0) >= 0
--- a/tests/router/gateway/forwarding/test_event_splitter.py
+++ b/tests/router/gateway/forwarding/test_event_splitter.py
@@ -55,3 +55,14 @@
     events.restart()
     assert events.feed(_event(2) + _event(3)) == _event(2) + _event(3)
     assert not events.has_gap
+
+
+def test_event_id_of_thousands_of_digits_is_passed_on() -> None:
+    """Guards against a stream that ends without an answer because of its event ids."""
+    event = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+    events = EventSplitter(last_event_id="9" * 5000)
+    events.restart()
+    assert events.feed(event) in (event, b"")
+    events = EventSplitter(last_event_id="2")
+    events.restart()
+    assert events.feed(event) == b"" and events.has_gap
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from typing import NamedTuple
 
 import msgspec
 import pytest
@@ -11,6 +12,8 @@
 from tests.router.gateway.builders import make_config
 from tests.router.gateway.builders import make_entry
 
+from cornellead.gateway.relay import ChangeLog
+from cornellead.gateway.relay import RelayHandler
 from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
@@ -19,6 +22,7 @@
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Topic
 
 
 @pytest.mark.parametrize("servers", [0, 1, 300])
@@ -51,3 +55,39 @@
     """Guards against a crash of the router when another kind of process responds."""
     for body in (data, b"\x01" + data, b"\x01" + zlib.compress(data)):
         assert decode_page(body) is None
+
+
+@pytest.mark.parametrize(
+    ("offset", "age_s"), [(9, float("nan")), (9, float("inf")), (9, -5.0), (-1, 0.5), (2**63, 0.5)]
+)
+def test_page_of_no_possible_age_or_offset_is_rejected(offset: int, age_s: float) -> None:
+    """Guards against a router that takes old notices for current ones, or reads at no offset."""
+    assert decode_page(encode_page(RelayPage([], offset, False, age_s))) is None
+
+
+async def test_read_after_an_impossible_offset_is_rejected() -> None:
+    """Guards against a request of another router that gets no answer."""
+    log = ChangeLog()
+    log.replace([], 5, now=0.0)
+    handler = RelayHandler(logs=dict.fromkeys(Topic, log), clock=lambda: 1.0)
+    writer = RecordingWriter()
+    target = b"/notices/servers?after=" + b"9" * 30
+    await handler.handle(RelayRequest("/notices/servers", target), writer)  # type: ignore[arg-type]
+    assert writer.statuses == [400]
+
+
+class RelayRequest(NamedTuple):
+    """Path and target of a request."""
+
+    path: str
+    target: bytes
+
+
+class RecordingWriter:
+    """Records the status of each response."""
+
+    def __init__(self) -> None:
+        self.statuses: list[int] = []
+
+    def respond(self, status: int, headers: object, body: bytes) -> None:
+        self.statuses.append(status)
