--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.routing._address import Address
+from cornellead_core.routing._address import parse_address
 from cornellead_core.routing._http_client import HttpClient
 from cornellead_core.routing._http_client import HttpResponse
 from cornellead_core.routing._node_settings import Bounds
@@ -43,6 +45,7 @@
 
 __all__ = [
     "STORE_SOURCE",
+    "Address",
     "Bounds",
     "CallerHeaders",
     "CallerLimits",
@@ -80,4 +83,5 @@
     "UnreadableRecord",
     "WeightedService",
     "WireFormat",
+    "parse_address",
 ]
