--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -5,6 +5,8 @@
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
+MAX_ID_DIGITS = 18
+"""Maximum number of digits of an id that counts as a number, which keeps it below 2**63."""
 
 
 class EventSplitter:
@@ -84,15 +86,19 @@
         return new_events
 
     def _was_delivered(self, event_id: str) -> bool:
-        if not event_id.isdecimal() or not self.last_event_id.isdecimal():
+        if not _is_number(event_id) or not _is_number(self.last_event_id):
             return False
         return int(event_id) <= int(self.last_event_id)
 
     def _continues(self, event_id: str) -> bool:
         """Return whether an event with this id may follow, or was delivered before."""
-        if not self.last_event_id.isdecimal():
+        if not _is_number(self.last_event_id):
             return bool(event_id) or not self.last_event_id
-        return event_id.isdecimal() and int(event_id) <= int(self.last_event_id) + 1
+        return _is_number(event_id) and int(event_id) <= int(self.last_event_id) + 1
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
 
 
 def _is_comment(event: bytes) -> bool:
