Check the numbers and addresses in what routers tell each other

An announced address without a usable port raised ValueError in the task that sends load reports, which ended the gateway. A datagram with an age of nan or infinity made a quarantine without end or one that raised in the task which publishes it, and one with negative counts made a load of -5.

Numbers in datagrams now have types with ranges that the decoder checks, so such a datagram counts as invalid. Routers whose address cannot be dialled get no reports.

--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.view import RateLimitReport
 from cornellead.gateway.view import RouterLoad
 from cornellead_core.routing import RouterLocation
+from cornellead_core.routing import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -136,14 +137,17 @@
 
     def _send(self, datagrams: Sequence[bytes]) -> int:
         """Send datagrams to some routers and return the bytes on the wire."""
-        peers = [location.address for location in self._view.peers(now=self._clock()).values()]
+        peers = [
+            address
+            for location in self._view.peers(now=self._clock()).values()
+            if (address := parse_address(location.address)) is not None
+        ]
         if not peers or self._transport is None:
             return 0
         sent_bytes = 0
         for address in self._random.sample(peers, min(MAX_RECIPIENTS, len(peers))):
-            host, _, port = address.rpartition(":")
             for datagram in datagrams:
-                self._transport.sendto(datagram, (host, int(port)))
+                self._transport.sendto(datagram, address)
                 sent_bytes += len(datagram) + DATAGRAM_OVERHEAD_BYTES
         self.bytes_sent += sent_bytes
         return sent_bytes
--- a/packages/router/src/cornellead/gateway/gossip/__init__.py
+++ b/packages/router/src/cornellead/gateway/gossip/__init__.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from cornellead.gateway.gossip._ranges import Age
+from cornellead.gateway.gossip._ranges import Count
+from cornellead.gateway.gossip._ranges import Rate
 from cornellead.gateway.gossip._send_queue import OWN_ROUNDS
 from cornellead.gateway.gossip._send_queue import RELAY_ROUNDS
 from cornellead.gateway.gossip._send_queue import SendQueue
 
-__all__ = ["OWN_ROUNDS", "RELAY_ROUNDS", "SendQueue"]
+__all__ = ["OWN_ROUNDS", "RELAY_ROUNDS", "Age", "Count", "Rate", "SendQueue"]
--- a/packages/router/src/cornellead/gateway/quarantine/_evidence.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_evidence.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+from cornellead.gateway.gossip import Age
+from cornellead.gateway.gossip import Count
+
 
 class CrashItem(NamedTuple):
     """`CrashReport` with an age in place of a time."""
@@ -11,23 +14,23 @@
     request: int
     server: int
     parts: tuple[str, ...]
-    age_s: float
+    age_s: Age
 
 
 class AnswerItem(NamedTuple):
     """Latest answer to a request with a part."""
 
     part: str
-    age_s: float
+    age_s: Age
 
 
 class QuarantineItem(NamedTuple):
     """`QuarantinedPart` with an age in place of a time."""
 
     part: str
-    strikes: int
-    crashes: int
-    age_s: float
+    strikes: Count
+    crashes: Count
+    age_s: Age
 
 
 class Evidence(NamedTuple):
--- a/packages/router/src/cornellead/gateway/view/_fleet_load.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_load.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from cornellead.gateway.gossip import Count
+
 REPORT_MAX_AGE_S = 1.0
 """Maximum age of a report that is used: requests last a few seconds at most."""
 
@@ -12,7 +14,7 @@
     """Load report: the in-flight requests of one router at each server."""
 
     router: str
-    counts: dict[int, int]
+    counts: dict[int, Count]
     """In-flight requests by hash of the server name; servers without requests are omitted."""
 
 
--- a/packages/router/src/cornellead/gateway/view/_rate_limits.py
+++ b/packages/router/src/cornellead/gateway/view/_rate_limits.py
@@ -9,6 +9,8 @@
 
 from cornellead.gateway.gossip import OWN_ROUNDS
 from cornellead.gateway.gossip import RELAY_ROUNDS
+from cornellead.gateway.gossip import Age
+from cornellead.gateway.gossip import Rate
 from cornellead.gateway.gossip import SendQueue
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 
@@ -26,8 +28,8 @@
 
     server: int
     """Hash of the server name."""
-    per_s: float | None
-    age_s: float
+    per_s: Rate | None
+    age_s: Age
 
 
 class RateLimitReport(NamedTuple):
