Reject pages and reads of other routers with an impossible age or offset

A page of age nan, infinity or -5 s was taken, so that a router might count old notices as current, and so was an offset of -1 or 2**63. A read after 10**30 raised OverflowError while its page was encoded, and the other router got an error in place of an answer.

The decoder of pages now checks both ranges, and a read after an impossible offset gets 400.

Failed before: test_page_of_no_possible_age_or_offset_is_rejected (five cases, `assert RelayPage(..., age_s=nan) is None`) and test_read_after_an_impossible_offset_is_rejected (`OverflowError: can't serialize ints < -2**63 or > 2**64 - 1`). Run: router/gateway/exchange, relay, quarantine, view: 95 passed.

--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import zlib
+from typing import Annotated
 from typing import NamedTuple
 
 import msgspec
 
+from cornellead.gateway.gossip import Age
 from cornellead.gateway.relay._change_log import RelayPage
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
@@ -15,11 +17,15 @@
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
 
+MAX_OFFSET = (1 << 63) - 1
+"""Maximum offset in the store."""
+_Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
+
 
 class _EncodedPage(NamedTuple):
-    next_offset: int
+    next_offset: _Offset
     snapshot: bool
-    age_s: float
+    age_s: Age
     routing: list[RoutingNotice]
     data_centres: list[DataCentreNotice]
     servers: list[ServerNotice]
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
+from cornellead.gateway.relay._relay_codec import MAX_OFFSET
 from cornellead.gateway.relay._relay_codec import encode_page
 from cornellead_core.routing import Topic
 
@@ -47,6 +48,9 @@
         except ValueError:
             out.respond(400, (), b"")
             return
+        if offset is not None and not 0 <= offset <= MAX_OFFSET:
+            out.respond(400, (), b"")
+            return
         relied_on = "reader" in query
         if offset is not None and wait_s > 0 and (log.from_store or not relied_on):
             await log.wait(offset, timeout_s=wait_s)
