Apply the other notices if one of a batch cannot be applied

A notice that raised where it was applied ended the reader of its topic, and with it the gateway; a reader that is restarted would read the same notice again and never pass it, so that no later change took effect.

The test failed with the sink alone: test_notice_that_cannot_be_applied_does_not_hold_back_the_others, both cases (`ValueError: poisoned`; the encoding of the surrogate).

--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -30,6 +30,7 @@
 from cornellead.gateway.relay import RelayHandler
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import Announcer
+from cornellead.gateway.sync import ContainedSink
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import QuarantinePublisher
 from cornellead.gateway.sync import ReportingSink
@@ -257,10 +258,11 @@
         wait_s: float = 0.0,
         interval_s: Callable[[], float],
     ) -> TopicReader:
+        contained = ContainedSink(topic=topic, sink=sink, stats=self._stats)
         return TopicReader(
             store=self._store,
             topic=topic,
-            sink=ReportingSink(topic=topic, sink=sink, stats=self._stats),
+            sink=ReportingSink(topic=topic, sink=contained, stats=self._stats),
             wait_s=wait_s,
             interval_s=interval_s,
         )
--- a/packages/router/src/cornellead/gateway/sync/__init__.py
+++ b/packages/router/src/cornellead/gateway/sync/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cornellead.gateway.sync._announcer import Announcer
+from cornellead.gateway.sync._contained_sink import ContainedSink
 from cornellead.gateway.sync._operator_sink import OperatorSink
 from cornellead.gateway.sync._quarantine_publisher import QuarantinePublisher
 from cornellead.gateway.sync._reporting_sink import ReportingSink
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Announcer",
+    "ContainedSink",
     "NoticeSink",
     "OperatorSink",
     "QuarantinePublisher",
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
 import structlog
 from tests.router.gateway.builders import make_config
 from tests.router.gateway.builders import make_entry
 
 from cornellead.gateway.stats import GatewayStats
+from cornellead.gateway.sync import ContainedSink
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import ServerSink
@@ -108,3 +110,39 @@
         ("record unreadable", "servers", "s1", "FieldError: slots")
     ]
     assert 'gateway_unreadable_records_total{topic="servers"} 2.0' in metrics.render().decode()
+
+
+@pytest.mark.parametrize("poisoned", ["odd\udc00", "s2"], ids=["surrogate", "raises"])
+def test_notice_that_cannot_be_applied_does_not_hold_back_the_others(poisoned: str) -> None:
+    """Guards against a reader that stops at one notice, again after each restart."""
+    view = FleetView(router="r1")
+    stats = GatewayStats(metrics=Metrics())
+
+    class PoisonedSink(ServerSink):
+        def apply_changes(self, batch: NoticeBatch) -> None:
+            super().apply_changes(batch)
+            self._raise_if_poisoned(batch)
+
+        def apply_snapshot(self, batch: NoticeBatch) -> None:
+            self._raise_if_poisoned(batch)
+            super().apply_snapshot(batch)
+
+        def _raise_if_poisoned(self, batch: NoticeBatch) -> None:
+            if any(n.server == "s2" for n in batch.notices if isinstance(n, ServerNotice)):
+                raise ValueError("poisoned")
+
+    sink = ContainedSink(
+        topic=Topic.SERVERS,
+        sink=PoisonedSink(view=view, stats=stats, clock=lambda: NOW, on_ended=lambda state: None),
+        stats=stats,
+    )
+    names = ["s1", poisoned, "s3"]
+    notices = [
+        ServerNotice(name, make_entry(name, address=f"10.0.0.{number}:80"), removed=False)
+        for number, name in enumerate(names)
+    ]
+    sink.apply_snapshot(NoticeBatch([*notices], 5))
+    gone = ServerNotice("s1", None, removed=True)
+    sink.apply_changes(NoticeBatch([notices[1], gone], 7))
+    assert view.servers_loaded and view.servers.get("s1") is None
+    assert view.servers.get("s3") is not None
