Restart a background task of a gateway that fails, and go on serving

A background task that raised, for whatever reason, ended the gateway at once: all requests in progress were cut without an answer, and with the same cause the next start ended too. The settings, the load reports and three readers are such tasks; none of them is needed to finish a request.

The gateway now restarts a task that fails after 0.1 s, doubled up to 1 s, logs `background task failed` with its name and traceback, and counts it in `cornellead_gateway_task_failures_total{task}`. Should the supervision itself end, the process makes a planned stop and then reports the error.

--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -70,14 +70,13 @@
         """Listen for reports and send them until cancelled."""
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
-        while True:
-            sent_bytes = self._send_report()
-            next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
-            while (wait_s := next_report_at - self._clock()) > 0:
-                await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
-                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
-                    next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        try:
+            await self._send_reports()
+        finally:
+            transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, which the event loop passes once the socket is bound."""
@@ -114,6 +113,15 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore an unreachable router: its announcement expires."""
 
+    async def _send_reports(self) -> None:
+        while True:
+            sent_bytes = self._send_report()
+            next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
+            while (wait_s := next_report_at - self._clock()) > 0:
+                await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
+                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
+                    next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
+
     def _log_reception(self, receiving: bool) -> None:
         if receiving != self._receiving:
             self._receiving = receiving
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -40,7 +40,7 @@
 from cornellead.gateway.view import FleetView
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
-from cornellead_core.blackboard import run_controllers
+from cornellead_core.blackboard import supervise_controllers
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import CallerLimits
 from cornellead_core.routing import RouterLocation
@@ -195,20 +195,25 @@
         structlog.get_logger().info(
             "started", data_centre=settings.data_centre, callers=settings.caller_address
         )
-        controllers = asyncio.create_task(run_controllers(self._make_controllers()))
+        controllers = asyncio.create_task(
+            supervise_controllers(
+                self._make_controllers(), on_failure=self._stats.count_task_failure
+            )
+        )
         stopped = asyncio.create_task(stop_requested.wait())
         await asyncio.wait({controllers, stopped}, return_when=asyncio.FIRST_COMPLETED)
-        if controllers.done():
-            controllers.result()
         shutdown = GracefulShutdown(
             serving=self._serving,
             grace_period_s=self._settings.bounds.drain_grace_s,
             callers=self._caller_listener,
         )
         cut_requests = await shutdown.run()
+        failed = controllers.done()
         controllers.cancel()
         await self._announcer.stop()
         structlog.get_logger().info("stopped", cut_requests=cut_requests)
+        if failed:
+            controllers.result()
 
     def _make_controllers(self) -> list[Controller]:
         stats, view = self._stats, self._view
--- a/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -30,6 +30,9 @@
         self._unreadable_records = metrics.counter(
             "gateway_unreadable_records", "Records that name nothing to use", ["topic"]
         )
+        self._task_failures = metrics.counter(
+            "gateway_task_failures", "Failures of background tasks", ["task"]
+        )
         self._latency = LatencyHistogram()
         gauge = metrics.gauge(
             "gateway_request_seconds", "Time to the end of requests", ["quantile"]
@@ -60,6 +63,10 @@
         """Count records of the store that could not be decoded or are not plausible."""
         self._unreadable_records.labels(topic).inc(count)
 
+    def count_task_failure(self, task: str) -> None:
+        """Count a background task that failed and is restarted."""
+        self._task_failures.labels(task).inc()
+
     def count_view_change(self, kind: str) -> None:
         """Count a change of this router's view of the fleet, such as a server that ended."""
         self._view_changes.labels(kind).inc()
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -82,6 +82,8 @@
 
     async def run(self) -> None:
         """Read the topic until cancelled, with exponential backoff after failures."""
+        # A restart after a failure takes a snapshot, whatever became of the notices before it.
+        self._offset = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
             if await self._read():
--- a/tests/core/blackboard/test_blackboard.py
+++ b/tests/core/blackboard/test_blackboard.py
@@ -13,6 +13,7 @@
 from cornellead_core.blackboard import Blackboard
 from cornellead_core.blackboard import Fact
 from cornellead_core.blackboard import run_controllers
+from cornellead_core.blackboard import supervise_controllers
 
 COUNT = Fact(name="count", default=0)
 
@@ -64,3 +65,40 @@
     with pytest.raises(ExceptionGroup):
         await run_controllers([other, _FailingController()])
     assert other.cancelled
+
+
+class _RecoveringController:
+    name = "recovering"
+
+    def __init__(self) -> None:
+        self.starts = 0
+
+    async def run(self) -> None:
+        self.starts += 1
+        if self.starts < 3:
+            raise ValueError("poisoned")
+        await asyncio.Event().wait()
+
+
+async def test_supervised_controller_is_restarted_and_the_others_go_on() -> None:
+    other, recovering = _EndlessController(), _RecoveringController()
+    failed: list[str] = []
+    task = asyncio.create_task(supervise_controllers([other, recovering], on_failure=failed.append))
+    async with asyncio.timeout(2.0):
+        while recovering.starts < 3:
+            await asyncio.sleep(0.01)
+    assert failed == ["recovering", "recovering"] and not other.cancelled and not task.done()
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert other.cancelled
+
+
+async def test_supervised_controller_that_always_fails_is_restarted_with_a_pause() -> None:
+    failed: list[str] = []
+    task = asyncio.create_task(
+        supervise_controllers([_FailingController()], on_failure=failed.append)
+    )
+    await asyncio.sleep(0.5)
+    task.cancel()
+    assert 2 <= len(failed) <= 4
