Drain a router or an agent whose background task failed

A background task that raised ended a router or an agent of the own interface at once, and cut the requests in progress. Such a task may guard a promise (claims, shares), so it is not restarted there as in a gateway: the process now makes a planned stop, with the same drain as after SIGTERM, and then reports the error.

Failed before: test_failed_task_leads_to_a_planned_stop[router, agent] (no `drain started` and no `draining` among {'background task failed'}).

--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -183,7 +183,7 @@
         )
 
     async def run(self) -> int:
-        """Serve until SIGTERM or SIGINT, then drain and shut down.
+        """Serve until SIGTERM or SIGINT, or a controller fails, then drain and shut down.
 
         :returns: Exit status; 1 if the settings are incompatible with the platform's log.
         """
@@ -203,7 +203,7 @@
         await asyncio.wait(
             {server_task, controllers_task, stop_task}, return_when=asyncio.FIRST_COMPLETED
         )
-        if stop_requested.is_set():
+        if not server_task.done():
             drainer = Drainer(
                 board=self._board,
                 admission=self._admission,
--- a/packages/core/src/cornellead_core/blackboard/_controller.py
+++ b/packages/core/src/cornellead_core/blackboard/_controller.py
@@ -28,7 +28,7 @@
 async def run_controllers(controllers: Sequence[Controller]) -> None:
     """Run controllers until one fails or this task is cancelled.
 
-    :raises ExceptionGroup: if a controller fails; the process must stop then.
+    :raises ExceptionGroup: if a controller fails; the process must make a planned stop then.
     """
     async with asyncio.TaskGroup() as group:
         for controller in controllers:
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -92,7 +92,7 @@
         self._stopping = asyncio.Event()
 
     async def run(self) -> int:
-        """Serve until SIGTERM or SIGINT, then drain and close all connections.
+        """Serve until a signal or a failure of a controller, then drain and close all connections.
 
         :returns: Number of requests that exceeded the drain timeout.
         :raises ExceptionGroup: A controller failed with an exception.
@@ -111,7 +111,8 @@
         serving = asyncio.create_task(self._server.serve())
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait([background, serving, stopping], return_when=asyncio.FIRST_COMPLETED)
-        exceeded = await self._drain.run() if self._stopping.is_set() else 0
+        # Also after a failure of a controller, which is no reason to cut requests.
+        exceeded = 0 if serving.done() else await self._drain.run()
         self._server.should_exit = True
         self._server.force_exit = True
         await serving
