Read the own log around a record with an impossible number

A record of the log with a number of 5,000 digits made every page that held it unreadable, so that no router or agent passed it and no later configuration took effect; one nested 100,000 deep raised RecursionError and ended the process. Values are now decoded one by one, and one that cannot be decoded counts as empty, as values that are no objects did before. Pages, host lists and peers' records that are nested too deeply are failed reads.

Failed before: test_odd_record_does_not_block_the_log[5000_digits] (`Integer value out of range - at $.records[0][2]`), [nested] (RecursionError).

--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -191,7 +191,7 @@
     for offset, time_ms, content in records:
         try:
             value = msgspec.json.decode(content, type=dict[str, Any])
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             break
         decoded.append(LogRecord(offset, time_ms, value))
     return decoded
@@ -216,6 +216,6 @@
     """Decode and validate a peer's state; return ``None`` if it is malformed or invalid."""
     try:
         envelope = _envelope_decoder.decode(content)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     return None if check_state(envelope.state) else envelope
--- a/packages/core/src/cornellead_core/platform/_http_host_list.py
+++ b/packages/core/src/cornellead_core/platform/_http_host_list.py
@@ -61,7 +61,7 @@
             return Failure(PlatformError(f"host list read failed with status {resp.status_code}"))
         try:
             body = msgspec.json.decode(resp.content, type=_HostListBody)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return Failure(PlatformError(f"host list is malformed: {exc}"))
         self._hosts = [HostEntry(**msgspec.structs.asdict(host)) for host in body.hosts]
         self._etag = resp.headers.get("etag", "")
--- a/packages/core/src/cornellead_core/platform/_http_log_client.py
+++ b/packages/core/src/cornellead_core/platform/_http_log_client.py
@@ -25,7 +25,7 @@
 
 
 class _PageBody(msgspec.Struct):
-    records: list[tuple[int, int, Any]]
+    records: list[tuple[int, int, msgspec.Raw]]
     next: int
     oldest: int
     end: int
@@ -93,14 +93,21 @@
 def _parse_page(content: bytes) -> Result[LogPage, PlatformError]:
     try:
         body = msgspec.json.decode(content, type=_PageBody)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(PlatformError(f"log read answered malformed data: {exc}"))
-    # A value that is not an object is replaced by an empty one: if the whole page were rejected, a
-    # single malformed record would permanently block every reader of the stream.
     records = [
-        LogRecord(offset, time_ms, value if isinstance(value, dict) else {})
-        for offset, time_ms, value in body.records
+        LogRecord(offset, time_ms, _parse_value(value)) for offset, time_ms, value in body.records
     ]
     return Success(
         LogPage(records, body.next, body.oldest, body.end, body.retention_s, body.time_ms)
     )
+
+
+def _parse_value(content: msgspec.Raw) -> dict[str, Any]:
+    # A value that cannot be used is replaced by an empty one: if the whole page were rejected, a
+    # single malformed record would permanently block every reader of the stream.
+    try:
+        value = msgspec.json.decode(content)
+    except (msgspec.DecodeError, RecursionError):
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/tests/core/platform/test_http_log_client.py
@@ -0,0 +1,46 @@
+"""Records of any content in the log."""
+
+from __future__ import annotations
+
+import httpx
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from cornellead_core.platform import HttpHostList
+from cornellead_core.platform import HttpLogClient
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+ODD_VALUES = {
+    "5000_digits": b'{"a":' + b"9" * 5000 + b"}",
+    "nested": b'{"a":' + NESTED + b"}",
+    "no_object": b"7",
+}
+
+
+def _client(content: bytes) -> httpx.AsyncClient:
+    def respond(request: httpx.Request) -> httpx.Response:
+        return httpx.Response(200, content=content)
+
+    return httpx.AsyncClient(transport=httpx.MockTransport(respond))
+
+
+@pytest.mark.parametrize("name", ODD_VALUES)
+async def test_odd_record_does_not_block_the_log(name: str) -> None:
+    """Guards against a reader that never passes a record of another writer."""
+    content = (
+        b'{"records":[[0,0,%b],[1,0,{"kind":"x"}]],"next":2,"oldest":0,"end":2,'
+        b'"retention_s":1,"time_ms":1}' % ODD_VALUES[name]
+    )
+    async with _client(content) as client:
+        result = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
+    assert isinstance(result, Success)
+    assert [record.value for record in result.unwrap().records] == [{}, {"kind": "x"}]
+
+
+async def test_page_nested_too_deeply_is_a_failed_read() -> None:
+    """Guards against a page of the log or of the host list that ends the process."""
+    async with _client(NESTED) as client:
+        log = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
+        hosts = await HttpHostList(client=client, url="http://x").fetch()
+    assert isinstance(log, Failure) and isinstance(hosts, Failure)
