Read the own log around a record that is nested too deeply

A record nested 100,000 deep made its whole page unreadable, so that no router or agent passed it and no later change took effect. Only such a page is cut at a fixed depth before it is decoded again, and a value nested more than 64 deep counts as empty, however deep the decoder could read it: all processes have to use the same values.

--- a/packages/core/src/cornellead_core/platform/_http_log_client.py
+++ b/packages/core/src/cornellead_core/platform/_http_log_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +25,15 @@
 """Timeout of a request to the log service, in addition to the wait for new records."""
 
 
+MAX_VALUE_DEPTH = 64
+"""Maximum nesting of a value that is used, well below what the decoder can read: all processes have
+to use the same values, however much of the stack their callers take."""
+PAGE_DEPTH = 3
+"""Nesting of the values in a page."""
+TOKEN_PATTERN = re.compile(rb'"(?:[^"\\]|\\.)*"|[][{}]', re.DOTALL)
+"""String, or start or end of an array or object."""
+
+
 class _PageBody(msgspec.Struct):
     records: list[tuple[int, int, msgspec.Raw]]
     next: int
@@ -92,7 +102,11 @@
 
 def _parse_page(content: bytes) -> Result[LogPage, PlatformError]:
     try:
-        body = msgspec.json.decode(content, type=_PageBody)
+        try:
+            body = msgspec.json.decode(content, type=_PageBody)
+        except RecursionError:
+            shallow = _cut_nested(content, max_depth=PAGE_DEPTH + MAX_VALUE_DEPTH + 1)
+            body = msgspec.json.decode(shallow, type=_PageBody)
     except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(PlatformError(f"log read answered malformed data: {exc}"))
     records = [
@@ -106,8 +120,34 @@
 def _parse_value(content: msgspec.Raw) -> dict[str, Any]:
     # A value that cannot be used is replaced by an empty one: if the whole page were rejected, a
     # single malformed record would permanently block every reader of the stream.
+    data = bytes(content)
+    if _cut_nested(data, max_depth=MAX_VALUE_DEPTH) != data:
+        return {}
     try:
-        value = msgspec.json.decode(content)
-    except (msgspec.DecodeError, RecursionError):
+        value = msgspec.json.decode(data)
+    except msgspec.DecodeError:
         return {}
     return value if isinstance(value, dict) else {}
+
+
+def _cut_nested(content: bytes, *, max_depth: int) -> bytes:
+    """Replace arrays and objects that are nested more deeply by ``null``.
+
+    >>> _cut_nested(b'[1,[2,["]"]],3]', max_depth=1)
+    b'[1,null,3]'
+    """
+    if content.count(b"[") + content.count(b"{") <= max_depth:
+        return content
+    parts, kept_until, depth = [], 0, 0
+    for token in TOKEN_PATTERN.finditer(content):
+        if token.group() in (b"[", b"{"):
+            depth += 1
+            if depth == max_depth + 1:
+                parts.append(content[kept_until : token.start()] + b"null")
+        elif token.group() in (b"]", b"}"):
+            if depth == max_depth + 1:
+                kept_until = token.end()
+            depth -= 1
+    if depth <= max_depth:
+        parts.append(content[kept_until:])
+    return b"".join(parts)
--- a/tests/core/platform/test_http_log_client.py
+++ b/tests/core/platform/test_http_log_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import httpx
+import msgspec
 import pytest
 from returns.result import Failure
 from returns.result import Success
@@ -14,6 +15,8 @@
 ODD_VALUES = {
     "5000_digits": b'{"a":' + b"9" * 5000 + b"}",
     "nested": b'{"a":' + NESTED + b"}",
+    "nested_900": b'{"a":' + b"[" * 900 + b"]" * 900 + b"}",
+    "nested_65": b'{"a":' + b"[" * 64 + b"]" * 64 + b"}",
     "no_object": b"7",
 }
 
@@ -44,3 +47,16 @@
         log = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
         hosts = await HttpHostList(client=client, url="http://x").fetch()
     assert isinstance(log, Failure) and isinstance(hosts, Failure)
+
+
+async def test_nested_record_and_brackets_in_strings_are_kept() -> None:
+    """Guards against a sound record that is dropped for its nesting."""
+    value = {"a": "[" * 500 + '\\"{', "b": [[[[[[1]]]]]] * 40}
+    record = msgspec.json.encode(value)
+    content = (
+        b'{"records":[[0,0,%b],[1,0,%b]],"next":2,"oldest":0,"end":2,'
+        b'"retention_s":1,"time_ms":1}' % (record, b'{"a":' + NESTED + b"}")
+    )
+    async with _client(content) as client:
+        result = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
+    assert [record.value for record in result.unwrap().records] == [value, {}]
