Treat a port that no address has as a failed connection

A call to an address with a port above 65535 raised OverflowError out of the connection pool, past the handling of failed connections, so that a request to such a server ended without an answer.

Failed before: test_address_that_cannot_be_dialled_is_a_failed_call[65536, -1, 30 digits] (`OverflowError: connect(): port must be 0-65535`).

--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -123,7 +123,7 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError, ValueError) as exc:
+        except (OSError, OverflowError, TimeoutError, ValueError) as exc:
             return Failure(ConnectError(f"no connection to {address}: {exc!r}"))
         conn.set_user_timeout(TCP_USER_TIMEOUT_MS)
         self.opened += 1
--- a/tests/router/upstream/test_pooled_http_client.py
+++ b/tests/router/upstream/test_pooled_http_client.py
@@ -94,3 +94,11 @@
     response, duration_s = await call(script)
     assert response is None
     assert duration_s < 7.0
+
+
+@pytest.mark.parametrize("port", ["0", "65536", "-1", "9" * 30, "9" * 5000, "x", ""])
+async def test_address_that_cannot_be_dialled_is_a_failed_call(port: str) -> None:
+    """Guards against a request that ends without an answer because of its server's address."""
+    pool = ConnectionPool(loop=asyncio.get_running_loop())
+    result = await PooledHttpClient(pool=pool).call(f"127.0.0.1:{port}", "GET", "/", timeout_s=0.2)
+    assert isinstance(result, Failure)
