--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.view import RateLimitReport
 from cornellead.gateway.view import RouterLoad
 from cornellead_core.routing import RouterLocation
+from cornellead_core.routing import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,14 +70,13 @@
         """Listen for reports and send them until cancelled."""
         host, _, port = self._address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
-        while True:
-            sent_bytes = self._send_report()
-            next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
-            while (wait_s := next_report_at - self._clock()) > 0:
-                await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
-                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
-                    next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        try:
+            await self._send_reports()
+        finally:
+            transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, which the event loop passes once the socket is bound."""
@@ -113,6 +113,15 @@
     def error_received(self, exc: Exception) -> None:
         """Ignore an unreachable router: its announcement expires."""
 
+    async def _send_reports(self) -> None:
+        while True:
+            sent_bytes = self._send_report()
+            next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
+            while (wait_s := next_report_at - self._clock()) > 0:
+                await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
+                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
+                    next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
+
     def _log_reception(self, receiving: bool) -> None:
         if receiving != self._receiving:
             self._receiving = receiving
@@ -136,14 +145,17 @@
 
     def _send(self, datagrams: Sequence[bytes]) -> int:
         """Send datagrams to some routers and return the bytes on the wire."""
-        peers = [location.address for location in self._view.peers(now=self._clock()).values()]
+        peers = [
+            address
+            for location in self._view.peers(now=self._clock()).values()
+            if (address := parse_address(location.address)) is not None
+        ]
         if not peers or self._transport is None:
             return 0
         sent_bytes = 0
         for address in self._random.sample(peers, min(MAX_RECIPIENTS, len(peers))):
-            host, _, port = address.rpartition(":")
             for datagram in datagrams:
-                self._transport.sendto(datagram, (host, int(port)))
+                self._transport.sendto(datagram, address)
                 sent_bytes += len(datagram) + DATAGRAM_OVERHEAD_BYTES
         self.bytes_sent += sent_bytes
         return sent_bytes
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
 import structlog
 from tests.router.gateway.builders import make_config
 from tests.router.gateway.builders import make_entry
 
 from cornellead.gateway.stats import GatewayStats
+from cornellead.gateway.sync import ContainedSink
 from cornellead.gateway.sync import OperatorSink
+from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.view import FleetView
 from cornellead_core.metrics import Metrics
@@ -15,6 +18,8 @@
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Topic
+from cornellead_core.routing import UnreadableRecord
 
 NOW = 100.0
 
@@ -88,3 +93,56 @@
     )
     assert read_line["records_left"] == 3
     assert (active_line["config"], active_line["routes"]) == (4, 4)
+
+
+def test_unreadable_record_is_logged_once_and_counted_each_time() -> None:
+    """Guards against an odd entry that nobody can find, and against a line at each heartbeat."""
+    metrics = Metrics()
+    stats = GatewayStats(metrics=metrics)
+    sink = ReportingSink(
+        topic=Topic.SERVERS, sink=_server_sink(FleetView(router="r1")), stats=stats
+    )
+    batch = NoticeBatch([], 5, unreadable=(UnreadableRecord("s1", "FieldError: slots"),))
+    with structlog.testing.capture_logs() as lines:
+        sink.apply_snapshot(batch)
+        sink.apply_changes(batch)
+    assert [(line["event"], line["topic"], line["key"], line["reason"]) for line in lines] == [
+        ("record unreadable", "servers", "s1", "FieldError: slots")
+    ]
+    assert 'gateway_unreadable_records_total{topic="servers"} 2.0' in metrics.render().decode()
+
+
+@pytest.mark.parametrize("poisoned", ["odd\udc00", "s2"], ids=["surrogate", "raises"])
+def test_notice_that_cannot_be_applied_does_not_hold_back_the_others(poisoned: str) -> None:
+    """Guards against a reader that stops at one notice, again after each restart."""
+    view = FleetView(router="r1")
+    stats = GatewayStats(metrics=Metrics())
+
+    class PoisonedSink(ServerSink):
+        def apply_changes(self, batch: NoticeBatch) -> None:
+            super().apply_changes(batch)
+            self._raise_if_poisoned(batch)
+
+        def apply_snapshot(self, batch: NoticeBatch) -> None:
+            self._raise_if_poisoned(batch)
+            super().apply_snapshot(batch)
+
+        def _raise_if_poisoned(self, batch: NoticeBatch) -> None:
+            if any(n.server == "s2" for n in batch.notices if isinstance(n, ServerNotice)):
+                raise ValueError("poisoned")
+
+    sink = ContainedSink(
+        topic=Topic.SERVERS,
+        sink=PoisonedSink(view=view, stats=stats, clock=lambda: NOW, on_ended=lambda state: None),
+        stats=stats,
+    )
+    names = ["s1", poisoned, "s3"]
+    notices = [
+        ServerNotice(name, make_entry(name, address=f"10.0.0.{number}:80"), removed=False)
+        for number, name in enumerate(names)
+    ]
+    sink.apply_snapshot(NoticeBatch([*notices], 5))
+    gone = ServerNotice("s1", None, removed=True)
+    sink.apply_changes(NoticeBatch([notices[1], gone], 7))
+    assert view.servers_loaded and view.servers.get("s1") is None
+    assert view.servers.get("s3") is not None
