Log what a planned stop refuses and what a closing connection drops

Requests that came on idle kept connections just after the stop began to close them got neither an answer nor a refusal, and the log said cut_requests=0. Nothing told them apart from requests that never came. A connection now logs the bytes that it dropped and whether a response had announced the close; the line of the stop counts the refused requests. No change of behaviour.

--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -53,6 +53,7 @@
         :param now: Seconds, by the clock that set ``req.received_at``.
         """
         if self._serving.phase >= ServingPhase.REFUSING:
+            self._serving.refused += 1
             return RefusalResponse(503, "stopping", OTHER_ROUTER_RETRY_AFTER_S)
         cfg = self._view.config
         if cfg is None or not self._view.ready:
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -75,6 +75,7 @@
         self._close_after_response = False
         self._closing = False
         self._continue_sent = False
+        self._dropped_bytes = 0
         self.started = False
 
     @property
@@ -101,6 +102,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse requests, and start the first unless one is in progress."""
         if self._closing:
+            self._dropped_bytes += len(data)
             return
         idle = self.idle
         if idle:
@@ -129,6 +131,12 @@
         """Cancel the request in progress, since nobody can receive its response."""
         del exc
         self._closing = True
+        if self._dropped_bytes:
+            structlog.get_logger().warning(
+                "bytes behind the last response were dropped",
+                bytes=self._dropped_bytes,
+                close_announced=self._close_after_response,
+            )
         self._cancel_timer()
         self._writable.set()
         if self._task is not None:
--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -11,6 +11,8 @@
     def __init__(self) -> None:
         self.phase = ServingPhase.RUNNING
         self.in_progress = 0
+        self.refused = 0
+        """Requests that were refused because the process is stopping."""
 
     def advance(self, phase: ServingPhase) -> None:
         """Enter a phase; ignored if a later one was entered before."""
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -205,7 +205,9 @@
         cut_requests = await shutdown.run()
         controllers.cancel()
         await self._announcer.stop()
-        structlog.get_logger().info("stopped", cut_requests=cut_requests)
+        structlog.get_logger().info(
+            "stopped", cut_requests=cut_requests, refused=self._serving.refused
+        )
 
     def _make_controllers(self) -> list[Controller]:
         stats, view = self._stats, self._view
