Add failing tests of requests that come late in a planned stop

With a silent store the process outlasts its grace time.

A series of signals, and a stop during the start, pass.

--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -51,12 +51,13 @@
         self.store.put("keyed.op", "config", self.config(7))
         await self.start_gateway()
 
-    async def start_gateway(self) -> None:
+    async def start_gateway(self, **bounds: float) -> None:
         port = int(self._find_address().rpartition(":")[2])
         listen = {"front": self.caller_address, "ready": self.ready_address}
         settings = payloads.node_settings(
             self.store_address, listen=listen, internal_port_range=[port, port + 1]
         )
+        settings["bounds"].update(bounds)
         self._settings_path.write_bytes(msgspec.json.encode(settings))
         metrics = self._find_address().rpartition(":")[2]
         self.process = await asyncio.create_subprocess_exec(
@@ -66,6 +67,15 @@
             env=os.environ | {"PYTHONUNBUFFERED": "1"},
         )
 
+    async def restart_gateway(self, **bounds: float) -> None:
+        """Kill the gateway, start it with other bounds and wait until it is ready."""
+        await self.wait_readiness()
+        assert self.process is not None
+        self.process.kill()
+        await self.process.wait()
+        await self.start_gateway(**bounds)
+        await self.wait_readiness()
+
     async def wait_readiness(self, status: int = 200) -> None:
         """Wait until the readiness endpoint responds with a status code."""
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -99,8 +109,13 @@
             server.stop()
         self.store.stop()
 
-    def config(self, version: int, *, keys: tuple[str, ...] = ("k1",)) -> dict[str, object]:
-        return payloads.operator_config(version, keys=keys)
+    def config(
+        self, version: int, *, keys: tuple[str, ...] = ("k1",), timeout_ms: int = 1500
+    ) -> dict[str, object]:
+        config = payloads.operator_config(version, keys=keys)
+        for route in config["routes"]:
+            route["timeout_ms"] = timeout_ms
+        return config
 
     def _server_entry(self, number: int, **changes: object) -> dict[str, object]:
         return payloads.server_entry(
@@ -206,3 +221,56 @@
     fleet.store.down = False
     await fleet.wait_readiness()
     assert (await fleet.send_payment()).status == 200
+
+
+@pytest.mark.parametrize("grace_s", [1.0, 4.0])
+async def test_silent_store_does_not_outlast_the_grace_time(
+    fleet: GatewayFleet, grace_s: float
+) -> None:
+    """Guards against a process that is killed at the end of the grace time, since it waits for the
+    store after its last request."""
+    fleet.store.put("keyed.op", "config", fleet.config(9, timeout_ms=20_000))
+    await fleet.restart_gateway(grace_s=grace_s)
+    assert fleet.process is not None
+    fleet.response_delay_s = 30.0
+    payment = asyncio.create_task(fleet.send_payment())
+    await asyncio.sleep(0.2)
+    fleet.store.silent = True
+    fleet.process.send_signal(signal.SIGTERM)
+    lines = await asyncio.wait_for(fleet.read_logs_until_exit(), grace_s)
+    assert fleet.process.returncode == 0
+    assert lines[-1]["event"] == "stopped"
+    assert (await payment).status == 504
+
+
+async def test_series_of_signals_is_one_planned_stop(fleet: GatewayFleet) -> None:
+    """Guards against a stop that is cut short or starts again because of a further signal."""
+    await fleet.wait_readiness()
+    assert fleet.process is not None
+    fleet.response_delay_s = 1.0
+    payment = asyncio.create_task(fleet.send_payment())
+    await asyncio.sleep(0.2)
+    for signum in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        fleet.process.send_signal(signum)
+        await asyncio.sleep(0.1)
+    fleet.store.put("keyed.op", "config", fleet.config(9, keys=("k9",)))
+    assert (await payment).body == b"paid"
+    lines = await asyncio.wait_for(fleet.read_logs_until_exit(), 8.0)
+    assert fleet.process.returncode == 0
+    phases = [line["phase"] for line in lines if line["event"] == "planned stop"]
+    assert phases == ["leaving", "refusing", "closing"]
+    assert lines[-1]["cut_requests"] == 0
+
+
+@pytest.mark.parametrize("delay_s", [0.05, 0.15, 0.3, 0.45, 0.6])
+async def test_stop_during_the_start_ends_the_process(fleet: GatewayFleet, delay_s: float) -> None:
+    """Guards against a process that misses a stop, or fails with an error, while it starts."""
+    await fleet.wait_readiness()
+    assert fleet.process is not None
+    fleet.process.kill()
+    await fleet.process.wait()
+    await fleet.start_gateway()
+    await asyncio.sleep(delay_s)
+    fleet.process.send_signal(signal.SIGTERM)
+    await asyncio.wait_for(fleet.process.wait(), 8.0)
+    assert fleet.process.returncode in (0, -signal.SIGTERM)
--- a/tests/router/gateway/builders.py
+++ b/tests/router/gateway/builders.py
@@ -64,18 +64,19 @@
 
 
 def make_config(
-    version: int = 1, *, cold_rate_per_s: float = 0.0, max_attempts: int = 2
+    version: int = 1, *, cold_rate_per_s: float = 0.0, max_attempts: int = 2, **unsafe: Any
 ) -> RoutingConfig:
     """Return a configuration with a route of each kind.
 
     :param max_attempts: Maximum number of servers that may run a request of the resumable route.
+    :param unsafe: Changes to the route whose requests may run once.
     """
     return RoutingConfig(
         data=RoutingData(
             version=version,
             routes=(
                 make_route("safe", RequestKind.SAFE),
-                make_route("unsafe", RequestKind.UNSAFE),
+                make_route("unsafe", RequestKind.UNSAFE, **unsafe),
                 make_route("stream", RequestKind.STREAMING),
                 make_route(
                     "resumable",
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import NamedTuple
 
 from tests.router.gateway.builders import HOST
@@ -97,11 +98,15 @@
         cold_rate_per_s: float = 0.0,
         cold_s: float = 0.0,
         max_attempts: int = 2,
+        **unsafe: Any,
     ) -> None:
-        """Put a configuration into force and add servers to the fleet view."""
+        """Put a configuration into force and add servers to the fleet view.
+
+        :param unsafe: Changes to the route whose requests may run once.
+        """
         now = time.monotonic()
         self.view.activate_config(
-            make_config(cold_rate_per_s=cold_rate_per_s, max_attempts=max_attempts)
+            make_config(cold_rate_per_s=cold_rate_per_s, max_attempts=max_attempts, **unsafe)
         )
         self.view.confirmed_at = now
         self.view.servers_loaded = True
