Read nothing more from idle connections that a stop closes

Callers on kept connections that sent a request in the second after a stop began to close their connections got no answer, no refusal and no reset: up to 1 s later the connection just ended. Seen on: 15 of 15 payments sent from 2.50 to 2.64 s after SIGTERM.

Cause: the stop half-closed idle connections and lingered, as after a response that announces the close. Lingering goes on reading and drops what it reads, and nothing had told these callers.

Idle connections are now closed at once. What crosses the close stays unread, so the caller gets a reset and may repeat any request. A connection that is closed between its accept and its first callback no longer starts to read.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -94,6 +94,10 @@
         """Start the idle timeout for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self._closing:
+            # Evicted, or finished by a stop, between its accept and this call.
+            transport.close()
+            return
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._start_timer(
             self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
@@ -158,9 +162,12 @@
             self._close_transport()
 
     def finish(self) -> None:
-        """Close the connection once it is idle and its last response was sent completely."""
-        if self.idle and not self._closing:
-            self._close_after_linger()
+        """Close the connection if nothing is in progress on it and no close is under way.
+
+        A request that crosses the close is not read: its caller gets a reset.
+        """
+        if not self._closing:
+            self.close_idle()
 
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a complete response."""
--- a/tests/router/gateway/ingress/test_caller_connection_model.py
+++ b/tests/router/gateway/ingress/test_caller_connection_model.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
+from structlog.testing import capture_logs
 from tests.router.gateway.builders import LIMITS
 
 from cornellead.gateway.ingress import CallerConnection
@@ -37,7 +38,9 @@
         super().__init__()
         self.timers: list[tuple[asyncio.TimerHandle, Callable[..., object]]] = []
 
-    def call_later(self, delay: float, callback: Any, *args: Any, context: Any = None) -> Any:
+    def call_later(  # type: ignore[override]
+        self, delay: float, callback: Any, *args: Any, context: Any = None
+    ) -> Any:
         handle = super().call_later(delay + 3600.0, callback, *args, context=context)
         self.timers = [(timer, action) for timer, action in self.timers if not timer.cancelled()]
         self.timers.append((handle, callback))
@@ -118,7 +121,9 @@
                 self.conn.connection_lost(None)
                 await asyncio.sleep(0)
 
-        self.loop.run_until_complete(step())
+        # Printing the tracebacks of handlers takes most of the time.
+        with capture_logs():
+            self.loop.run_until_complete(step())
 
     def connect(self) -> None:
         self.conn = CallerConnection(
