Answer pipelined requests before a stop closes their connection

In a planned stop the first response announced the close although further requests of its caller had been read; they were dropped. test_pipelined_requests_are_answered_before_a_stop_closes_their_connection failed before with statuses [200, 0, 0]; the state machine printed '2 requests were read, 1 were answered'. A response now announces the close only if nothing that was read is left.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -172,14 +172,14 @@
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a complete response."""
         self.started = True
-        self._close_after_response = self._close_after_response or self._stop_requested
+        self._close_if_stopping()
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
         self._write(head + body)
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
         self.started = True
-        self._close_after_response = self._close_after_response or self._stop_requested
+        self._close_if_stopping()
         self._write(encode_head(status, headers, length=None, close=self._close_after_response))
 
     async def write(self, data: bytes) -> None:
@@ -198,9 +198,10 @@
         if self._transport is not None:
             self._transport.abort()
 
-    @property
-    def _stop_requested(self) -> bool:
-        return self._serving.phase >= ServingPhase.LEAVING
+    def _close_if_stopping(self) -> None:
+        # Requests that were read behind this one are answered before the connection closes.
+        if self._serving.phase >= ServingPhase.LEAVING and not self._parser.has_input:
+            self._close_after_response = True
 
     def _start_next_request(self) -> None:
         if not self._parser.requests:
--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -55,6 +55,11 @@
         """Whether a request was received in part."""
         return self._started_at is not None
 
+    @property
+    def has_input(self) -> bool:
+        """Whether anything was received that is not answered yet, complete or not."""
+        return bool(self.requests) or self.has_partial_request or self.rejection is not None
+
     @property
     def reading_headers(self) -> bool:
         """Whether the headers of a request are incomplete."""
