Answer whole requests before the malformed bytes behind them

A caller that pipelined two requests and then something malformed got the 400 in place of the second answer, so it took a proper request, which it may not repeat after a 400, for refused. The state machine printed before: '2 requests were read, 1 were answered'. The rejection now waits until what was read before it is answered.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -239,17 +239,16 @@
     def _finish_request(self) -> None:
         if self._closing:
             return
-        if self._close_after_response or self._parser.rejection is not None:
-            if self._parser.rejection is not None and not self._close_after_response:
-                self._reject(self._parser.rejection)
-                return
+        if self._close_after_response:
             self._close_after_linger()
             return
         if self._transport is not None:
             self._transport.resume_reading()
         self._start_next_request()
         if self._task is None:
-            if self._parser.has_partial_request:
+            if self._parser.rejection is not None:
+                self._reject(self._parser.rejection)
+            elif self._parser.has_partial_request:
                 self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
             else:
                 self._start_timer(
