Give every request a final answer before a planned stop ends

Operators reported that requests which came late in the grace time were cut with no answer at its end, among them requests that may not be repeated. It happens here too: what was in progress at the exit was cut. test_unfinished_requests_get_a_final_answer_before_the_exit failed before with (cut, status, complete) == (1, 0, False), test_unfinished_stream_is_broken_off_before_the_exit with 1 cut.

Shortly before the exit the stop ends the time limits of all requests. Each goes the way of a deadline: 503 with Retry-After if no server can have run it, else 504; a stream that has begun is broken off visibly. The log names them by request (causes stopped, stopped_not_run and stream_stopped), with run_state. Both tests pass, cut_requests is 0 in them.

--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from cornellead.gateway.forwarding._admission import OTHER_ROUTER_RETRY_AFTER_S
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
 from cornellead.gateway.forwarding._outcome import BrokenResponse
@@ -31,6 +32,7 @@
     from cornellead.gateway.forwarding._server_picker import ServerPicker
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.gateway.ingress import ServingState
     from cornellead.gateway.policy import RetryBudgets
     from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import FleetView
@@ -70,6 +72,7 @@
         *,
         view: FleetView,
         admission: Admission,
+        serving: ServingState,
         picker: ServerPicker,
         sender: AttemptSender,
         relay: ResponseRelay,
@@ -81,6 +84,7 @@
     ) -> None:
         self._view = view
         self._admission = admission
+        self._serving = serving
         self._picker = picker
         self._sender = sender
         self._relay = relay
@@ -107,7 +111,7 @@
         routers = len(self._view.routers(now=now))
         self._retries.count_request(admitted.service.name, routers=routers, now=now)
         try:
-            async with asyncio.timeout(admitted.attempts.time_left_s(now=now)):
+            async with self._serving.limit(admitted.attempts.time_left_s(now=now)):
                 await self._serve(admitted, trace, out)
         except TimeoutError:
             self._respond_to_timeout(admitted, trace, out)
@@ -280,13 +284,18 @@
     def _respond_to_timeout(
         self, admitted: AdmittedRequest, trace: RequestTrace, out: ResponseWriter
     ) -> None:
+        stopped = self._serving.expired and admitted.attempts.time_left_s(now=self._clock()) > 0
+        cause = "stopped" if stopped else "timed_out"
         if out.started:
             out.abort()
-            trace.set_result(0, "stream_timed_out")
+            trace.set_result(0, f"stream_{cause}")
         elif admitted.attempts.not_run:
-            self._refuse(trace, out, RefusalResponse(SERVICE_UNAVAILABLE, "timed_out_not_run"))
+            retry_s = OTHER_ROUTER_RETRY_AFTER_S if stopped else None
+            self._refuse(
+                trace, out, RefusalResponse(SERVICE_UNAVAILABLE, f"{cause}_not_run", retry_s)
+            )
         else:
-            self._refuse(trace, out, RefusalResponse(GATEWAY_TIMEOUT, "timed_out"))
+            self._refuse(trace, out, RefusalResponse(GATEWAY_TIMEOUT, cause))
 
     def _retry_after_s(self, admitted: AdmittedRequest, wait_s: float) -> float:
         time_left_s = admitted.attempts.time_left_s(now=self._clock())
--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -1,9 +1,17 @@
-"""Shutdown phase and load of a process."""
+"""Shutdown phase, load and time limits of a process."""
 
 from __future__ import annotations
 
+import asyncio
+import math
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 
 class ServingState:
     """Phase and number of requests in progress, shared by listener, admission and shutdown."""
@@ -14,6 +22,37 @@
         self.refused = 0
         """Requests that were refused because the process is stopping."""
 
+        self.answer_by = math.inf
+        """Time of the event loop by which every request has its final answer; set by a stop."""
+        self.expired = False
+        """Whether the requests that were in progress at `answer_by` were ended."""
+        self._limits: set[asyncio.Timeout] = set()
+
+    def time_left_s(self) -> float:
+        """Return the seconds until `answer_by`; infinite unless a stop was requested."""
+        return self.answer_by - asyncio.get_running_loop().time()
+
+    @asynccontextmanager
+    async def limit(self, timeout_s: float) -> AsyncIterator[None]:
+        """Limit the time of a request, which `expire` may end earlier.
+
+        :raises TimeoutError: The time is over.
+        """
+        async with asyncio.timeout(timeout_s) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    def expire(self) -> None:
+        """End the requests in progress, so that each writes its final answer now."""
+        self.expired = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now)
+
     def advance(self, phase: ServingPhase) -> None:
         """Enter a phase; ignored if a later one was entered before."""
         self.phase = max(self.phase, phase)
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -137,6 +137,7 @@
         forwarder = Forwarder(
             view=self._view,
             admission=self._admission,
+            serving=self._serving,
             picker=self._picker,
             sender=self._sender,
             relay=ResponseRelay(wire=wire, rate_limits=self._view.rate_limits, clock=read_clock),
--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -18,6 +18,11 @@
 a host after two failures."""
 SIGKILL_MARGIN_S = 0.4
 """Time before SIGKILL by which the process has exited by itself."""
+FINAL_ANSWER_MARGIN_S = 0.3
+"""Time before the exit at which requests in progress get their final answer, so that it reaches
+their callers."""
+MAX_FINAL_ANSWER_SHARE = 0.1
+"""Maximum share of the grace period that is kept for that."""
 POLL_INTERVAL_S = 0.05
 
 
@@ -51,16 +56,21 @@
     async def run(self) -> int:
         """Run all phases, within the grace period.
 
-        :returns: Number of requests that are still in progress, and are cut off by the exit.
+        :returns: Number of connections whose request or response is not complete, and which the
+            exit cuts off.
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         exit_at = started_at + self._grace_period_s - SIGKILL_MARGIN_S
+        self._serving.answer_by = exit_at - min(
+            FINAL_ANSWER_MARGIN_S, MAX_FINAL_ANSWER_SHARE * self._grace_period_s
+        )
         self._advance(ServingPhase.LEAVING)
         await asyncio.sleep(min(BALANCER_REMOVAL_S, self._grace_period_s / 2))
         self._advance(ServingPhase.REFUSING)
-        while self._serving.in_progress and loop.time() < exit_at:
+        while self._serving.in_progress and self._serving.time_left_s() > 0:
             await asyncio.sleep(POLL_INTERVAL_S)
+        self._serving.expire()
         self._advance(ServingPhase.CLOSING)
         # Requests that are being received get an answer, and responses reach slow callers.
         while self._callers.finish() and loop.time() < exit_at:
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -67,6 +67,7 @@
                 serving=self.serving,
                 max_config_age_s=BOUNDS.config_delay_s,
             ),
+            serving=self.serving,
             picker=ServerPicker(
                 view=self.view,
                 cold_limiter=ColdStartLimiter(router=router, burst=BOUNDS.cold_slack),
