Pass nothing on that a planned stop would cut

Requests that had been read before the stop began to refuse, and did not run at their first server, were sent to a second one late in the grace time and then cut; new requests that take longer than what was left were passed on too. test_request_that_did_not_run_is_not_sent_again_late failed before with 1 cut request, test_request_that_would_outlast_the_grace_time_is_refused_at_once with 200 for a target of 5 s in a grace time of 2 s.

Before each send, repeats and resumes included, the forwarder compares the target latency of the route, or the time that its caller has, with the time until final answers are due. Once the stop refuses requests, one that did not run is refused as well, with the Retry-After that leads to another router.

--- a/packages/router/src/cornellead/gateway/forwarding/_admission.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_admission.py
@@ -54,7 +54,7 @@
         """
         if self._serving.phase >= ServingPhase.REFUSING:
             self._serving.refused += 1
-            return RefusalResponse(503, "stopping", OTHER_ROUTER_RETRY_AFTER_S)
+            return stopping_refusal()
         cfg = self._view.config
         if cfg is None or not self._view.ready:
             return self._refuse_not_ready(caller, now=now)
@@ -112,6 +112,11 @@
         return RefusalResponse(503, "no_configuration_store_out", retry_s)
 
 
+def stopping_refusal() -> RefusalResponse:
+    """Return the refusal of a request that another router serves before this one exits."""
+    return RefusalResponse(503, "stopping", OTHER_ROUTER_RETRY_AFTER_S)
+
+
 def refuse_quarantined(held: QuarantinedPart, *, now: float) -> RefusalResponse:
     """Return the refusal of a request with a quarantined part."""
     retry_s = max(MIN_QUARANTINE_RETRY_S, held.until - now)
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 import structlog
 
 from cornellead.gateway.forwarding._admission import OTHER_ROUTER_RETRY_AFTER_S
+from cornellead.gateway.forwarding._admission import stopping_refusal
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
 from cornellead.gateway.forwarding._outcome import BrokenResponse
@@ -17,6 +18,7 @@
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._request_trace import RequestTrace
 from cornellead.gateway.forwarding._server_picker import NoServer
+from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import ServerState
 
@@ -134,6 +136,9 @@
         wait_s: float | None = None
         connect_failures = 0
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
+            if not self._may_send_before_exit(admitted):
+                trace.add_note("stopping")
+                break
             if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
                 break
             if not events.resumable:
@@ -147,6 +152,9 @@
                     trace.add_note("rate_limited")
                     self._stats.count_decision("rate_limited")
                 break
+            if not self._may_send_before_exit(admitted):
+                # The stop began to refuse requests while this one waited for its server.
+                break
             admitted.attempts.count_send()
             outcome = await self._try_server(admitted, trace, picked, events, out)
             if outcome is None:
@@ -166,6 +174,14 @@
                 events.restart()
         self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
 
+    def _may_send_before_exit(self, admitted: AdmittedRequest) -> bool:
+        """Return whether a send now is better for the caller than another router."""
+        attempts = admitted.attempts
+        if self._serving.phase >= ServingPhase.REFUSING and attempts.not_run:
+            return False
+        needed_s = min(admitted.route.target_latency_s, attempts.time_left_s(now=self._clock()))
+        return self._serving.time_left_s() >= needed_s
+
     def _may_retry(
         self, admitted: AdmittedRequest, trace: RequestTrace, fallback: ErrorResponse | None
     ) -> bool:
@@ -261,6 +277,9 @@
         elif fallback is not None:
             out.respond(fallback.status, fallback.headers, fallback.body)
             trace.set_result(fallback.status, "server_failure")
+        elif admitted.attempts.not_run and not self._may_send_before_exit(admitted):
+            self._serving.refused += 1
+            self._refuse(trace, out, stopping_refusal())
         elif admitted.attempts.not_run and wait_s is not None:
             trace.add_note(f"place_expected_in_{wait_s:.1f}s")
             retry_s = self._retry_after_s(admitted, wait_s)
