Bound the announcement of a stop by the grace time

With a request in progress until the end of the grace time and a store that does not answer, the process went on for the timeout of the call (0.8 s, and the connect) while 0.4 s were left, and was killed. test_silent_store_does_not_outlast_the_grace_time failed before for grace times of 1 and 4 s with TimeoutError: still running at the end of the grace time.

The announcement now has what is left until the exit, at least 0.1 s, and a line 'stop not announced' tells when that was not enough.

--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -72,6 +72,9 @@
 """Fraction of the store's read rate that all routers together use for one topic."""
 ANNOUNCE_WRITE_SHARE = 0.1
 """Fraction of the store's write rate that the announcements of all routers together use."""
+MIN_ANNOUNCE_TIMEOUT_S = 0.1
+"""Time to announce the stop if the grace period is used up: a quarter of the margin before SIGKILL,
+the rest of which is left for the exit."""
 CALLER_DESCRIPTOR_SHARE = 0.6
 """Fraction of the file descriptors for callers; the rest is for servers, the store and other
 routers."""
@@ -205,11 +208,19 @@
         )
         cut_requests = await shutdown.run()
         controllers.cancel()
-        await self._announcer.stop()
+        await self._announce_stop(max(MIN_ANNOUNCE_TIMEOUT_S, shutdown.time_left_s))
         structlog.get_logger().info(
             "stopped", cut_requests=cut_requests, refused=self._serving.refused
         )
 
+    async def _announce_stop(self, timeout_s: float) -> None:
+        # Without the announcement the others count this router until its last one expires.
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._announcer.stop()
+        except TimeoutError:
+            structlog.get_logger().warning("stop not announced", timeout_s=round(timeout_s, 2))
+
     def _make_controllers(self) -> list[Controller]:
         stats, view = self._stats, self._view
         router_sink = RouterSink(view=view, clock=read_clock)
--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -52,6 +52,12 @@
         self._serving = serving
         self._grace_period_s = grace_period_s
         self._callers = callers
+        self._exit_at = 0.0
+
+    @property
+    def time_left_s(self) -> float:
+        """Seconds until the process has to exit; for use after `run`."""
+        return self._exit_at - asyncio.get_running_loop().time()
 
     async def run(self) -> int:
         """Run all phases, within the grace period.
@@ -61,7 +67,7 @@
         """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        exit_at = started_at + self._grace_period_s - SIGKILL_MARGIN_S
+        exit_at = self._exit_at = started_at + self._grace_period_s - SIGKILL_MARGIN_S
         self._serving.answer_by = exit_at - min(
             FINAL_ANSWER_MARGIN_S, MAX_FINAL_ANSWER_SHARE * self._grace_period_s
         )
