--- a/tests/guarantees/test_g8_router_drain.py
+++ b/tests/guarantees/test_g8_router_drain.py
@@ -99,6 +99,23 @@
     assert caller.error["outcome"] == "unknown"
 
 
+async def test_late_requests_are_refused_until_the_drain_ends() -> None:
+    """Guards against requests that come late in the grace time, are passed on and then cut."""
+    agent = FakeAgent("s1", never_respond)
+    async with running_router([agent]) as router:
+        first, first_task = await start_stream(router, agent)
+        drain_task = asyncio.create_task(make_drainer(router, 0.3).run())
+        await asyncio.sleep(0)
+        late = []
+        while not drain_task.done():
+            late.append(await router.caller().chat())
+            await asyncio.sleep(0.02)
+        await first_task
+    assert len(late) > 1 and len(agent.requests) == 1
+    assert {(caller.status, caller.error["outcome"]) for caller in late} == {(503, "not_run")}
+    assert first.error["outcome"] == "unknown"
+
+
 async def test_drain_reports_a_waiting_request_as_not_run() -> None:
     """Guards against the outcome ``unknown`` for a request that no server accepted."""
     agent = FakeAgent("s1", refuse("over_bound"))
