Write final answers also after a suspension during the stop

A host that was suspended past the time of the exit ended its requests and went on to the exit before they could write their answers. test_suspension_past_the_exit_leaves_no_request_without_an_answer failed before with 1 cut request. The stop now waits one interval after it ends them. The answer is 504 or, where the check for stalled servers comes first, 502; neither promises anything.

--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -76,7 +76,10 @@
         self._advance(ServingPhase.REFUSING)
         while self._serving.in_progress and self._serving.time_left_s() > 0:
             await asyncio.sleep(POLL_INTERVAL_S)
-        self._serving.expire()
+        if self._serving.in_progress:
+            self._serving.expire()
+            # The final answers are written even if the host was suspended past the exit time.
+            await asyncio.sleep(POLL_INTERVAL_S)
         self._advance(ServingPhase.CLOSING)
         # Requests that are being received get an answer, and responses reach slow callers.
         while self._callers.finish() and loop.time() < exit_at:
--- a/tests/router/gateway/process/test_late_requests.py
+++ b/tests/router/gateway/process/test_late_requests.py
@@ -183,3 +183,19 @@
     assert time.monotonic() - sent_at < MAX_SILENCE_S
     assert len(server.received) == (status == 200)
     assert await stop == 0
+
+
+async def test_suspension_past_the_exit_leaves_no_request_without_an_answer(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against requests that are cut because the host was suspended during the stop."""
+    gateway.configure(await start_server(_stall))
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/resumable/1", body=b"pay"))
+    await asyncio.sleep(0.1)
+    stop = asyncio.create_task(_stop(gateway))
+    await asyncio.sleep(0.1)
+    time.sleep(GRACE_S)
+    assert await stop == 0
+    assert (await read_response(reader)).status in (502, 504)
+    writer.close()
