--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -10,6 +10,10 @@
 from tests.router.gateway.gateway_harness import Gateway
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
+from tests.router.gateway.ingress.test_caller_connection_model import FakeTransport
+
+from cornellead.gateway.ingress import CallerConnection
+from cornellead.gateway.ingress import ServingState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -179,3 +183,19 @@
     writer.write(encode_request("/unsafe/1", body=b"a"))
     assert (await asyncio.wait_for(read_response(reader), 1.0)).status == 200
     writer.close()
+
+
+async def test_connection_that_is_closed_before_it_is_set_up_is_not_read() -> None:
+    """Guards against requests that are read and dropped on a connection that was evicted, or
+    finished by a stop, just after its accept."""
+    conn = CallerConnection(
+        handler=Gateway("127.0.0.1:0").listener._handler,
+        serving=ServingState(),
+        limits=lambda: LIMITS,
+        clock=lambda: 0.0,
+        on_closed=lambda _: None,
+    )
+    conn.finish()
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    assert transport.closed
