--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -174,3 +174,16 @@
     assert isinstance(load_node_settings(str(path)), Failure)
     path.write_bytes(settings.replace(b'"grace_s":8', b'"grace_s":' + b"9" * 400))
     assert isinstance(load_node_settings(str(path)), Failure)
+
+
+@pytest.mark.parametrize(
+    ("team", "value"), [("écoles", "écoles".encode("latin-1")), ("Łódź", "Łódź".encode())]
+)
+def test_team_of_any_name_is_told_to_the_server(team: str, value: bytes) -> None:
+    """Guards against a team whose requests all fail because of the letters of its name."""
+    wire_format = PlatformHeaders()
+    caller = wire_format.decode_caller([(b"X-Request-Id", b"7f")])
+    target = ForwardTarget(
+        server="i-9", team=team, urgency=2, time_left_s=1.5, last_event="", prompt_source=""
+    )
+    assert b"x-tenant: " + value + b"\r\n" in wire_format.encode_forward(caller, target)
