Log why an attempt was given up and how many servers were silent then

The log told only gave_up_silent: not what the attempt waited for, for how long, nor whether one server or many were silent, so a frozen server cannot be told from a switch that holds all back.

Each attempt that is given up has a line 'attempt given up' with what was awaited, how long, whether the answer had begun, and how many of the service's servers were silent; a counter counts them.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -4,6 +4,7 @@
 
 from itertools import count
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +28,15 @@
 _attempt_ids = count(1)
 
 
+class Stall(NamedTuple):
+    """What an attempt waited for when the router gave it up."""
+
+    awaited: str
+    """``first_byte``, ``byte`` or ``progress``."""
+    seconds: float
+    """Time since the attempt was sent, or since its last byte or progress."""
+
+
 class Attempt:
     """A request in flight at one server, with the timeouts that detect a stalled server.
 
@@ -51,6 +61,8 @@
         self.sent_at = now
         self.stalled = False
         """Whether the router aborted the attempt because the server sent nothing for too long."""
+        self.stall: Stall | None = None
+        """Why the attempt was aborted; ``None`` unless `stalled`."""
         self.blocked_on_caller = False
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
         self.answered = False
@@ -124,14 +136,20 @@
             self.record_data(now=now)
             self.record_progress(buffered_bytes=self._buffered_bytes, now=now)
             return
-        if self._can_fail_over and self._is_stalled(now):
+        stall = self._find_stall(now) if self._can_fail_over else None
+        if stall is not None:
             self.stalled = True
+            self.stall = stall
             self.exchange.abort()
 
-    def _is_stalled(self, now: float) -> bool:
+    def _find_stall(self, now: float) -> Stall | None:
         if self._last_byte_at is not None:
-            silent = now - self._last_byte_at > STREAM_STALL_TIMEOUT_S
-            return silent or now - self._last_progress_at > PROGRESS_TIMEOUT_S
+            silent_s, stuck_s = now - self._last_byte_at, now - self._last_progress_at
+            if silent_s > STREAM_STALL_TIMEOUT_S:
+                return Stall("byte", silent_s)
+            return Stall("progress", stuck_s) if stuck_s > PROGRESS_TIMEOUT_S else None
         if self._first_byte_timeout_s is not None:
-            return now - self.sent_at > self._first_byte_timeout_s
-        return not self.state.health.responsive(now=now)
+            stalled = now - self.sent_at > self._first_byte_timeout_s
+        else:
+            stalled = not self.state.health.responsive(now=now)
+        return Stall("first_byte", now - self.sent_at) if stalled else None
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -24,6 +24,8 @@
 
     from cornellead.gateway.forwarding._admission import Admission
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
+    from cornellead.gateway.forwarding._attempt import Attempt
+    from cornellead.gateway.forwarding._attempt import Stall
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._crash_watch import CrashWatch
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
@@ -235,6 +237,8 @@
             raise
         finally:
             self._sender.finish(attempt)
+        if attempt.stall is not None:
+            self._log_stall(admitted, trace, attempt, attempt.stall)
         ok = isinstance(outcome, DeliveredResponse)
         if ok and admitted.affinity:
             self._view.prompts.record(admitted.affinity, name, now=self._clock())
@@ -242,6 +246,23 @@
         trace.add_attempt(name, _outcome_label(outcome))
         return outcome
 
+    def _log_stall(
+        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt, stall: Stall
+    ) -> None:
+        now = self._clock()
+        listed = self._view.servers.listed(admitted.service.name)
+        self._stats.count_decision("gave_up_silent")
+        structlog.get_logger().info(
+            "attempt given up",
+            request=trace.request_id,
+            server=attempt.state.entry.server,
+            awaited=stall.awaited,
+            silent_ms=round(stall.seconds * 1000),
+            begun=attempt.has_head,
+            silent_servers=sum(1 for state in listed if not state.health.responsive(now=now)),
+            listed_servers=len(listed),
+        )
+
     def _respond_to_failure(
         self,
         admitted: AdmittedRequest,
