Give an attempt up only when another server takes its request

Callers saw streams that broke off and 502 although their server was sound and went on a moment later.

Cause: an attempt at a server without a byte for 1 to 2 s was aborted if its request was repeatable and had attempts left when it was sent. Only then was it checked whether the retry budget had room, the stream could be resumed, the request was not suspected of crashing servers, and another server accepted a connection. When many servers are silent at once all attempts end together and most find nothing. A router that wakes from a pause took its own pause for a silence of all servers.

Change: a stalled attempt starts a search, which checks all that, picks a responsive server that was not tried, opens a connection to it, checks again and then, in one step, spends the retry and aborts. Without a successor the request stays where it is; the search goes on every 0.2 s and the reason stands in the notes. After a late check all timeouts start anew. The conditions of a retry stand in RetryGate for both.

--- a/packages/core/src/cornellead_core/retries/_retry_budget.py
+++ b/packages/core/src/cornellead_core/retries/_retry_budget.py
@@ -56,6 +56,11 @@
         self.spent += 1
         return True
 
+    def has_room(self, *, now: float) -> bool:
+        """Return whether a token is available, without consuming it."""
+        self._refill(now)
+        return self._tokens >= 1.0
+
     def _refill(self, now: float) -> None:
         if self._refilled_at is not None:
             added = (now - self._refilled_at) * self.min_per_s
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead.gateway.view import SILENCE_TIMEOUT_S
+
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from cornellead.gateway.view import ServerState
@@ -59,16 +62,20 @@
         self.state = state
         self.exchange = exchange
         self.sent_at = now
-        self.stalled = False
-        """Whether the router aborted the attempt because the server sent nothing for too long."""
         self.stall: Stall | None = None
-        """Why the attempt was aborted; ``None`` unless `stalled`."""
+        """Why the router gave the attempt up; ``None`` if it did not."""
+        self.successor: ServerState | None = None
+        """Server that takes the request after this attempt was given up."""
         self.blocked_on_caller = False
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
         self.answered = False
         """Whether the server began to answer the request and survived that."""
         self.on_answered: Callable[[], None] = lambda: None
         """Called once when `answered` becomes true."""
+        self.on_stalled: Callable[[], None] = lambda: None
+        """Called at each check while the server is stalled and the request may be repeated."""
+        self.search: asyncio.Task[None] | None = None
+        """Search for a server that takes the request if this one has stalled."""
         self._head_at: float | None = None
         self._attempt_id = next(_attempt_ids)
         self._first_byte_timeout_s = first_byte_timeout_s
@@ -76,6 +83,7 @@
         self._last_byte_at: float | None = None
         self._last_progress_at = now
         self._buffered_bytes = 0
+        self._watched_since = float("-inf")
         state.health.start_request(self._attempt_id, now=now, urgency=urgency)
 
     def record_data(self, *, now: float) -> None:
@@ -122,34 +130,53 @@
     @property
     def broken_by_server(self) -> bool:
         """Whether the server broke off the connection before it had begun to answer."""
-        return self.exchange.broken and not self.stalled and not self.answered
+        return self.exchange.broken and self.stall is None and not self.answered
 
     def close(self) -> None:
         """Remove the request from the server's in-flight requests, and close the connection if the
         response is incomplete."""
+        if self.search is not None:
+            self.search.cancel()
         self.exchange.abort()
         self.state.health.finish_request(self._attempt_id)
 
-    def abort_if_stalled(self, *, now: float) -> None:
-        """Abort the exchange if the server has stalled and the request can fail over."""
+    def restart_timeouts(self, *, now: float) -> None:
+        """Ignore the silence so far, for example that of a pause of this process."""
+        self._watched_since = now
+
+    def check_stall(self, *, now: float) -> None:
+        """Call `on_stalled` if the server has stalled and the request may be repeated."""
         if self.blocked_on_caller:
             self.record_data(now=now)
             self.record_progress(buffered_bytes=self._buffered_bytes, now=now)
-            return
-        stall = self._find_stall(now) if self._can_fail_over else None
-        if stall is not None:
-            self.stalled = True
-            self.stall = stall
-            self.exchange.abort()
-
-    def _find_stall(self, now: float) -> Stall | None:
+        elif self._can_fail_over and self.find_stall(now=now) is not None:
+            self.on_stalled()
+
+    def give_up(self, successor: ServerState, *, now: float) -> bool:
+        """Abort the attempt in favour of another server, unless it has gone on or ended meanwhile.
+
+        :returns: Whether the attempt was aborted.
+        """
+        exchange = self.exchange
+        stall = self.find_stall(now=now)
+        if stall is None or exchange.complete or exchange.broken or exchange.pending_bytes:
+            return False
+        self.stall, self.successor = stall, successor
+        exchange.abort()
+        return True
+
+    def find_stall(self, *, now: float) -> Stall | None:
+        """Return what the server has kept the attempt waiting for too long, if anything."""
         if self._last_byte_at is not None:
-            silent_s, stuck_s = now - self._last_byte_at, now - self._last_progress_at
+            silent_s = now - max(self._last_byte_at, self._watched_since)
+            stuck_s = now - max(self._last_progress_at, self._watched_since)
             if silent_s > STREAM_STALL_TIMEOUT_S:
                 return Stall("byte", silent_s)
             return Stall("progress", stuck_s) if stuck_s > PROGRESS_TIMEOUT_S else None
+        silent_s = now - max(self.sent_at, self._watched_since)
         if self._first_byte_timeout_s is not None:
-            stalled = now - self.sent_at > self._first_byte_timeout_s
+            stalled = silent_s > self._first_byte_timeout_s
         else:
-            stalled = not self.state.health.responsive(now=now)
-        return Stall("first_byte", now - self.sent_at) if stalled else None
+            watched = now - self._watched_since >= SILENCE_TIMEOUT_S
+            stalled = watched and not self.state.health.responsive(now=now)
+        return Stall("first_byte", silent_s) if stalled else None
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -28,11 +28,13 @@
 """Multiple of the latency target after which a safe request is sent to another server."""
 STALL_CHECK_INTERVAL_S = 0.05
 """Interval at which the attempts in flight are checked for a stall."""
+MAX_CHECK_DELAY_S = 0.5
+"""Delay of a check above which this process counts as paused: half of the shortest timeout."""
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
 class AttemptSender:
-    """Starts attempts at servers and aborts the stalled ones."""
+    """Starts attempts at servers and checks them for a stall."""
 
     def __init__(
         self, *, pool: ConnectionPool, wire: WireFormat, clock: Callable[[], float]
@@ -41,6 +43,7 @@
         self._wire = wire
         self._clock = clock
         self._in_flight: set[Attempt] = set()
+        self._checked_at = clock()
 
     async def send(
         self,
@@ -95,11 +98,27 @@
         self._in_flight.discard(attempt)
         attempt.close()
 
+    async def can_connect(self, state: ServerState) -> bool:
+        """Open a connection that the next request to the server uses; ``False`` on failure."""
+        result = await self._pool.probe(state.entry.address)
+        if isinstance(result, Failure):
+            state.health.record_connect_failure(now=self._clock())
+            return False
+        return True
+
     def abort_stalled_attempts(self) -> None:
-        """Abort the attempts at stalled servers whose requests can fail over."""
+        """Check the attempts for stalled servers; their requests leave if another one takes them.
+
+        After a pause of this process, received bytes are still unread and others are resent by the
+        servers' hosts, so all timeouts start anew.
+        """
         now = self._clock()
+        paused = now - self._checked_at > STALL_CHECK_INTERVAL_S + MAX_CHECK_DELAY_S
+        self._checked_at = now
         for attempt in list(self._in_flight):
-            attempt.abort_if_stalled(now=now)
+            if paused:
+                attempt.restart_timeouts(now=now)
+            attempt.check_stall(now=now)
 
     def _encode(self, admitted: AdmittedRequest, target: ForwardTarget) -> bytes:
         req = admitted.req
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -0,0 +1,160 @@
+"""Move of a request from a server that has stalled to one that takes it at once."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+import structlog
+
+from cornellead.gateway.view import ServerState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
+    from cornellead.gateway.forwarding._attempt import Attempt
+    from cornellead.gateway.forwarding._attempt_sender import AttemptSender
+    from cornellead.gateway.forwarding._event_splitter import EventSplitter
+    from cornellead.gateway.forwarding._request_trace import RequestTrace
+    from cornellead.gateway.forwarding._retry_gate import RetryGate
+    from cornellead.gateway.forwarding._server_picker import ServerPicker
+    from cornellead.gateway.stats import GatewayStats
+    from cornellead.gateway.view import FleetView
+
+SEARCH_INTERVAL_S = 0.2
+"""Interval at which a further server is looked for while the attempt's own one stays silent."""
+MAX_CONNECT_FAILURES = 4
+"""Failed connection attempts after which one search ends."""
+
+
+class Failover:
+    """Gives a stalled attempt up once another server accepts a connection for its request.
+
+    A silent server usually goes on after a moment, so a request whose move would fail for want of
+    a server, of a retry or of an event to resume after is better left where it is.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        picker: ServerPicker,
+        sender: AttemptSender,
+        gate: RetryGate,
+        stats: GatewayStats,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._picker = picker
+        self._sender = sender
+        self._gate = gate
+        self._stats = stats
+        self._clock = clock
+
+    def watch(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        events: EventSplitter,
+        attempt: Attempt,
+    ) -> None:
+        """Look for a successor of the attempt while it is stalled."""
+
+        def start_search() -> None:
+            if attempt.search is None or attempt.search.done():
+                search = self._search(admitted, trace, events, attempt)
+                attempt.search = asyncio.create_task(search)
+
+        attempt.on_stalled = start_search
+
+    async def _search(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        events: EventSplitter,
+        attempt: Attempt,
+    ) -> None:
+        while attempt.successor is None and attempt.find_stall(now=self._clock()) is not None:
+            obstacle = await self._move(admitted, trace, events, attempt)
+            if obstacle is not None:
+                trace.add_note_once(f"kept_{obstacle}")
+                await asyncio.sleep(SEARCH_INTERVAL_S)
+
+    async def _move(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        events: EventSplitter,
+        attempt: Attempt,
+    ) -> str | None:
+        """Give the attempt up for another server; return what prevents it."""
+        find_obstacle = partial(self._find_obstacle, admitted, trace, events)
+        obstacle = find_obstacle()
+        if obstacle is not None:
+            return obstacle
+        for _ in range(MAX_CONNECT_FAILURES):
+            successor = self._pick(admitted, trace, attempt)
+            if successor is None:
+                return "no_other_server"
+            if not await self._sender.can_connect(successor):
+                trace.add_attempt(successor.entry.server, "no_connection")
+                continue
+            # Meanwhile other requests may have spent the budget, and the server may have gone on.
+            obstacle = find_obstacle()
+            now = self._clock()
+            if obstacle is None and attempt.give_up(successor, now=now):
+                self._gate.try_pass(admitted, trace)
+                self._log(admitted, trace, attempt, successor)
+            return obstacle
+        return "no_connection"
+
+    def _find_obstacle(
+        self, admitted: AdmittedRequest, trace: RequestTrace, events: EventSplitter
+    ) -> str | None:
+        if not events.resumable:
+            return "events_without_id"
+        return self._gate.find_obstacle(admitted, trace)
+
+    def _pick(
+        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt
+    ) -> ServerState | None:
+        now = self._clock()
+        service = admitted.service.name
+        excluded = {
+            state.entry.server
+            for state in self._view.servers.listed(service)
+            if not state.health.responsive(now=now)
+        }
+        excluded |= trace.tried | {attempt.state.entry.server}
+        # The picker falls back to excluded servers, and would count a send to one.
+        if excluded.issuperset(s.entry.server for s in self._view.servers.usable(service)):
+            return None
+        picked = self._picker.pick(admitted, tried=excluded, now=now)
+        if not isinstance(picked, ServerState) or picked.entry.server in excluded:
+            return None
+        return picked
+
+    def _log(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        attempt: Attempt,
+        successor: ServerState,
+    ) -> None:
+        assert attempt.stall is not None
+        now = self._clock()
+        listed = self._view.servers.listed(admitted.service.name)
+        self._stats.count_decision("gave_up_silent")
+        structlog.get_logger().info(
+            "attempt given up",
+            request=trace.request_id,
+            server=attempt.state.entry.server,
+            successor=successor.entry.server,
+            awaited=attempt.stall.awaited,
+            silent_ms=round(attempt.stall.seconds * 1000),
+            begun=attempt.has_head,
+            silent_servers=sum(1 for state in listed if not state.health.responsive(now=now)),
+            listed_servers=len(listed),
+        )
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -10,11 +10,14 @@
 
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
+from cornellead.gateway.forwarding._failover import MAX_CONNECT_FAILURES
+from cornellead.gateway.forwarding._failover import Failover
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._outcome import ErrorResponse
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._request_trace import RequestTrace
+from cornellead.gateway.forwarding._retry_gate import RetryGate
 from cornellead.gateway.forwarding._server_picker import NoServer
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import ServerState
@@ -24,8 +27,6 @@
 
     from cornellead.gateway.forwarding._admission import Admission
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
-    from cornellead.gateway.forwarding._attempt import Attempt
-    from cornellead.gateway.forwarding._attempt import Stall
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._crash_watch import CrashWatch
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
@@ -51,13 +52,6 @@
 outage of the store may end as quickly, and a caller that has to retry loses more time than this."""
 STARTUP_POLL_S = 0.02
 """Interval at which a held request checks whether the router is ready."""
-MAX_CONNECT_FAILURES = 4
-"""Failed connection attempts after which no further server is tried."""
-MAX_UNANSWERED_BREAKS = 2
-"""Servers that may break off a request before it is not sent again: it may be what crashes them."""
-MAX_CRASHES_BEFORE_RETRY = 1
-"""Crashes of a part since its latest answer up to which its requests are sent to a further server
-after one broke them off."""
 CLIENT_ERROR = 400
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
@@ -87,6 +81,10 @@
         self._sender = sender
         self._relay = relay
         self._retries = retries
+        self._gate = RetryGate(view=view, retries=retries, stats=stats, clock=clock)
+        self._failover = Failover(
+            view=view, picker=picker, sender=sender, gate=self._gate, stats=stats, clock=clock
+        )
         self._wire = wire
         self._stats = stats
         self._crashes = crashes
@@ -131,13 +129,18 @@
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
         connect_failures = 0
+        successor: ServerState | None = None
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
-            if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
-                break
-            if not events.resumable:
-                trace.add_note("events_without_id")
-                break
-            picked = await self._pick_server(admitted, trace)
+            picked: ServerState | NoServer
+            if successor is not None:
+                picked, successor = successor, None
+            else:
+                if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
+                    break
+                if not events.resumable:
+                    trace.add_note("events_without_id")
+                    break
+                picked = await self._pick_server(admitted, trace)
             if isinstance(picked, NoServer):
                 trace.add_note(f"no_server_of_{picked.usable_servers}")
                 wait_s = picked.wait_s
@@ -162,37 +165,15 @@
                 fallback = outcome
             if isinstance(outcome, BrokenResponse):
                 events.restart()
+                successor = outcome.successor
         self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
 
     def _may_retry(
         self, admitted: AdmittedRequest, trace: RequestTrace, fallback: ErrorResponse | None
     ) -> bool:
-        now = self._clock()
-        if not admitted.attempts.may_send(now=now):
-            trace.add_note("no_attempt_left")
-            return False
         if fallback is not None and not admitted.route.repeatable:
             return False
-        if trace.unanswered_breaks and not self._may_retry_after_break(admitted, trace):
-            trace.add_note("may_crash_servers")
-            self._stats.count_decision("no_retry_after_crash")
-            return False
-        routers = len(self._view.routers(now=now))
-        if not self._retries.try_spend(admitted.service.name, routers=routers, now=now):
-            trace.add_note("no_retry_budget")
-            self._stats.count_decision("retry_budget_empty")
-            return False
-        self._stats.count_decision("retry")
-        return True
-
-    def _may_retry_after_break(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
-        if trace.unanswered_breaks >= MAX_UNANSWERED_BREAKS:
-            return False
-        now, guard = self._clock(), self._view.guard
-        if guard.count_crashes(admitted.parts) > MAX_CRASHES_BEFORE_RETRY:
-            return False
-        routers = self._view.routers(now=now)
-        return guard.find_refused(admitted.parts, routers=routers, now=now) is None
+        return self._gate.try_pass(admitted, trace)
 
     async def _pick_server(
         self, admitted: AdmittedRequest, trace: RequestTrace
@@ -225,6 +206,7 @@
             trace.add_attempt(name, "no_connection")
             return None
         attempt.on_answered = partial(self._crashes.record_answer, admitted)
+        self._failover.watch(admitted, trace, events, attempt)
         try:
             outcome = await self._relay.relay(admitted, attempt, events, out)
             if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
@@ -237,8 +219,6 @@
             raise
         finally:
             self._sender.finish(attempt)
-        if attempt.stall is not None:
-            self._log_stall(admitted, trace, attempt, attempt.stall)
         ok = isinstance(outcome, DeliveredResponse)
         if ok and admitted.affinity:
             self._view.prompts.record(admitted.affinity, name, now=self._clock())
@@ -246,23 +226,6 @@
         trace.add_attempt(name, _outcome_label(outcome))
         return outcome
 
-    def _log_stall(
-        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt, stall: Stall
-    ) -> None:
-        now = self._clock()
-        listed = self._view.servers.listed(admitted.service.name)
-        self._stats.count_decision("gave_up_silent")
-        structlog.get_logger().info(
-            "attempt given up",
-            request=trace.request_id,
-            server=attempt.state.entry.server,
-            awaited=stall.awaited,
-            silent_ms=round(stall.seconds * 1000),
-            begun=attempt.has_head,
-            silent_servers=sum(1 for state in listed if not state.health.responsive(now=now)),
-            listed_servers=len(listed),
-        )
-
     def _respond_to_failure(
         self,
         admitted: AdmittedRequest,
--- a/packages/router/src/cornellead/gateway/forwarding/_outcome.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_outcome.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from cornellead.gateway.view import ServerState
 from cornellead_core.routing import HeaderList
 
 
@@ -31,6 +32,8 @@
     """The response is missing or incomplete, or does not come from the intended server."""
 
     cause: str
+    successor: ServerState | None = None
+    """Server that takes the request now, if the router gave the attempt up."""
 
 
 AttemptOutcome = DeliveredResponse | ErrorResponse | NotRunResponse | BrokenResponse
--- a/packages/router/src/cornellead/gateway/forwarding/_request_trace.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_request_trace.py
@@ -33,6 +33,11 @@
         """Add a decision, such as the reason for not retrying."""
         self.notes.append(text)
 
+    def add_note_once(self, text: str) -> None:
+        """Add a decision that may be made again and again."""
+        if text not in self.notes:
+            self.notes.append(text)
+
     def set_result(self, status: int, cause: str) -> None:
         """Set the status of the response and the reason for it."""
         self.status = status
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -68,7 +68,7 @@
         """Read the response of an attempt and write it to the caller, unless it may be retried."""
         head = await attempt.exchange.head()
         if head is None:
-            return BrokenResponse("gave_up_silent" if attempt.stalled else "no_response")
+            return _broken(attempt, "no_response")
         attempt.record_data(now=self._clock())
         reply = self._wire.decode_reply(head.status, head.raw)
         if reply.load is not None:
@@ -89,7 +89,7 @@
             return await self._relay_stream(attempt, events, head.status, reply, out)
         body = await self._read_body(attempt)
         if body is None:
-            return BrokenResponse("gave_up_silent" if attempt.stalled else "truncated")
+            return _broken(attempt, "truncated")
         if head.status >= SERVER_ERROR or out.started:
             return ErrorResponse(head.status, reply.forwarded, body)
         out.respond(head.status, reply.forwarded, body)
@@ -131,7 +131,7 @@
         while True:
             data = await attempt.exchange.read()
             if data is None:
-                return BrokenResponse("gave_up_silent" if attempt.stalled else "stream_broken")
+                return _broken(attempt, "stream_broken")
             if data:
                 now = self._clock()
                 first_data_at = now if first_data_at is None else first_data_at
@@ -164,6 +164,12 @@
                 return DeliveredResponse(status)
 
 
+def _broken(attempt: Attempt, cause: str) -> BrokenResponse:
+    if attempt.successor is None:
+        return BrokenResponse(cause)
+    return BrokenResponse("gave_up_silent", attempt.successor)
+
+
 def _may_be_event_stream(head: ResponseHead) -> bool:
     content_type = head.headers.get("content-type", EVENT_STREAM)
     return content_type.strip().lower().startswith(EVENT_STREAM)
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
@@ -0,0 +1,77 @@
+"""Conditions under which a request may be sent to a further server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
+    from cornellead.gateway.forwarding._request_trace import RequestTrace
+    from cornellead.gateway.policy import RetryBudgets
+    from cornellead.gateway.stats import GatewayStats
+    from cornellead.gateway.view import FleetView
+
+MAX_UNANSWERED_BREAKS = 2
+"""Servers that may break off a request before it is not sent again: it may be what crashes them."""
+MAX_CRASHES_BEFORE_RETRY = 1
+"""Crashes of a part since its latest answer up to which its requests are sent to a further server
+after one broke them off."""
+
+_DECISIONS = {
+    None: "retry",
+    "may_crash_servers": "no_retry_after_crash",
+    "no_retry_budget": "retry_budget_empty",
+}
+
+
+class RetryGate:
+    """Checks attempts, suspicion of crashing servers and the retry budget of a request."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        retries: RetryBudgets,
+        stats: GatewayStats,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._retries = retries
+        self._stats = stats
+        self._clock = clock
+
+    def find_obstacle(self, admitted: AdmittedRequest, trace: RequestTrace) -> str | None:
+        """Return why the request may not be sent again; ``None`` if it may be."""
+        now = self._clock()
+        if not admitted.attempts.may_send(now=now):
+            return "no_attempt_left"
+        if trace.unanswered_breaks and not self._may_retry_after_break(admitted, trace):
+            return "may_crash_servers"
+        service, routers = admitted.service.name, len(self._view.routers(now=now))
+        if not self._retries.has_room(service, routers=routers, now=now):
+            return "no_retry_budget"
+        return None
+
+    def try_pass(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
+        """Spend a retry if nothing prevents it, else note the reason in the trace."""
+        obstacle = self.find_obstacle(admitted, trace)
+        if obstacle is None:
+            now = self._clock()
+            routers = len(self._view.routers(now=now))
+            self._retries.try_spend(admitted.service.name, routers=routers, now=now)
+        else:
+            trace.add_note(obstacle)
+        if obstacle in _DECISIONS:
+            self._stats.count_decision(_DECISIONS[obstacle])
+        return obstacle is None
+
+    def _may_retry_after_break(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
+        if trace.unanswered_breaks >= MAX_UNANSWERED_BREAKS:
+            return False
+        now, guard = self._clock(), self._view.guard
+        if guard.count_crashes(admitted.parts) > MAX_CRASHES_BEFORE_RETRY:
+            return False
+        routers = self._view.routers(now=now)
+        return guard.find_refused(admitted.parts, routers=routers, now=now) is None
--- a/packages/router/src/cornellead/gateway/policy/_retry_budgets.py
+++ b/packages/router/src/cornellead/gateway/policy/_retry_budgets.py
@@ -40,6 +40,10 @@
         """Consume one retry from the budget of a service; ``False`` if the budget is exhausted."""
         return self._budget(service, routers).try_spend(now=now)
 
+    def has_room(self, service: str, *, routers: int, now: float) -> bool:
+        """Return whether a retry is available, without consuming it."""
+        return self._budget(service, routers).has_room(now=now)
+
     def _budget(self, service: str, routers: int) -> RetryBudget:
         bounds = self.bounds
         min_per_s = (
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -8,12 +8,14 @@
 from cornellead.gateway.view._prompt_directory import PromptDirectory
 from cornellead.gateway.view._rate_limits import RateLimitReport
 from cornellead.gateway.view._rate_limits import RateLimits
+from cornellead.gateway.view._server_health import SILENCE_TIMEOUT_S
 from cornellead.gateway.view._server_health import ServerHealth
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._server_state import ServerState
 
 __all__ = [
+    "SILENCE_TIMEOUT_S",
     "FleetLoad",
     "FleetView",
     "PromptDirectory",
