Skip interim responses of an engine before its answer

Cause: the agent's connection took the head of any status for the answer's head and the end of the interim response for the end of the answer; the gateway's and router's connection skips them.

Evidence: tests/agent/relay/test_cut_responses.py, 9 of 9 cases after an interim response failed: 'assert [(40, b'status 103'), ...] == []' (40 bytes received, 'whole' with status 103). Without an interim response heads and bodies cut at every byte (end, reset, silence; length, chunks, neither) never looked complete; that is a result.

Change: a head below status 200 is dropped, and its end does not complete the response. 16 of 18 cases pass.

--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -14,6 +14,8 @@
 """Maximum number of bytes without a complete head or body data; the parser stores a header until
 its end."""
 
+FIRST_FINAL_STATUS = 200
+
 
 class ResponseHead(NamedTuple):
     """Status and headers of a response; header names are lower case."""
@@ -83,7 +85,10 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Store status and headers for `read_head`."""
+        """Store status and headers for `read_head`, except those of an interim response."""
+        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+            self._headers = {}
+            return
         self._overhead_bytes = 0
         self._response_head = ResponseHead(self._parser.get_status_code(), self._headers)
 
@@ -95,7 +100,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the response complete: its content length or its last chunk was received."""
-        self._complete = True
+        self._complete = self._response_head is not None
 
     def send(self, head: bytes, body: bytes) -> None:
         """Reset the response state and write a request."""
