--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -14,6 +14,10 @@
 """Maximum number of bytes without a complete head or body data; the parser stores a header until
 its end."""
 
+FIRST_FINAL_STATUS = 200
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+
 
 class ResponseHead(NamedTuple):
     """Status and headers of a response; header names are lower case."""
@@ -39,6 +43,7 @@
         self._paused = False
         self._response_head: ResponseHead | None = None
         self._complete = False
+        self._ends_at_eof = False
         self._waiter: asyncio.Future[None] | None = None
         self.sent = False
         """Whether a request was written to the transport."""
@@ -78,14 +83,29 @@
             self._paused = True
         self._wake_reader()
 
+    def eof_received(self) -> bool:
+        """Complete a response that has neither a length nor chunks, and close the connection."""
+        if self._ends_at_eof and not self.closed:
+            self._complete = True
+        return False
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a response header."""
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Store status and headers for `read_head`."""
+        """Store status and headers for `read_head`, except those of an interim response."""
+        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+            self._headers = {}
+            return
         self._overhead_bytes = 0
-        self._response_head = ResponseHead(self._parser.get_status_code(), self._headers)
+        status = self._parser.get_status_code()
+        self._ends_at_eof = (
+            "content-length" not in self._headers
+            and "transfer-encoding" not in self._headers
+            and status not in (NO_CONTENT, NOT_MODIFIED)
+        )
+        self._response_head = ResponseHead(status, self._headers)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the response body for `read`."""
@@ -95,7 +115,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the response complete: its content length or its last chunk was received."""
-        self._complete = True
+        self._complete = self._response_head is not None
 
     def send(self, head: bytes, body: bytes) -> None:
         """Reset the response state and write a request."""
@@ -104,6 +124,7 @@
         self._headers = {}
         self._response_head = None
         self._complete = False
+        self._ends_at_eof = False
         self._body_parts.clear()
         self._unread_bytes = 0
         self._overhead_bytes = 0
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -12,13 +12,16 @@
 from cornellead.gateway.forwarding._admission import stopping_refusal
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
+from cornellead.gateway.forwarding._failover import MAX_CONNECT_FAILURES
+from cornellead.gateway.forwarding._failover import Failover
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._outcome import ErrorResponse
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._request_trace import RequestTrace
+from cornellead.gateway.forwarding._retry_gate import STOPPING
+from cornellead.gateway.forwarding._retry_gate import RetryGate
 from cornellead.gateway.forwarding._server_picker import NoServer
-from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import ServerState
 
@@ -53,13 +56,6 @@
 outage of the store may end as quickly, and a caller that has to retry loses more time than this."""
 STARTUP_POLL_S = 0.02
 """Interval at which a held request checks whether the router is ready."""
-MAX_CONNECT_FAILURES = 4
-"""Failed connection attempts after which no further server is tried."""
-MAX_UNANSWERED_BREAKS = 2
-"""Servers that may break off a request before it is not sent again: it may be what crashes them."""
-MAX_CRASHES_BEFORE_RETRY = 1
-"""Crashes of a part since its latest answer up to which its requests are sent to a further server
-after one broke them off."""
 CLIENT_ERROR = 400
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
@@ -91,6 +87,12 @@
         self._sender = sender
         self._relay = relay
         self._retries = retries
+        self._gate = RetryGate(
+            view=view, serving=serving, retries=retries, stats=stats, clock=clock
+        )
+        self._failover = Failover(
+            view=view, picker=picker, sender=sender, gate=self._gate, stats=stats, clock=clock
+        )
         self._wire = wire
         self._stats = stats
         self._crashes = crashes
@@ -135,16 +137,21 @@
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
         connect_failures = 0
+        successor: ServerState | None = None
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
-            if not self._may_send_before_exit(admitted):
-                trace.add_note("stopping")
-                break
-            if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
-                break
-            if not events.resumable:
-                trace.add_note("events_without_id")
-                break
-            picked = await self._pick_server(admitted, trace)
+            picked: ServerState | NoServer
+            if successor is not None:
+                picked, successor = successor, None
+            else:
+                if not self._gate.allows_send(admitted):
+                    trace.add_note(STOPPING)
+                    break
+                if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
+                    break
+                if not events.resumable:
+                    trace.add_note("events_without_id")
+                    break
+                picked = await self._pick_server(admitted, trace)
             if isinstance(picked, NoServer):
                 trace.add_note(f"no_server_of_{picked.usable_servers}")
                 wait_s = picked.wait_s
@@ -152,7 +159,7 @@
                     trace.add_note("rate_limited")
                     self._stats.count_decision("rate_limited")
                 break
-            if not self._may_send_before_exit(admitted):
+            if not self._gate.allows_send(admitted):
                 # The stop began to refuse requests while this one waited for its server.
                 break
             admitted.attempts.count_send()
@@ -172,45 +179,15 @@
                 fallback = outcome
             if isinstance(outcome, BrokenResponse):
                 events.restart()
+                successor = outcome.successor
         self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
 
-    def _may_send_before_exit(self, admitted: AdmittedRequest) -> bool:
-        """Return whether a send now is better for the caller than another router."""
-        attempts = admitted.attempts
-        if self._serving.phase >= ServingPhase.REFUSING and attempts.not_run:
-            return False
-        needed_s = min(admitted.route.target_latency_s, attempts.time_left_s(now=self._clock()))
-        return self._serving.time_left_s() >= needed_s
-
     def _may_retry(
         self, admitted: AdmittedRequest, trace: RequestTrace, fallback: ErrorResponse | None
     ) -> bool:
-        now = self._clock()
-        if not admitted.attempts.may_send(now=now):
-            trace.add_note("no_attempt_left")
-            return False
         if fallback is not None and not admitted.route.repeatable:
             return False
-        if trace.unanswered_breaks and not self._may_retry_after_break(admitted, trace):
-            trace.add_note("may_crash_servers")
-            self._stats.count_decision("no_retry_after_crash")
-            return False
-        routers = len(self._view.routers(now=now))
-        if not self._retries.try_spend(admitted.service.name, routers=routers, now=now):
-            trace.add_note("no_retry_budget")
-            self._stats.count_decision("retry_budget_empty")
-            return False
-        self._stats.count_decision("retry")
-        return True
-
-    def _may_retry_after_break(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
-        if trace.unanswered_breaks >= MAX_UNANSWERED_BREAKS:
-            return False
-        now, guard = self._clock(), self._view.guard
-        if guard.count_crashes(admitted.parts) > MAX_CRASHES_BEFORE_RETRY:
-            return False
-        routers = self._view.routers(now=now)
-        return guard.find_refused(admitted.parts, routers=routers, now=now) is None
+        return self._gate.try_pass(admitted, trace)
 
     async def _pick_server(
         self, admitted: AdmittedRequest, trace: RequestTrace
@@ -243,6 +220,7 @@
             trace.add_attempt(name, "no_connection")
             return None
         attempt.on_answered = partial(self._crashes.record_answer, admitted)
+        self._failover.watch(admitted, trace, events, attempt)
         try:
             outcome = await self._relay.relay(admitted, attempt, events, out)
             if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
@@ -277,7 +255,7 @@
         elif fallback is not None:
             out.respond(fallback.status, fallback.headers, fallback.body)
             trace.set_result(fallback.status, "server_failure")
-        elif admitted.attempts.not_run and not self._may_send_before_exit(admitted):
+        elif admitted.attempts.not_run and not self._gate.allows_send(admitted):
             self._serving.refused += 1
             self._refuse(trace, out, stopping_refusal())
         elif admitted.attempts.not_run and wait_s is not None:
