Let the fake store come back from an older copy

Tests could not play a store that loses what it acknowledged. FakeStore.restore() goes back to a copy of all topics, names its era in each response as the users' store does, and answers 410 to a read beyond its end.

--- a/tests/platform_adapter/fake_store.py
+++ b/tests/platform_adapter/fake_store.py
@@ -39,6 +39,8 @@
         """Whether every call is rejected with status 503."""
         self.silent = False
         """Whether calls get no response."""
+        self.era = 1
+        """Named in each response; rises by one each time the store comes back from a copy."""
         self.called_paths: list[str] = []
         """Paths of all calls, in order of arrival."""
         self._records: dict[str, list[KeyedRecord]] = {}
@@ -77,6 +79,16 @@
         """Move the first retained offset to the end of the topic, so that older reads get 410."""
         self._first_offsets[topic] = len(self._records.get(topic, []))
 
+    def copy(self) -> dict[str, list[KeyedRecord]]:
+        """Return a copy of all topics, for `restore`."""
+        return {topic: list(records) for topic, records in self._records.items()}
+
+    def restore(self, copy: dict[str, list[KeyedRecord]]) -> None:
+        """Go back to a copy: later records are lost, and their offsets are given out again."""
+        self._records = {topic: list(records) for topic, records in copy.items()}
+        self.era += 1
+        self._wake_readers()
+
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
         path, _, query = req.target.decode().partition("?")
         self.called_paths.append(path)
@@ -84,7 +96,7 @@
         if self.silent:
             await asyncio.sleep(3600)
         if self.down:
-            out.respond(503, (), b"")
+            out.respond(503, self._headers, b"")
         elif path == "/v1/log-newest":
             self._respond_newest(params, out)
         elif path == "/v1/log-read":
@@ -92,13 +104,20 @@
         else:
             for record in decode_records(req.body):
                 self._append(params["topic"], record)
-            out.respond(200, JSON_HEADERS, b'{"offset":0,"end_offset":1}')
+            out.respond(200, self._headers, b'{"offset":0,"end_offset":1}')
 
     def _append(self, topic: str, record: KeyedRecord) -> None:
         self._records.setdefault(topic, []).append(record)
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    @property
+    def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        return (*JSON_HEADERS, (b"Store-Era", b"%d" % self.era))
+
     def _respond_newest(self, params: dict[str, str], out: ResponseWriter) -> None:
         newest = sorted(self.newest(params["topic"]).items())
         remaining = [item for item in newest if item[0] > params.get("after", "")]
@@ -111,13 +130,13 @@
             "has_more": len(remaining) > len(page),
             "end_offset": len(self._records.get(params["topic"], [])),
         }
-        out.respond(200, JSON_HEADERS, msgspec.json.encode(body))
+        out.respond(200, self._headers, msgspec.json.encode(body))
 
     async def _respond_read(self, params: dict[str, str], out: ResponseWriter) -> None:
         topic, start = params["topic"], int(params["from"])
         first = self._first_offsets.get(topic, 0)
-        if start < first:
-            out.respond(410, JSON_HEADERS, msgspec.json.encode({"first_offset": first}))
+        if start < first or start > len(self._records.get(topic, [])):
+            out.respond(410, self._headers, msgspec.json.encode({"first_offset": first}))
             return
         if start >= len(self._records.get(topic, [])) and "wait_ms" in params:
             try:
@@ -131,4 +150,4 @@
             if data and len(data) + len(encoded) > int(params.get("max_kb", "1024")) << 10:
                 break
             data += encoded
-        out.respond(200, (), struct.pack(">QQ", len(records), first) + data)
+        out.respond(200, self._headers, struct.pack(">QQ", len(records), first) + data)
