--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NamedTuple
-from urllib.parse import urlencode
 
 import structlog
 from returns.result import Failure
@@ -16,18 +13,15 @@
 from returns.result import Success
 
 from cornellead.gateway.relay._change_log import ChangeLog
-from cornellead.gateway.relay._change_log import RelayPage
-from cornellead.gateway.relay._relay_codec import decode_page
-from cornellead.gateway.relay._relay_handler import PATH_PREFIX
+from cornellead.gateway.relay._peer_client import FetchedPage
+from cornellead.gateway.relay._peer_client import PeerClient
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
-from cornellead_core.routing import ReadStats
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
@@ -46,9 +40,6 @@
 MAX_WAIT_S = 0.4
 """Maximum time for which a reader is asked to hold a read, so that an unresponsive reader is
 detected quickly."""
-RESPONSE_TIMEOUT_S = 0.3
-"""Response timeout in addition to the requested hold time: the round trip between routers of a data
-centre takes about a millisecond."""
 READER_BACKOFF_S = 2.0
 """Time for which a reader is skipped after it did not respond or returned an old page."""
 STORE_BACKOFF_S = 1.0
@@ -57,7 +48,6 @@
 """Interval until other routers are queried by a router that reads the store for the first time: the
 first load reports, which name routers, arrive within a few milliseconds."""
 MAX_POLL_S = 0.16
-HTTP_OK = 200
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
 MAX_BACKUPS_QUERIED = 2
@@ -65,16 +55,6 @@
 store all routers do so, within the budget of control traffic."""
 
 
-class _FetchedPage(NamedTuple):
-    page: RelayPage
-    read: ReadStats
-
-    @property
-    def age_s(self) -> float:
-        """Time since the store sent the notices, with the transfer from the other router."""
-        return self.page.age_s + self.read.transfer_s + self.read.decode_s
-
-
 class RelayedStore:
     """Reads the store directly if this router is a reader of its data centre, else via a reader.
 
@@ -98,7 +78,7 @@
     ) -> None:
         self._store = store
         self._view = view
-        self._http = http
+        self._peers = PeerClient(view=view, http=http, clock=clock)
         self._location = location
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
@@ -117,7 +97,7 @@
             result = await self._store.read_newest(topic)
         else:
             first = await self._read_first(topic)
-            if isinstance(first, _FetchedPage):
+            if isinstance(first, FetchedPage):
                 return Success(self._apply_snapshot(topic, first))
             result = first
         if isinstance(result, Success):
@@ -128,7 +108,7 @@
             return result
         self.logs[topic].set_from_store(False)
         peers = self._sample_peers(MAX_QUERIED_PEERS)
-        youngest = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+        youngest = await self._peers.fetch_youngest(peers, topic, offset=None, wait_s=0.0)
         if youngest is None:
             return result
         if self.logs[topic].loaded and youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
@@ -165,7 +145,7 @@
         """Publish the quarantine of a prompt part in the store; ``None`` publishes its end."""
         return await self._store.publish_quarantine(part, mark)
 
-    async def _read_first(self, topic: Topic) -> _FetchedPage | Result[NoticeBatch, StoreError]:
+    async def _read_first(self, topic: Topic) -> FetchedPage | Result[NoticeBatch, StoreError]:
         """Read the store and, once other routers are known, theirs as well; the first page counts.
 
         A router that starts knows no reader yet, and the newest records of the store can be twenty
@@ -181,14 +161,14 @@
             from_store.cancel()
             from_router.cancel()
 
-    async def _await_page(self, topic: Topic) -> _FetchedPage:
+    async def _await_page(self, topic: Topic) -> FetchedPage:
         """Query other routers until one has recent notices."""
         interval_s = FIRST_POLL_S
         while True:
             await asyncio.sleep(interval_s)
             interval_s = min(MAX_POLL_S, 2 * interval_s)
             peers = self._readers() or self._sample_peers(MAX_BACKUPS_QUERIED)
-            fetched = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+            fetched = await self._peers.fetch_youngest(peers, topic, offset=None, wait_s=0.0)
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
                 return fetched
@@ -216,14 +196,14 @@
         fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
         return result if fetched is None else self._apply_changes(topic, fetched, offset=offset)
 
-    def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
+    def _apply_snapshot(self, topic: Topic, fetched: FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
         return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
 
     def _apply_changes(
-        self, topic: Topic, fetched: _FetchedPage, *, offset: int
+        self, topic: Topic, fetched: FetchedPage, *, offset: int
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         page, age_s = fetched.page, fetched.age_s
         if page.snapshot:
@@ -240,7 +220,7 @@
 
     async def _query_backups_in_outage(
         self, topic: Topic, *, offset: int, wait_s: float
-    ) -> _FetchedPage | None:
+    ) -> FetchedPage | None:
         """Return what other routers have while the store counts as lost; ``None`` if it is to be
         read.
 
@@ -254,28 +234,15 @@
 
     async def _query_backups(
         self, topic: Topic, *, offset: int, wait_s: float
-    ) -> _FetchedPage | None:
+    ) -> FetchedPage | None:
         """Return recent notices of another router, if one has them."""
         peers = self._sample_peers(MAX_BACKUPS_QUERIED)
-        youngest = await self._query_peers(peers, topic, offset=offset, wait_s=wait_s)
+        youngest = await self._peers.fetch_youngest(peers, topic, offset=offset, wait_s=wait_s)
         if youngest is None or youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
             return None
         self.relayed += 1
         return youngest
 
-    async def _query_peers(
-        self, addresses: Mapping[str, str], topic: Topic, *, offset: int | None, wait_s: float
-    ) -> _FetchedPage | None:
-        """Query routers concurrently and return the most recently confirmed page."""
-        responses = await asyncio.gather(
-            *(
-                self._fetch(name, address, topic, offset=offset, wait_s=wait_s)
-                for name, address in addresses.items()
-            )
-        )
-        pages = [fetched for fetched in responses if fetched is not None]
-        return min(pages, key=lambda fetched: fetched.page.age_s, default=None)
-
     def _readers(self) -> dict[str, str]:
         """Return the addresses of the routers of this data centre that read the store before this
         one does, by name in order of rank; empty if this router is the reader.
@@ -297,11 +264,11 @@
 
     async def _query_reader(
         self, topic: Topic, *, offset: int | None, wait_s: float
-    ) -> _FetchedPage | None:
+    ) -> FetchedPage | None:
         for name, address in self._readers().items():
             if self._clock() < self._backoff_until.get((name, topic), 0.0):
                 continue
-            fetched = await self._fetch(
+            fetched = await self._peers.fetch(
                 name, address, topic, offset=offset, wait_s=wait_s, as_reader=True
             )
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
@@ -315,43 +282,3 @@
                 age_s=None if fetched is None else round(fetched.page.age_s, 2),
             )
         return None
-
-    async def _fetch(
-        self,
-        name: str,
-        address: str,
-        topic: Topic,
-        *,
-        offset: int | None,
-        wait_s: float,
-        as_reader: bool = False,
-    ) -> _FetchedPage | None:
-        """Read the notices of another router.
-
-        :param as_reader: Whether to rely on the other router to read the store.
-        """
-        query: dict[str, str] = {"reader": "1"} if as_reader else {}
-        if offset is not None:
-            query["after"] = str(offset)
-        if wait_s > 0:
-            query["wait"] = f"{wait_s:.2f}"
-        target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
-        result = await self._http.call(
-            address, "GET", target, timeout_s=wait_s + RESPONSE_TIMEOUT_S
-        )
-        if isinstance(result, Failure) or result.unwrap().status != HTTP_OK:
-            return None
-        response = result.unwrap()
-        decode_started_at = time.perf_counter()
-        page = decode_page(response.body)
-        if page is None:
-            return None
-        read = ReadStats(
-            source=name,
-            body_bytes=len(response.body),
-            wait_s=response.wait_s,
-            transfer_s=response.transfer_s,
-            decode_s=time.perf_counter() - decode_started_at,
-        )
-        self._view.renew_router(name, now=self._clock())
-        return _FetchedPage(page, read)
