Carry the era of the store through reads, pages and logs

The client of the store decodes the era (absent or unreadable: unknown, logged once); batches, positions, pages of other routers and the logs 'store history gone', 'store lost', 'store back' and 'operator changes read' name it, and 'store era changed' tells both offsets of a topic. Nothing is decided by it yet. Pages name it in a header and requests in the query, both of which earlier builds ignore: they reject a page with another field.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -7,6 +7,8 @@
 from cornellead_core.routing._node_settings import Bounds
 from cornellead_core.routing._node_settings import NodeSettings
 from cornellead_core.routing._node_settings import StoreSettings
+from cornellead_core.routing._position import UNKNOWN_ERA
+from cornellead_core.routing._position import Position
 from cornellead_core.routing._route import CallerLimits
 from cornellead_core.routing._route import RequestKind
 from cornellead_core.routing._route import Route
@@ -42,6 +44,7 @@
 
 __all__ = [
     "STORE_SOURCE",
+    "UNKNOWN_ERA",
     "Bounds",
     "CallerHeaders",
     "CallerLimits",
@@ -55,6 +58,7 @@
     "Notice",
     "NoticeBatch",
     "OffsetExpired",
+    "Position",
     "PromptPart",
     "QuarantineMark",
     "QuarantineNotice",
--- a/packages/core/src/cornellead_core/routing/_http_client.py
+++ b/packages/core/src/cornellead_core/routing/_http_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
@@ -19,6 +21,8 @@
     """Time from the request to the start of the response."""
     transfer_s: float = 0.0
     """Time from the start to the end of the response."""
+    headers: Mapping[str, str] = MappingProxyType({})
+    """Values by name in lower case."""
 
 
 class HttpClient(Protocol):
--- /dev/null
+++ b/packages/core/src/cornellead_core/routing/_position.py
@@ -0,0 +1,31 @@
+"""Place in the history of a topic of the store."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+UNKNOWN_ERA = -1
+"""Era of a store, or of a router of an earlier build, that names none."""
+
+
+class Position(NamedTuple):
+    """Offset at which to continue reading, and the history that it belongs to.
+
+    A store that comes back from an older copy gives out the offsets after the copy again, for other
+    records.
+
+    >>> Position(4, era=1).continues_in(2)
+    False
+    """
+
+    offset: int
+    era: int = UNKNOWN_ERA
+    """Number of the history, which rises each time the store comes back from a copy."""
+
+    def continues_in(self, era: int) -> bool:
+        """Return whether records of an era are the ones after this position.
+
+        An unknown era is taken for the one of the position: a store that names none keeps its
+        history.
+        """
+        return era in (UNKNOWN_ERA, self.era)
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from cornellead_core.routing._position import UNKNOWN_ERA
+from cornellead_core.routing._position import Position
 from cornellead_core.routing._routing_config import RoutingData
 from cornellead_core.routing._server_entry import ServerEntry
 
@@ -125,6 +127,13 @@
     """Later records that the topic contained already. Unless 0, the notices are not its newest
     state, and the rest is to be read with `read_newest`."""
     read: ReadStats | None = None
+    era: int = UNKNOWN_ERA
+    """History of the store that they belong to."""
+
+    @property
+    def position(self) -> Position:
+        """Where to continue reading."""
+        return Position(self.next_offset, self.era)
 
     @property
     def is_current(self) -> bool:
@@ -136,6 +145,8 @@
     """The store no longer retains the record at the offset; continue with `read_newest`."""
 
     offset: int
+    era: int = UNKNOWN_ERA
+    """Era of the store or router that said so."""
 
 
 class StoreError(NamedTuple):
@@ -152,9 +163,9 @@
         ...
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        """Return the next notices from an offset on, with long polling.
+        """Return the next notices from a position on, with long polling.
 
         :param wait_s: Maximum time to wait for the first notice; 0 returns immediately.
         """
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import ServerNotice
@@ -30,6 +32,13 @@
     """Whether the notices are a snapshot that replaces all earlier notices."""
     age_s: float
     """Time since the store confirmed the notices."""
+    era: int = UNKNOWN_ERA
+    """History of the store that the notices and the offset belong to."""
+
+    @property
+    def position(self) -> Position:
+        """Where to continue reading."""
+        return Position(self.next_offset, self.era)
 
 
 class _Change(NamedTuple):
@@ -44,18 +53,18 @@
     Offsets are those of the store, so a client can continue at any other router.
 
     >>> log = ChangeLog()
-    >>> log.replace([ServerNotice("s1", None, False)], 5, now=0.0)
-    >>> log.add([ServerNotice("s1", None, False)], 6, now=1.0)
-    >>> log.read(5, now=1.5)
-    RelayPage(notices=[], next_offset=6, snapshot=False, age_s=0.5)
-    >>> log.read(2, now=1.5).snapshot
+    >>> log.replace([ServerNotice("s1", None, False)], Position(5, era=1), now=0.0)
+    >>> log.add([ServerNotice("s1", None, False)], Position(6, era=1), now=1.0)
+    >>> log.read(Position(5, era=1), now=1.5)
+    RelayPage(notices=[], next_offset=6, snapshot=False, age_s=0.5, era=1)
+    >>> log.read(Position(2, era=1), now=1.5).snapshot
     True
     """
 
     def __init__(self) -> None:
         self._changes: dict[str, _Change] = {}
         self._oldest_offset = 0
-        self._next_offset: int | None = None
+        self._next: Position | None = None
         self._confirmed_at = 0.0
         self._changed = asyncio.Event()
         self.from_store = False
@@ -65,52 +74,53 @@
     @property
     def loaded(self) -> bool:
         """Whether the log has received a snapshot or changes."""
-        return self._next_offset is not None
+        return self._next is not None
 
-    def replace(self, notices: Sequence[Notice], next_offset: int, *, now: float) -> None:
+    def replace(self, notices: Sequence[Notice], position: Position, *, now: float) -> None:
         """Replace the log with the newest notices of all writers.
 
-        :param next_offset: Offset after the last notice.
+        :param position: Position after the last notice.
         :param now: Seconds.
         """
         self._changes = {}
-        self._oldest_offset = next_offset
+        self._oldest_offset = position.offset
         for notice in notices:
-            self._changes[_writer(notice)] = _Change(next_offset - 1, now, notice)
-        self._record_confirmation(next_offset, now=now)
+            self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
+        self._record_confirmation(position, now=now)
 
     def add(
-        self, notices: Sequence[Notice], next_offset: int, *, now: float, complete: bool = True
+        self, notices: Sequence[Notice], position: Position, *, now: float, complete: bool = True
     ) -> None:
         """Apply later notices.
 
-        :param next_offset: Offset after the last notice.
+        :param position: Position after the last notice.
         :param now: Seconds.
         :param complete: Whether the store had no further notices.
         """
         for notice in notices:
             previous = self._changes.get(_writer(notice))
             if previous is None or previous.notice != notice:
-                self._changes[_writer(notice)] = _Change(next_offset - 1, now, notice)
+                self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
         self._evict_removals(now)
-        self._record_confirmation(next_offset, now=now if complete else self._confirmed_at)
+        self._record_confirmation(position, now=now if complete else self._confirmed_at)
 
-    def read(self, offset: int | None, *, now: float) -> RelayPage | None:
-        """Return the changes since an offset, or a snapshot if the offset is too old.
+    def read(self, position: Position | None, *, now: float) -> RelayPage | None:
+        """Return the changes since a position, or a snapshot if the position is too old.
 
-        :param offset: ``None`` for a snapshot.
+        :param position: ``None`` for a snapshot.
         :returns: ``None`` if the log is still empty.
         """
-        if self._next_offset is None:
+        if self._next is None:
             return None
         age_s = now - self._confirmed_at
-        if offset is None or offset < self._oldest_offset:
+        end, era = self._next
+        if position is None or position.offset < self._oldest_offset:
             notices = [c.notice for c in self._changes.values() if not _is_removal(c.notice)]
-            return RelayPage(notices, self._next_offset, True, age_s)
-        changes = [c for c in self._changes.values() if c.offset >= offset]
+            return RelayPage(notices, end, True, age_s, era)
+        changes = [c for c in self._changes.values() if c.offset >= position.offset]
         changes.sort(key=lambda change: change.offset)
         notices = [change.notice for change in changes]
-        return RelayPage(notices, max(offset, self._next_offset), False, age_s)
+        return RelayPage(notices, max(position.offset, end), False, age_s, era)
 
     def set_from_store(self, from_store: bool) -> None:
         """Set `from_store` and end all waits if the store was lost."""
@@ -119,24 +129,24 @@
         if lost:
             self._wake()
 
-    async def wait(self, offset: int, *, timeout_s: float) -> None:
-        """Wait until the log has notices beyond an offset, the store is lost, or the timeout
+    async def wait(self, position: Position, *, timeout_s: float) -> None:
+        """Wait until the log has notices beyond a position, the store is lost, or the timeout
         expires.
 
         Returns immediately if the log is still empty.
 
         :param timeout_s: Maximum wait in seconds.
         """
-        if self._next_offset is None or self._next_offset > offset:
+        if self._next is None or self._next.offset > position.offset:
             return
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
         except TimeoutError:
             return
 
-    def _record_confirmation(self, next_offset: int, *, now: float) -> None:
-        advanced = self._next_offset is None or next_offset > self._next_offset
-        self._next_offset = next_offset
+    def _record_confirmation(self, position: Position, *, now: float) -> None:
+        advanced = self._next is None or position.offset > self._next.offset
+        self._next = position
         self._confirmed_at = now
         if advanced:
             self._wake()
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -12,7 +12,9 @@
 
 from cornellead.gateway.relay._change_log import RelayPage
 from cornellead.gateway.relay._relay_codec import decode_page
+from cornellead.gateway.relay._relay_handler import ERA_HEADER
 from cornellead.gateway.relay._relay_handler import PATH_PREFIX
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import ReadStats
 
 if TYPE_CHECKING:
@@ -21,6 +23,8 @@
 
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import HttpClient
+    from cornellead_core.routing import HttpResponse
+    from cornellead_core.routing import Position
     from cornellead_core.routing import Topic
 
 RESPONSE_TIMEOUT_S = 0.3
@@ -50,12 +54,17 @@
         self._clock = clock
 
     async def fetch_youngest(
-        self, addresses: Mapping[str, str], topic: Topic, *, offset: int | None, wait_s: float
+        self,
+        addresses: Mapping[str, str],
+        topic: Topic,
+        *,
+        position: Position | None,
+        wait_s: float,
     ) -> FetchedPage | None:
         """Query routers concurrently and return the most recently confirmed page."""
         responses = await asyncio.gather(
             *(
-                self.fetch(name, address, topic, offset=offset, wait_s=wait_s)
+                self.fetch(name, address, topic, position=position, wait_s=wait_s)
                 for name, address in addresses.items()
             )
         )
@@ -68,7 +77,7 @@
         address: str,
         topic: Topic,
         *,
-        offset: int | None,
+        position: Position | None,
         wait_s: float,
         as_reader: bool = False,
     ) -> FetchedPage | None:
@@ -77,8 +86,10 @@
         :param as_reader: Whether to rely on the other router to read the store.
         """
         query: dict[str, str] = {"reader": "1"} if as_reader else {}
-        if offset is not None:
-            query["after"] = str(offset)
+        if position is not None:
+            query["after"] = str(position.offset)
+            if position.era != UNKNOWN_ERA:
+                query["era"] = str(position.era)
         if wait_s > 0:
             query["wait"] = f"{wait_s:.2f}"
         target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
@@ -100,4 +111,10 @@
             decode_s=time.perf_counter() - decode_started_at,
         )
         self._view.renew_router(name, now=self._clock())
-        return FetchedPage(page, read)
+        return FetchedPage(page._replace(era=_decode_era(response)), read)
+
+
+def _decode_era(response: HttpResponse) -> int:
+    """Return the era of a page; unknown for one of a router of an earlier build."""
+    text = response.headers.get(ERA_HEADER.lower(), "")
+    return int(text) if text.isascii() and text.isdecimal() else UNKNOWN_ERA
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -6,6 +6,8 @@
 from urllib.parse import parse_qsl
 
 from cornellead.gateway.relay._relay_codec import encode_page
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import Position
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -17,12 +19,15 @@
     from cornellead.gateway.relay._change_log import ChangeLog
 
 PATH_PREFIX = "/notices/"
+ERA_HEADER = "Notices-Era"
+"""Header of a page with the era that its offsets belong to; routers of an earlier build ignore it,
+and reject a page with another field."""
 MAX_WAIT_S = 2.0
 """Maximum time for which a read is held while there are no changes."""
 
 
 class RelayHandler:
-    """Handles ``GET /notices/<topic>?after=<offset>&wait=<seconds>&reader=1``.
+    """Handles ``GET /notices/<topic>?after=<offset>&era=<era>&wait=<seconds>&reader=1``.
 
     With ``reader``, the other router relies on this one to read the store.
     """
@@ -42,16 +47,17 @@
         log = self._logs[Topic(topic)]
         query = dict(parse_qsl(req.target.partition(b"?")[2].decode("latin-1")))
         try:
-            offset = int(query["after"]) if "after" in query else None
+            era = int(query.get("era", UNKNOWN_ERA))
+            position = Position(int(query["after"]), era) if "after" in query else None
             wait_s = min(MAX_WAIT_S, float(query.get("wait", "0")))
         except ValueError:
             out.respond(400, (), b"")
             return
         relied_on = "reader" in query
-        if offset is not None and wait_s > 0 and (log.from_store or not relied_on):
-            await log.wait(offset, timeout_s=wait_s)
-        page = log.read(offset, now=self._clock())
+        if position is not None and wait_s > 0 and (log.from_store or not relied_on):
+            await log.wait(position, timeout_s=wait_s)
+        page = log.read(position, now=self._clock())
         if page is None or (relied_on and not log.from_store):
             out.respond(503, (), b"")
             return
-        out.respond(200, (), encode_page(page))
+        out.respond(200, ((ERA_HEADER.encode(), b"%d" % page.era),), encode_page(page))
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -26,6 +26,7 @@
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import HttpClient
+    from cornellead_core.routing import Position
     from cornellead_core.routing import QuarantineMark
     from cornellead_core.routing import RouterLocation
     from cornellead_core.routing import StoreError
@@ -90,7 +91,7 @@
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         """Return the newest notice of each writer."""
-        fetched = await self._query_reader(topic, offset=None, wait_s=0.0)
+        fetched = await self._query_reader(topic, position=None, wait_s=0.0)
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
         if self.logs[topic].loaded or topic is Topic.ROUTERS:
@@ -103,12 +104,12 @@
         if isinstance(result, Success):
             batch = result.unwrap()
             sent_at = self._clock() - batch.age_s
-            self.logs[topic].replace(batch.notices, batch.next_offset, now=sent_at)
+            self.logs[topic].replace(batch.notices, batch.position, now=sent_at)
             self.logs[topic].set_from_store(True)
             return result
         self.logs[topic].set_from_store(False)
         peers = self._sample_peers(MAX_QUERIED_PEERS)
-        youngest = await self._peers.fetch_youngest(peers, topic, offset=None, wait_s=0.0)
+        youngest = await self._peers.fetch_youngest(peers, topic, position=None, wait_s=0.0)
         if youngest is None:
             return result
         if self.logs[topic].loaded and youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
@@ -116,19 +117,19 @@
         return Success(self._apply_snapshot(topic, youngest))
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        """Return the notices since an offset, waiting for the first one.
+        """Return the notices since a position, waiting for the first one.
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
         hold_s = min(MAX_WAIT_S, wait_s)
-        fetched = await self._query_reader(topic, offset=offset, wait_s=hold_s)
+        fetched = await self._query_reader(topic, position=position, wait_s=hold_s)
         if fetched is None and topic in self._store_retry_at:
-            fetched = await self._query_backups_in_outage(topic, offset=offset, wait_s=hold_s)
+            fetched = await self._query_backups_in_outage(topic, position=position, wait_s=hold_s)
         if fetched is not None:
-            return self._apply_changes(topic, fetched, offset=offset)
-        return await self._read_store_after(topic, offset=offset, wait_s=wait_s)
+            return self._apply_changes(topic, fetched, offset=position.offset)
+        return await self._read_store_after(topic, position=position, wait_s=wait_s)
 
     async def announce(
         self, router: str, location: RouterLocation | None
@@ -168,21 +169,21 @@
             await asyncio.sleep(interval_s)
             interval_s = min(MAX_POLL_S, 2 * interval_s)
             peers = self._readers() or self._sample_peers(MAX_BACKUPS_QUERIED)
-            fetched = await self._peers.fetch_youngest(peers, topic, offset=None, wait_s=0.0)
+            fetched = await self._peers.fetch_youngest(peers, topic, position=None, wait_s=0.0)
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
                 return fetched
 
     async def _read_store_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         """Read the store, or other routers if it fails."""
-        result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
+        result = await self._store.read_after(topic, position=position, wait_s=wait_s)
         if isinstance(result, Success):
             batch = result.unwrap()
             self.logs[topic].add(
                 batch.notices,
-                batch.next_offset,
+                batch.position,
                 now=self._clock() - batch.age_s,
                 complete=batch.records_left == 0,
             )
@@ -193,24 +194,28 @@
             return result
         self.logs[topic].set_from_store(False)
         self._store_retry_at[topic] = self._clock() + STORE_BACKOFF_S
-        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
-        return result if fetched is None else self._apply_changes(topic, fetched, offset=offset)
+        fetched = await self._query_backups(topic, position=position, wait_s=0.0)
+        return (
+            result
+            if fetched is None
+            else self._apply_changes(topic, fetched, offset=position.offset)
+        )
 
     def _apply_snapshot(self, topic: Topic, fetched: FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
-        self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
+        self.logs[topic].replace(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
+        return _make_batch(fetched)
 
     def _apply_changes(
         self, topic: Topic, fetched: FetchedPage, *, offset: int
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         page, age_s = fetched.page, fetched.age_s
         if page.snapshot:
-            return Failure(OffsetExpired(offset))
-        self.logs[topic].add(page.notices, page.next_offset, now=self._clock() - age_s)
+            return Failure(OffsetExpired(offset, page.era))
+        self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return Success(NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read))
+        return Success(_make_batch(fetched))
 
     def _sample_peers(self, count: int) -> dict[str, str]:
         """Return the addresses of a few random routers of any data centre by name."""
@@ -219,7 +224,7 @@
         return {name: location.address for name, location in sample}
 
     async def _query_backups_in_outage(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> FetchedPage | None:
         """Return what other routers have while the store counts as lost; ``None`` if it is to be
         read.
@@ -228,16 +233,16 @@
         newest state in a small part of its size.
         """
         if self._clock() < self._store_retry_at[topic]:
-            return await self._query_backups(topic, offset=offset, wait_s=wait_s)
-        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
+            return await self._query_backups(topic, position=position, wait_s=wait_s)
+        fetched = await self._query_backups(topic, position=position, wait_s=0.0)
         return fetched if fetched is not None and fetched.page.notices else None
 
     async def _query_backups(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> FetchedPage | None:
         """Return recent notices of another router, if one has them."""
         peers = self._sample_peers(MAX_BACKUPS_QUERIED)
-        youngest = await self._peers.fetch_youngest(peers, topic, offset=offset, wait_s=wait_s)
+        youngest = await self._peers.fetch_youngest(peers, topic, position=position, wait_s=wait_s)
         if youngest is None or youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
             return None
         self.relayed += 1
@@ -263,13 +268,13 @@
         return {name: members[name].address for name in preceding[:MAX_READERS_QUERIED]}
 
     async def _query_reader(
-        self, topic: Topic, *, offset: int | None, wait_s: float
+        self, topic: Topic, *, position: Position | None, wait_s: float
     ) -> FetchedPage | None:
         for name, address in self._readers().items():
             if self._clock() < self._backoff_until.get((name, topic), 0.0):
                 continue
             fetched = await self._peers.fetch(
-                name, address, topic, offset=offset, wait_s=wait_s, as_reader=True
+                name, address, topic, position=position, wait_s=wait_s, as_reader=True
             )
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
@@ -282,3 +287,10 @@
                 age_s=None if fetched is None else round(fetched.page.age_s, 2),
             )
         return None
+
+
+def _make_batch(fetched: FetchedPage) -> NoticeBatch:
+    page = fetched.page
+    return NoticeBatch(
+        page.notices, page.next_offset, fetched.age_s, read=fetched.read, era=page.era
+    )
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -70,6 +70,7 @@
             configs=[data.version for data in routing if data is not None],
             notices=len(batch.notices),
             next_offset=batch.next_offset,
+            era=batch.era,
             records_left=batch.records_left,
             age_s=round(batch.age_s, 2),
             body_bytes=read.body_bytes,
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -17,6 +17,7 @@
 
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import NoticeBatch
+    from cornellead_core.routing import Position
     from cornellead_core.routing import Topic
 
 INITIAL_BACKOFF_S = 0.1
@@ -71,7 +72,9 @@
         self._sink = sink
         self._wait_s = wait_s
         self._interval_s = interval_s
-        self._offset: int | None = None
+        self._position: Position | None = None
+        self._left: Position | None = None
+        """Position in the history that was given up, until another one is begun."""
         self._confirm_at_once = False
         self._unavailable = False
 
@@ -89,11 +92,11 @@
                 await asyncio.sleep(self._interval_s())
             else:
                 await asyncio.sleep(backoff_s)
-                max_backoff_s = MAX_STARTUP_BACKOFF_S if self._offset is None else MAX_BACKOFF_S
+                max_backoff_s = MAX_STARTUP_BACKOFF_S if self._position is None else MAX_BACKOFF_S
                 backoff_s = min(max_backoff_s, 2 * backoff_s)
 
     async def _read(self) -> bool:
-        if self._offset is None:
+        if self._position is None:
             newest = await self._store.read_newest(self._topic)
             if isinstance(newest, Failure):
                 self._record_failure(newest.failure().message)
@@ -101,17 +104,21 @@
             batch = newest.unwrap()
             self._record_success(batch)
             self._sink.apply_snapshot(batch)
-            self._offset = batch.next_offset
+            self._begin_history(batch.position)
             return True
         wait_s = 0.0 if self._confirm_at_once else self._wait_s
-        later = await self._store.read_after(self._topic, offset=self._offset, wait_s=wait_s)
+        later = await self._store.read_after(self._topic, position=self._position, wait_s=wait_s)
         if isinstance(later, Failure):
             error = later.failure()
             if isinstance(error, OffsetExpired):
                 structlog.get_logger().info(
-                    "store history gone", topic=self._topic.value, offset=error.offset
+                    "store history gone",
+                    topic=self._topic.value,
+                    offset=error.offset,
+                    era=self._position.era,
+                    store_era=error.era,
                 )
-                self._offset = None
+                self._left, self._position = self._position, None
                 return True
             self._record_failure(error.message)
             return False
@@ -119,15 +126,32 @@
         self._record_success(batch)
         self._sink.apply_changes(batch)
         # The newest records are one transfer, however many there are before them.
-        self._offset = batch.next_offset if batch.records_left == 0 else None
+        self._position = batch.position if batch.records_left == 0 else None
         return True
 
+    def _begin_history(self, position: Position) -> None:
+        left, self._left, self._position = self._left, None, position
+        if left is None or position.era == left.era:
+            return
+        structlog.get_logger().info(
+            "store era changed",
+            topic=self._topic.value,
+            era_before=left.era,
+            era=position.era,
+            offset_before=left.offset,
+            offset=position.offset,
+        )
+
     def _record_failure(self, message: str) -> None:
         self._sink.mark_unavailable()
         if not self._unavailable:
             self._unavailable = True
             structlog.get_logger().warning(
-                "store lost", topic=self._topic.value, offset=self._offset, error=message
+                "store lost",
+                topic=self._topic.value,
+                offset=None if self._position is None else self._position.offset,
+                era=None if self._position is None else self._position.era,
+                error=message,
             )
 
     def _record_success(self, batch: NoticeBatch) -> None:
@@ -138,4 +162,10 @@
         elif self._unavailable:
             self._unavailable = False
             source = STORE_SOURCE if batch.read is None else batch.read.source
-            log.info("store back", topic=self._topic.value, offset=self._offset, source=source)
+            log.info(
+                "store back",
+                topic=self._topic.value,
+                offset=batch.next_offset,
+                era=batch.era,
+                source=source,
+            )
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -91,5 +91,6 @@
                 response_body,
                 wait_s=response_at - started_at,
                 transfer_s=loop.time() - response_at,
+                headers=response.headers,
             )
         )
--- a/scripts/measurements/_gateway_slopes.py
+++ b/scripts/measurements/_gateway_slopes.py
@@ -20,6 +20,7 @@
 from cornellead.gateway.view import RouterLoad
 from cornellead.upstream import encode_request_head
 from cornellead_core.routing import CallerLimits
+from cornellead_core.routing import Position
 from cornellead_core.routing import RequestKind
 from cornellead_core.routing import Route
 from cornellead_core.routing import RoutingConfig
@@ -86,7 +87,7 @@
 
 def _change_log(count: int) -> ChangeLog:
     log = ChangeLog()
-    log.replace(_server_notices(count), count, now=0.0)
+    log.replace(_server_notices(count), Position(count), now=0.0)
     return log
 
 
@@ -98,8 +99,8 @@
 
 def _changes_bytes(count: int) -> float:
     log = _change_log(0)
-    log.add(_server_notices(count), count, now=0.0)
-    page = log.read(0, now=0.1)
+    log.add(_server_notices(count), Position(count), now=0.0)
+    page = log.read(Position(0), now=0.1)
     assert page is not None
     return float(len(encode_page(page)))
 
@@ -160,8 +161,8 @@
 
 def _config_page(data: RoutingData) -> RelayPage:
     log = _change_log(0)
-    log.add([RoutingNotice(data, "")], 1, now=0.0)
-    page = log.read(0, now=0.1)
+    log.add([RoutingNotice(data, "")], Position(1), now=0.0)
+    page = log.read(Position(0), now=0.1)
     assert page is not None
     return page
 
@@ -185,7 +186,7 @@
 
 def _idle_poll_bytes() -> int:
     """Return the bytes of a poll for notices and its response when nothing changed."""
-    page = _change_log(1000).read(1000, now=0.1)
+    page = _change_log(1000).read(Position(1000), now=0.1)
     assert page is not None
     body = encode_page(page)
     request = encode_request_head(
--- a/tests/platform_adapter/fake_store.py
+++ b/tests/platform_adapter/fake_store.py
@@ -39,8 +39,8 @@
         """Whether every call is rejected with status 503."""
         self.silent = False
         """Whether calls get no response."""
-        self.era = 1
-        """Named in each response; rises by one each time the store comes back from a copy."""
+        self.era_header: bytes | None = b"1"
+        """Value of the header in each response; ``None`` for a store that names no era."""
         self.called_paths: list[str] = []
         """Paths of all calls, in order of arrival."""
         self._records: dict[str, list[KeyedRecord]] = {}
@@ -54,6 +54,15 @@
             clock=time.monotonic,
         )
 
+    @property
+    def era(self) -> int:
+        """Number in the header, which rises by one each time the store comes back from a copy."""
+        return int(self.era_header or b"0")
+
+    @era.setter
+    def era(self, era: int) -> None:
+        self.era_header = b"%d" % era
+
     async def start(self) -> None:
         await self._listener.start()
 
@@ -116,7 +125,9 @@
 
     @property
     def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
-        return (*JSON_HEADERS, (b"Store-Era", b"%d" % self.era))
+        if self.era_header is None:
+            return JSON_HEADERS
+        return (*JSON_HEADERS, (b"Store-Era", self.era_header))
 
     def _respond_newest(self, params: dict[str, str], out: ResponseWriter) -> None:
         newest = sorted(self.newest(params["topic"]).items())
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -5,11 +5,14 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
 from returns.result import Failure
 from tests.platform_adapter import payloads
 
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterLocation
@@ -47,7 +50,7 @@
     fake_store.put("keyed.op", "evacuate/kgl-a", {})
     fake_store.put("keyed.op", "config", payloads.operator_config(9))
     fake_store.put("keyed.op", "evacuate/kgl-a", None)
-    batch = (await client.read_after(Topic.OPERATOR, offset=start, wait_s=0.0)).unwrap()
+    batch = (await client.read_after(Topic.OPERATOR, position=Position(start), wait_s=0.0)).unwrap()
     first, second, third = batch.notices
     assert first == DataCentreNotice("kgl-a", out=True)
     assert isinstance(second, RoutingNotice)
@@ -61,7 +64,7 @@
     fake_store, client = store
     fake_store.put("keyed.op", "config", payloads.operator_config())
     fake_store.expire_records("keyed.op")
-    result = await client.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    result = await client.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
     assert isinstance(result, Failure) and isinstance(result.failure(), OffsetExpired)
 
 
@@ -71,13 +74,13 @@
     await client.announce("r1", RouterLocation("10.0.0.1:7340", "kgl-a"))
     await client.announce("r2", RouterLocation("10.0.0.2:7340", "kgl-b"))
     await client.announce("r1", None)
-    batch = (await client.read_after(Topic.ROUTERS, offset=0, wait_s=0.0)).unwrap()
+    batch = (await client.read_after(Topic.ROUTERS, position=Position(0), wait_s=0.0)).unwrap()
     assert batch.notices[1:] == [
         RouterNotice("r2", RouterLocation("10.0.0.2:7340", "kgl-b")),
         RouterNotice("r1", None),
     ]
     await client.announce("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))
-    batch = (await client.read_after(Topic.ROUTERS, offset=3, wait_s=0.0)).unwrap()
+    batch = (await client.read_after(Topic.ROUTERS, position=Position(3), wait_s=0.0)).unwrap()
     assert batch.notices == [RouterNotice("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))]
 
 
@@ -93,7 +96,7 @@
     batch = (await client.read_newest(Topic.ROUTERS)).unwrap()
     assert QuarantineNotice("48720f", mark) in batch.notices
     assert not any(n for n in batch.notices if n == QuarantineNotice("a05928", mark))
-    later = (await client.read_after(Topic.ROUTERS, offset=3, wait_s=0.0)).unwrap()
+    later = (await client.read_after(Topic.ROUTERS, position=Position(3), wait_s=0.0)).unwrap()
     assert later.notices == [QuarantineNotice("a05928", None)]
 
 
@@ -105,7 +108,7 @@
     assert isinstance(rejected, Failure) and isinstance(rejected.failure(), StoreError)
     fake_store.down, fake_store.silent = False, True
     started_at = time.monotonic()
-    timed_out = await client.read_after(Topic.OPERATOR, offset=0, wait_s=0.2)
+    timed_out = await client.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.2)
     assert isinstance(timed_out, Failure) and isinstance(timed_out.failure(), StoreError)
     assert time.monotonic() - started_at < 2.0
 
@@ -120,7 +123,30 @@
     fake_store.put("keyed.servers", "s5", payloads.server_entry())
     fake_store.put("keyed.servers", "s6", ["no object"])
     fake_store.put_raw("keyed.servers", "s7", b"[" * 100_000)
-    batch = (await client.read_after(Topic.SERVERS, offset=0, wait_s=0.0)).unwrap()
+    batch = (await client.read_after(Topic.SERVERS, position=Position(0), wait_s=0.0)).unwrap()
     usable = [n.server for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
     assert usable == ["s5"]
     assert len(batch.notices) == 7
+
+
+async def test_batches_name_the_era_of_the_store(store: Store) -> None:
+    """Guards against logs that do not tell which history of the store an offset belongs to."""
+    fake_store, client = store
+    fake_store.put("keyed.op", "config", payloads.operator_config(7))
+    fake_store.restore(fake_store.copy())
+    newest = (await client.read_newest(Topic.OPERATOR)).unwrap()
+    later = (await client.read_after(Topic.OPERATOR, position=newest.position, wait_s=0.0)).unwrap()
+    assert newest.position == later.position == Position(1, era=2)
+    gone = await client.read_after(Topic.OPERATOR, position=Position(5, era=1), wait_s=0.0)
+    assert isinstance(gone, Failure) and gone.failure() == OffsetExpired(5, era=2)
+
+
+@pytest.mark.parametrize("era", [None, b"", b"-2", b"two", b"1" * 30, "٣".encode()])
+async def test_store_without_a_usable_era_is_read(store: Store, era: bytes | None) -> None:
+    """Guards against routers that stop reading a store which names no era, or an odd one."""
+    fake_store, client = store
+    fake_store.era_header = era
+    fake_store.put("keyed.op", "config", payloads.operator_config(7))
+    newest = (await client.read_newest(Topic.OPERATOR)).unwrap()
+    later = await client.read_after(Topic.OPERATOR, position=newest.position, wait_s=0.0)
+    assert later.unwrap().position == newest.position == Position(1, era=UNKNOWN_ERA)
--- a/tests/router/gateway/relay/test_change_log.py
+++ b/tests/router/gateway/relay/test_change_log.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.relay._relay_codec import decode_page
 from cornellead.gateway.relay._relay_codec import encode_page
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import Position
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
@@ -36,36 +37,36 @@
 ) -> None:
     """Guards against lost changes between routers, however rarely one reads."""
     log = ChangeLog()
-    log.replace([], 0, now=0.0)
+    log.replace([], Position(0), now=0.0)
     expected: dict[str, ServerNotice] = {}
     applied: dict[str, ServerNotice] = {}
-    offset: int | None = None
+    position: Position | None = None
     end = 0
     for number, batch in enumerate([*batches, []]):
         now = (number + 1) * gaps
         notices = [_notice(*change) for change in batch]
         end += len(notices)
-        log.add(notices, end, now=now)
+        log.add(notices, Position(end), now=now)
         expected.update({notice.server: notice for notice in notices})
         if number in read_at or number == len(batches):
-            page = log.read(offset, now=now)
+            page = log.read(position, now=now)
             assert page is not None
             if page.snapshot:
                 applied = {}
             applied.update({n.server: n for n in page.notices if isinstance(n, ServerNotice)})
-            offset = page.next_offset
+            position = page.position
     present = {name: notice for name, notice in expected.items() if notice.entry is not None}
     assert {name: n for name, n in applied.items() if n.entry is not None} == present
-    assert offset == end
+    assert position == Position(end)
 
 
 def test_renewals_are_not_relayed() -> None:
     """Guards against control traffic that grows with the heartbeats of a thousand servers."""
     log = ChangeLog()
-    log.replace([_notice("a", "ready")], 1, now=0.0)
+    log.replace([_notice("a", "ready")], Position(1), now=0.0)
     for number in range(100):
-        log.add([_notice("a", "ready")], number + 2, now=float(number))
-    page = log.read(1, now=100.0)
+        log.add([_notice("a", "ready")], Position(number + 2), now=float(number))
+    page = log.read(Position(1), now=100.0)
     assert page is not None and page.notices == [] and page.next_offset == 101
 
 
@@ -73,8 +74,8 @@
     """Guards against old notices that are relayed as current ones."""
     log = ChangeLog()
     assert log.read(None, now=0.0) is None
-    log.replace([], 3, now=1.0)
-    page = log.read(3, now=4.5)
+    log.replace([], Position(3), now=1.0)
+    page = log.read(Position(3), now=4.5)
     assert page is not None and page.age_s == 3.5
 
 
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -24,6 +24,7 @@
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import ServerNotice
@@ -54,12 +55,12 @@
         return Success(NoticeBatch([*self.notices], len(self.notices)))
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         self.calls += 1
         if self.unavailable:
             return Failure(StoreError("no answer"))
-        return Success(NoticeBatch([*self.notices[offset:]], len(self.notices)))
+        return Success(NoticeBatch([*self.notices[position.offset :]], len(self.notices)))
 
     async def announce(
         self, router: str, location: RouterLocation | None
@@ -118,7 +119,9 @@
 
 
 async def _read_servers(router: RouterFixture, offset: int) -> list[str]:
-    batch = (await router.store.read_after(Topic.SERVERS, offset=offset, wait_s=0.0)).unwrap()
+    batch = (
+        await router.store.read_after(Topic.SERVERS, position=Position(offset), wait_s=0.0)
+    ).unwrap()
     return [n.server for n in batch.notices if isinstance(n, ServerNotice)]
 
 
@@ -128,7 +131,7 @@
     store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
     await first.store.read_newest(Topic.SERVERS)
     store.notices.append(ServerNotice("s2", make_entry("s2"), removed=False))
-    await first.store.read_after(Topic.SERVERS, offset=1, wait_s=0.0)
+    await first.store.read_after(Topic.SERVERS, position=Position(1), wait_s=0.0)
     before = store.calls
     for router in others[1:]:
         batch = (await router.store.read_newest(Topic.SERVERS)).unwrap()
@@ -153,7 +156,7 @@
     store, (first, second, third, *_) = routers
     old = time.monotonic() - 5.0
     for router in (first, second):
-        router.store.logs[Topic.SERVERS].replace([], 0, now=old)
+        router.store.logs[Topic.SERVERS].replace([], Position(0), now=old)
     store.notices.append(ServerNotice("s1", None, removed=True))
     assert await _read_servers(third, 0) == ["s1"]
     assert store.calls == 1
@@ -163,10 +166,12 @@
     """Guards against a change that is delayed until the next poll of each router."""
     store, (first, _, third, *_) = routers
     await first.store.read_newest(Topic.OPERATOR)
-    reading = asyncio.create_task(third.store.read_after(Topic.OPERATOR, offset=0, wait_s=1.0))
+    reading = asyncio.create_task(
+        third.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=1.0)
+    )
     await asyncio.sleep(0.1)
     store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
-    await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    await first.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
     batch = (await asyncio.wait_for(reading, 0.2)).unwrap()
     assert len(batch.notices) == 1
 
@@ -178,7 +183,7 @@
     store.unavailable = True
     old = time.monotonic() - 5.0
     server_notices = [ServerNotice("s1", make_entry("s1"), removed=False)]
-    last.store.logs[Topic.SERVERS].replace(server_notices, 9, now=old)
+    last.store.logs[Topic.SERVERS].replace(server_notices, Position(9), now=old)
     batch = NoticeBatch([], 0)
     async with asyncio.timeout(3.0):
         while not batch.notices:
@@ -197,7 +202,7 @@
     for number, router in enumerate(others):
         server_notices = [ServerNotice(f"s{number}", make_entry(f"s{number}"), removed=False)]
         router.store.logs[Topic.SERVERS].replace(
-            server_notices, 9, now=time.monotonic() - 5.0 - number
+            server_notices, Position(9), now=time.monotonic() - 5.0 - number
         )
     others[-1].listener.stop_accepting()
     before = time.monotonic()
@@ -220,9 +225,9 @@
     rejecting.unavailable = True
     serving.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
     for router in others:
-        await router.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+        await router.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
         cut_off.view.apply_announcement(router.name, router.location, now=time.monotonic())
-    result = await cut_off.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    result = await cut_off.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
     for router in (cut_off, *others):
         router.listener.stop_accepting()
     batch = result.unwrap()
@@ -235,7 +240,9 @@
     from each other."""
     store, (first, _, third, *_) = routers
     await first.store.read_newest(Topic.OPERATOR)
-    reading = asyncio.create_task(third.store.read_after(Topic.OPERATOR, offset=0, wait_s=1.0))
+    reading = asyncio.create_task(
+        third.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=1.0)
+    )
     await asyncio.sleep(0.1)
     store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
     first.store.logs[Topic.OPERATOR].set_from_store(False)
@@ -290,17 +297,19 @@
     for router in (first, *others):
         await router.store.read_newest(Topic.OPERATOR)
     store.unavailable = True
-    relayed = await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)
+    relayed = await first.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
     assert isinstance(relayed, Success)
     store.unavailable = False
     store.notices.append(ServerNotice("s1", make_entry("s1"), removed=False))
     for router in others:
-        router.store.logs[Topic.OPERATOR].add([*store.notices], 1, now=time.monotonic())
+        router.store.logs[Topic.OPERATOR].add([*store.notices], Position(1), now=time.monotonic())
     await asyncio.sleep(STORE_BACKOFF_S)
     before = store.calls
-    batch = (await first.store.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)).unwrap()
+    batch = (
+        await first.store.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
+    ).unwrap()
     assert (len(batch.notices), batch.next_offset, store.calls) == (1, 1, before)
-    await first.store.read_after(Topic.OPERATOR, offset=1, wait_s=0.0)
+    await first.store.read_after(Topic.OPERATOR, position=Position(1), wait_s=0.0)
     assert store.calls == before + 1
 
 
@@ -312,7 +321,7 @@
     await first.store.read_newest(Topic.SERVERS)
     store.unavailable = True
     for router in others:
-        router.store.logs[Topic.SERVERS].replace([], 0, now=time.monotonic() - 5.0)
+        router.store.logs[Topic.SERVERS].replace([], Position(0), now=time.monotonic() - 5.0)
     assert isinstance(await first.store.read_newest(Topic.SERVERS), Failure)
 
 
@@ -349,7 +358,7 @@
     running = RouterFixture("a", free_address(), CountingStore(), link_mbps=100.0)
     starting = RouterFixture("b", free_address(), SlowStore(), link_mbps=10.0)
     await running.listener.start()
-    running.store.logs[Topic.OPERATOR].replace([], 0, now=time.monotonic() - 1.5)
+    running.store.logs[Topic.OPERATOR].replace([], Position(0), now=time.monotonic() - 1.5)
     starting.view.add_reporting_router("a", running.location, now=time.monotonic())
     batch = (await starting.store.read_newest(Topic.OPERATOR)).unwrap()
     assert batch.read is None
--- a/tests/router/gateway/sync/test_large_configuration.py
+++ b/tests/router/gateway/sync/test_large_configuration.py
@@ -19,6 +19,7 @@
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.metrics import Metrics
+from cornellead_core.routing import Position
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import Topic
 from cornellead_platform import StoreClient
@@ -127,7 +128,9 @@
     """Guards against counting a configuration as confirmed when its transfer ends, though the store
     may have got a later version during the transfer."""
     slow_store.put_config(7, route_count=1000)
-    batch = (await slow_store.client.read_after(Topic.OPERATOR, offset=0, wait_s=0.0)).unwrap()
+    batch = (
+        await slow_store.client.read_after(Topic.OPERATOR, position=Position(0), wait_s=0.0)
+    ).unwrap()
     assert batch.read is not None
     assert batch.read.transfer_s > 0.2
     assert batch.age_s >= batch.read.transfer_s
--- a/tests/router/gateway/sync/test_quarantine_publisher.py
+++ b/tests/router/gateway/sync/test_quarantine_publisher.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.view import FleetView
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import StoreError
@@ -38,7 +39,7 @@
         raise NotImplementedError
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         raise NotImplementedError
 
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+import structlog
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -13,6 +14,7 @@
 from cornellead.gateway.sync import TopicReader
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import RouterNotice
@@ -33,9 +35,9 @@
         return await self._next()
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        self.reads.append(offset)
+        self.reads.append(position.offset)
         self.waits.append(wait_s)
         return await self._next()
 
@@ -118,6 +120,20 @@
     assert sink.calls == [("snapshot", ["r1"]), ("snapshot", ["r4"])]
 
 
+async def test_rise_of_the_era_is_logged_with_both_offsets() -> None:
+    """Guards against logs that do not tell a lost history from records that were dropped."""
+    with structlog.testing.capture_logs() as lines:
+        await _read(
+            _batch(9, "r1")._replace(era=1),
+            OffsetExpired(9, era=2),
+            _batch(4, "r1")._replace(era=2),
+        )
+    gone, changed = lines
+    assert (gone["event"], gone["era"], gone["store_era"]) == ("store history gone", 1, 2)
+    assert (changed["event"], changed["era_before"], changed["era"]) == ("store era changed", 1, 2)
+    assert (changed["offset_before"], changed["offset"]) == (9, 4)
+
+
 async def test_outage_is_signalled_and_reading_continues() -> None:
     """Guards against mistaking an outage for an absence of changes."""
     store, sink = await _read(_batch(3), StoreError("503"), StoreError("503"), _batch(4, "r2"))
