--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -9,6 +9,7 @@
 from cornellead_core.routing._node_settings import StoreSettings
 from cornellead_core.routing._position import UNKNOWN_ERA
 from cornellead_core.routing._position import Position
+from cornellead_core.routing._position import are_different
 from cornellead_core.routing._route import CallerLimits
 from cornellead_core.routing._route import RequestKind
 from cornellead_core.routing._route import Route
@@ -82,4 +83,5 @@
     "Topic",
     "WeightedService",
     "WireFormat",
+    "are_different",
 ]
--- a/packages/core/src/cornellead_core/routing/_position.py
+++ b/packages/core/src/cornellead_core/routing/_position.py
@@ -8,6 +8,11 @@
 """Era of a store, or of a router of an earlier build, that names none."""
 
 
+def are_different(era: int, other: int) -> bool:
+    """Return whether two eras are known to be different histories."""
+    return UNKNOWN_ERA not in (era, other) and era != other
+
+
 class Position(NamedTuple):
     """Offset at which to continue reading, and the history that it belongs to.
 
