Continue at an offset only in the era that it belongs to

A reader of the store itself missed records as well once the topic had grown past its offset, and pages of routers that had not noticed brought others back to the lost history (front-kigali-b-1 at 23.884 s).

Cause: an offset was used without the history that it belongs to. A position now names both. A page of a router of an earlier build, which names no era, is used until a restored store was seen.

--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -13,6 +13,7 @@
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import are_different
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -105,7 +106,7 @@
         self._record_confirmation(position, now=now if complete else self._confirmed_at)
 
     def read(self, position: Position | None, *, now: float) -> RelayPage | None:
-        """Return the changes since a position, or a snapshot if the position is too old.
+        """Return the changes since a position, or a snapshot if it is too old or of another era.
 
         :param position: ``None`` for a snapshot.
         :returns: ``None`` if the log is still empty.
@@ -114,7 +115,11 @@
             return None
         age_s = now - self._confirmed_at
         end, era = self._next
-        if position is None or position.offset < self._oldest_offset:
+        if (
+            position is None
+            or position.offset < self._oldest_offset
+            or are_different(position.era, era)
+        ):
             notices = [c.notice for c in self._changes.values() if not _is_removal(c.notice)]
             return RelayPage(notices, end, True, age_s, era)
         changes = [c for c in self._changes.values() if c.offset >= position.offset]
@@ -130,14 +135,18 @@
             self._wake()
 
     async def wait(self, position: Position, *, timeout_s: float) -> None:
-        """Wait until the log has notices beyond a position, the store is lost, or the timeout
-        expires.
+        """Wait until the log has notices beyond a position or of another era, the store is lost, or
+        the timeout expires.
 
         Returns immediately if the log is still empty.
 
         :param timeout_s: Maximum wait in seconds.
         """
-        if self._next is None or self._next.offset > position.offset:
+        if (
+            self._next is None
+            or self._next.offset > position.offset
+            or are_different(self._next.era, position.era)
+        ):
             return
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
@@ -145,7 +154,11 @@
             return
 
     def _record_confirmation(self, position: Position, *, now: float) -> None:
-        advanced = self._next is None or position.offset > self._next.offset
+        advanced = (
+            self._next is None
+            or position.offset > self._next.offset
+            or position.era != self._next.era
+        )
         self._next = position
         self._confirmed_at = now
         if advanced:
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -61,7 +61,8 @@
         position: Position | None,
         wait_s: float,
     ) -> FetchedPage | None:
-        """Query routers concurrently and return the most recently confirmed page."""
+        """Query routers concurrently and return the page of the latest era, and among these the
+        most recently confirmed one."""
         responses = await asyncio.gather(
             *(
                 self.fetch(name, address, topic, position=position, wait_s=wait_s)
@@ -69,7 +70,7 @@
             )
         )
         pages = [fetched for fetched in responses if fetched is not None]
-        return min(pages, key=lambda fetched: fetched.page.age_s, default=None)
+        return min(pages, key=lambda fetched: (-fetched.page.era, fetched.page.age_s), default=None)
 
     async def fetch(
         self,
@@ -88,8 +89,9 @@
         query: dict[str, str] = {"reader": "1"} if as_reader else {}
         if position is not None:
             query["after"] = str(position.offset)
-            if position.era != UNKNOWN_ERA:
-                query["era"] = str(position.era)
+        era = self._view.history.latest(topic)
+        if era != UNKNOWN_ERA:
+            query["era"] = str(era)
         if wait_s > 0:
             query["wait"] = f"{wait_s:.2f}"
         target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
@@ -101,7 +103,8 @@
         response = result.unwrap()
         decode_started_at = time.perf_counter()
         page = decode_page(response.body)
-        if page is None:
+        page_era = _decode_era(response)
+        if page is None or not self._may_use(topic, page_era):
             return None
         read = ReadStats(
             source=name,
@@ -111,7 +114,15 @@
             decode_s=time.perf_counter() - decode_started_at,
         )
         self._view.renew_router(name, now=self._clock())
-        return FetchedPage(page._replace(era=_decode_era(response)), read)
+        return FetchedPage(page._replace(era=page_era), read)
+
+    def _may_use(self, topic: Topic, era: int) -> bool:
+        """Return whether a page is of the latest era, as far as it names one.
+
+        A router of an earlier build names none, and may follow a history that was lost.
+        """
+        history = self._view.history
+        return history.meet(topic, era) and not (era == UNKNOWN_ERA and history.restored)
 
 
 def _decode_era(response: HttpResponse) -> int:
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -29,7 +29,8 @@
 class RelayHandler:
     """Handles ``GET /notices/<topic>?after=<offset>&era=<era>&wait=<seconds>&reader=1``.
 
-    With ``reader``, the other router relies on this one to read the store.
+    With ``reader``, the other router relies on this one to read the store. ``era`` is the latest
+    one of the store that the other router has met in the topic.
     """
 
     def __init__(self, *, logs: Mapping[Topic, ChangeLog], clock: Callable[[], float]) -> None:
@@ -38,7 +39,8 @@
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
         """Respond with a page, with 400 or 404 to an invalid request, or with 503 until the first
-        notices were read, and to a router that relies on this one while it does not read the store.
+        notices were read, to a router that relies on this one while it does not read the store, and
+        to one that has met a later era.
         """
         topic = req.path.removeprefix(PATH_PREFIX)
         if topic not in list(Topic):
@@ -57,7 +59,8 @@
         if position is not None and wait_s > 0 and (log.from_store or not relied_on):
             await log.wait(position, timeout_s=wait_s)
         page = log.read(position, now=self._clock())
-        if page is None or (relied_on and not log.from_store):
+        if page is None or (relied_on and not log.from_store) or UNKNOWN_ERA < page.era < era:
             out.respond(503, (), b"")
             return
-        out.respond(200, ((ERA_HEADER.encode(), b"%d" % page.era),), encode_page(page))
+        headers = () if page.era == UNKNOWN_ERA else ((ERA_HEADER.encode(), b"%d" % page.era),)
+        out.respond(200, headers, encode_page(page))
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -18,6 +18,7 @@
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
+from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -29,7 +30,6 @@
     from cornellead_core.routing import Position
     from cornellead_core.routing import QuarantineMark
     from cornellead_core.routing import RouterLocation
-    from cornellead_core.routing import StoreError
 
 MAX_READERS_QUERIED = 2
 """Routers queried before a router reads the store itself: the reader of the data centre and, when
@@ -49,6 +49,7 @@
 """Interval until other routers are queried by a router that reads the store for the first time: the
 first load reports, which name routers, arrive within a few milliseconds."""
 MAX_POLL_S = 0.16
+EARLIER_ERA = "the answer is of an earlier era than one before"
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
 MAX_BACKUPS_QUERIED = 2
@@ -95,7 +96,7 @@
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
         if self.logs[topic].loaded or topic is Topic.ROUTERS:
-            result = await self._store.read_newest(topic)
+            result = await self._read_store_newest(topic)
         else:
             first = await self._read_first(topic)
             if isinstance(first, FetchedPage):
@@ -128,7 +129,7 @@
         if fetched is None and topic in self._store_retry_at:
             fetched = await self._query_backups_in_outage(topic, position=position, wait_s=hold_s)
         if fetched is not None:
-            return self._apply_changes(topic, fetched, offset=position.offset)
+            return self._apply_changes(topic, fetched, position=position)
         return await self._read_store_after(topic, position=position, wait_s=wait_s)
 
     async def announce(
@@ -152,7 +153,7 @@
         A router that starts knows no reader yet, and the newest records of the store can be twenty
         times as large as the page of a router.
         """
-        from_store = asyncio.create_task(self._store.read_newest(topic))
+        from_store = asyncio.create_task(self._read_store_newest(topic))
         from_router = asyncio.create_task(self._await_page(topic))
         tasks: set[asyncio.Task[Any]] = {from_store, from_router}
         try:
@@ -174,13 +175,33 @@
                 self.relayed += 1
                 return fetched
 
+    async def _read_store_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
+        result = await self._store.read_newest(topic)
+        if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
+            return Failure(StoreError(EARLIER_ERA))
+        return result
+
+    def _meet(self, topic: Topic, era: int) -> bool:
+        """Record the era of an answer of the store, and return whether the answer may be used."""
+        latest = self._view.history.latest(topic)
+        if self._view.history.meet(topic, era):
+            return True
+        structlog.get_logger().info(
+            "answer of an earlier era dropped", topic=topic.value, era=era, latest=latest
+        )
+        return False
+
     async def _read_store_after(
         self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         """Read the store, or other routers if it fails."""
         result = await self._store.read_after(topic, position=position, wait_s=wait_s)
+        if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
+            result = Failure(StoreError(EARLIER_ERA))
         if isinstance(result, Success):
             batch = result.unwrap()
+            if not position.continues_in(batch.era):
+                return Failure(OffsetExpired(position.offset, batch.era))
             self.logs[topic].add(
                 batch.notices,
                 batch.position,
@@ -190,16 +211,14 @@
             self.logs[topic].set_from_store(True)
             self._store_retry_at.pop(topic, None)
             return result
-        if isinstance(result.failure(), OffsetExpired):
+        error = result.failure()
+        if isinstance(error, OffsetExpired):
+            self._meet(topic, error.era)
             return result
         self.logs[topic].set_from_store(False)
         self._store_retry_at[topic] = self._clock() + STORE_BACKOFF_S
         fetched = await self._query_backups(topic, position=position, wait_s=0.0)
-        return (
-            result
-            if fetched is None
-            else self._apply_changes(topic, fetched, offset=position.offset)
-        )
+        return result if fetched is None else self._apply_changes(topic, fetched, position=position)
 
     def _apply_snapshot(self, topic: Topic, fetched: FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
@@ -208,11 +227,11 @@
         return _make_batch(fetched)
 
     def _apply_changes(
-        self, topic: Topic, fetched: FetchedPage, *, offset: int
+        self, topic: Topic, fetched: FetchedPage, *, position: Position
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         page, age_s = fetched.page, fetched.age_s
-        if page.snapshot:
-            return Failure(OffsetExpired(offset, page.era))
+        if page.snapshot or not position.continues_in(page.era):
+            return Failure(OffsetExpired(position.offset, page.era))
         self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
         return Success(_make_batch(fetched))
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -126,7 +126,10 @@
         self._record_success(batch)
         self._sink.apply_changes(batch)
         # The newest records are one transfer, however many there are before them.
-        self._position = batch.position if batch.records_left == 0 else None
+        if batch.records_left == 0:
+            self._position = batch.position
+        else:
+            self._left, self._position = batch.position, None
         return True
 
     def _begin_history(self, position: Position) -> None:
--- a/packages/router/src/cornellead/gateway/view/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_view.py
@@ -9,6 +9,7 @@
 from cornellead.gateway.view._prompt_directory import PromptDirectory
 from cornellead.gateway.view._rate_limits import RateLimits
 from cornellead.gateway.view._server_registry import ServerRegistry
+from cornellead.gateway.view._store_history import StoreHistory
 
 if TYPE_CHECKING:
     from cornellead_core.routing import RouterLocation
@@ -32,6 +33,7 @@
         self.load = FleetLoad()
         self.guard = PromptGuard(router=router)
         self.rate_limits = RateLimits(router=router, servers=self.servers)
+        self.history = StoreHistory()
         self.servers_loaded = False
         """Whether the list of servers has been read at least once."""
         self.confirmed_at: float | None = None
--- a/tests/router/gateway/relay/test_restored_store.py
+++ b/tests/router/gateway/relay/test_restored_store.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 from tests.router.gateway.restored_fleet import RestoredFleet
 
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import Position
 from cornellead_core.routing import ServerNotice
 from cornellead_core.routing import Topic
@@ -20,6 +21,7 @@
 
     from cornellead.gateway.ingress import ResponseWriter
     from cornellead.gateway.relay import RelayedStore
+    from cornellead.gateway.relay import RelayPage
 
 
 @pytest.fixture
@@ -190,3 +192,56 @@
     await fleet.read(Topic.OPERATOR, times=4)
     assert [router.version for router in fleet.routers] == [9, 9, 9]
     assert {_log(router, Topic.OPERATOR).era for router in fleet.routers} == {2}
+
+
+def _without_era(router: RestoredRouter, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a router respond to others as one of an earlier build does."""
+    log = router.store.logs[Topic.OPERATOR]
+    read = log.read
+
+    def read_without_era(position: Position | None, *, now: float) -> RelayPage | None:
+        page = read(None if position is None else Position(position.offset), now=now)
+        return None if page is None else page._replace(era=UNKNOWN_ERA)
+
+    monkeypatch.setattr(log, "read", read_without_era)
+
+
+async def test_pages_of_an_earlier_build_are_used_until_the_store_was_restored(
+    fleet: RestoredFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against routers that all read the store during a rollout, and against one that follows
+    a lost history with a router that does not know of eras."""
+    reader, _, follower = fleet.routers
+    _without_era(reader, monkeypatch)
+    fleet.put_config(7)
+    await reader.read(Topic.OPERATOR)
+    calls = len(fleet.store.called_paths)
+    await follower.read(Topic.OPERATOR, times=3)
+    assert (follower.version, len(fleet.store.called_paths)) == (7, calls)
+    fleet.store.restore(fleet.store.copy())
+    await follower.read(Topic.SERVERS, times=3)
+    fleet.put_config(9)
+    follower.view.history.meet(Topic.OPERATOR, 2)
+    await follower.read(Topic.OPERATOR, times=3)
+    assert (follower.version, _log(follower, Topic.OPERATOR).era) == (9, 2)
+
+
+async def test_router_of_an_earlier_build_gets_changes_without_naming_an_era(
+    fleet: RestoredFleet,
+) -> None:
+    """Guards against routers of an earlier build that get whole snapshots at each read."""
+    fleet.store.restore(fleet.store.copy())
+    reader = fleet.routers[0]
+    await reader.read(Topic.OPERATOR, times=2)
+    page = reader.store.logs[Topic.OPERATOR].read(Position(1), now=reader.clock())
+    assert page is not None and not page.snapshot and page.notices == []
+
+
+async def test_reader_that_is_behind_is_not_used(fleet: RestoredFleet) -> None:
+    """Guards against followers of a reader that has not noticed the loss."""
+    fleet.store.restore(fleet.store.copy())
+    fleet.put_config(7)
+    follower = fleet.routers[2]
+    follower.view.history.meet(Topic.OPERATOR, 2)
+    await follower.read(Topic.OPERATOR, times=3)
+    assert (follower.version, follower.store.relayed) == (7, 2)
