Confirm a configuration only by a store that has it

A store that came back from a copy, with an older version than the one in force, counted as having confirmed it: the route of a version that was added since the copy, or its key, got 404 or 401 in place of 503 at a router that had just started or was behind. A read whose newest configuration is older than the active one, or that has none, confirms nothing until that version or a later one is there again.

Before: the new test gave a confirmation age of 0.0 s for 5.0 s. The model of test_active_config took an older configuration of another router for a confirmation, which is the same fault; the model now counts it as none, and failed with 503 for 404 before the change.

--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -31,20 +31,22 @@
         self._view = view
         self._stats = stats
         self._clock = clock
+        self._behind = False
+        """Whether the newest configuration that was read is older than the active one, as in a
+        store that came back from a copy."""
 
     def apply_snapshot(self, batch: NoticeBatch) -> None:
         """Replace the current state with the newest notice of each writer."""
         out = {n.data_centre for n in batch.notices if isinstance(n, DataCentreNotice) and n.out}
         for data_centre in self._view.servers.data_centres_out_of_service - out:
             self._set_out_of_service(data_centre, out=False)
+        has_config = any(isinstance(n, RoutingNotice) for n in batch.notices)
+        self._behind = self._view.config is not None and not has_config
         self.apply_changes(batch)
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices; an empty batch confirms that nothing changed."""
         self._report_read(batch)
-        now = self._clock()
-        if batch.records_left == 0:
-            self._view.confirmed_at = now - batch.age_s
         if batch.is_current:
             self._view.mark_store_available(Topic.OPERATOR)
         for notice in batch.notices:
@@ -52,6 +54,8 @@
                 self._apply_config(notice)
             elif isinstance(notice, DataCentreNotice):
                 self._set_out_of_service(notice.data_centre, out=notice.out)
+        if batch.records_left == 0 and not self._behind:
+            self._view.confirmed_at = self._clock() - batch.age_s
 
     def mark_unavailable(self) -> None:
         """Record the outage and keep the active configuration."""
@@ -88,6 +92,7 @@
         started_at = time.perf_counter()
         cfg = RoutingConfig(data=notice.data)
         previous = self._view.config.version if self._view.config else None
+        self._behind = previous is not None and cfg.version < previous
         if self._view.activate_config(cfg):
             self._stats.count_view_change("config")
             log.info(
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -88,3 +88,21 @@
     )
     assert read_line["records_left"] == 3
     assert (active_line["config"], active_line["routes"]) == (4, 4)
+
+
+def test_copy_without_the_newest_configuration_confirms_nothing() -> None:
+    """Guards against status 404 for a route that was added since the copy was made."""
+    now = NOW
+    view = FleetView(router="r1")
+    sink = OperatorSink(view=view, stats=GatewayStats(metrics=Metrics()), clock=lambda: now)
+    sink.apply_snapshot(NoticeBatch([RoutingNotice(make_config(7).data, "")], 5, era=1))
+    now += 5.0
+    sink.apply_snapshot(NoticeBatch([RoutingNotice(make_config(4).data, "")], 3, era=2))
+    sink.apply_changes(NoticeBatch([], 3, era=2))
+    assert view.config is not None
+    assert (view.config.version, view.config_age_s(now=now)) == (7, 5.0)
+    sink.apply_snapshot(NoticeBatch([], 0, era=3))
+    sink.apply_changes(NoticeBatch([], 0, era=3))
+    assert view.config_age_s(now=now) == 5.0
+    sink.apply_changes(NoticeBatch([RoutingNotice(make_config(7).data, "")], 1, era=3))
+    assert view.config_age_s(now=now) == 0.0
--- a/tests/router/gateway/view/test_active_config.py
+++ b/tests/router/gateway/view/test_active_config.py
@@ -35,8 +35,9 @@
 class ConfigStateMachine(RuleBasedStateMachine):
     """A router that reads the store or other routers, loses access to both, and restarts.
 
-    The model keeps the newest version read since the last restart and the time at which the store
-    last confirmed the router's configuration.
+    The model keeps the newest version read since the last restart, whether the latest one read is
+    older, and the time at which the store last confirmed the router's configuration: a store that
+    came back from a copy, or a router that is behind, confirms nothing.
     """
 
     newest_version: int | None
@@ -62,6 +63,7 @@
         self.newest_version = None
         self.confirmed_at = None
         self.unavailable_since = None
+        self.behind = False
 
     @rule(seconds=st.floats(0.1, 5.0))
     def advance_clock(self, seconds: float) -> None:
@@ -82,7 +84,8 @@
     @rule()
     def read_unreadable_configuration(self) -> None:
         self.sink.apply_changes(NoticeBatch([RoutingNotice(None, "no version")], 1))
-        self.confirmed_at = self.now
+        if not self.behind:
+            self.confirmed_at = self.now
         self.unavailable_since = None
 
     @rule()
@@ -123,7 +126,9 @@
         self.newest_version = (
             version if self.newest_version is None else max(self.newest_version, version)
         )
-        self.confirmed_at = self.now - age_s
+        self.behind = version < self.newest_version
+        if not self.behind:
+            self.confirmed_at = self.now - age_s
         if age_s <= CURRENT_AGE_S:
             self.unavailable_since = None
 
