Keep a data centre out of service while a restored store may lack its removal

A data centre taken out of service after the copy was made counted as back in service as soon as the store was read again, until the operator's notice was written once more: requests to its servers. For 10 s after the era rose the data centres known to be out stay out, besides those that the copy holds; a notice that one is back counts at once; then what the store lists counts alone. Copies are some seconds old, and what was lost is written again in seconds; one out for 10 s too long costs capacity, one in costs requests.

--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -122,7 +122,8 @@
         A router of an earlier build names none, and may follow a history that was lost.
         """
         history = self._view.history
-        return history.meet(topic, era) and not (era == UNKNOWN_ERA and history.restored)
+        restored = history.restored_at is not None
+        return history.meet(topic, era, now=self._clock()) and not (era == UNKNOWN_ERA and restored)
 
 
 def _decode_era(response: HttpResponse) -> int:
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -184,7 +184,7 @@
     def _meet(self, topic: Topic, era: int) -> bool:
         """Record the era of an answer of the store, and return whether the answer may be used."""
         latest = self._view.history.latest(topic)
-        if self._view.history.meet(topic, era):
+        if self._view.history.meet(topic, era, now=self._clock()):
             return True
         structlog.get_logger().info(
             "answer of an earlier era dropped", topic=topic.value, era=era, latest=latest
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -31,15 +31,15 @@
         self._view = view
         self._stats = stats
         self._clock = clock
+        self._listed_out: set[str] = set()
+        """Data centres that are out of service according to the store."""
         self._behind = False
         """Whether the newest configuration that was read is older than the active one, as in a
         store that came back from a copy."""
 
     def apply_snapshot(self, batch: NoticeBatch) -> None:
         """Replace the current state with the newest notice of each writer."""
-        out = {n.data_centre for n in batch.notices if isinstance(n, DataCentreNotice) and n.out}
-        for data_centre in self._view.servers.data_centres_out_of_service - out:
-            self._set_out_of_service(data_centre, out=False)
+        self._listed_out.clear()
         has_config = any(isinstance(n, RoutingNotice) for n in batch.notices)
         self._behind = self._view.config is not None and not has_config
         self.apply_changes(batch)
@@ -53,7 +53,13 @@
             if isinstance(notice, RoutingNotice):
                 self._apply_config(notice)
             elif isinstance(notice, DataCentreNotice):
+                (self._listed_out.add if notice.out else self._listed_out.discard)(
+                    notice.data_centre
+                )
                 self._set_out_of_service(notice.data_centre, out=notice.out)
+        if not self._view.history.settling(now=self._clock()):
+            for data_centre in self._view.servers.data_centres_out_of_service - self._listed_out:
+                self._set_out_of_service(data_centre, out=False)
         if batch.records_left == 0 and not self._behind:
             self._view.confirmed_at = self._clock() - batch.age_s
 
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -9,6 +9,11 @@
 if TYPE_CHECKING:
     from cornellead_core.routing import Topic
 
+SETTLE_S = 10.0
+"""Time after the store came back from a copy for which what was known before counts besides what
+the copy holds. Copies are some seconds old, and operators and servers write again within seconds what
+was lost."""
+
 
 class StoreHistory:
     """The latest eras that this router has met.
@@ -17,7 +22,7 @@
 
     >>> from cornellead_core.routing import Topic
     >>> history = StoreHistory()
-    >>> [history.meet(Topic.SERVERS, era) for era in (1, 2, 1, -1)]
+    >>> [history.meet(Topic.SERVERS, era, now=0.0) for era in (1, 2, 1, -1)]
     [True, True, False, True]
     >>> history.latest(Topic.SERVERS), history.latest(Topic.ROUTERS)
     (2, -1)
@@ -25,8 +30,8 @@
 
     def __init__(self) -> None:
         self._latest: dict[Topic, int] = {}
-        self.restored = False
-        """Whether the store came back from a copy while this router ran."""
+        self.restored_at: float | None = None
+        """When this router first met the latest era, in seconds; ``None`` if there was one only."""
 
     @property
     def era(self) -> int:
@@ -41,13 +46,17 @@
         """
         return self._latest.get(topic, UNKNOWN_ERA)
 
-    def meet(self, topic: Topic, era: int) -> bool:
+    def settling(self, *, now: float) -> bool:
+        """Return whether the store may still lack what was written before it was restored."""
+        return self.restored_at is not None and now - self.restored_at < SETTLE_S
+
+    def meet(self, topic: Topic, era: int, *, now: float) -> bool:
         """Record the era of an answer, and return whether the answer may be used."""
         if era == UNKNOWN_ERA:
             return True
         if era < self.latest(topic):
             return False
         if UNKNOWN_ERA < self.era < era:
-            self.restored = True
+            self.restored_at = now
         self._latest[topic] = era
         return True
--- a/tests/router/gateway/relay/test_restored_store.py
+++ b/tests/router/gateway/relay/test_restored_store.py
@@ -221,7 +221,7 @@
     fleet.store.restore(fleet.store.copy())
     await follower.read(Topic.SERVERS, times=3)
     fleet.put_config(9)
-    follower.view.history.meet(Topic.OPERATOR, 2)
+    follower.view.history.meet(Topic.OPERATOR, 2, now=follower.clock())
     await follower.read(Topic.OPERATOR, times=3)
     assert (follower.version, _log(follower, Topic.OPERATOR).era) == (9, 2)
 
@@ -242,6 +242,6 @@
     fleet.store.restore(fleet.store.copy())
     fleet.put_config(7)
     follower = fleet.routers[2]
-    follower.view.history.meet(Topic.OPERATOR, 2)
+    follower.view.history.meet(Topic.OPERATOR, 2, now=follower.clock())
     await follower.read(Topic.OPERATOR, times=3)
     assert (follower.version, follower.store.relayed) == (7, 2)
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -10,11 +10,14 @@
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.view import FleetView
+from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead_core.metrics import Metrics
+from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
+from cornellead_core.routing import Topic
 
 NOW = 100.0
 
@@ -106,3 +109,22 @@
     assert view.config_age_s(now=now) == 5.0
     sink.apply_changes(NoticeBatch([RoutingNotice(make_config(7).data, "")], 1, era=3))
     assert view.config_age_s(now=now) == 0.0
+
+
+def test_data_centre_taken_out_after_the_copy_stays_out_until_the_store_has_settled() -> None:
+    """Guards against requests to a data centre whose removal from service was lost with the copy
+    and is about to be written again."""
+    now = NOW
+    view = FleetView(router="r1")
+    sink = OperatorSink(view=view, stats=GatewayStats(metrics=Metrics()), clock=lambda: now)
+    out = [DataCentreNotice(name, out=True) for name in ("dc-a", "dc-b", "dc-c")]
+    for era in (1, 2):
+        view.history.meet(Topic.OPERATOR, era, now=now)
+        sink.apply_snapshot(NoticeBatch([*out] if era == 1 else [], 3, era=era))
+    assert view.servers.data_centres_out_of_service == {"dc-a", "dc-b", "dc-c"}
+    back = DataCentreNotice("dc-b", out=False)
+    sink.apply_changes(NoticeBatch([DataCentreNotice("dc-a", out=True), back], 2, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a", "dc-c"}
+    now += SETTLE_S + 0.1
+    sink.apply_changes(NoticeBatch([], 2, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a"}
