Let an older copy of the store change nothing that servers said since

An entry of the copy made a draining server ready again, brought back one that had left, ended a restarted one for its earlier start, and servers that had registered since were dropped at once. The count of an entry (`sequence`) is decoded and orders the entries of one start; while a restored store settles, an entry without one, or of an earlier start, is taken for one of the copy if it contradicts what is known. Servers missing in the copy have the 2.5 s that they have after an outage to write again. Counts are not relayed: earlier builds reject longer entries, and each renewal would be a change; pages keep their size.

--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -21,6 +21,9 @@
     """Remaining time for which the server is cold when the entry is written."""
     started_ms: int
     """Start time in Unix milliseconds; 0 if not announced."""
+    sequence: int = 0
+    """Number of the entry among those of the same start; 0 if not announced. Not relayed between
+    routers, since each renewal has another one."""
 
 
 class ReportedLoad(NamedTuple):
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -85,7 +85,7 @@
         """
         self._changes = {}
         self._oldest_offset = position.offset
-        for notice in notices:
+        for notice in map(_without_sequence, notices):
             self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
         self._record_confirmation(position, now=now)
 
@@ -98,7 +98,7 @@
         :param now: Seconds.
         :param complete: Whether the store had no further notices.
         """
-        for notice in notices:
+        for notice in map(_without_sequence, notices):
             previous = self._changes.get(_writer(notice))
             if previous is None or previous.notice != notice:
                 self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
@@ -179,6 +179,13 @@
             self._oldest_offset = max(self._oldest_offset, offset + 1)
 
 
+def _without_sequence(notice: Notice) -> Notice:
+    """Return a notice without the count that differs at each renewal of an entry."""
+    if isinstance(notice, ServerNotice) and notice.entry is not None:
+        return notice._replace(entry=notice.entry._replace(sequence=0))
+    return notice
+
+
 def _writer(notice: Notice) -> str:
     if isinstance(notice, ServerNotice):
         return notice.server
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -13,6 +13,7 @@
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
+from cornellead_core.routing import ServerEntry
 from cornellead_core.routing import ServerNotice
 
 
@@ -23,6 +24,7 @@
     routing: list[RoutingNotice]
     data_centres: list[DataCentreNotice]
     servers: list[ServerNotice]
+    """Encoded without the counts of their entries, which routers of earlier builds reject."""
     routers: list[RouterNotice]
     quarantines: list[QuarantineNotice] = []
     """Encoded only if there are some: routers of earlier builds reject longer pages."""
@@ -32,6 +34,7 @@
 """Maximum size of a page after decompression: a list of some hundred thousand servers."""
 MIN_COMPRESSED_BYTES = 512
 """Minimum size at which compression saves more than its header."""
+SEQUENCE_FIELD = ServerEntry._fields.index("sequence")
 UNCOMPRESSED = b"\x00"
 COMPRESSED = b"\x01"
 
@@ -46,17 +49,17 @@
     depends on one of another kind. Compression reduces the traffic of configurations, which are
     repetitive with many teams and are sent to every router after each change.
     """
-    encoded = _EncodedPage(
-        next_offset=page.next_offset,
-        snapshot=page.snapshot,
-        age_s=page.age_s,
-        routing=[n for n in page.notices if isinstance(n, RoutingNotice)],
-        data_centres=[n for n in page.notices if isinstance(n, DataCentreNotice)],
-        servers=[n for n in page.notices if isinstance(n, ServerNotice)],
-        routers=[n for n in page.notices if isinstance(n, RouterNotice)],
-        quarantines=[n for n in page.notices if isinstance(n, QuarantineNotice)],
+    encoded = (
+        page.next_offset,
+        page.snapshot,
+        page.age_s,
+        [n for n in page.notices if isinstance(n, RoutingNotice)],
+        [n for n in page.notices if isinstance(n, DataCentreNotice)],
+        [_encode_server(n) for n in page.notices if isinstance(n, ServerNotice)],
+        [n for n in page.notices if isinstance(n, RouterNotice)],
+        [n for n in page.notices if isinstance(n, QuarantineNotice)],
     )
-    data = _encoder.encode(encoded if encoded.quarantines else encoded[:-1])
+    data = _encoder.encode(encoded if encoded[-1] else encoded[:-1])
     return (
         UNCOMPRESSED + data
         if len(data) < MIN_COMPRESSED_BYTES
@@ -80,6 +83,11 @@
     return RelayPage(notices, encoded.next_offset, encoded.snapshot, encoded.age_s)
 
 
+def _encode_server(notice: ServerNotice) -> tuple[object, ...]:
+    entry = notice.entry
+    return (notice.server, None if entry is None else entry[:SEQUENCE_FIELD], notice.removed)
+
+
 def _decompress(data: bytes) -> bytes:
     if data[:1] != COMPRESSED:
         return data[1:]
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -37,6 +37,7 @@
         self._stats = stats
         self._clock = clock
         self._on_ended = on_ended
+        self._restored_at: float | None = None
 
     def apply_snapshot(self, batch: NoticeBatch) -> None:
         """Replace the registry with the newest entry of each server."""
@@ -75,6 +76,9 @@
         self._view.mark_store_unavailable(Topic.SERVERS, now=self._clock())
 
     def _record_recovery(self, batch: NoticeBatch, *, now: float) -> None:
+        if self._view.history.restored_at != self._restored_at:
+            self._restored_at = self._view.history.restored_at
+            self._view.servers.mark_store_restored(now=now)
         if batch.is_current:
             self._view.servers.mark_store_available(now=now)
             self._view.mark_store_available(Topic.SERVERS)
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from cornellead.gateway.view._ended_servers import EndedServers
 from cornellead.gateway.view._server_state import ServerState
+from cornellead.gateway.view._store_history import SETTLE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,6 +44,8 @@
         self._out_of_service: set[str] = set()
         self._store_recovered_at: float | None = None
         self._store_unavailable = False
+        self._store_restored_at: float | None = None
+        self._ended = EndedServers()
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -73,12 +77,16 @@
             of its address.
         """
         state = self._servers.get(entry.server)
+        if self._is_outdated(entry, now=now):
+            return []
         if state is not None and state.entry.started_ms == entry.started_ms:
             service_changed = state.entry.service != entry.service
             state.update(entry, now=now)
             if service_changed:
                 self._rebuild_indexes()
             return []
+        if state is not None:
+            self._ended.add(state.entry, now=now)
         ended = [] if state is None else [state]
         address_owner = self._by_address.get(entry.address)
         if (
@@ -109,6 +117,7 @@
             state.missing_since = now if state.missing_since is None else state.missing_since
             return None
         del self._servers[server]
+        self._ended.add(state.entry, now=now)
         self._rebuild_indexes()
         return state
 
@@ -133,6 +142,7 @@
         ended = [state for state in self._servers.values() if state.missing_since is not None]
         for state in ended:
             del self._servers[state.entry.server]
+            self._ended.add(state.entry, now=now)
         if ended:
             self._rebuild_indexes()
         return ended
@@ -147,6 +157,15 @@
             self._store_unavailable = False
             self._store_recovered_at = now
 
+    def mark_store_restored(self, *, now: float) -> None:
+        """Record that the store came back from an older copy.
+
+        Servers that are missing in the copy have the time to write again that they have after an
+        outage.
+        """
+        self._store_restored_at = now
+        self._store_recovered_at = now
+
     def set_out_of_service(self, data_centre: str, *, out: bool, now: float) -> bool:
         """Take a data centre out of service or return it to service.
 
@@ -216,6 +235,30 @@
             self._store_recovered_at is not None and now - self._store_recovered_at < EXPIRY_GRACE_S
         )
 
+    def _is_outdated(self, entry: ServerEntry, *, now: float) -> bool:
+        """Return whether a later entry of the server is known.
+
+        Counts start anew with a restart, so only those of the same start are compared. While a
+        restored store settles, an entry without a count or of an earlier start is taken for one of
+        the copy if it contradicts what is known.
+        """
+        state = self._servers.get(entry.server)
+        ended = self._ended.find(entry) if state is None else None
+        known = ended if state is None else state.entry
+        if known is None or not entry.started_ms > 0:
+            return False
+        restored_at = self._store_restored_at
+        settling = restored_at is not None and now - restored_at < SETTLE_S
+        if entry.started_ms != known.started_ms:
+            return settling and entry.started_ms < known.started_ms
+        if entry.sequence and known.sequence:
+            return entry.sequence < known.sequence or (
+                ended is not None and entry.sequence == known.sequence
+            )
+        if ended is not None:
+            return settling and not entry.sequence
+        return settling and known.draining and not entry.draining
+
     def _rebuild_indexes(self) -> None:
         self._by_service = {}
         self._by_hash = {state.name_hash: state for state in self._servers.values()}
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -11,8 +11,8 @@
 
 SETTLE_S = 10.0
 """Time after the store came back from a copy for which what was known before counts besides what
-the copy holds. Copies are some seconds old, and operators and servers write again within seconds what
-was lost."""
+the copy holds. Copies are some seconds old, and operators and servers write what was lost again
+within seconds."""
 
 
 class StoreHistory:
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -150,3 +150,14 @@
     newest = (await client.read_newest(Topic.OPERATOR)).unwrap()
     later = await client.read_after(Topic.OPERATOR, position=newest.position, wait_s=0.0)
     assert later.unwrap().position == newest.position == Position(1, era=UNKNOWN_ERA)
+
+
+async def test_count_and_start_of_an_entry_are_decoded(store: Store) -> None:
+    """Guards against older entries of a server that cannot be told from later ones."""
+    fake_store, client = store
+    fake_store.put(
+        "keyed.servers", "s1", payloads.server_entry(sequence=12, born=1_790_000_000_001)
+    )
+    batch = (await client.read_newest(Topic.SERVERS)).unwrap()
+    entries = [n.entry for n in batch.notices if isinstance(n, ServerNotice) and n.entry]
+    assert [(entry.started_ms, entry.sequence) for entry in entries] == [(1_790_000_000_001, 12)]
--- a/tests/router/gateway/relay/test_change_log.py
+++ b/tests/router/gateway/relay/test_change_log.py
@@ -70,6 +70,17 @@
     assert page is not None and page.notices == [] and page.next_offset == 101
 
 
+def test_counted_renewals_are_not_relayed() -> None:
+    """Guards against control traffic that grows with the count in each renewal of an entry."""
+    log = ChangeLog()
+    log.replace([], Position(0), now=0.0)
+    for number in range(9):
+        entry = make_entry("a", sequence=number + 1)
+        log.add([ServerNotice("a", entry, removed=False)], Position(number + 1), now=0.0)
+    page = log.read(Position(1), now=0.0)
+    assert page is not None and page.notices == []
+
+
 def test_age_grows_during_a_store_outage() -> None:
     """Guards against old notices that are relayed as current ones."""
     log = ChangeLog()
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -39,6 +39,13 @@
     assert len(msgspec.msgpack.decode(earlier[1:])) == 7
 
 
+def test_entries_stay_as_they_were() -> None:
+    """Guards against routers of an earlier build that reject each page with a server."""
+    notice = ServerNotice("s1", make_entry("s1", sequence=7), removed=False)
+    encoded = msgspec.msgpack.decode(encode_page(RelayPage([notice], 9, False, 0.5))[1:])
+    assert [len(entry) for _, entry, _ in encoded[5]] == [8]
+
+
 def test_large_page_is_compressed() -> None:
     """Guards against configuration changes that exceed a node's 3 KB/s for control traffic."""
     names = [f"s{number}" for number in range(300)]
