Read the newest records again when a restored store has settled

A follower took the entry of a server that returned while the store settled for one of the copy, and got no other one until the server's next change: the new test found {s1}, {}, {} for {s1} at all three routers.

--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -147,6 +147,9 @@
     offset: int
     era: int = UNKNOWN_ERA
     """Era of the store or router that said so."""
+    settled: bool = False
+    """Whether the offset is retained, and the newest records are to be read again since the store
+    has got back what it lost when it was restored."""
 
 
 class StoreError(NamedTuple):
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -124,6 +124,8 @@
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
+        if self._view.history.take_settled(topic, now=self._clock()):
+            return Failure(OffsetExpired(position.offset, position.era, settled=True))
         hold_s = min(MAX_WAIT_S, wait_s)
         fetched = await self._query_reader(topic, position=position, wait_s=hold_s)
         if fetched is None and topic in self._store_retry_at:
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -112,7 +112,7 @@
             error = later.failure()
             if isinstance(error, OffsetExpired):
                 structlog.get_logger().info(
-                    "store history gone",
+                    "store settled" if error.settled else "store history gone",
                     topic=self._topic.value,
                     offset=error.offset,
                     era=self._position.era,
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self._latest: dict[Topic, int] = {}
+        self._settled: set[Topic] = set()
         self.restored_at: float | None = None
         """When this router first met the latest era, in seconds; ``None`` if there was one only."""
 
@@ -50,6 +51,16 @@
         """Return whether the store may still lack what was written before it was restored."""
         return self.restored_at is not None and now - self.restored_at < SETTLE_S
 
+    def take_settled(self, topic: Topic, *, now: float) -> bool:
+        """Return once for each topic after each restore that the store has settled.
+
+        What was taken for older than the copy may have been right; the newest records tell.
+        """
+        if self.restored_at is None or topic in self._settled or self.settling(now=now):
+            return False
+        self._settled.add(topic)
+        return True
+
     def meet(self, topic: Topic, era: int, *, now: float) -> bool:
         """Record the era of an answer, and return whether the answer may be used."""
         if era == UNKNOWN_ERA:
@@ -58,5 +69,6 @@
             return False
         if UNKNOWN_ERA < self.era < era:
             self.restored_at = now
+            self._settled.clear()
         self._latest[topic] = era
         return True
--- a/tests/router/gateway/relay/test_restored_store.py
+++ b/tests/router/gateway/relay/test_restored_store.py
@@ -6,8 +6,11 @@
 
 import pytest
 from returns.result import Failure
+from tests.router.gateway.restored_fleet import OPERATOR
+from tests.router.gateway.restored_fleet import SERVERS
 from tests.router.gateway.restored_fleet import RestoredFleet
 
+from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import Position
 from cornellead_core.routing import ServerNotice
@@ -245,3 +248,42 @@
     follower.view.history.meet(Topic.OPERATOR, 2, now=follower.clock())
     await follower.read(Topic.OPERATOR, times=3)
     assert (follower.version, follower.store.relayed) == (7, 2)
+
+
+def _skip_time(fleet: RestoredFleet, seconds: float) -> None:
+    for router in fleet.routers:
+        router.now_offset_s += seconds
+
+
+async def test_server_that_returned_while_the_store_settled_is_used_by_followers(
+    fleet: RestoredFleet,
+) -> None:
+    """Guards against a server that followers take for one of the copy for good."""
+    copy = fleet.store.copy()
+    fleet.store.put(SERVERS, "s1", None)
+    await fleet.read(Topic.SERVERS)
+    assert [router.usable for router in fleet.routers] == [set(), set(), set()]
+    fleet.store.restore(copy)
+    await fleet.read(Topic.SERVERS, times=3)
+    fleet.put_server("s1", sequence=9)
+    await fleet.read(Topic.SERVERS, times=2)
+    _skip_time(fleet, SETTLE_S)
+    await fleet.read(Topic.SERVERS, times=2)
+    assert [router.usable for router in fleet.routers] == [{"s1"}, {"s1"}, {"s1"}]
+
+
+async def test_data_centre_returned_while_the_store_settled_is_back_in_service(
+    fleet: RestoredFleet,
+) -> None:
+    """Guards against a data centre that stays out for good since its return was never listed."""
+    copy = fleet.store.copy()
+    fleet.store.put(OPERATOR, "evacuate/kgl-a", {})
+    await fleet.read(Topic.OPERATOR)
+    fleet.store.restore(copy)
+    await fleet.read(Topic.OPERATOR, times=3)
+    out = [router.view.servers.data_centres_out_of_service for router in fleet.routers]
+    assert out == [{"kgl-a"}] * 3
+    _skip_time(fleet, SETTLE_S)
+    await fleet.read(Topic.OPERATOR, times=3)
+    out = [router.view.servers.data_centres_out_of_service for router in fleet.routers]
+    assert out == [set()] * 3
