Guard the quarantines over a restored store with tests

A quarantine that the copy lacks is published again once the router has read the new era; one that was lifted since is not revived by the copy, and its end is published again. Both held before; no change.

--- a/tests/router/gateway/sync/test_quarantine_publisher.py
+++ b/tests/router/gateway/sync/test_quarantine_publisher.py
@@ -159,3 +159,36 @@
     restarted = Router("r1", store)
     restarted.read_store()
     assert not restarted.refuses("part")
+
+
+async def test_quarantine_that_a_restored_store_lost_is_published_again() -> None:
+    """Guards against a quarantine that all routers know and that ends with the loss of all."""
+    store = MemoryStore()
+    router = Router("r1", store)
+    router.see_crashes("bad", at=5.0)
+    await router.publisher.publish_differences()
+    store.notices.clear()
+    router.read_store()
+    await router.publisher.publish_differences()
+    restarted = Router("r1", store)
+    restarted.now = 60.0
+    restarted.read_store()
+    assert restarted.refuses("bad")
+
+
+async def test_quarantine_lifted_after_the_copy_is_not_revived_by_it() -> None:
+    """Guards against requests that are refused again because of a part that was answered since."""
+    store = MemoryStore()
+    router = Router("r1", store)
+    router.see_crashes("bad", at=5.0)
+    await router.publisher.publish_differences()
+    copy = [*store.notices]
+    router.now = 20.0
+    router.view.guard.record_answer(["bad"], now=20.0)
+    assert not router.refuses("bad")
+    await router.publisher.publish_differences()
+    store.notices = copy
+    router.read_store()
+    assert not router.refuses("bad")
+    await router.publisher.publish_differences()
+    assert store.notices[-1] == QuarantineNotice("bad", None)
