Announce a router again soon after the store came back from a copy

Announcements since the copy are lost, and only the router itself writes them again, up to an interval later (4 s, longer with many routers): a router that starts meanwhile knows none of the others. The metric gateway_store_era tells the latest era.

--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -173,6 +173,7 @@
             store=store,
             router=settings.node,
             location=location,
+            history=self._view.history,
             interval_s=self._announce_interval_s,
         )
         self._watcher = SettingsWatcher(
@@ -275,6 +276,10 @@
                 "Configuration in force",
                 lambda: view.config.version if view.config else 0,
             ),
+            "store_era": (
+                "Latest era of the store that was met, -1 if it names none",
+                lambda: view.history.era,
+            ),
             "config_age_seconds": (
                 "Time since the store confirmed the configuration",
                 lambda: view.config_age_s(now=now()),
--- a/packages/router/src/cornellead/gateway/sync/_announcer.py
+++ b/packages/router/src/cornellead/gateway/sync/_announcer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING
 
 import structlog
@@ -11,12 +12,19 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornellead.gateway.view import StoreHistory
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import RouterLocation
 
 
+RESTORED_SHARE = 0.25
+"""Share of the interval within which all routers announce themselves again after the store came
+back from a copy: four times their usual rate of writes for that time."""
+
+
 class Announcer:
-    """Announces at regular intervals that this router is running.
+    """Announces at regular intervals that this router is running, and soon after the store came
+    back from a copy, in which nobody else writes that again.
 
     :param location: Where the router runs.
     :param interval_s: Returns the time between announcements.
@@ -31,17 +39,21 @@
         router: str,
         location: RouterLocation,
         interval_s: Callable[[], float],
+        history: StoreHistory,
     ) -> None:
         self._store = store
         self._location = location
         self._router = router
         self._interval_s = interval_s
+        self._history = history
 
     async def run(self) -> None:
         """Announce the router at each interval until cancelled."""
         while True:
             await self._announce(self._location)
-            await asyncio.sleep(self._interval_s())
+            interval_s = self._interval_s()
+            if await self._history.wait_restored(timeout_s=interval_s):
+                await asyncio.sleep(random.uniform(0.0, RESTORED_SHARE * interval_s))
 
     async def stop(self) -> None:
         """Announce that the router is stopping."""
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._server_state import ServerState
+from cornellead.gateway.view._store_history import StoreHistory
 
 __all__ = [
     "FleetLoad",
@@ -24,4 +25,5 @@
     "ServerRateLimit",
     "ServerRegistry",
     "ServerState",
+    "StoreHistory",
 ]
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from cornellead_core.routing import UNKNOWN_ERA
@@ -31,6 +32,7 @@
     def __init__(self) -> None:
         self._latest: dict[Topic, int] = {}
         self._settled: set[Topic] = set()
+        self._restored = asyncio.Event()
         self.restored_at: float | None = None
         """When this router first met the latest era, in seconds; ``None`` if there was one only."""
 
@@ -51,6 +53,14 @@
         """Return whether the store may still lack what was written before it was restored."""
         return self.restored_at is not None and now - self.restored_at < SETTLE_S
 
+    async def wait_restored(self, *, timeout_s: float) -> bool:
+        """Wait until the era rises; return whether it did so within the timeout in seconds."""
+        try:
+            await asyncio.wait_for(self._restored.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        return True
+
     def take_settled(self, topic: Topic, *, now: float) -> bool:
         """Return once for each topic after each restore that the store has settled.
 
@@ -70,5 +80,7 @@
         if UNKNOWN_ERA < self.era < era:
             self.restored_at = now
             self._settled.clear()
+            self._restored.set()
+            self._restored = asyncio.Event()
         self._latest[topic] = era
         return True
--- /dev/null
+++ b/tests/router/gateway/sync/test_announcer.py
@@ -0,0 +1,53 @@
+"""Tests of when a router announces itself in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from returns.result import Result
+from returns.result import Success
+from tests.router.gateway.sync.test_quarantine_publisher import MemoryStore
+
+from cornellead.gateway.sync import Announcer
+from cornellead.gateway.view import StoreHistory
+from cornellead_core.routing import RouterLocation
+from cornellead_core.routing import StoreError
+from cornellead_core.routing import Topic
+
+
+class AnnouncementStore(MemoryStore):
+    """Records the times of announcements."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.announced_at: list[float] = []
+
+    async def announce(
+        self, router: str, location: RouterLocation | None
+    ) -> Result[None, StoreError]:
+        self.announced_at.append(time.monotonic())
+        return Success(None)
+
+
+async def test_router_announces_itself_again_soon_after_a_restore() -> None:
+    """Guards against routers that are missing in the store for a whole interval, since the copy is
+    older than their announcement and nobody else writes it again."""
+    store, history = AnnouncementStore(), StoreHistory()
+    announcer = Announcer(
+        store=store,
+        router="r1",
+        location=RouterLocation("10.0.0.1:1", "dc-a"),
+        interval_s=lambda: 0.8,
+        history=history,
+    )
+    history.meet(Topic.OPERATOR, 1, now=0.0)
+    task = asyncio.create_task(announcer.run())
+    await asyncio.sleep(0.05)
+    restored_at = time.monotonic()
+    history.meet(Topic.OPERATOR, 2, now=1.0)
+    history.meet(Topic.SERVERS, 2, now=1.1)
+    await asyncio.sleep(0.4)
+    task.cancel()
+    first, again = store.announced_at
+    assert first < restored_at and again - restored_at < 0.3
