--- a/scripts/measurements/_gateway_slopes.py
+++ b/scripts/measurements/_gateway_slopes.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
+from cornellead.gateway.relay._relay_handler import ERA_HEADER
 from cornellead.gateway.view import FleetView
 from cornellead.gateway.view import RouterLoad
 from cornellead.upstream import encode_request_head
@@ -190,9 +191,10 @@
     assert page is not None
     body = encode_page(page)
     request = encode_request_head(
-        READER_ADDRESS, "GET", "/notices/servers?reader=1&after=123456&wait=0.40", 0
+        READER_ADDRESS, "GET", "/notices/servers?reader=1&after=123456&era=2&wait=0.40", 0
     )
-    return len(request) + len(encode_head(200, (), length=len(body), close=False)) + len(body)
+    headers = ((ERA_HEADER.encode(), b"2"),)
+    return len(request) + len(encode_head(200, headers, length=len(body), close=False)) + len(body)
 
 
 def _load_report_bytes(count: int) -> float:
