--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -9,6 +9,9 @@
 from cornellead_core.routing._node_settings import Bounds
 from cornellead_core.routing._node_settings import NodeSettings
 from cornellead_core.routing._node_settings import StoreSettings
+from cornellead_core.routing._position import UNKNOWN_ERA
+from cornellead_core.routing._position import Position
+from cornellead_core.routing._position import are_different
 from cornellead_core.routing._route import CallerLimits
 from cornellead_core.routing._route import RequestKind
 from cornellead_core.routing._route import Route
@@ -45,6 +48,7 @@
 
 __all__ = [
     "STORE_SOURCE",
+    "UNKNOWN_ERA",
     "Address",
     "Bounds",
     "CallerHeaders",
@@ -59,6 +63,7 @@
     "Notice",
     "NoticeBatch",
     "OffsetExpired",
+    "Position",
     "PromptPart",
     "QuarantineMark",
     "QuarantineNotice",
@@ -83,5 +88,6 @@
     "UnreadableRecord",
     "WeightedService",
     "WireFormat",
+    "are_different",
     "parse_address",
 ]
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from cornellead_core.routing._position import UNKNOWN_ERA
+from cornellead_core.routing._position import Position
 from cornellead_core.routing._routing_config import RoutingData
 from cornellead_core.routing._server_entry import ServerEntry
 
@@ -135,6 +137,13 @@
     read: ReadStats | None = None
     unreadable: tuple[UnreadableRecord, ...] = ()
     """Records of the store that name nothing to use; empty if another router relayed the batch."""
+    era: int = UNKNOWN_ERA
+    """History of the store that they belong to."""
+
+    @property
+    def position(self) -> Position:
+        """Where to continue reading."""
+        return Position(self.next_offset, self.era)
 
     @property
     def is_current(self) -> bool:
@@ -146,6 +155,11 @@
     """The store no longer retains the record at the offset; continue with `read_newest`."""
 
     offset: int
+    era: int = UNKNOWN_ERA
+    """Era of the store or router that said so."""
+    settled: bool = False
+    """Whether the offset is retained, and the newest records are to be read again since the store
+    has got back what it lost when it was restored."""
 
 
 class StoreError(NamedTuple):
@@ -162,9 +176,9 @@
         ...
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        """Return the next notices from an offset on, with long polling.
+        """Return the next notices from a position on, with long polling.
 
         :param wait_s: Maximum time to wait for the first notice; 0 returns immediately.
         """
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -0,0 +1,132 @@
+"""Requests for the notices of other routers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+from returns.result import Failure
+
+from cornellead.gateway.relay._change_log import RelayPage
+from cornellead.gateway.relay._relay_codec import decode_page
+from cornellead.gateway.relay._relay_handler import ERA_HEADER
+from cornellead.gateway.relay._relay_handler import PATH_PREFIX
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import ReadStats
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cornellead.gateway.view import FleetView
+    from cornellead_core.routing import HttpClient
+    from cornellead_core.routing import HttpResponse
+    from cornellead_core.routing import Position
+    from cornellead_core.routing import Topic
+
+RESPONSE_TIMEOUT_S = 0.3
+"""Response timeout in addition to the requested hold time: the round trip between routers of a data
+centre takes about a millisecond."""
+HTTP_OK = 200
+
+
+class FetchedPage(NamedTuple):
+    """Page of another router and how it was read."""
+
+    page: RelayPage
+    read: ReadStats
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store sent the notices, with the transfer from the other router."""
+        return self.page.age_s + self.read.transfer_s + self.read.decode_s
+
+
+class PeerClient:
+    """Reads pages of other routers, and renews the routers that respond."""
+
+    def __init__(self, *, view: FleetView, http: HttpClient, clock: Callable[[], float]) -> None:
+        self._view = view
+        self._http = http
+        self._clock = clock
+
+    async def fetch_youngest(
+        self,
+        addresses: Mapping[str, str],
+        topic: Topic,
+        *,
+        position: Position | None,
+        wait_s: float,
+    ) -> FetchedPage | None:
+        """Query routers concurrently and return the page of the latest era, and among these the
+        most recently confirmed one."""
+        responses = await asyncio.gather(
+            *(
+                self.fetch(name, address, topic, position=position, wait_s=wait_s)
+                for name, address in addresses.items()
+            )
+        )
+        pages = [fetched for fetched in responses if fetched is not None]
+        return min(pages, key=lambda fetched: (-fetched.page.era, fetched.page.age_s), default=None)
+
+    async def fetch(
+        self,
+        name: str,
+        address: str,
+        topic: Topic,
+        *,
+        position: Position | None,
+        wait_s: float,
+        as_reader: bool = False,
+    ) -> FetchedPage | None:
+        """Read the notices of another router.
+
+        :param as_reader: Whether to rely on the other router to read the store.
+        """
+        query: dict[str, str] = {"reader": "1"} if as_reader else {}
+        if position is not None:
+            query["after"] = str(position.offset)
+        era = self._view.history.latest(topic)
+        if era != UNKNOWN_ERA:
+            query["era"] = str(era)
+        if wait_s > 0:
+            query["wait"] = f"{wait_s:.2f}"
+        target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
+        result = await self._http.call(
+            address, "GET", target, timeout_s=wait_s + RESPONSE_TIMEOUT_S
+        )
+        if isinstance(result, Failure) or result.unwrap().status != HTTP_OK:
+            return None
+        response = result.unwrap()
+        decode_started_at = time.perf_counter()
+        page = decode_page(response.body)
+        page_era = _decode_era(response)
+        if page is None or not self._may_use(topic, page_era):
+            return None
+        read = ReadStats(
+            source=name,
+            body_bytes=len(response.body),
+            wait_s=response.wait_s,
+            transfer_s=response.transfer_s,
+            decode_s=time.perf_counter() - decode_started_at,
+        )
+        self._view.renew_router(name, now=self._clock())
+        return FetchedPage(page._replace(era=page_era), read)
+
+    def _may_use(self, topic: Topic, era: int) -> bool:
+        """Return whether a page is of the latest era, as far as it names one.
+
+        A router of an earlier build names none, and may follow a history that was lost.
+        """
+        history = self._view.history
+        restored = history.restored_at is not None
+        return history.meet(topic, era, now=self._clock()) and not (era == UNKNOWN_ERA and restored)
+
+
+def _decode_era(response: HttpResponse) -> int:
+    """Return the era of a page; unknown for one of a router of an earlier build."""
+    text = response.headers.get(ERA_HEADER.lower(), "")
+    return int(text) if text.isascii() and text.isdecimal() else UNKNOWN_ERA
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -7,6 +7,8 @@
 
 from cornellead.gateway.relay._relay_codec import MAX_OFFSET
 from cornellead.gateway.relay._relay_codec import encode_page
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import Position
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
@@ -18,14 +20,18 @@
     from cornellead.gateway.relay._change_log import ChangeLog
 
 PATH_PREFIX = "/notices/"
+ERA_HEADER = "Notices-Era"
+"""Header of a page with the era that its offsets belong to; routers of an earlier build ignore it,
+and reject a page with another field."""
 MAX_WAIT_S = 2.0
 """Maximum time for which a read is held while there are no changes."""
 
 
 class RelayHandler:
-    """Handles ``GET /notices/<topic>?after=<offset>&wait=<seconds>&reader=1``.
+    """Handles ``GET /notices/<topic>?after=<offset>&era=<era>&wait=<seconds>&reader=1``.
 
-    With ``reader``, the other router relies on this one to read the store.
+    With ``reader``, the other router relies on this one to read the store. ``era`` is the latest
+    one of the store that the other router has met in the topic.
     """
 
     def __init__(self, *, logs: Mapping[Topic, ChangeLog], clock: Callable[[], float]) -> None:
@@ -34,7 +40,8 @@
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
         """Respond with a page, with 400 or 404 to an invalid request, or with 503 until the first
-        notices were read, and to a router that relies on this one while it does not read the store.
+        notices were read, to a router that relies on this one while it does not read the store, and
+        to one that has met a later era.
         """
         topic = req.path.removeprefix(PATH_PREFIX)
         if topic not in list(Topic):
@@ -43,19 +50,21 @@
         log = self._logs[Topic(topic)]
         query = dict(parse_qsl(req.target.partition(b"?")[2].decode("latin-1")))
         try:
-            offset = int(query["after"]) if "after" in query else None
+            era = int(query.get("era", UNKNOWN_ERA))
+            position = Position(int(query["after"]), era) if "after" in query else None
             wait_s = min(MAX_WAIT_S, float(query.get("wait", "0")))
         except ValueError:
             out.respond(400, (), b"")
             return
-        if offset is not None and not 0 <= offset <= MAX_OFFSET:
+        if position is not None and not 0 <= position.offset <= MAX_OFFSET:
             out.respond(400, (), b"")
             return
         relied_on = "reader" in query
-        if offset is not None and wait_s > 0 and (log.from_store or not relied_on):
-            await log.wait(offset, timeout_s=wait_s)
-        page = log.read(offset, now=self._clock())
-        if page is None or (relied_on and not log.from_store):
+        if position is not None and wait_s > 0 and (log.from_store or not relied_on):
+            await log.wait(position, timeout_s=wait_s)
+        page = log.read(position, now=self._clock())
+        if page is None or (relied_on and not log.from_store) or UNKNOWN_ERA < page.era < era:
             out.respond(503, (), b"")
             return
-        out.respond(200, (), encode_page(page))
+        headers = () if page.era == UNKNOWN_ERA else ((ERA_HEADER.encode(), b"%d" % page.era),)
+        out.respond(200, headers, encode_page(page))
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import random
-import time
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NamedTuple
-from urllib.parse import urlencode
 
 import structlog
 from returns.result import Failure
@@ -16,25 +13,23 @@
 from returns.result import Success
 
 from cornellead.gateway.relay._change_log import ChangeLog
-from cornellead.gateway.relay._change_log import RelayPage
-from cornellead.gateway.relay._relay_codec import decode_page
-from cornellead.gateway.relay._relay_handler import PATH_PREFIX
+from cornellead.gateway.relay._peer_client import FetchedPage
+from cornellead.gateway.relay._peer_client import PeerClient
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
-from cornellead_core.routing import ReadStats
+from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import HttpClient
+    from cornellead_core.routing import Position
     from cornellead_core.routing import QuarantineMark
     from cornellead_core.routing import RouterLocation
-    from cornellead_core.routing import StoreError
 
 MAX_READERS_QUERIED = 2
 """Routers queried before a router reads the store itself: the reader of the data centre and, when
@@ -46,9 +41,6 @@
 MAX_WAIT_S = 0.4
 """Maximum time for which a reader is asked to hold a read, so that an unresponsive reader is
 detected quickly."""
-RESPONSE_TIMEOUT_S = 0.3
-"""Response timeout in addition to the requested hold time: the round trip between routers of a data
-centre takes about a millisecond."""
 READER_BACKOFF_S = 2.0
 """Time for which a reader is skipped after it did not respond or returned an old page."""
 STORE_BACKOFF_S = 1.0
@@ -57,7 +49,7 @@
 """Interval until other routers are queried by a router that reads the store for the first time: the
 first load reports, which name routers, arrive within a few milliseconds."""
 MAX_POLL_S = 0.16
-HTTP_OK = 200
+EARLIER_ERA = "the answer is of an earlier era than one before"
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
 MAX_BACKUPS_QUERIED = 2
@@ -65,16 +57,6 @@
 store all routers do so, within the budget of control traffic."""
 
 
-class _FetchedPage(NamedTuple):
-    page: RelayPage
-    read: ReadStats
-
-    @property
-    def age_s(self) -> float:
-        """Time since the store sent the notices, with the transfer from the other router."""
-        return self.page.age_s + self.read.transfer_s + self.read.decode_s
-
-
 class RelayedStore:
     """Reads the store directly if this router is a reader of its data centre, else via a reader.
 
@@ -98,7 +80,7 @@
     ) -> None:
         self._store = store
         self._view = view
-        self._http = http
+        self._peers = PeerClient(view=view, http=http, clock=clock)
         self._location = location
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
@@ -110,25 +92,25 @@
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         """Return the newest notice of each writer."""
-        fetched = await self._query_reader(topic, offset=None, wait_s=0.0)
+        fetched = await self._query_reader(topic, position=None, wait_s=0.0)
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
         if self.logs[topic].loaded or topic is Topic.ROUTERS:
-            result = await self._store.read_newest(topic)
+            result = await self._read_store_newest(topic)
         else:
             first = await self._read_first(topic)
-            if isinstance(first, _FetchedPage):
+            if isinstance(first, FetchedPage):
                 return Success(self._apply_snapshot(topic, first))
             result = first
         if isinstance(result, Success):
             batch = result.unwrap()
             sent_at = self._clock() - batch.age_s
-            self.logs[topic].replace(batch.notices, batch.next_offset, now=sent_at)
+            self.logs[topic].replace(batch.notices, batch.position, now=sent_at)
             self.logs[topic].set_from_store(True)
             return result
         self.logs[topic].set_from_store(False)
         peers = self._sample_peers(MAX_QUERIED_PEERS)
-        youngest = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+        youngest = await self._peers.fetch_youngest(peers, topic, position=None, wait_s=0.0)
         if youngest is None:
             return result
         if self.logs[topic].loaded and youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
@@ -136,19 +118,21 @@
         return Success(self._apply_snapshot(topic, youngest))
 
     async def read_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
-        """Return the notices since an offset, waiting for the first one.
+        """Return the notices since a position, waiting for the first one.
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
+        if self._view.history.take_settled(topic, now=self._clock()):
+            return Failure(OffsetExpired(position.offset, position.era, settled=True))
         hold_s = min(MAX_WAIT_S, wait_s)
-        fetched = await self._query_reader(topic, offset=offset, wait_s=hold_s)
+        fetched = await self._query_reader(topic, position=position, wait_s=hold_s)
         if fetched is None and topic in self._store_retry_at:
-            fetched = await self._query_backups_in_outage(topic, offset=offset, wait_s=hold_s)
+            fetched = await self._query_backups_in_outage(topic, position=position, wait_s=hold_s)
         if fetched is not None:
-            return self._apply_changes(topic, fetched, offset=offset)
-        return await self._read_store_after(topic, offset=offset, wait_s=wait_s)
+            return self._apply_changes(topic, fetched, position=position)
+        return await self._read_store_after(topic, position=position, wait_s=wait_s)
 
     async def announce(
         self, router: str, location: RouterLocation | None
@@ -165,13 +149,13 @@
         """Publish the quarantine of a prompt part in the store; ``None`` publishes its end."""
         return await self._store.publish_quarantine(part, mark)
 
-    async def _read_first(self, topic: Topic) -> _FetchedPage | Result[NoticeBatch, StoreError]:
+    async def _read_first(self, topic: Topic) -> FetchedPage | Result[NoticeBatch, StoreError]:
         """Read the store and, once other routers are known, theirs as well; the first page counts.
 
         A router that starts knows no reader yet, and the newest records of the store can be twenty
         times as large as the page of a router.
         """
-        from_store = asyncio.create_task(self._store.read_newest(topic))
+        from_store = asyncio.create_task(self._read_store_newest(topic))
         from_router = asyncio.create_task(self._await_page(topic))
         tasks: set[asyncio.Task[Any]] = {from_store, from_router}
         try:
@@ -181,56 +165,78 @@
             from_store.cancel()
             from_router.cancel()
 
-    async def _await_page(self, topic: Topic) -> _FetchedPage:
+    async def _await_page(self, topic: Topic) -> FetchedPage:
         """Query other routers until one has recent notices."""
         interval_s = FIRST_POLL_S
         while True:
             await asyncio.sleep(interval_s)
             interval_s = min(MAX_POLL_S, 2 * interval_s)
             peers = self._readers() or self._sample_peers(MAX_BACKUPS_QUERIED)
-            fetched = await self._query_peers(peers, topic, offset=None, wait_s=0.0)
+            fetched = await self._peers.fetch_youngest(peers, topic, position=None, wait_s=0.0)
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
                 return fetched
 
+    async def _read_store_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
+        result = await self._store.read_newest(topic)
+        if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
+            return Failure(StoreError(EARLIER_ERA))
+        return result
+
+    def _meet(self, topic: Topic, era: int) -> bool:
+        """Record the era of an answer of the store, and return whether the answer may be used."""
+        latest = self._view.history.latest(topic)
+        if self._view.history.meet(topic, era, now=self._clock()):
+            return True
+        structlog.get_logger().info(
+            "answer of an earlier era dropped", topic=topic.value, era=era, latest=latest
+        )
+        return False
+
     async def _read_store_after(
-        self, topic: Topic, *, offset: int, wait_s: float
+        self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         """Read the store, or other routers if it fails."""
-        result = await self._store.read_after(topic, offset=offset, wait_s=wait_s)
+        result = await self._store.read_after(topic, position=position, wait_s=wait_s)
+        if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
+            result = Failure(StoreError(EARLIER_ERA))
         if isinstance(result, Success):
             batch = result.unwrap()
+            if not position.continues_in(batch.era):
+                return Failure(OffsetExpired(position.offset, batch.era))
             self.logs[topic].add(
                 batch.notices,
-                batch.next_offset,
+                batch.position,
                 now=self._clock() - batch.age_s,
                 complete=batch.records_left == 0,
             )
             self.logs[topic].set_from_store(True)
             self._store_retry_at.pop(topic, None)
             return result
-        if isinstance(result.failure(), OffsetExpired):
+        error = result.failure()
+        if isinstance(error, OffsetExpired):
+            self._meet(topic, error.era)
             return result
         self.logs[topic].set_from_store(False)
         self._store_retry_at[topic] = self._clock() + STORE_BACKOFF_S
-        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
-        return result if fetched is None else self._apply_changes(topic, fetched, offset=offset)
+        fetched = await self._query_backups(topic, position=position, wait_s=0.0)
+        return result if fetched is None else self._apply_changes(topic, fetched, position=position)
 
-    def _apply_snapshot(self, topic: Topic, fetched: _FetchedPage) -> NoticeBatch:
+    def _apply_snapshot(self, topic: Topic, fetched: FetchedPage) -> NoticeBatch:
         page, age_s = fetched.page, fetched.age_s
-        self.logs[topic].replace(page.notices, page.next_offset, now=self._clock() - age_s)
+        self.logs[topic].replace(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read)
+        return _make_batch(fetched)
 
     def _apply_changes(
-        self, topic: Topic, fetched: _FetchedPage, *, offset: int
+        self, topic: Topic, fetched: FetchedPage, *, position: Position
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         page, age_s = fetched.page, fetched.age_s
-        if page.snapshot:
-            return Failure(OffsetExpired(offset))
-        self.logs[topic].add(page.notices, page.next_offset, now=self._clock() - age_s)
+        if page.snapshot or not position.continues_in(page.era):
+            return Failure(OffsetExpired(position.offset, page.era))
+        self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return Success(NoticeBatch(page.notices, page.next_offset, age_s, read=fetched.read))
+        return Success(_make_batch(fetched))
 
     def _sample_peers(self, count: int) -> dict[str, str]:
         """Return the addresses of a few random routers of any data centre by name."""
@@ -239,8 +245,8 @@
         return {name: location.address for name, location in sample}
 
     async def _query_backups_in_outage(
-        self, topic: Topic, *, offset: int, wait_s: float
-    ) -> _FetchedPage | None:
+        self, topic: Topic, *, position: Position, wait_s: float
+    ) -> FetchedPage | None:
         """Return what other routers have while the store counts as lost; ``None`` if it is to be
         read.
 
@@ -248,34 +254,21 @@
         newest state in a small part of its size.
         """
         if self._clock() < self._store_retry_at[topic]:
-            return await self._query_backups(topic, offset=offset, wait_s=wait_s)
-        fetched = await self._query_backups(topic, offset=offset, wait_s=0.0)
+            return await self._query_backups(topic, position=position, wait_s=wait_s)
+        fetched = await self._query_backups(topic, position=position, wait_s=0.0)
         return fetched if fetched is not None and fetched.page.notices else None
 
     async def _query_backups(
-        self, topic: Topic, *, offset: int, wait_s: float
-    ) -> _FetchedPage | None:
+        self, topic: Topic, *, position: Position, wait_s: float
+    ) -> FetchedPage | None:
         """Return recent notices of another router, if one has them."""
         peers = self._sample_peers(MAX_BACKUPS_QUERIED)
-        youngest = await self._query_peers(peers, topic, offset=offset, wait_s=wait_s)
+        youngest = await self._peers.fetch_youngest(peers, topic, position=position, wait_s=wait_s)
         if youngest is None or youngest.page.age_s > MAX_PAGE_AGE_S[topic]:
             return None
         self.relayed += 1
         return youngest
 
-    async def _query_peers(
-        self, addresses: Mapping[str, str], topic: Topic, *, offset: int | None, wait_s: float
-    ) -> _FetchedPage | None:
-        """Query routers concurrently and return the most recently confirmed page."""
-        responses = await asyncio.gather(
-            *(
-                self._fetch(name, address, topic, offset=offset, wait_s=wait_s)
-                for name, address in addresses.items()
-            )
-        )
-        pages = [fetched for fetched in responses if fetched is not None]
-        return min(pages, key=lambda fetched: fetched.page.age_s, default=None)
-
     def _readers(self) -> dict[str, str]:
         """Return the addresses of the routers of this data centre that read the store before this
         one does, by name in order of rank; empty if this router is the reader.
@@ -296,13 +289,13 @@
         return {name: members[name].address for name in preceding[:MAX_READERS_QUERIED]}
 
     async def _query_reader(
-        self, topic: Topic, *, offset: int | None, wait_s: float
-    ) -> _FetchedPage | None:
+        self, topic: Topic, *, position: Position | None, wait_s: float
+    ) -> FetchedPage | None:
         for name, address in self._readers().items():
             if self._clock() < self._backoff_until.get((name, topic), 0.0):
                 continue
-            fetched = await self._fetch(
-                name, address, topic, offset=offset, wait_s=wait_s, as_reader=True
+            fetched = await self._peers.fetch(
+                name, address, topic, position=position, wait_s=wait_s, as_reader=True
             )
             if fetched is not None and fetched.page.age_s <= MAX_PAGE_AGE_S[topic]:
                 self.relayed += 1
@@ -316,42 +309,9 @@
             )
         return None
 
-    async def _fetch(
-        self,
-        name: str,
-        address: str,
-        topic: Topic,
-        *,
-        offset: int | None,
-        wait_s: float,
-        as_reader: bool = False,
-    ) -> _FetchedPage | None:
-        """Read the notices of another router.
 
-        :param as_reader: Whether to rely on the other router to read the store.
-        """
-        query: dict[str, str] = {"reader": "1"} if as_reader else {}
-        if offset is not None:
-            query["after"] = str(offset)
-        if wait_s > 0:
-            query["wait"] = f"{wait_s:.2f}"
-        target = f"{PATH_PREFIX}{topic.value}?{urlencode(query)}"
-        result = await self._http.call(
-            address, "GET", target, timeout_s=wait_s + RESPONSE_TIMEOUT_S
-        )
-        if isinstance(result, Failure) or result.unwrap().status != HTTP_OK:
-            return None
-        response = result.unwrap()
-        decode_started_at = time.perf_counter()
-        page = decode_page(response.body)
-        if page is None:
-            return None
-        read = ReadStats(
-            source=name,
-            body_bytes=len(response.body),
-            wait_s=response.wait_s,
-            transfer_s=response.transfer_s,
-            decode_s=time.perf_counter() - decode_started_at,
-        )
-        self._view.renew_router(name, now=self._clock())
-        return _FetchedPage(page, read)
+def _make_batch(fetched: FetchedPage) -> NoticeBatch:
+    page = fetched.page
+    return NoticeBatch(
+        page.notices, page.next_offset, fetched.age_s, read=fetched.read, era=page.era
+    )
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._server_state import ServerState
+from cornellead.gateway.view._store_history import StoreHistory
 
 __all__ = [
     "SILENCE_TIMEOUT_S",
@@ -26,4 +27,5 @@
     "ServerRateLimit",
     "ServerRegistry",
     "ServerState",
+    "StoreHistory",
 ]
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -17,6 +17,7 @@
 from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
+from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RouterNotice
@@ -43,6 +44,13 @@
     assert len(msgspec.msgpack.decode(earlier[1:])) == 7
 
 
+def test_entries_stay_as_they_were() -> None:
+    """Guards against routers of an earlier build that reject each page with a server."""
+    notice = ServerNotice("s1", make_entry("s1", sequence=7), removed=False)
+    encoded = msgspec.msgpack.decode(encode_page(RelayPage([notice], 9, False, 0.5))[1:])
+    assert [len(entry) for _, entry, _ in encoded[5]] == [8]
+
+
 def test_large_page_is_compressed() -> None:
     """Guards against configuration changes that exceed a node's 3 KB/s for control traffic."""
     names = [f"s{number}" for number in range(300)]
@@ -68,7 +76,7 @@
 async def test_read_after_an_impossible_offset_is_rejected() -> None:
     """Guards against a request of another router that gets no answer."""
     log = ChangeLog()
-    log.replace([], 5, now=0.0)
+    log.replace([], Position(5), now=0.0)
     handler = RelayHandler(logs=dict.fromkeys(Topic, log), clock=lambda: 1.0)
     writer = RecordingWriter()
     target = b"/notices/servers?after=" + b"9" * 30
