Read the era that another router names like that of the store

The header of a page went into int() whatever its length, so 5,000 digits from another process would have ended the read of a topic (restarted by the supervision, and ended again).

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -12,6 +12,7 @@
 from cornellead_core.routing._position import UNKNOWN_ERA
 from cornellead_core.routing._position import Position
 from cornellead_core.routing._position import are_different
+from cornellead_core.routing._position import parse_era
 from cornellead_core.routing._route import CallerLimits
 from cornellead_core.routing._route import RequestKind
 from cornellead_core.routing._route import Route
@@ -90,4 +91,5 @@
     "WireFormat",
     "are_different",
     "parse_address",
+    "parse_era",
 ]
--- a/packages/core/src/cornellead_core/routing/_position.py
+++ b/packages/core/src/cornellead_core/routing/_position.py
@@ -7,6 +7,19 @@
 UNKNOWN_ERA = -1
 """Era of a store, or of a router of an earlier build, that names none."""
 
+MAX_ERA_DIGITS = 18
+"""Maximum number of digits of an era, which keeps it below 2**63."""
+
+
+def parse_era(text: str) -> int:
+    """Return the era that a header names; `UNKNOWN_ERA` if it names none that is plausible.
+
+    >>> parse_era("7"), parse_era("-7"), parse_era("7" * 30)
+    (7, -1, -1)
+    """
+    plausible = text.isascii() and text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if plausible else UNKNOWN_ERA
+
 
 def are_different(era: int, other: int) -> bool:
     """Return whether two eras are known to be different histories."""
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.relay._relay_handler import PATH_PREFIX
 from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import ReadStats
+from cornellead_core.routing import parse_era
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +24,6 @@
 
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import HttpClient
-    from cornellead_core.routing import HttpResponse
     from cornellead_core.routing import Position
     from cornellead_core.routing import Topic
 
@@ -103,7 +103,7 @@
         response = result.unwrap()
         decode_started_at = time.perf_counter()
         page = decode_page(response.body)
-        page_era = _decode_era(response)
+        page_era = parse_era(response.headers.get(ERA_HEADER.lower(), ""))
         if page is None or not self._may_use(topic, page_era):
             return None
         read = ReadStats(
@@ -124,9 +124,3 @@
         history = self._view.history
         restored = history.restored_at is not None
         return history.meet(topic, era, now=self._clock()) and not (era == UNKNOWN_ERA and restored)
-
-
-def _decode_era(response: HttpResponse) -> int:
-    """Return the era of a page; unknown for one of a router of an earlier build."""
-    text = response.headers.get(ERA_HEADER.lower(), "")
-    return int(text) if text.isascii() and text.isdecimal() else UNKNOWN_ERA
