Send nothing more to a server whose responses say that it is leaving

Callers' requests reached servers that had told in Server-Leaving that they would exit: nothing read that header, and the registry's entry may say ready for longer, or be away with the store.

A response of the server itself (not a 421, not one for another request) makes that incarnation leaving at this router until it has ended; entries that still say ready do not end it. New requests, repeats and resumed streams go elsewhere, and are rejected at once if no other server is left.

What responses tell about a server is recorded in a class of its own, taken out of ResponseRelay.

--- a/packages/core/src/cornellead_core/routing/_wire_format.py
+++ b/packages/core/src/cornellead_core/routing/_wire_format.py
@@ -56,6 +56,8 @@
     rate_limit_per_s: float | None
     """Requests per second that the server accepts from all routers together; ``None`` if it names
     no limit."""
+    leaving: bool
+    """Whether the server is shutting down and accepts no new requests."""
     forwarded: HeaderList
     """Headers that are forwarded unchanged."""
 
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -9,6 +9,7 @@
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._outcome import ErrorResponse
 from cornellead.gateway.forwarding._outcome import NotRunResponse
+from cornellead.gateway.forwarding._reply_recorder import ReplyRecorder
 from cornellead_core.routing import RequestKind
 
 if TYPE_CHECKING:
@@ -19,8 +20,8 @@
     from cornellead.gateway.forwarding._event_splitter import EventSplitter
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.ingress import ResponseWriter
+    from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import RateLimits
-    from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
     from cornellead.upstream import ResponseHead
     from cornellead_core.routing import ServerReply
@@ -51,10 +52,15 @@
     """Checks that responses come from the intended server, and writes them to the caller."""
 
     def __init__(
-        self, *, wire: WireFormat, rate_limits: RateLimits, clock: Callable[[], float]
+        self,
+        *,
+        wire: WireFormat,
+        rate_limits: RateLimits,
+        stats: GatewayStats,
+        clock: Callable[[], float],
     ) -> None:
         self._wire = wire
-        self._rate_limits = rate_limits
+        self._recorder = ReplyRecorder(rate_limits=rate_limits, stats=stats, clock=clock)
         self._clock = clock
         self._buffered_bytes = 0
 
@@ -71,13 +77,12 @@
             return BrokenResponse("gave_up_silent" if attempt.stalled else "no_response")
         attempt.record_data(now=self._clock())
         reply = self._wire.decode_reply(head.status, head.raw)
-        if reply.load is not None:
-            attempt.state.record_reported_load(reply.load, now=self._clock())
-        if head.status != MISDIRECTED and reply.request_id == admitted.caller.request_id:
-            self._record_rate_limit(attempt.state, reply)
         wrong_request = reply.request_id != admitted.caller.request_id
         # A refusal without an id is believed: the connection is new and has carried nothing else.
-        if reply.not_run and (not wrong_request or not reply.request_id):
+        refused = reply.not_run and (not wrong_request or not reply.request_id)
+        own = head.status != MISDIRECTED and (refused or not wrong_request)
+        self._recorder.record(attempt.state, reply, own=own)
+        if refused:
             await _skip_refusal_body(attempt.exchange)
             return NotRunResponse(head.status)
         if wrong_request or not reply.sealed or CONTENT_ENCODING in head.headers:
@@ -95,11 +100,6 @@
         out.respond(head.status, reply.forwarded, body)
         return DeliveredResponse(head.status)
 
-    def _record_rate_limit(self, state: ServerState, reply: ServerReply) -> None:
-        # Only a response of the server itself shows that it has lifted its limit.
-        if reply.rate_limit_per_s is not None or reply.sealed:
-            self._rate_limits.record_response(state, reply.rate_limit_per_s, now=self._clock())
-
     async def _read_body(self, attempt: Attempt) -> bytes | None:
         """Read the whole body, unless it or all bodies that are being read become too large."""
         counted_bytes = 0
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -139,7 +139,12 @@
             admission=self._admission,
             picker=self._picker,
             sender=self._sender,
-            relay=ResponseRelay(wire=wire, rate_limits=self._view.rate_limits, clock=read_clock),
+            relay=ResponseRelay(
+                wire=wire,
+                rate_limits=self._view.rate_limits,
+                stats=self._stats,
+                clock=read_clock,
+            ),
             retries=self._retries,
             wire=wire,
             stats=self._stats,
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -23,10 +23,11 @@
 class ServerRegistry:
     """Servers of all services, as listed in the store.
 
-    A server receives no requests while it is draining, after its entry was removed, or while its
-    data centre is out of service. During a store outage healthy servers cannot renew their entries
-    either, so the removal of an entry that expired meanwhile is deferred until `EXPIRY_GRACE_S`
-    after the outage.
+    A server receives no requests while its entry or one of its responses says that it is leaving,
+    after its entry was removed, or while its data centre is out of service. An entry that still
+    says ready was written before the server began to leave. During a store outage healthy servers
+    cannot renew their entries either, so the removal of an entry that expired meanwhile is deferred
+    until `EXPIRY_GRACE_S` after the outage.
 
     :param return_cold_s: Time for which servers count as cold after their data centre returned to
         service.
@@ -207,7 +208,8 @@
         return state.entry.data_centre not in self._out_of_service
 
     def _accepts_requests(self, state: ServerState) -> bool:
-        return not state.entry.draining and self.in_service(state)
+        leaving = state.entry.draining or state.leaving_since is not None
+        return not leaving and self.in_service(state)
 
     def _defers_removals(self, now: float) -> bool:
         if self._store_unavailable:
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -39,6 +39,8 @@
         self.health = ServerHealth(now=now)
         self.rate_limit: ServerRateLimit | None = None
         """Limit that the server named last; ``None`` if it never named one."""
+        self.leaving_since: float | None = None
+        """When a response told that the server is leaving; ``None`` if none did."""
         self._reported_load: ReportedLoad | None = None
         self._reported_at = 0.0
         self._in_flight_at_report = 0
@@ -81,6 +83,16 @@
         self.rate_limit = limit
         return known is None or known.per_s != limit.per_s
 
+    def record_leaving(self, *, now: float) -> bool:
+        """Record that the server is leaving, which holds until this incarnation has ended.
+
+        :returns: Whether that is news.
+        """
+        if self.leaving_since is not None:
+            return False
+        self.leaving_since = now
+        return True
+
     def load(self, fleet: FleetLoad, *, routers: int, now: float) -> float:
         """Return the estimated in-flight requests of all routers at the server.
 
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -75,7 +75,9 @@
                 load_factor=BOUNDS.load_factor,
             ),
             sender=self.sender,
-            relay=ResponseRelay(wire=wire, rate_limits=self.view.rate_limits, clock=clock),
+            relay=ResponseRelay(
+                wire=wire, rate_limits=self.view.rate_limits, stats=stats, clock=clock
+            ),
             retries=RetryBudgets(bounds=BOUNDS),
             wire=wire,
             stats=stats,
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -64,14 +64,18 @@
     def _limit_header(self) -> list[str]:
         return [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
 
-    async def begin_stream(self) -> None:
-        """Write the head of an event stream."""
+    async def begin_stream(self, *headers: str) -> None:
+        """Write the head of an event stream.
+
+        :param headers: Further header lines.
+        """
         lines = (
             "HTTP/1.1 200 OK",
             f"X-Request-Id: {self.request_id}",
             "X-Response-Seal: seal",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *headers,
             *self._limit_header(),
         )
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
