Keep the pauses that servers ask for in a 503

A server that turned a request away with Retry-After got the next ones at once, and the repeat of the same request within a millisecond when it was the only one: 28 requests in a pause of 1.5 s.

A 503 of the server itself pauses that incarnation at this router: no new request, no repeat, no resumed stream goes there until its end. Other servers take over; without one, callers are rejected at once with the end of the pause, spread, as their Retry-After, or held if that is within a quarter of the target. After the pause the share of requests that return grows over a second, if other servers can take the rest. A refusal with a pause is no sign of a failing server.

--- a/packages/core/src/cornellead_core/routing/_wire_format.py
+++ b/packages/core/src/cornellead_core/routing/_wire_format.py
@@ -58,6 +58,8 @@
     no limit."""
     leaving: bool
     """Whether the server is shutting down and accepts no new requests."""
+    pause_s: float | None
+    """Seconds for which the server asks this router to send it nothing; ``None`` if it does not."""
     forwarded: HeaderList
     """Headers that are forwarded unchanged."""
 
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -238,7 +238,9 @@
         ok = isinstance(outcome, DeliveredResponse)
         if ok and admitted.affinity:
             self._view.prompts.record(admitted.affinity, name, now=self._clock())
-        state.health.record_outcome(ok=ok, now=self._clock())
+        paused = isinstance(outcome, NotRunResponse) and self._clock() < state.paused_until
+        if not paused:
+            state.health.record_outcome(ok=ok, now=self._clock())
         trace.add_attempt(name, _outcome_label(outcome))
         return outcome
 
--- a/packages/router/src/cornellead/gateway/forwarding/_reply_recorder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_reply_recorder.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from cornellead.gateway.policy import MAX_PAUSE_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -41,6 +43,8 @@
             self._rate_limits.record_response(state, reply.rate_limit_per_s, now=now)
         if reply.leaving:
             self._record_leaving(state, now=now)
+        if reply.pause_s is not None:
+            self._record_pause(state, reply.pause_s, now=now)
 
     def _record_leaving(self, state: ServerState, *, now: float) -> None:
         if not state.record_leaving(now=now):
@@ -53,3 +57,16 @@
             draining=state.entry.draining,
             entry_age_s=round(now - state.entry_received_at, 2),
         )
+
+    def _record_pause(self, state: ServerState, asked_s: float, *, now: float) -> None:
+        pause_s = min(asked_s, MAX_PAUSE_S)
+        if not state.record_pause(pause_s, now=now):
+            return
+        self._stats.count_view_change("server_pause")
+        structlog.get_logger().info(
+            "server paused",
+            server=state.entry.server,
+            source="response",
+            pause_s=round(pause_s, 2),
+            asked_s=asked_s,
+        )
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.policy import order_by_cost
 from cornellead.gateway.policy import order_for_chat
 from cornellead.gateway.policy import request_jitter
+from cornellead.gateway.policy import return_at
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -45,8 +46,8 @@
     usable_servers: int
     """Number of servers of the service that could be chosen, tried ones included."""
     wait_s: float | None = None
-    """Shortest expected wait for a slot or for a rate limit; ``None`` if no server was ruled out by
-    either."""
+    """Shortest expected wait for a slot, a rate limit or the end of a pause; ``None`` if no server
+    was ruled out by any of them."""
     rate_limited: bool = False
     """Whether a server was ruled out by the rate limit that it names."""
 
@@ -90,18 +91,22 @@
         servers = self._view.servers.usable(
             admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
         )
+        jitter = request_jitter(admitted.caller.request_id)
+        awake = _exclude_paused(servers, jitter=jitter, now=now)
+        if servers and not awake:
+            resumes_at = min(_return_at(state, jitter) for state in servers)
+            return NoServer(resumes_at, len(servers), resumes_at - now)
         fleet = self._view.load
         loads = {
             state.entry.server: state.load(fleet, routers=len(routers), now=now)
             for state in self._view.servers.listed(admitted.service.name)
         }
         if admitted.affinity:
-            jitter = request_jitter(admitted.caller.request_id)
             ordered = self._order(
-                PlacementContext(admitted.affinity, servers, loads, self.load_factor, jitter, now)
+                PlacementContext(admitted.affinity, awake, loads, self.load_factor, jitter, now)
             )
         else:
-            ordered = order_by_cost(servers, loads, data_centre=self._data_centre, now=now)
+            ordered = order_by_cost(awake, loads, data_centre=self._data_centre, now=now)
         rate_per_s = admitted.service.cold_rate_per_s
         next_send_at: float | None = None
         shortest_wait_s: float | None = None
@@ -191,3 +196,19 @@
         return (
             not admitted.regions or self._regions.get(state.entry.data_centre) in admitted.regions
         )
+
+
+def _return_at(state: ServerState, jitter: float) -> float:
+    return return_at(paused_until=state.paused_until, jitter=jitter)
+
+
+def _exclude_paused(
+    servers: Sequence[ServerState], *, jitter: float, now: float
+) -> list[ServerState]:
+    """Return the servers that asked for no pause, or whose pause has ended.
+
+    The requests of all routers return gradually to a server after its pause, unless no other server
+    is left.
+    """
+    returned = [state for state in servers if _return_at(state, jitter) <= now]
+    return returned or [state for state in servers if state.paused_until <= now]
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -18,9 +18,12 @@
 from cornellead.gateway.policy._server_order import order_for_chat
 from cornellead.gateway.policy._server_order import rank_homes
 from cornellead.gateway.policy._server_order import split_service
+from cornellead.gateway.policy._server_pause import MAX_PAUSE_S
+from cornellead.gateway.policy._server_pause import return_at
 from cornellead.gateway.policy._server_rate_limiter import ServerRateLimiter
 
 __all__ = [
+    "MAX_PAUSE_S",
     "ChatOrder",
     "ColdStartLimiter",
     "PlacementContext",
@@ -37,5 +40,6 @@
     "rank_homes",
     "request_jitter",
     "retry_after_s",
+    "return_at",
     "split_service",
 ]
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -41,6 +41,8 @@
         """Limit that the server named last; ``None`` if it never named one."""
         self.leaving_since: float | None = None
         """When a response told that the server is leaving; ``None`` if none did."""
+        self.paused_until = 0.0
+        """End of the time in which the server wants no requests of this router, in seconds."""
         self._reported_load: ReportedLoad | None = None
         self._reported_at = 0.0
         self._in_flight_at_report = 0
@@ -93,6 +95,16 @@
         self.leaving_since = now
         return True
 
+    def record_pause(self, seconds: float, *, now: float) -> bool:
+        """Record that the server wants no requests for a time.
+
+        :returns: Whether that ends later than a pause that is known.
+        """
+        if now + seconds <= self.paused_until:
+            return False
+        self.paused_until = now + seconds
+        return True
+
     def load(self, fleet: FleetLoad, *, routers: int, now: float) -> float:
         """Return the estimated in-flight requests of all routers at the server.
 
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -118,11 +118,16 @@
             self.sender.abort_stalled_attempts()
 
     async def call(
-        self, path: str, *headers: str, body: bytes = b"", key: str = KEY
+        self,
+        path: str,
+        *headers: str,
+        body: bytes = b"",
+        key: str = KEY,
+        request_id: str = "7f01",
     ) -> CallerResponse:
         """Send a request on a new connection and return the response."""
         reader, writer = await self.connect()
-        writer.write(encode_request(path, *headers, body=body, key=key))
+        writer.write(encode_request(path, *headers, body=body, key=key, request_id=request_id))
         response = await read_response(reader)
         writer.close()
         return response
--- /dev/null
+++ b/tests/router/gateway/view/test_server_sources.py
@@ -0,0 +1,129 @@
+"""State machine of what tells whether a server may be used: entries, responses, and their order."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from tests.router.gateway.builders import make_entry
+
+from cornellead.gateway.view import ServerRegistry
+from cornellead.gateway.view import ServerState
+
+SERVERS = st.sampled_from(["s1", "s2", "s3"])
+STARTS = st.integers(1, 3)
+
+
+class _Incarnation(NamedTuple):
+    started_ms: int
+    draining: bool
+    leaving: bool
+    paused_until: float
+
+
+class ServerSources(RuleBasedStateMachine):
+    """Compares the registry with a model of each server's incarnation."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.model: dict[str, _Incarnation] = {}
+        self.registry = self._make_registry()
+        self.earlier: list[ServerState] = []
+        """States of servers to which requests were sent, whose responses may still arrive."""
+
+    def _make_registry(self) -> ServerRegistry:
+        registry = ServerRegistry()
+        registry.set_services(["llm"])
+        return registry
+
+    @rule(server=SERVERS, started_ms=STARTS, draining=st.booleans())
+    def receive_entry(self, server: str, started_ms: int, draining: bool) -> None:
+        """Read a new entry of a server."""
+        known = self.model.get(server)
+        if known is not None and (
+            started_ms < known.started_ms or (known.draining and started_ms == known.started_ms)
+        ):
+            return
+        self.registry.put(
+            make_entry(server, started_ms=started_ms, draining=draining), now=self.now
+        )
+        if known is not None and known.started_ms == started_ms:
+            self.model[server] = known._replace(draining=draining)
+        else:
+            self.model[server] = _Incarnation(started_ms, draining, False, 0.0)
+
+    @rule(server=SERVERS)
+    def remove_entry(self, server: str) -> None:
+        """Read that a server's entry was removed."""
+        self.registry.remove(server, now=self.now)
+        self.model.pop(server, None)
+
+    @rule()
+    def read_snapshot(self) -> None:
+        """Read the newest entries of all servers again, which may be older than responses."""
+        states = [self.registry.get(server) for server in self.model]
+        self.registry.replace_all([s.entry for s in states if s is not None], now=self.now)
+
+    @rule(server=SERVERS)
+    def send_request(self, server: str) -> None:
+        """Send a request, whose response arrives at any later time."""
+        state = self.registry.get(server)
+        if state is not None:
+            self.earlier.append(state)
+
+    @rule(position=st.integers(0, 9), leaving=st.booleans(), pause_s=st.floats(0.0, 5.0))
+    def receive_response(self, position: int, leaving: bool, pause_s: float) -> None:
+        """Receive a response, perhaps of an incarnation that has ended."""
+        if not self.earlier:
+            return
+        state = self.earlier[position % len(self.earlier)]
+        if leaving:
+            state.record_leaving(now=self.now)
+        state.record_pause(pause_s, now=self.now)
+        server = state.entry.server
+        if self.registry.get(server) is not state:
+            return
+        known = self.model[server]
+        self.model[server] = known._replace(
+            leaving=known.leaving or leaving,
+            paused_until=max(known.paused_until, self.now + pause_s),
+        )
+
+    @rule(seconds=st.floats(0.0, 10.0))
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass; a freeze of the host is no different."""
+        self.now += seconds
+
+    @rule()
+    def restart_router(self) -> None:
+        """Start anew with the entries alone."""
+        entries = [s.entry for name in self.model if (s := self.registry.get(name)) is not None]
+        self.registry = self._make_registry()
+        self.registry.replace_all(entries, now=self.now)
+        self.earlier = []
+        self.model = {
+            name: known._replace(leaving=False, paused_until=0.0)
+            for name, known in self.model.items()
+        }
+
+    @invariant()
+    def only_servers_that_are_not_leaving_are_used(self) -> None:
+        """Guards against a source that overrules later news of the same incarnation."""
+        usable = {state.entry.server for state in self.registry.usable("llm")}
+        assert usable == {
+            name for name, known in self.model.items() if not (known.draining or known.leaving)
+        }
+
+    @invariant()
+    def pauses_belong_to_the_incarnation(self) -> None:
+        """Guards against a pause that is lost, shortened, or kept for a server that restarted."""
+        for name, known in self.model.items():
+            state = self.registry.get(name)
+            assert state is not None and state.paused_until == known.paused_until
+
+
+TestServerSources = ServerSources.TestCase
