--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.routing._address import Address
+from cornellead_core.routing._address import parse_address
 from cornellead_core.routing._http_client import HttpClient
 from cornellead_core.routing._http_client import HttpResponse
 from cornellead_core.routing._node_settings import Bounds
@@ -33,6 +35,7 @@
 from cornellead_core.routing._store import ServerNotice
 from cornellead_core.routing._store import StoreError
 from cornellead_core.routing._store import Topic
+from cornellead_core.routing._store import UnreadableRecord
 from cornellead_core.routing._wire_format import CallerHeaders
 from cornellead_core.routing._wire_format import ForwardTarget
 from cornellead_core.routing._wire_format import HeaderList
@@ -42,6 +45,7 @@
 
 __all__ = [
     "STORE_SOURCE",
+    "Address",
     "Bounds",
     "CallerHeaders",
     "CallerLimits",
@@ -76,6 +80,8 @@
     "Team",
     "TeamKeys",
     "Topic",
+    "UnreadableRecord",
     "WeightedService",
     "WireFormat",
+    "parse_address",
 ]
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -75,6 +75,8 @@
         self._close_after_response = False
         self._closing = False
         self._continue_sent = False
+        self._response_complete = False
+        self._dropped_bytes = 0
         self.started = False
 
     @property
@@ -93,6 +95,10 @@
         """Start the idle timeout for the first request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        if self._closing:
+            # Evicted, or finished by a stop, between its accept and this call.
+            transport.close()
+            return
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._start_timer(
             self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
@@ -101,6 +107,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse requests, and start the first unless one is in progress."""
         if self._closing:
+            self._dropped_bytes += len(data)
             return
         idle = self.idle
         if idle:
@@ -129,6 +136,12 @@
         """Cancel the request in progress, since nobody can receive its response."""
         del exc
         self._closing = True
+        if self._dropped_bytes:
+            structlog.get_logger().warning(
+                "bytes behind the last response were dropped",
+                bytes=self._dropped_bytes,
+                close_announced=self._close_after_response,
+            )
         self._cancel_timer()
         self._writable.set()
         if self._task is not None:
@@ -150,21 +163,25 @@
             self._close_transport()
 
     def finish(self) -> None:
-        """Close the connection once it is idle and its last response was sent completely."""
-        if self.idle and not self._closing:
-            self._close_after_linger()
+        """Close the connection if nothing is in progress on it and no close is under way.
+
+        A request that crosses the close is not read: its caller gets a reset.
+        """
+        if not self._closing:
+            self.close_idle()
 
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
         """Write a complete response."""
         self.started = True
-        self._close_after_response = self._close_after_response or self._stop_requested
+        self._close_if_stopping()
+        self._response_complete = True
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
         self._write(head + body)
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
         self.started = True
-        self._close_after_response = self._close_after_response or self._stop_requested
+        self._close_if_stopping()
         self._write(encode_head(status, headers, length=None, close=self._close_after_response))
 
     async def write(self, data: bytes) -> None:
@@ -175,6 +192,7 @@
 
     def end(self) -> None:
         """Complete a chunked response."""
+        self._response_complete = True
         self._write(LAST_CHUNK)
 
     def abort(self) -> None:
@@ -183,9 +201,10 @@
         if self._transport is not None:
             self._transport.abort()
 
-    @property
-    def _stop_requested(self) -> bool:
-        return self._serving.phase >= ServingPhase.LEAVING
+    def _close_if_stopping(self) -> None:
+        # Requests that were read behind this one are answered before the connection closes.
+        if self._serving.phase >= ServingPhase.LEAVING and not self._parser.has_input:
+            self._close_after_response = True
 
     def _start_next_request(self) -> None:
         if not self._parser.requests:
@@ -193,6 +212,7 @@
         req = self._parser.requests.pop(0)
         self._cancel_timer()
         self.started = False
+        self._response_complete = False
         self._continue_sent = False
         self._close_after_response = "close" in req.header(b"connection").lower()
         self._serving.in_progress += 1
@@ -209,7 +229,8 @@
             structlog.get_logger().exception("request handler failed")
             if not self.started:
                 self.respond(500, (), b"")
-            self._close_after_response = True
+            elif not self._response_complete:
+                self.abort()
         finally:
             self._serving.in_progress -= 1
             self._task = None
@@ -218,17 +239,16 @@
     def _finish_request(self) -> None:
         if self._closing:
             return
-        if self._close_after_response or self._parser.rejection is not None:
-            if self._parser.rejection is not None and not self._close_after_response:
-                self._reject(self._parser.rejection)
-                return
+        if self._close_after_response:
             self._close_after_linger()
             return
         if self._transport is not None:
             self._transport.resume_reading()
         self._start_next_request()
         if self._task is None:
-            if self._parser.has_partial_request:
+            if self._parser.rejection is not None:
+                self._reject(self._parser.rejection)
+            elif self._parser.has_partial_request:
                 self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
             else:
                 self._start_timer(
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -30,15 +30,17 @@
 from cornellead.gateway.relay import RelayHandler
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import Announcer
+from cornellead.gateway.sync import ContainedSink
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import QuarantinePublisher
+from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import RouterSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.sync import TopicReader
 from cornellead.gateway.view import FleetView
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
-from cornellead_core.blackboard import run_controllers
+from cornellead_core.blackboard import supervise_controllers
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import CallerLimits
 from cornellead_core.routing import RouterLocation
@@ -51,6 +53,7 @@
     from returns.result import Result
 
     from cornellead.gateway.ingress import RequestHandler
+    from cornellead.gateway.sync import NoticeSink
     from cornellead.gateway.view import ServerState
     from cornellead_core.blackboard import Controller
     from cornellead_core.routing import FleetStore
@@ -72,6 +75,9 @@
 """Fraction of the store's read rate that all routers together use for one topic."""
 ANNOUNCE_WRITE_SHARE = 0.1
 """Fraction of the store's write rate that the announcements of all routers together use."""
+MIN_ANNOUNCE_TIMEOUT_S = 0.1
+"""Time to announce the stop if the grace period is used up: a quarter of the margin before SIGKILL,
+the rest of which is left for the exit."""
 CALLER_DESCRIPTOR_SHARE = 0.6
 """Fraction of the file descriptors for callers; the rest is for servers, the store and other
 routers."""
@@ -137,6 +143,7 @@
         forwarder = Forwarder(
             view=self._view,
             admission=self._admission,
+            serving=self._serving,
             picker=self._picker,
             sender=self._sender,
             relay=ResponseRelay(
@@ -197,46 +204,56 @@
         structlog.get_logger().info(
             "started", data_centre=settings.data_centre, callers=settings.caller_address
         )
-        controllers = asyncio.create_task(run_controllers(self._make_controllers()))
+        controllers = asyncio.create_task(
+            supervise_controllers(
+                self._make_controllers(), on_failure=self._stats.count_task_failure
+            )
+        )
         stopped = asyncio.create_task(stop_requested.wait())
         await asyncio.wait({controllers, stopped}, return_when=asyncio.FIRST_COMPLETED)
-        if controllers.done():
-            controllers.result()
         shutdown = GracefulShutdown(
             serving=self._serving,
             grace_period_s=self._settings.bounds.drain_grace_s,
             callers=self._caller_listener,
         )
         cut_requests = await shutdown.run()
+        failed = controllers.done()
         controllers.cancel()
-        await self._announcer.stop()
-        structlog.get_logger().info("stopped", cut_requests=cut_requests)
+        await self._announce_stop(max(MIN_ANNOUNCE_TIMEOUT_S, shutdown.time_left_s))
+        structlog.get_logger().info(
+            "stopped", cut_requests=cut_requests, refused=self._serving.refused
+        )
+        if failed:
+            controllers.result()
+
+    async def _announce_stop(self, timeout_s: float) -> None:
+        # Without the announcement the others count this router until its last one expires.
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._announcer.stop()
+        except TimeoutError:
+            structlog.get_logger().warning("stop not announced", timeout_s=round(timeout_s, 2))
 
     def _make_controllers(self) -> list[Controller]:
         stats, view = self._stats, self._view
         router_sink = RouterSink(view=view, clock=read_clock)
         return [
-            TopicReader(
-                store=self._store,
-                topic=Topic.OPERATOR,
-                sink=OperatorSink(view=view, stats=stats, clock=read_clock),
+            self._make_reader(
+                Topic.OPERATOR,
+                OperatorSink(view=view, stats=stats, clock=read_clock),
                 wait_s=OPERATOR_LONG_POLL_S,
                 interval_s=lambda: 0.0,
             ),
-            TopicReader(
-                store=self._store,
-                topic=Topic.SERVERS,
-                sink=ServerSink(
+            self._make_reader(
+                Topic.SERVERS,
+                ServerSink(
                     view=view, stats=stats, clock=read_clock, on_ended=self._on_server_removed
                 ),
-                wait_s=0.0,
                 interval_s=lambda: self._read_interval_s(SERVERS_READ_INTERVAL_S),
             ),
-            TopicReader(
-                store=self._store,
-                topic=Topic.ROUTERS,
-                sink=router_sink,
-                wait_s=0.0,
+            self._make_reader(
+                Topic.ROUTERS,
+                router_sink,
                 interval_s=lambda: self._read_interval_s(ROUTERS_INTERVAL_S),
             ),
             QuarantinePublisher(store=self._store, view=view, sink=router_sink, clock=read_clock),
@@ -257,6 +274,23 @@
             ),
         ]
 
+    def _make_reader(
+        self,
+        topic: Topic,
+        sink: NoticeSink,
+        *,
+        wait_s: float = 0.0,
+        interval_s: Callable[[], float],
+    ) -> TopicReader:
+        contained = ContainedSink(topic=topic, sink=sink, stats=self._stats)
+        return TopicReader(
+            store=self._store,
+            topic=topic,
+            sink=ReportingSink(topic=topic, sink=contained, stats=self._stats),
+            wait_s=wait_s,
+            interval_s=interval_s,
+        )
+
     def _make_listener(
         self, address: str, handler: RequestHandler, *, sock: socket.socket | None = None
     ) -> CallerListener:
