--- a/packages/core/src/cornellead_core/routing/_wire_format.py
+++ b/packages/core/src/cornellead_core/routing/_wire_format.py
@@ -56,6 +56,10 @@
     rate_limit_per_s: float | None
     """Requests per second that the server accepts from all routers together; ``None`` if it names
     no limit."""
+    leaving: bool
+    """Whether the server is shutting down and accepts no new requests."""
+    pause_s: float | None
+    """Seconds for which the server asks this router to send it nothing; ``None`` if it does not."""
     forwarded: HeaderList
     """Headers that are forwarded unchanged."""
 
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -146,7 +146,12 @@
             serving=self._serving,
             picker=self._picker,
             sender=self._sender,
-            relay=ResponseRelay(wire=wire, rate_limits=self._view.rate_limits, clock=read_clock),
+            relay=ResponseRelay(
+                wire=wire,
+                rate_limits=self._view.rate_limits,
+                stats=self._stats,
+                clock=read_clock,
+            ),
             retries=self._retries,
             wire=wire,
             stats=self._stats,
