Add odd server entries, silence, broken answers and planned work to the soak

Operators of similar systems reported processes that end on one odd entry of another writer, answers that break off in their head, and requests that are lost in planned stops. The soak played none of these.

Faults, each in its own module: odd entries among those of the servers, put and removed; servers that are silent for about a second, one or all, and go on; answers cut in their head or inside an event, and answers without length or chunks that end with the connection or are reset; signals, stops and configurations in series that overlap, with idle timeouts that change. Further kinds are one function in the list in Soak._inject_faults. The proxies now end a connection with a reset where the server did: a plain end would complete an answer without a length.

Checks: no gateway ends by itself; a request on a kept connection that ran is answered whole when nothing else hit its path; requests that are at servers when all fall silent are answered with success; a stopped gateway ends within the grace period; every odd entry is put once in calm, and those that no reader may take for a server stay in the store to the end.

--- a/tests/soak/config_series.py
+++ b/tests/soak/config_series.py
@@ -17,6 +17,7 @@
 """Time within which a change has to be in force at a gateway, counted from the change or from the
 end of the last fault of this gateway."""
 LARGE_ROUTE_COUNT = 2000
+IDLE_TIMEOUTS_MS = (500, 2_000, 15_000)
 NOT_FOUND = 404
 
 
@@ -49,6 +50,7 @@
         """Highest version whose route each gateway process knew, by process id."""
         self._disturbed_at: dict[int, float] = {}
         self._version = 7
+        self._idle_timeout_ms = IDLE_TIMEOUTS_MS[-1]
         self._publish()
 
     @property
@@ -63,6 +65,7 @@
     def publish_series(self) -> int:
         """Publish a few versions at once, some of them large, and return their number."""
         count = self._rng.randint(1, 6)
+        self._idle_timeout_ms = self._rng.choice(IDLE_TIMEOUTS_MS)
         if self._rng.random() < 0.5:
             self._add_plain_routes()
         for _ in range(count):
@@ -109,4 +112,5 @@
 
     def _publish(self) -> None:
         config = payloads.operator_config(self._version, keys=(), routes=self._routes)
+        config["limits"]["idle_timeout_ms"] = self._idle_timeout_ms
         self._store.put("keyed.op", "config", config)
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from enum import StrEnum
 
 
@@ -38,6 +40,8 @@
         self.fault = Fault.NONE
         self.bytes_per_s: float | None = None
         """Rate of responses; unlimited if ``None``."""
+        self.paused = False
+        """Whether the target falls silent for now, whatever the fault is."""
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
@@ -63,17 +67,17 @@
 
     def _reset_connections(self) -> None:
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.fault is Fault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         host, _, port = self._target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, target_writer}
         try:
@@ -86,8 +90,8 @@
             pass
         finally:
             self._writers -= {writer, target_writer}
-            writer.transport.abort()
-            target_writer.transport.abort()
+            _reset(writer)
+            _reset(target_writer)
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, responses: bool
@@ -96,14 +100,29 @@
             while data := await reader.read(READ_BYTES):
                 if self.fault is Fault.DELAY:
                     await asyncio.sleep(DELAY_S)
-                while self.fault is Fault.SILENT or (self.fault is Fault.ONE_WAY and responses):
+                while self._holds_back(responses=responses):
                     await asyncio.sleep(POLL_S)
                 if responses and self.bytes_per_s is not None:
                     await asyncio.sleep(len(data) / self.bytes_per_s)
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, OSError):
-            writer.transport.abort()
+            _reset(writer)
             return
         if not writer.is_closing():
             writer.close()
+
+    def _holds_back(self, *, responses: bool) -> bool:
+        if self.paused or self.fault is Fault.SILENT:
+            return True
+        return responses and self.fault is Fault.ONE_WAY
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection unless it is closed."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        # Without a linger time of 0, closing sends a regular end, which completes a response that
+        # has no length.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/tests/soak/gateway_processes.py
+++ b/tests/soak/gateway_processes.py
@@ -6,18 +6,29 @@
 import os
 import signal
 import sys
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
 from tests.platform_adapter import payloads
+from tests.soak.requests import Violation
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
     from pathlib import Path
 
+    from tests.soak.fault_log import FaultLog
+
 GATEWAY_COUNT = 3
+START_S = 1.5
+"""Time after which a started gateway serves and handles signals."""
 SIGNALS = (signal.SIGSTOP, signal.SIGCONT, signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
+PLANNED_SIGNALS = frozenset({signal.SIGTERM, signal.SIGHUP})
+ENDING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGKILL, signal.SIGHUP})
+"""Signals that explain an end; SIGHUP is recorded only before a process handles it."""
+EXPECTED_ENDS = frozenset({0, -signal.SIGTERM, -signal.SIGKILL, -signal.SIGHUP})
+LOG_TAIL_BYTES = 3000
 
 
 class GatewayProcesses:
@@ -25,12 +36,22 @@
 
     :param directory: Receives the settings and logs of the gateways.
     :param find_address: Returns a free ``ip:port``.
+    :param faults: Records when a gateway is killed or paused.
+    :param violations: Receives the processes that ended by themselves.
     """
 
     def __init__(
-        self, *, rng: random.Random, directory: Path, find_address: Callable[[], str]
+        self,
+        *,
+        rng: random.Random,
+        directory: Path,
+        find_address: Callable[[], str],
+        faults: FaultLog,
+        violations: list[Violation],
     ) -> None:
         self._rng = rng
+        self._faults = faults
+        self._violations = violations
         self._directory = directory
         self.caller_addresses = [find_address() for _ in range(GATEWAY_COUNT)]
         self._listen_addresses = [
@@ -42,9 +63,14 @@
         self.processes: list[asyncio.subprocess.Process | None] = [None] * GATEWAY_COUNT
         self._stopped: set[int] = set()
         """Gateways that are paused by SIGSTOP, as far as the soak knows."""
+        self._started_at: dict[int, float] = {}
+        """Start of each process in monotonic seconds, by process id."""
+        self._signals: dict[int, set[signal.Signals]] = {}
+        """Signals that were sent to each process, by process id."""
 
     async def start(self, number: int) -> None:
-        """Start a gateway."""
+        """Start a gateway; if its process has ended, check first why."""
+        self.check_end(number)
         ready_address, internal_address, metrics_address = self._listen_addresses[number]
         port = int(internal_address.rpartition(":")[2])
         settings = payloads.node_settings(
@@ -56,12 +82,16 @@
         path = self._directory / f"boot-{number}.json"
         path.write_bytes(msgspec.json.encode(settings))
         with (self._directory / f"gateway-{number}.log").open("ab") as log:
-            self.processes[number] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-m", "cornellead.cli", "gateway"),
                 *(f"--settings={path}", f"--metrics_port={metrics_address.rpartition(':')[2]}"),
                 stdout=log,
+                stderr=log,
                 env=dict(os.environ),
             )
+        self.processes[number] = process
+        self._started_at[process.pid] = time.monotonic()
+        self._signals[process.pid] = set()
 
     def is_running(self, number: int) -> bool:
         """Whether the process of a gateway has not ended; it may be paused."""
@@ -72,6 +102,10 @@
         """Whether the process of a gateway runs and is not paused."""
         return self.is_running(number) and number not in self._stopped
 
+    def is_unpaused(self, number: int) -> bool:
+        """Whether no SIGSTOP holds a gateway, whether it runs or has ended."""
+        return number not in self._stopped
+
     def choose(self) -> int:
         """Return the number of a gateway."""
         return self._rng.randrange(GATEWAY_COUNT)
@@ -83,23 +117,45 @@
             await self.start(number)
             return f"gateway-{number} start"
         sig = self._rng.choice(SIGNALS)
+        self.send_signal(number, sig)
+        return f"gateway-{number} {sig.name}"
+
+    def send_signal(self, number: int, sig: signal.Signals) -> None:
+        """Send a signal to a gateway if its process has not ended."""
+        process = self.processes[number]
+        if process is None or process.returncode is not None:
+            return
+        young = time.monotonic() < self._started_at[process.pid] + START_S
+        if sig is not signal.SIGHUP or young:
+            self._signals[process.pid].add(sig)
         process.send_signal(sig)
+        if sig not in PLANNED_SIGNALS:
+            self._faults.record_gateway(number)
         if sig is signal.SIGSTOP:
             self._stopped.add(number)
         elif sig is signal.SIGCONT or sig is signal.SIGKILL:
             self._stopped.discard(number)
-        return f"gateway-{number} {sig.name}"
+
+    def check_end(self, number: int) -> None:
+        """Check that the last process of a gateway has not ended by itself."""
+        process = self.processes[number]
+        if process is None or process.returncode is None:
+            return
+        if self._signals[process.pid] & ENDING_SIGNALS and process.returncode in EXPECTED_ENDS:
+            return
+        log = (self._directory / f"gateway-{number}.log").read_bytes()
+        detail = f"exit {process.returncode}: {log[-LOG_TAIL_BYTES:].decode(errors='replace')}"
+        self._violations.append(Violation("own end", f"gateway-{number}", detail))
 
     def resume(self) -> None:
         """Let paused gateways go on."""
         self._stopped.clear()
-        for process in self.processes:
-            if process is not None and process.returncode is None:
-                process.send_signal(signal.SIGCONT)
+        for number in range(GATEWAY_COUNT):
+            self.send_signal(number, signal.SIGCONT)
 
     async def kill(self, number: int) -> None:
         """Kill the process of a gateway if it still runs."""
         process = self.processes[number]
         if process is not None and process.returncode is None:
-            process.send_signal(signal.SIGKILL)
+            self.send_signal(number, signal.SIGKILL)
             await process.wait()
--- a/tests/soak/server_trouble.py
+++ b/tests/soak/server_trouble.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from tests.soak.fault_proxy import FaultProxy
     from tests.soak.servers import RecordingServer
@@ -43,6 +44,10 @@
         self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
         self.crashes = 0
+        self.on_crash: Callable[[], None] = lambda: None
+        """Called when a server crashes, and when it listens again."""
+        self.crashing_share = CRASHING_SHARE
+        """Share of the requests with a prompt that get the crashing part."""
         for server, proxy in servers:
             server.crash = partial(self._crash, proxy)
 
@@ -50,10 +55,15 @@
         """Return the header line with the prompt of a request."""
         thing = f"b{self._rng.randrange(20)}"
         parts = [SHARED_PART, thing, f"c{number}"]
-        if self._rng.random() < CRASHING_SHARE:
+        if self._rng.random() < self.crashing_share:
             parts.insert(2, CRASHING_PART)
         return prompt_header(parts)
 
+    @property
+    def has_crashed(self) -> bool:
+        """Whether a server is down now."""
+        return bool(self._tasks)
+
     def toggle_limit(self) -> str:
         """Let a server name a limit or lift it."""
         server, _ = self._rng.choice(self._servers)
@@ -79,6 +89,7 @@
 
     def _crash(self, proxy: FaultProxy) -> None:
         self.crashes += 1
+        self.on_crash()
         proxy.stop()
         task = asyncio.create_task(self._restart(proxy))
         self._tasks.add(task)
@@ -87,6 +98,7 @@
     async def _restart(self, proxy: FaultProxy) -> None:
         await asyncio.sleep(DOWN_S)
         await proxy.start()
+        self.on_crash()
 
 
 def prompt_header(parts: list[str]) -> str:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -9,6 +9,8 @@
 from weakref import WeakKeyDictionary
 
 from tests.router.gateway.scripted_server import ScriptedServer
+from tests.soak.broken_answers import BROKEN_ANSWERS
+from tests.soak.broken_answers import BrokenAnswers
 from tests.soak.server_trouble import CRASHING_PART
 
 if TYPE_CHECKING:
@@ -23,7 +25,10 @@
 MAX_ARRIVALS = 10_000
 TRICKLE_INTERVAL_S = 0.2
 COMMENT = b": wait\n\n"
-FAILURES = ("refuse", "error", "reset", "mute", "late", "extra", "again", "trickle", "text")
+FAILURES = (
+    *("refuse", "error", "reset", "mute", "late", "extra", "again", "trickle", "text"),
+    *BROKEN_ANSWERS,
+)
 """``again``: an earlier refusal on the connection is written once more before the response;
 ``trickle``: comments without events; ``text``: a stream is resumed with an error's text."""
 ERROR_TEXT = b'{"error": "out of memory"}\n\n'
@@ -48,6 +53,7 @@
         """Fraction of the requests that fail, in a way chosen at random."""
         self._refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = WeakKeyDictionary()
         """Latest refusal on each connection."""
+        self._broken_answers = BrokenAnswers(rng=rng, last_event=EVENTS_PER_STREAM)
         self.http_server = ScriptedServer(self._serve)
 
     async def _serve(self, exchange: ScriptedExchange) -> None:
@@ -76,6 +82,9 @@
             await exchange.send(exchange.sealed_response(500, b"failure"))
         elif b"/stream/" in exchange.head.split(b"\r\n")[0]:
             await self._stream(exchange, failure)
+        elif failure in BROKEN_ANSWERS:
+            body = expected_body(exchange.request_id)
+            await self._broken_answers.respond(exchange, failure, body)
         else:
             if failure == "late":
                 await asyncio.sleep(0.6)
@@ -97,6 +106,9 @@
         if failure == "text" and first > 1:
             await exchange.send(exchange.sealed_response(200, ERROR_TEXT))
             return
+        if failure in BROKEN_ANSWERS:
+            await self._broken_answers.stream(exchange, failure, first)
+            return
         broken = failure not in ("", "again")
         last = self._rng.randint(first, EVENTS_PER_STREAM) if broken else EVENTS_PER_STREAM
         await exchange.begin_stream()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,15 +13,22 @@
 from tests.soak.config_callers import ConfigCallers
 from tests.soak.config_series import MAX_CONFIG_DELAY_S
 from tests.soak.config_series import ConfigSeries
+from tests.soak.fault_log import FaultLog
 from tests.soak.fault_proxy import Fault
 from tests.soak.fault_proxy import FaultProxy
 from tests.soak.gateway_processes import GATEWAY_COUNT
+from tests.soak.gateway_processes import START_S
 from tests.soak.gateway_processes import GatewayProcesses
+from tests.soak.kept_callers import KeptCallers
+from tests.soak.odd_entries import OddEntries
+from tests.soak.planned_work import PlannedWork
 from tests.soak.recovery_check import RecoveryCheck
 from tests.soak.requests import Violation
 from tests.soak.requests import make_route
+from tests.soak.server_trouble import CRASHING_SHARE
 from tests.soak.server_trouble import ServerTrouble
 from tests.soak.servers import RecordingServer
+from tests.soak.silent_servers import SilentServers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -30,10 +37,10 @@
 
 SERVER_COUNT = 3
 CALLER_COUNT = 6
+PLANNED_ROUNDS = 2
+"""Rounds of planned stops after the last fault."""
 CATCH_UP_S = MAX_CONFIG_DELAY_S + 1.0
 """Time after the last fault in which gateways that still run have to catch up."""
-START_S = 1.5
-"""Time after which a started gateway serves."""
 RECOVERY_S = 5.0
 """Time after the last fault in which all gateways have to serve again."""
 STORE_BYTES_PER_S = 625_000.0
@@ -56,18 +63,33 @@
         self._rng = random.Random(seed)
         self._duration_s = duration_s
         self._find_address = find_address
-        runs: Counter[str] = Counter()
+        self._runs: Counter[str] = Counter()
+        self._faults_seen = FaultLog()
         self.violations: list[Violation] = []
         self.faults: list[str] = []
         """Injected faults in order."""
-        self._servers = [RecordingServer(runs=runs, rng=self._rng) for _ in range(SERVER_COUNT)]
+        self._servers = [
+            RecordingServer(runs=self._runs, rng=self._rng) for _ in range(SERVER_COUNT)
+        ]
         self._proxies: dict[str, FaultProxy] = {}
         self._gateways = GatewayProcesses(
-            rng=self._rng, directory=directory, find_address=find_address
+            rng=self._rng,
+            directory=directory,
+            find_address=find_address,
+            faults=self._faults_seen,
+            violations=self.violations,
         )
         addresses = self._gateways.caller_addresses
         self._callers = Callers(
-            rng=self._rng, runs=runs, addresses=addresses, violations=self.violations
+            rng=self._rng, runs=self._runs, addresses=addresses, violations=self.violations
+        )
+        self._kept_callers = KeptCallers(
+            rng=self._rng,
+            runs=self._runs,
+            callers=self._callers,
+            addresses=addresses,
+            was_calm=self._was_calm,
+            violations=self.violations,
         )
         self._recovery = RecoveryCheck(
             callers=self._callers, addresses=addresses, violations=self.violations
@@ -80,12 +102,24 @@
             make_route("stream", "streaming", max_attempts=3, stream_resume=True),
         ]
         self._configs = ConfigSeries(store=self._store, rng=self._rng, routes=routes)
+        self._odd_entries = OddEntries(store=self._store, rng=self._rng)
+        self._planned_work = PlannedWork(
+            rng=self._rng,
+            gateways=self._gateways,
+            configs=self._configs,
+            violations=self.violations,
+        )
 
     @property
     def responses(self) -> Counter[int]:
         """Responses by status code; 0 when there was none."""
         return self._callers.responses
 
+    @property
+    def calm_requests(self) -> int:
+        """Requests on kept connections without a fault on their path."""
+        return self._kept_callers.checked
+
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
         await self._store.start()
@@ -114,6 +148,10 @@
         proxies = [self._proxies[f"server-{number}"] for number in range(SERVER_COUNT)]
         servers = list(zip(self._servers, proxies, strict=True))
         self._trouble = ServerTrouble(servers=servers, rng=self._rng)
+        self._trouble.on_crash = self._faults_seen.record_servers
+        self._silence = SilentServers(
+            rng=self._rng, proxies=proxies, callers=self._callers, violations=self.violations
+        )
         for number in range(GATEWAY_COUNT):
             proxy = await self._start_proxy(f"store-{number}", self._store_address)
             proxy.bytes_per_s = STORE_BYTES_PER_S
@@ -141,18 +179,26 @@
             asyncio.create_task(self._callers.send_requests(choose_prompt=choose_prompt))
             for _ in range(CALLER_COUNT)
         ]
-        return tasks + [
-            asyncio.create_task(config_callers.check_configs(number))
-            for number in range(GATEWAY_COUNT)
-        ]
+        for number in range(GATEWAY_COUNT):
+            tasks.append(asyncio.create_task(config_callers.check_configs(number)))
+            tasks.append(asyncio.create_task(self._kept_callers.send_requests(number)))
+        return tasks
 
     async def _inject_faults(self) -> None:
-        kinds: list[Callable[[], Awaitable[str]]] = [
-            *(self._set_proxy_fault, self._signal_gateway, self._publish_configs) * 2,
+        frequent: list[Callable[[], Awaitable[str]]] = [
+            self._set_proxy_fault,
+            self._signal_gateway,
+            self._publish_configs,
+            self._odd_entries.inject,
+            self._silence.inject,
+            self._planned_work.inject,
+        ]
+        rare: list[Callable[[], Awaitable[str]]] = [
             self._toggle_store,
             self._fail_server,
             self._toggle_limit,
         ]
+        kinds = [*frequent * 2, *rare]
         loop = asyncio.get_running_loop()
         faults_end_at = loop.time() + self._duration_s
         while loop.time() < faults_end_at:
@@ -166,6 +212,8 @@
         self._proxies[name].set_fault(fault)
         if name.startswith("store-"):
             self._configs.record_disturbance(int(name.removeprefix("store-")))
+        else:
+            self._faults_seen.record_servers()
         return f"{name} {fault}"
 
     async def _signal_gateway(self) -> str:
@@ -185,6 +233,7 @@
     async def _fail_server(self) -> str:
         server = self._rng.choice(self._servers)
         server.failure_rate = self._rng.choice([0.0, 0.2, 0.6])
+        self._faults_seen.record_servers()
         return f"servers failing={server.failure_rate}"
 
     async def _toggle_limit(self) -> str:
@@ -195,17 +244,18 @@
         for proxy in self._proxies.values():
             proxy.set_fault(Fault.NONE)
         self._trouble.clear()
+        self._trouble.crashing_share = 0.0
+        self._odd_entries.clear()
         for server in self._servers:
             server.failure_rate = 0.0
+        self._faults_seen.record_servers()
         self._gateways.resume()
         for number in range(GATEWAY_COUNT):
             self._configs.record_disturbance(number)
         await asyncio.sleep(CATCH_UP_S)
-        for number in range(GATEWAY_COUNT):
-            if not self._gateways.is_running(number):
-                await self._gateways.start(number)
-                self._configs.record_disturbance(number)
-        await asyncio.sleep(START_S)
+        await self._start_ended()
+        await self._check_calm()
+        self._trouble.crashing_share = CRASHING_SHARE
         exceeded = await self._trouble.check_limit()
         if exceeded:
             self.violations.append(Violation("rate limit", "server-0", exceeded))
@@ -216,6 +266,39 @@
             self._configs.record_disturbance(number)
         await asyncio.sleep(RECOVERY_S)
 
+    async def _check_calm(self) -> None:
+        """Check silent servers, planned stops and odd entries while there is no other fault."""
+        for address in self._gateways.caller_addresses:
+            await self._silence.check(address)
+        for _ in range(PLANNED_ROUNDS):
+            numbers = self._rng.sample(range(GATEWAY_COUNT), self._rng.randint(1, GATEWAY_COUNT))
+            await self._silence.inject()
+            self.faults.append(await self._planned_work.check(numbers))
+            await self._start_ended()
+        await self._odd_entries.put_all()
+        await self._start_ended()
+
+    async def _start_ended(self) -> None:
+        for number in range(GATEWAY_COUNT):
+            if not self._gateways.is_running(number):
+                await self._gateways.start(number)
+                self._configs.record_disturbance(number)
+        await asyncio.sleep(START_S)
+
+    def _was_calm(self, number: int, since: float) -> bool:
+        """Whether since a time no fault was on the paths of requests through a gateway."""
+        return not (
+            self._faults_seen.latest(number) >= since
+            or self._trouble.has_crashed
+            or not self._gateways.is_unpaused(number)
+            or any(server.failure_rate for server in self._servers)
+            or any(
+                proxy.fault is not Fault.NONE
+                for name, proxy in self._proxies.items()
+                if name.startswith("server-")
+            )
+        )
+
     def _is_disturbed(self, number: int) -> bool:
         return (
             self._store.down
@@ -227,6 +310,7 @@
         self._gateways.resume()
         for number in range(GATEWAY_COUNT):
             await self._gateways.kill(number)
+            self._gateways.check_end(number)
         for proxy in self._proxies.values():
             proxy.stop()
         for server in self._servers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -36,7 +36,8 @@
     """Guards against broken guarantees when network, processes, store and servers fail together.
 
     Checks that unsafe requests run at most once and not at all when refused, that responses are
-    not mixed up, and that all gateways serve again after the faults.
+    not mixed up, that requests on kept connections are answered beside planned work, that no
+    gateway ends by itself, and that all gateways serve again after the faults.
     """
     duration_s = float(os.environ.get("SOAK_SECONDS", CI_DURATION_S))
     # Ports below the ephemeral range: otherwise an outgoing connection may be given the port of a
@@ -49,5 +50,7 @@
         violations = await soak.run()
     finally:
         ports.release()
-    assert violations == [], (soak.faults, dict(soak.responses))
+    report = [*map(str, violations), f"faults: {soak.faults}", str(dict(soak.responses))]
+    assert violations == [], "\n".join(report)
     assert soak.responses[200] > 0
+    assert soak.calm_requests > 0
