Wait for planned stops before the calm checks of the soak

It now waits for gateways that are stopping, for the grace period at most, and starts them again first.

--- a/tests/soak/gateway_processes.py
+++ b/tests/soak/gateway_processes.py
@@ -21,6 +21,9 @@
     from tests.soak.fault_log import FaultLog
 
 GATEWAY_COUNT = 3
+GRACE_S = 8.0
+"""Time after SIGTERM at which the platform kills a process."""
+POLL_S = 0.05
 START_S = 1.5
 """Time after which a started gateway serves and handles signals."""
 SIGNALS = (signal.SIGSTOP, signal.SIGCONT, signal.SIGKILL, signal.SIGTERM, signal.SIGHUP)
@@ -153,6 +156,21 @@
         for number in range(GATEWAY_COUNT):
             self.send_signal(number, signal.SIGCONT)
 
+    async def wait_for_stops(self) -> None:
+        """Wait until the gateways that got SIGTERM have ended, for the grace period at most."""
+        loop = asyncio.get_running_loop()
+        kill_at = loop.time() + GRACE_S
+        while any(map(self._is_stopping, range(GATEWAY_COUNT))) and loop.time() < kill_at:
+            await asyncio.sleep(POLL_S)
+
+    def _is_stopping(self, number: int) -> bool:
+        process = self.processes[number]
+        return (
+            process is not None
+            and process.returncode is None
+            and signal.SIGTERM in self._signals[process.pid]
+        )
+
     async def kill(self, number: int) -> None:
         """Kill the process of a gateway if it still runs."""
         process = self.processes[number]
--- a/tests/soak/planned_work.py
+++ b/tests/soak/planned_work.py
@@ -24,9 +24,6 @@
     "hup config term hup",
 )
 MAX_PAUSE_S = 0.3
-GRACE_S = 8.0
-"""Time after SIGTERM at which the platform kills a process."""
-POLL_S = 0.05
 
 
 class PlannedWork:
@@ -59,10 +56,7 @@
         stopping = [series for series in SERIES if "term" in series]
         chosen = [self._rng.choice(stopping) for _ in numbers]
         await asyncio.gather(*map(self._run_series, numbers, chosen))
-        loop = asyncio.get_running_loop()
-        kill_at = loop.time() + GRACE_S
-        while any(map(self._gateways.is_running, numbers)) and loop.time() < kill_at:
-            await asyncio.sleep(POLL_S)
+        await self._gateways.wait_for_stops()
         for number, series in zip(numbers, chosen, strict=True):
             if self._gateways.is_running(number):
                 self._violations.append(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -253,6 +253,7 @@
         for number in range(GATEWAY_COUNT):
             self._configs.record_disturbance(number)
         await asyncio.sleep(CATCH_UP_S)
+        await self._gateways.wait_for_stops()
         await self._start_ended()
         await self._check_calm()
         self._trouble.crashing_share = CRASHING_SHARE
