Let the store of the soak come back from an older copy

The soak's store could be away, but never lose what it had acknowledged. It now takes copies, comes back from one up to 8 s old and later, and writes again in random order what operators and servers had written since; nobody writes again what routers wrote.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 from tests.soak.recovery_check import RecoveryCheck
 from tests.soak.requests import Violation
 from tests.soak.requests import make_route
+from tests.soak.restored_store import RestoredStore
 from tests.soak.server_trouble import CRASHING_SHARE
 from tests.soak.server_trouble import ServerTrouble
 from tests.soak.servers import RecordingServer
@@ -103,6 +104,9 @@
         ]
         self._configs = ConfigSeries(store=self._store, rng=self._rng, routes=routes)
         self._odd_entries = OddEntries(store=self._store, rng=self._rng)
+        self._restored_store = RestoredStore(
+            store=self._store, rng=self._rng, on_disturbance=self._disturb_all
+        )
         self._planned_work = PlannedWork(
             rng=self._rng,
             gateways=self._gateways,
@@ -195,6 +199,7 @@
         ]
         rare: list[Callable[[], Awaitable[str]]] = [
             self._toggle_store,
+            self._restored_store.inject,
             self._fail_server,
             self._toggle_limit,
         ]
@@ -226,9 +231,12 @@
 
     async def _toggle_store(self) -> str:
         self._store.down = not self._store.down
+        self._disturb_all()
+        return f"store down={self._store.down}"
+
+    def _disturb_all(self) -> None:
         for number in range(GATEWAY_COUNT):
             self._configs.record_disturbance(number)
-        return f"store down={self._store.down}"
 
     async def _fail_server(self) -> str:
         server = self._rng.choice(self._servers)
@@ -250,8 +258,7 @@
             server.failure_rate = 0.0
         self._faults_seen.record_servers()
         self._gateways.resume()
-        for number in range(GATEWAY_COUNT):
-            self._configs.record_disturbance(number)
+        self._disturb_all()
         await asyncio.sleep(CATCH_UP_S)
         await self._gateways.wait_for_stops()
         await self._start_ended()
