Keep the agent's controllers alive on deeply nested bytes of an engine

Seen: an engine whose load report or cache events hold an unknown field with 100,000 brackets ends the agent: `background task failed`, drain, exit, again at each start. Cause: the monitor and the cache watcher caught only msgspec.DecodeError; the decoder recurses into fields that it skips and raises RecursionError. Evidence: test_deeply_nested_bytes_of_an_engine_do_not_end_the_controllers failed in both cases before (ExceptionGroup: RecursionError out of run_controllers). Result: both cases pass; the engine counts as down while its report is unreadable.

--- a/packages/agent/src/cornellead_agent/engine/_cache_watcher.py
+++ b/packages/agent/src/cornellead_agent/engine/_cache_watcher.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from cornellead_agent.facts import SERVER
+from cornellead_core.decoding import UNREADABLE
 
 if TYPE_CHECKING:
     from cornellead_agent.chats import ChatIndex
@@ -94,7 +95,7 @@
             return False
         try:
             page = msgspec.json.decode(fetched.unwrap().body, type=CachePage)
-        except msgspec.DecodeError:
+        except UNREADABLE:
             return False
         apply_events(page, self._chats, now=time.monotonic())
         self._cursor = self._cursor._replace(next_seq=max(page.next, page.oldest))
--- a/packages/agent/src/cornellead_agent/engine/_server_monitor.py
+++ b/packages/agent/src/cornellead_agent/engine/_server_monitor.py
@@ -12,6 +12,7 @@
 from cornellead_agent.admission import ServerSample
 from cornellead_agent.facts import SERVER
 from cornellead_agent.facts import ServerView
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.facts import CONFIG
 
 if TYPE_CHECKING:
@@ -78,7 +79,7 @@
             return
         try:
             report = msgspec.json.decode(fetched.unwrap().body, type=_LoadReport)
-        except msgspec.DecodeError:
+        except UNREADABLE:
             self._record_failure()
             return
         self._apply_report(report)
--- /dev/null
+++ b/packages/core/src/cornellead_core/decoding/__init__.py
@@ -0,0 +1,7 @@
+"""What decoders of data from outside of the process have in common."""
+
+from __future__ import annotations
+
+from cornellead_core.decoding._errors import UNREADABLE
+
+__all__ = ["UNREADABLE"]
--- a/tests/agent/engine/test_server_monitor.py
+++ b/tests/agent/engine/test_server_monitor.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
+import pytest
 
+from cornellead_agent.engine import CacheWatcher
 from cornellead_agent.engine import ServerMonitor
 from cornellead_agent.facts import SERVER
+from cornellead_core.blackboard import run_controllers
 from cornellead_core.config import EMPTY_CONFIG
 from cornellead_core.facts import CONFIG
 
@@ -80,3 +84,19 @@
     await monitor.sample()
     harness.board.write(CONFIG, EMPTY_CONFIG)
     assert (harness.cold_limit.value, harness.cold_limit.drops) == (2, 0)
+
+
+@pytest.mark.parametrize("controller", ["monitor", "watcher"])
+async def test_deeply_nested_bytes_of_an_engine_do_not_end_the_controllers(
+    engine: ScriptedEngine, harness: Harness, controller: str
+) -> None:
+    """Guards against an agent that drains and exits, at each start, over what its engine sends."""
+    body = b'{"extra":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+    for _ in range(4):
+        engine.prepare_response(head + body)
+    watcher = CacheWatcher(board=harness.board, client=harness.client, chats=harness.chats)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.6):
+            await run_controllers([make_monitor(harness) if controller == "monitor" else watcher])
+    assert read_state(harness) == ("down" if controller == "monitor" else "serving")
