Read chat requests and token counts of any nesting without an error in the request

Seen: a chat request with a deeply nested field got status 500 from the agent, without an outcome; a whole completion with such a field ended with an error in the request instead of being delivered. Cause: both decoders were guarded against msgspec.DecodeError only. Change: both catch UNREADABLE.

--- a/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_endpoint.py
@@ -10,6 +10,7 @@
 from cornellead_agent.api._chat_relay import ChatRelay
 from cornellead_agent.api._responses import send_refusal
 from cornellead_agent.relay import ChatRequest
+from cornellead_core.decoding import UNREADABLE
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import AdmissionController
@@ -64,7 +65,7 @@
             return
         try:
             parsed = _decoder.decode(body)
-        except msgspec.DecodeError as exc:
+        except UNREADABLE as exc:
             message = f"send a JSON object with a model: {exc}"
             await self._request_handler.reject(send, context, 400, message)
             return
--- a/packages/agent/src/cornellead_agent/api/_relay_counters.py
+++ b/packages/agent/src/cornellead_agent/api/_relay_counters.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cornellead_core.decoding import UNREADABLE
+
 
 class _PromptTokensDetails(msgspec.Struct):
     cached_tokens: int = 0
@@ -45,7 +47,7 @@
         """
         try:
             usage = _decoder.decode(content).usage
-        except msgspec.DecodeError:
+        except UNREADABLE:
             return None
         if usage is None:
             return None
--- a/tests/agent/api/test_app.py
+++ b/tests/agent/api/test_app.py
@@ -162,3 +162,10 @@
     status = (await app.client.get("/status")).json()
     assert (status["state"], status["load"], status["capacity"]) == ("down", 0, 16)
     assert "cornellead_admissions_total 0.0" in (await app.client.get("/metrics")).text
+
+
+async def test_chat_request_with_deeply_nested_fields_is_rejected(app: AgentApp) -> None:
+    """Guards against status 500, which leaves open whether the request ran."""
+    body = b'{"model": "m", "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    resp = await app.call("POST", "/v1/chat/completions", body)
+    assert resp.status_code == 400 and "not_run" in resp.text
