Ignore a load header that is not ASCII

Seen: a non-ASCII x-cl-load header raises ValueError in the agent's request handler and in the router's agent client, so the request fails. Cause: base64.b64decode raises a plain ValueError for such text, which was not caught. Evidence: test_unreadable_load_header_fails_no_request failed before for a non-ASCII value (ValueError: string argument should contain only ASCII characters). Its nested case passed before: the decoder checks the length of the array first. Change: decode_digest catches UNREADABLE. Result: passes; the header counts as malformed.

--- a/packages/core/src/cornellead_core/load/_digest.py
+++ b/packages/core/src/cornellead_core/load/_digest.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -12,6 +11,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
+
 
 class ServerState(StrEnum):
     """Whether an agent admits new work for its server."""
@@ -75,5 +76,5 @@
     """
     try:
         return Success(_decoder.decode(base64.b64decode(value, validate=True)))
-    except (binascii.Error, msgspec.DecodeError) as exc:
+    except UNREADABLE as exc:
         return Failure(f"malformed load digest: {exc}")
