Let all other decoders of data from outside share the errors they may raise

Seen: a chat request of the own interface with a deeply nested field got 500 without an outcome from the router; one such line ended `cornellead explain`. Cause: both caught msgspec.DecodeError only. Evidence, before: test_chat_request_with_deeply_nested_fields_is_rejected (no error object in the 500), test_deeply_nested_line_does_not_end_the_reading_of_a_log (RecursionError). Change: they and the decoders of status, configuration, host list, log pages, control messages, datagrams and relayed pages catch UNREADABLE. For the last three no input was found that raised: their arrays are checked for length before they are entered. A docstring of the agent's usage test claimed more than holds: a whole completion that cannot be decoded is answered as malformed, as other malformed ones are.

--- a/packages/core/src/cornellead_core/config/_config_state.py
+++ b/packages/core/src/cornellead_core/config/_config_state.py
@@ -15,6 +15,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
+
 
 class ConfigObject(NamedTuple):
     """An object and its last change.
@@ -77,5 +79,5 @@
     """
     try:
         return Success(_decoder.decode(content))
-    except msgspec.DecodeError as exc:
+    except UNREADABLE as exc:
         return Failure(f"malformed configuration state: {exc}")
--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -16,6 +16,7 @@
 from cornellead_core.config import digest_state
 from cornellead_core.config import reduce_record
 from cornellead_core.config import verified_digest
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.facts import CONFIG
 from cornellead_core.platform import LogRecord
 
@@ -191,7 +192,7 @@
     for offset, time_ms, content in records:
         try:
             value = msgspec.json.decode(content, type=dict[str, Any])
-        except (msgspec.DecodeError, RecursionError):
+        except UNREADABLE:
             break
         decoded.append(LogRecord(offset, time_ms, value))
     return decoded
@@ -216,6 +217,6 @@
     """Decode and validate a peer's state; return ``None`` if it is malformed or invalid."""
     try:
         envelope = _envelope_decoder.decode(content)
-    except (msgspec.DecodeError, RecursionError):
+    except UNREADABLE:
         return None
     return None if check_state(envelope.state) else envelope
--- a/packages/core/src/cornellead_core/platform/_http_host_list.py
+++ b/packages/core/src/cornellead_core/platform/_http_host_list.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.platform._host_list import HostEntry
 from cornellead_core.platform._host_list import HostKind
 from cornellead_core.platform._host_list import HostState
@@ -61,7 +62,7 @@
             return Failure(PlatformError(f"host list read failed with status {resp.status_code}"))
         try:
             body = msgspec.json.decode(resp.content, type=_HostListBody)
-        except (msgspec.DecodeError, RecursionError) as exc:
+        except UNREADABLE as exc:
             return Failure(PlatformError(f"host list is malformed: {exc}"))
         self._hosts = [HostEntry(**msgspec.structs.asdict(host)) for host in body.hosts]
         self._etag = resp.headers.get("etag", "")
--- a/packages/core/src/cornellead_core/platform/_http_log_client.py
+++ b/packages/core/src/cornellead_core/platform/_http_log_client.py
@@ -12,6 +12,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.platform._log_client import AppendError
 from cornellead_core.platform._log_client import LogPage
 from cornellead_core.platform._log_client import LogRecord
@@ -81,7 +82,7 @@
             return Failure(AppendError.UNKNOWN)
         try:
             return Success(msgspec.json.decode(resp.content, type=_AppendBody).first_offset)
-        except msgspec.DecodeError:
+        except UNREADABLE:
             return Failure(AppendError.UNKNOWN)
 
     async def read(
@@ -107,7 +108,7 @@
         except RecursionError:
             shallow = _cut_nested(content, max_depth=PAGE_DEPTH + MAX_VALUE_DEPTH + 1)
             body = msgspec.json.decode(shallow, type=_PageBody)
-    except (msgspec.DecodeError, RecursionError) as exc:
+    except UNREADABLE as exc:
         return Failure(PlatformError(f"log read answered malformed data: {exc}"))
     records = [
         LogRecord(offset, time_ms, _parse_value(value)) for offset, time_ms, value in body.records
@@ -125,7 +126,7 @@
         return {}
     try:
         value = msgspec.json.decode(data)
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return {}
     return value if isinstance(value, dict) else {}
 
--- a/packages/core/src/cornellead_core/wire/_codec.py
+++ b/packages/core/src/cornellead_core/wire/_codec.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.wire import _messages
 
 if TYPE_CHECKING:
@@ -56,6 +57,6 @@
         return Failure(f"unknown message type {content[0]}: update this process")
     try:
         message: Message = _DECODERS[content[0]].decode(content[1:])
-    except msgspec.DecodeError as exc:
+    except UNREADABLE as exc:
         return Failure(f"malformed control message: {exc}")
     return Success(message)
--- a/packages/router/src/cornellead/api/_chat_body.py
+++ b/packages/router/src/cornellead/api/_chat_body.py
@@ -8,6 +8,7 @@
 
 from cornellead.errors import ApiError
 from cornellead.errors import invalid_request_error
+from cornellead_core.decoding import UNREADABLE
 
 
 class ChatBody(msgspec.Struct):
@@ -29,7 +30,7 @@
     """
     try:
         chat = _decoder.decode(body)
-    except msgspec.DecodeError as exc:
+    except UNREADABLE as exc:
         return invalid_request_error(f"the body is not a chat request: {exc}")
     if not chat.messages:
         return invalid_request_error("messages is empty; send at least one message")
--- a/packages/router/src/cornellead/cli/_explain.py
+++ b/packages/router/src/cornellead/cli/_explain.py
@@ -11,6 +11,7 @@
 
 from cornellead.cli._exit_code import ExitCode
 from cornellead.cli._verb_flags import VerbFlags
+from cornellead_core.decoding import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -79,7 +80,7 @@
                 continue
             try:
                 line = msgspec.json.decode(text[start:])
-            except msgspec.DecodeError:
+            except UNREADABLE:
                 continue
             if isinstance(line, dict) and "event" in line:
                 yield line
--- a/packages/router/src/cornellead/cli/_fleet_status.py
+++ b/packages/router/src/cornellead/cli/_fleet_status.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Success
 
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.platform import HostEntry
 from cornellead_core.platform import HostKind
 from cornellead_core.platform import HttpHostList
@@ -76,7 +77,7 @@
     try:
         resp = await client.get(f"http://{host.http}/status", timeout=timeout_s)
         body = msgspec.json.decode(resp.content, type=dict[str, Any])
-    except (httpx.HTTPError, httpx.InvalidURL, msgspec.DecodeError):
+    except (httpx.HTTPError, httpx.InvalidURL, *UNREADABLE):
         return ProcessStatus(host, False, {})
     return ProcessStatus(host, resp.status_code == 200, body)
 
--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -14,6 +14,7 @@
 from cornellead.gateway.quarantine import Evidence
 from cornellead.gateway.view import RateLimitReport
 from cornellead.gateway.view import RouterLoad
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import parse_address
 
@@ -100,7 +101,7 @@
                 self._view.guard.apply_evidence(evidence, now=now)
                 return
             load = _decoder.decode(data)
-        except msgspec.DecodeError:
+        except UNREADABLE:
             self.invalid_datagrams += 1
             if self.invalid_datagrams == 1:
                 structlog.get_logger().warning("unreadable load report", sender=str(addr))
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -10,6 +10,7 @@
 
 from cornellead.gateway.gossip import Age
 from cornellead.gateway.relay._change_log import RelayPage
+from cornellead_core.decoding import UNREADABLE
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
 from cornellead_core.routing import QuarantineNotice
@@ -77,7 +78,7 @@
     """Decode a page; ``None`` if the data is invalid."""
     try:
         encoded = _decoder.decode(_decompress(data))
-    except (msgspec.DecodeError, zlib.error):
+    except (*UNREADABLE, zlib.error):
         return None
     notices: list[Notice] = [
         *encoded.routing,
--- a/tests/agent/api/test_relay_counters.py
+++ b/tests/agent/api/test_relay_counters.py
@@ -6,7 +6,7 @@
 
 
 def test_completion_with_deeply_nested_fields_fails_no_request() -> None:
-    """Guards against a finished completion that its caller never gets, over fields not read."""
+    """Guards against an exception in the request in place of the error for a malformed answer."""
     counters = RelayCounters()
     nested = b"[" * 100_000 + b"]" * 100_000
     assert counters.count_usage(b'{"usage": {"prompt_tokens": 3}, "x": ' + nested + b"}") is None
--- a/tests/router/cli/test_explain.py
+++ b/tests/router/cli/test_explain.py
@@ -64,3 +64,14 @@
     assert run(["explain", "--request=80", _write_log(tmp_path / "one")]) == ExitCode.FAILED
     assert run(["explain"]) == ExitCode.USAGE
     assert "80" in capsys.readouterr().err
+
+
+def test_deeply_nested_line_does_not_end_the_reading_of_a_log(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against logs of which one odd line hides all that follows."""
+    path = tmp_path / "one"
+    nested = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}\n"
+    path.write_bytes(nested + msgspec.json.encode({"event": "request", "request": "7f"}))
+    assert run(["explain", "--request=7f", str(path)]) == ExitCode.OK
+    assert "request" in capsys.readouterr().out
--- a/tests/router/test_chat_api.py
+++ b/tests/router/test_chat_api.py
@@ -65,6 +65,16 @@
     assert not agent.requests
 
 
+async def test_chat_request_with_deeply_nested_fields_is_rejected() -> None:
+    """Guards against status 500, which leaves open whether the request ran."""
+    agent = FakeAgent("s1", respond_with(b"{}"))
+    body = BODY[:-1] + b', "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    async with running_router([agent]) as router:
+        caller = await router.caller().send(path=CHAT, body=body)
+    assert (caller.status, caller.error["outcome"]) == (400, "not_run")
+    assert not agent.requests
+
+
 async def test_priority_that_the_team_may_not_use_is_rejected() -> None:
     """Guards against a batch team that gets ahead by asking for interactive priority."""
     team = make_team(
