Log and count requests behind a stream that announced the close

Seen: in a planned stop, a whole request that a caller sends behind a stream whose head said `Connection: close` got no answer, and no log line told of it. Cause: it is parsed before the connection closes, so it is not among the bytes counted as dropped, and the linger leaves the queue as it is. Change: they are dropped with a line `requests behind an announced close were dropped`, counted in `stopped`. They are neither run nor answered: RFC 9112, 9.6, forbids to process requests after an announced close, and callers cannot expect answers.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -72,6 +72,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._caller_closes = False
         self._close_after_response = False
         self._closing = False
         self._continue_sent = False
@@ -214,7 +215,8 @@
         self.started = False
         self._response_complete = False
         self._continue_sent = False
-        self._close_after_response = "close" in req.header(b"connection").lower()
+        self._caller_closes = "close" in req.header(b"connection").lower()
+        self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
         self._task = asyncio.get_running_loop().create_task(self._serve(req))
 
@@ -240,6 +242,7 @@
         if self._closing:
             return
         if self._close_after_response:
+            self._drop_requests()
             self._close_after_linger()
             return
         if self._transport is not None:
@@ -255,6 +258,20 @@
                     self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
                 )
 
+    def _drop_requests(self) -> None:
+        """Drop what was read behind a response that announced the close."""
+        if not self._parser.has_input:
+            return
+        dropped = len(self._parser.requests)
+        self._parser.requests.clear()
+        self._serving.dropped += dropped
+        structlog.get_logger().warning(
+            "requests behind an announced close were dropped",
+            requests=dropped,
+            partial=self._parser.has_partial_request,
+            close_announced_by="caller" if self._caller_closes else "router",
+        )
+
     def _reject(self, rejection: RejectionStatus) -> None:
         self._close_after_response = True
         self.respond(rejection, (), b"")
--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -22,6 +22,9 @@
         self.refused = 0
         """Requests that were refused because the process is stopping."""
 
+        self.dropped = 0
+        """Whole requests that were read behind an announced close, and not run."""
+
         self.answer_by = math.inf
         """Time of the event loop by which every request has its final answer; set by a stop."""
         self.expired = False
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -222,7 +222,10 @@
         controllers.cancel()
         await self._announce_stop(max(MIN_ANNOUNCE_TIMEOUT_S, shutdown.time_left_s))
         structlog.get_logger().info(
-            "stopped", cut_requests=cut_requests, refused=self._serving.refused
+            "stopped",
+            cut_requests=cut_requests,
+            refused=self._serving.refused,
+            dropped=self._serving.dropped,
         )
         if failed:
             controllers.result()
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from structlog.testing import capture_logs
 from tests.router.gateway.builders import LIMITS
 from tests.router.gateway.gateway_harness import Gateway
 from tests.router.gateway.gateway_harness import encode_request
@@ -13,6 +14,7 @@
 from tests.router.gateway.ingress.test_caller_connection_model import FakeTransport
 
 from cornellead.gateway.ingress import CallerConnection
+from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.ingress import ServingState
 
 if TYPE_CHECKING:
@@ -199,3 +201,37 @@
     transport = FakeTransport()
     conn.connection_made(transport)
     assert transport.closed
+
+
+@pytest.mark.parametrize("partial", [b"", b"POST /unsafe/3 HTTP/1.1\r\nHost:"])
+async def test_requests_behind_a_stream_that_announced_the_close_are_logged_and_counted(
+    gateway: Gateway,
+    start_server: Callable[[Script], Awaitable[ScriptedServer]],
+    partial: bytes,
+) -> None:
+    """Guards against requests that are read in a planned stop and lost without a trace."""
+    read = asyncio.Event()
+
+    async def stream(exchange: ScriptedExchange) -> None:
+        await exchange.begin_stream()
+        await exchange.send_events(1, 2)
+        await read.wait()
+        await exchange.end_stream()
+
+    server = await start_server(stream)
+    gateway.configure(server)
+    gateway.serving.advance(ServingPhase.LEAVING)
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/resumable/1", request_id="7f01"))
+    assert b"connection: close" in (await reader.readuntil(b"\r\n\r\n")).lower()
+    writer.write(encode_request("/safe/1", request_id="7f02") + partial)
+    await asyncio.sleep(0.1)
+    with capture_logs() as lines:
+        read.set()
+        await asyncio.wait_for(reader.read(), 1.0)
+    (line,) = [line for line in lines if line["event"].startswith("requests behind")]
+    assert (line["requests"], line["partial"]) == (1, bool(partial))
+    assert line["close_announced_by"] == "router"
+    assert gateway.serving.dropped == 1
+    assert [seen.request_id for seen in server.received] == ["7f01"]
+    writer.close()
