Answer Expect: 100-continue of a request behind another one

Seen: the caller holds the body back, gets no 100 once the request before it is answered, and then a 408. Cause: 100 was sent only when bytes arrived, and never while a request was in progress. If the head came in one piece with a whole request before it, 100 was written before the response to that one. The order in one piece was found by reading and has no test of its own. Change: 100 is sent when no request is in progress any more, after the response.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -116,14 +116,12 @@
         self._parser.feed(data, now=self._clock())
         if idle and self._parser.has_partial_request:
             self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
-        if self._parser.rejection is not None:
-            if self._task is None and not self._parser.requests:
-                self._reject(self._parser.rejection)
-        elif self._parser.expects_continue and not self._continue_sent and self._task is None:
-            self._continue_sent = True
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        rejection = self._parser.rejection
+        if rejection is not None and self._task is None and not self._parser.requests:
+            self._reject(rejection)
         if self._task is None and not self._closing:
             self._start_next_request()
+            self._send_continue()
             if (
                 self._task is None
                 and self._parser.has_partial_request
@@ -252,12 +250,19 @@
             if self._parser.rejection is not None:
                 self._reject(self._parser.rejection)
             elif self._parser.has_partial_request:
+                self._send_continue()
                 self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
             else:
                 self._start_timer(
                     self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
                 )
 
+    def _send_continue(self) -> None:
+        """Ask for the body of a partial request, once all requests before it are answered."""
+        if self._task is None and self._parser.expects_continue and not self._continue_sent:
+            self._continue_sent = True
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _drop_requests(self) -> None:
         """Drop what was read behind a response that announced the close."""
         if not self._parser.has_input:
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -127,6 +127,36 @@
     writer.close()
 
 
+@pytest.mark.parametrize("rejected", [False, True])
+async def test_expect_continue_behind_a_request_in_progress_gets_its_interim_response(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[ScriptedServer]], rejected: bool
+) -> None:
+    """Guards against a 408 for a body that the caller holds back for ``100 Continue``."""
+    read = asyncio.Event()
+
+    async def answer(exchange: ScriptedExchange) -> None:
+        await read.wait()
+        await _echo(exchange)
+
+    gateway.configure(await start_server(answer))
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/unsafe/1", body=b"first"))
+    await asyncio.sleep(0.05)
+    length = LIMITS.body_bytes + 1 if rejected else 2
+    writer.write(HEAD + b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n" % length)
+    await asyncio.sleep(0.05)
+    read.set()
+    assert (await read_response(reader)).body == b"first"
+    if rejected:
+        assert (await asyncio.wait_for(read_response(reader), 1.0)).status == 413
+    else:
+        interim = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+        assert interim.startswith(b"HTTP/1.1 100")
+        writer.write(b"ab")
+        assert (await read_response(reader)).body == b"ab"
+    writer.close()
+
+
 async def test_oldest_idle_connection_is_evicted_for_a_new_one(
     free_address: Callable[[], str], start_server: Callable[[Script], Awaitable[ScriptedServer]]
 ) -> None:
