Treat a background task that ends without an error as failed

Seen: a controller whose run returns, or that awaits something that another task cancelled, is gone for good: no line, no count, no restart; agents and routers of the own interface go on without it as well. Cause: supervision took both for the wanted end; a TaskGroup ignores children that are cancelled.

--- a/packages/core/src/cornellead_core/blackboard/_supervision.py
+++ b/packages/core/src/cornellead_core/blackboard/_supervision.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from cornellead_core.blackboard._controller import run_until_cancelled
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
@@ -26,7 +28,7 @@
 ) -> None:
     """Run controllers until this task is cancelled, and restart each one that fails.
 
-    For processes whose requests in progress are worth more than a clean state: the other
+    Used by gateways, whose requests in progress are worth more than a clean state: the other
     controllers and all requests go on.
 
     :param on_failure: Called with the name of each controller that failed.
@@ -42,7 +44,7 @@
     while True:
         started_at = loop.time()
         try:
-            await controller.run()
+            await run_until_cancelled(controller)
             return
         except Exception:
             if loop.time() - started_at > STABLE_RUN_S:
--- a/tests/core/blackboard/test_blackboard.py
+++ b/tests/core/blackboard/test_blackboard.py
@@ -9,8 +9,10 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from cornellead_core.blackboard import Blackboard
+from cornellead_core.blackboard import Controller
 from cornellead_core.blackboard import Fact
 from cornellead_core.blackboard import run_controllers
 from cornellead_core.blackboard import supervise_controllers
@@ -102,3 +104,50 @@
     await asyncio.sleep(0.5)
     task.cancel()
     assert 2 <= len(failed) <= 4
+
+
+class _ReturningController:
+    name = "returning"
+
+    async def run(self) -> None:
+        return
+
+
+class _ForeignCancellationController:
+    name = "foreign"
+
+    async def run(self) -> None:
+        fut = asyncio.get_running_loop().create_future()
+        fut.cancel()
+        await fut
+
+
+@pytest.mark.parametrize("controller", [_ReturningController(), _ForeignCancellationController()])
+async def test_supervised_controller_that_ends_without_an_error_is_restarted(
+    controller: Controller,
+) -> None:
+    """Guards against a background task that is gone for good without a log line."""
+    other = _EndlessController()
+    failed: list[str] = []
+    task = asyncio.create_task(supervise_controllers([other, controller], on_failure=failed.append))
+    with capture_logs() as lines:
+        await asyncio.sleep(0.5)
+    assert 2 <= len(failed) <= 4 and set(failed) == {controller.name}
+    assert [line["task"] for line in lines] == failed
+    assert not task.done() and not other.cancelled
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    assert other.cancelled
+
+
+@pytest.mark.parametrize("controller", [_ReturningController(), _ForeignCancellationController()])
+async def test_unsupervised_controller_that_ends_without_an_error_ends_all(
+    controller: Controller,
+) -> None:
+    """Guards against a process that goes on without one of its tasks."""
+    other = _EndlessController()
+    with pytest.raises(ExceptionGroup):
+        async with asyncio.timeout(0.5):
+            await run_controllers([other, controller])
+    assert other.cancelled
