--- a/packages/router/src/cornellead/gateway/sync/_contained_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_contained_sink.py
@@ -21,8 +21,9 @@
 class ContainedSink:
     """Passes batches on, and all other notices if one cannot be applied.
 
-    Without it a restarted reader would read the same notice again and never pass it. To apply a
-    notice twice changes nothing.
+    Without it a restarted reader would read the same notice again and never pass it. Servers that
+    ended and quarantines that were learned count once, also in a batch that is applied twice; a
+    data centre that is out of service may be logged as back and out again.
     """
 
     def __init__(self, *, topic: Topic, sink: NoticeSink, stats: GatewayStats) -> None:
@@ -37,7 +38,7 @@
         except Exception:
             self._log_failure(batch)
             sound = self._apply_one_by_one(batch)
-            self._sink.apply_snapshot(batch._replace(notices=sound))
+            self._apply_sound(batch._replace(notices=sound))
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices."""
@@ -73,6 +74,20 @@
                 sound.append(notice)
         return sound
 
+    def _apply_sound(self, batch: NoticeBatch) -> None:
+        """Replace the state with notices that were applied one by one.
+
+        If that fails, too, their effect stays, and so does what the snapshot no longer lists: a
+        reader that failed here would read the same snapshot again, and so on.
+        """
+        try:
+            self._sink.apply_snapshot(batch)
+        except Exception:
+            self._stats.count_view_change("snapshot_not_applied")
+            structlog.get_logger().exception(
+                "snapshot not applied", topic=self._topic.value, notices=len(batch.notices)
+            )
+
     def _log_failure(self, batch: NoticeBatch) -> None:
         structlog.get_logger().exception(
             "notices not applied", topic=self._topic.value, notices=len(batch.notices)
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -69,6 +69,8 @@
                 self._report_ended(state, "restarted" if restarted else "address_taken")
         for state in self._view.servers.remove_expired(now=now):
             self._report_ended(state, "lapsed_while_store_was_away")
+        # These follow a snapshot, which may have been applied notice by notice.
+        self._view.servers_loaded = True
 
     def mark_unavailable(self) -> None:
         """Record the outage, so that removals are deferred until some time after it ends."""
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -11,12 +11,15 @@
 from cornellead.gateway.sync import ContainedSink
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import ReportingSink
+from cornellead.gateway.sync import RouterSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.view import FleetView
 from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import NoticeBatch
+from cornellead_core.routing import QuarantineMark
+from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
@@ -150,6 +153,113 @@
     assert view.servers.get("s3") is not None
 
 
+def _contained_server_sink(view: FleetView, stats: GatewayStats) -> ContainedSink:
+    class SnapshotFailingSink(ServerSink):
+        def apply_snapshot(self, batch: NoticeBatch) -> None:
+            raise ValueError("poisoned")
+
+    sink = SnapshotFailingSink(
+        view=view, stats=stats, clock=lambda: NOW, on_ended=lambda state: None
+    )
+    return ContainedSink(topic=Topic.SERVERS, sink=sink, stats=stats)
+
+
+def test_snapshot_that_fails_as_a_whole_keeps_what_was_applied_one_by_one() -> None:
+    """Guards against a reader that reads the whole topic again and again and never gets on."""
+    view = FleetView(router="r1")
+    metrics = Metrics()
+    stats = GatewayStats(metrics=metrics)
+    sink = _contained_server_sink(view, stats)
+    entry = ServerNotice("s1", make_entry("s1"), removed=False)
+    with structlog.testing.capture_logs() as lines:
+        sink.apply_snapshot(NoticeBatch([entry], 5))
+    assert view.servers_loaded and view.servers.get("s1") is not None
+    assert [line["event"] for line in lines if line["log_level"] == "error"] == [
+        "notices not applied",
+        "snapshot not applied",
+    ]
+    assert (
+        'gateway_belief_changes_total{belief="snapshot_not_applied"} 1.0'
+        in metrics.render().decode()
+    )
+    sink.apply_changes(NoticeBatch([ServerNotice("s2", make_entry("s2"), removed=False)], 6))
+    assert view.servers.get("s2") is not None
+
+
+@pytest.mark.parametrize("snapshot", [True, False])
+def test_server_that_ends_in_a_batch_that_is_applied_twice_is_reported_once(
+    snapshot: bool,
+) -> None:
+    """Guards against one end of a server that counts as two crashes of its prompts."""
+    view = FleetView(router="r1")
+    stats = GatewayStats(metrics=Metrics())
+    # Only entries of configured services claim an address.
+    view.activate_config(make_config())
+    ended: list[tuple[str, int]] = []
+
+    class LateFailingSink(ServerSink):
+        failures = 1
+
+        def apply_changes(self, batch: NoticeBatch) -> None:
+            super().apply_changes(batch)
+            if self.failures and not snapshot:
+                self.failures -= 1
+                raise ValueError("poisoned")
+
+        def apply_snapshot(self, batch: NoticeBatch) -> None:
+            super().apply_snapshot(batch)
+            if self.failures:
+                self.failures -= 1
+                raise ValueError("poisoned")
+
+    sink = LateFailingSink(
+        view=view,
+        stats=stats,
+        clock=lambda: NOW,
+        on_ended=lambda state: ended.append((state.entry.server, state.entry.started_ms)),
+    )
+    names = {"s1": "10.0.0.1:80", "s2": "10.0.0.2:80", "s3": "10.0.0.3:80"}
+    first = {name: make_entry(name, address=at, started_ms=1) for name, at in names.items()}
+    ServerSink.apply_snapshot(
+        _server_sink(view),
+        NoticeBatch([ServerNotice(name, first[name], removed=False) for name in names], 5),
+    )
+    again = first["s1"]._replace(started_ms=2)
+    taken = make_entry("s4", address="10.0.0.3:80", started_ms=2)
+    batch = NoticeBatch(
+        [
+            ServerNotice("s1", again, removed=False),
+            ServerNotice("s3", first["s3"], removed=False),
+            ServerNotice("s4", taken, removed=False),
+            ServerNotice("s2", None, removed=True),
+        ],
+        9,
+    )
+    contained = ContainedSink(topic=Topic.SERVERS, sink=sink, stats=stats)
+    (contained.apply_snapshot if snapshot else contained.apply_changes)(batch)
+    assert sorted(ended) == [("s1", 1), ("s2", 1), ("s3", 1)]
+    assert [view.servers.get(name) is None for name in ("s1", "s2", "s3", "s4")] == [
+        False,
+        True,
+        True,
+        False,
+    ]
+
+
+def test_quarantine_that_is_applied_twice_is_learned_once() -> None:
+    """Guards against a quarantine that grows when its batch is applied notice by notice."""
+    view = FleetView(router="r1")
+    sink = RouterSink(view=view, clock=lambda: NOW, wall_clock=lambda: NOW)
+    batch = NoticeBatch([QuarantineNotice("p1", QuarantineMark(2, 3, int(NOW * 1000)))], 5)
+    with structlog.testing.capture_logs() as lines:
+        sink.apply_changes(batch)
+        held = dict(view.guard._quarantined)
+        sink.apply_changes(batch)
+        sink.apply_snapshot(batch)
+    assert [line["event"] for line in lines].count("quarantine learned") == 1
+    assert held and view.guard._quarantined == held and set(sink.published) == {"p1"}
+
+
 def test_copy_without_the_newest_configuration_confirms_nothing() -> None:
     """Guards against status 404 for a route that was added since the copy was made."""
     now = NOW
