--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -187,3 +187,25 @@
         server="i-9", team=team, urgency=2, time_left_s=1.5, last_event="", prompt_source=""
     )
     assert b"x-tenant: " + value + b"\r\n" in wire_format.encode_forward(caller, target)
+
+
+@pytest.mark.parametrize(
+    "team",
+    ["a\r\nX-Request-Urgency: 0", "a\nb", "a\rb", "a\0b", "a\x7fb", "\u6821\r\nX: 1", "\ud800"],
+)
+def test_name_of_a_team_adds_no_header_lines(team: str) -> None:
+    """Guards against a configuration whose team names set headers, or requests, of their own."""
+    wire_format = PlatformHeaders()
+    target = ForwardTarget(
+        server="i-9", team=team, urgency=2, time_left_s=1.5, last_event="", prompt_source=""
+    )
+    data = wire_format.encode_forward(wire_format.decode_caller([]), target)
+    lines = data.split(b"\r\n")
+    assert [line.partition(b":")[0] for line in lines] == [
+        b"x-deadline-ms",
+        b"x-expect-instance",
+        b"x-request-urgency",
+        b"x-tenant",
+        b"",
+    ]
+    assert not any(byte < 0x20 or byte == 0x7F for line in lines for byte in line)
