--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -157,6 +157,21 @@
     writer.close()
 
 
+async def test_interim_response_comes_after_the_response_to_the_request_before(
+    gateway: Gateway, start_server: Callable[[Script], Awaitable[ScriptedServer]]
+) -> None:
+    """Guards against a ``100 Continue`` that a caller takes for one to its earlier request."""
+    gateway.configure(await start_server(_echo))
+    reader, writer = await gateway.connect()
+    head = HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+    writer.write(encode_request("/unsafe/1", body=b"first") + head)
+    first = await asyncio.wait_for(read_response(reader), 1.0)
+    assert (first.status, first.body) == (200, b"first")
+    interim = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0)
+    assert interim.startswith(b"HTTP/1.1 100")
+    writer.close()
+
+
 async def test_oldest_idle_connection_is_evicted_for_a_new_one(
     free_address: Callable[[], str], start_server: Callable[[Script], Awaitable[ScriptedServer]]
 ) -> None:
