--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -72,6 +72,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
+        self._caller_closes = False
         self._close_after_response = False
         self._closing = False
         self._continue_sent = False
@@ -115,14 +116,12 @@
         self._parser.feed(data, now=self._clock())
         if idle and self._parser.has_partial_request:
             self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
-        if self._parser.rejection is not None:
-            if self._task is None and not self._parser.requests:
-                self._reject(self._parser.rejection)
-        elif self._parser.expects_continue and not self._continue_sent and self._task is None:
-            self._continue_sent = True
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        rejection = self._parser.rejection
+        if rejection is not None and self._task is None and not self._parser.requests:
+            self._reject(rejection)
         if self._task is None and not self._closing:
             self._start_next_request()
+            self._send_continue()
             if (
                 self._task is None
                 and self._parser.has_partial_request
@@ -214,7 +213,8 @@
         self.started = False
         self._response_complete = False
         self._continue_sent = False
-        self._close_after_response = "close" in req.header(b"connection").lower()
+        self._caller_closes = "close" in req.header(b"connection").lower()
+        self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
         self._task = asyncio.get_running_loop().create_task(self._serve(req))
 
@@ -240,6 +240,7 @@
         if self._closing:
             return
         if self._close_after_response:
+            self._drop_requests()
             self._close_after_linger()
             return
         if self._transport is not None:
@@ -249,12 +250,33 @@
             if self._parser.rejection is not None:
                 self._reject(self._parser.rejection)
             elif self._parser.has_partial_request:
+                self._send_continue()
                 self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
             else:
                 self._start_timer(
                     self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
                 )
 
+    def _send_continue(self) -> None:
+        """Ask for the body of a partial request, once all requests before it are answered."""
+        if self._task is None and self._parser.expects_continue and not self._continue_sent:
+            self._continue_sent = True
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _drop_requests(self) -> None:
+        """Drop what was read behind a response that announced the close."""
+        if not self._parser.has_input:
+            return
+        dropped = len(self._parser.requests)
+        self._parser.requests.clear()
+        self._serving.dropped += dropped
+        structlog.get_logger().warning(
+            "requests behind an announced close were dropped",
+            requests=dropped,
+            partial=self._parser.has_partial_request,
+            close_announced_by="caller" if self._caller_closes else "router",
+        )
+
     def _reject(self, rejection: RejectionStatus) -> None:
         self._close_after_response = True
         self.respond(rejection, (), b"")
