Let a server that refused once take the request of a dead one

Change: the search prefers servers that were not tried, and then takes tried ones that are responsive and did not break the request off. The picker gets servers that it must not choose at all. A refused connection counts for the running search only and is no attempt in the trace; the backoff after it is that of the server's health.

A server that was given up as silent for this request stays excluded, although it may have recovered since.

--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -94,12 +94,13 @@
         obstacle = find_obstacle()
         if obstacle is not None:
             return obstacle
-        for _ in range(MAX_CONNECT_FAILURES):
-            successor = self._pick(admitted, trace, attempt)
+        refused: set[str] = set()
+        while len(refused) < MAX_CONNECT_FAILURES:
+            successor = self._pick(admitted, trace, attempt, refused)
             if successor is None:
                 return "no_other_server"
             if not await self._sender.can_connect(successor):
-                trace.add_attempt(successor.entry.server, "no_connection")
+                refused.add(successor.entry.server)
                 continue
             # Meanwhile other requests may have spent the budget, and the server may have gone on.
             obstacle = find_obstacle()
@@ -118,23 +119,21 @@
         return self._gate.find_obstacle(admitted, trace)
 
     def _pick(
-        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt
+        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt, refused: set[str]
     ) -> ServerState | None:
+        """Choose a server that was not tried, else one that was tried but did not fail."""
         now = self._clock()
-        service = admitted.service.name
-        excluded = {
+        silent = {
             state.entry.server
-            for state in self._view.servers.listed(service)
+            for state in self._view.servers.listed(admitted.service.name)
             if not state.health.responsive(now=now)
         }
-        excluded |= trace.tried | {attempt.state.entry.server}
-        # The picker falls back to excluded servers, and would count a send to one.
-        if excluded.issuperset(s.entry.server for s in self._view.servers.usable(service)):
-            return None
-        picked = self._picker.pick(admitted, tried=excluded, now=now)
-        if not isinstance(picked, ServerState) or picked.entry.server in excluded:
-            return None
-        return picked
+        unfit = silent | refused | trace.broke_off | {attempt.state.entry.server}
+        for excluded in (unfit | trace.tried, unfit):
+            picked = self._picker.pick(admitted, tried=(), excluded=excluded, now=now)
+            if isinstance(picked, ServerState):
+                return picked
+        return None
 
     def _log(
         self,
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -223,6 +223,8 @@
         self._failover.watch(admitted, trace, events, attempt)
         try:
             outcome = await self._relay.relay(admitted, attempt, events, out)
+            if isinstance(outcome, BrokenResponse):
+                trace.broke_off.add(name)
             if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
                 trace.unanswered_breaks += 1
                 self._crashes.record_broken(admitted, attempt)
--- a/packages/router/src/cornellead/gateway/forwarding/_request_trace.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_request_trace.py
@@ -15,6 +15,8 @@
         """Decisions that were made around the attempts, as short fixed texts."""
         self.tried: set[str] = set()
         """Servers that the request was sent to, or could not be sent to."""
+        self.broke_off: set[str] = set()
+        """Servers at which an attempt ended without a complete response of theirs."""
         self.unanswered_breaks = 0
         """Servers that broke off the request before they had begun to answer it."""
         self.status = 0
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -80,11 +80,18 @@
         self._order = order
 
     def pick(
-        self, admitted: AdmittedRequest, *, tried: Collection[str], now: float
+        self,
+        admitted: AdmittedRequest,
+        *,
+        tried: Collection[str],
+        excluded: Collection[str] = (),
+        now: float,
     ) -> ServerState | NoServer:
         """Choose a server, and count the request against the rate limits that apply to it.
 
-        :param tried: Servers that are excluded because this request was already sent to them.
+        :param tried: Servers that this request was already sent to; chosen only if no other is
+            left.
+        :param excluded: Servers that are never chosen.
         :param now: Seconds.
         """
         routers = self._view.routers(now=now)
@@ -111,7 +118,8 @@
         next_send_at: float | None = None
         shortest_wait_s: float | None = None
         rate_limited = False
-        for state in exclude(ordered, tried):
+        allowed = [state for state in ordered if state.entry.server not in excluded]
+        for state in exclude(allowed, tried):
             wait_s = self._expected_wait_s(admitted, state, now=now)
             if wait_s > MAX_WAIT_SHARE * admitted.attempts.time_left_s(now=now):
                 shortest_wait_s = min(wait_s, shortest_wait_s or wait_s)
--- /dev/null
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -0,0 +1,114 @@
+"""Moves of requests from silent servers to others: which server takes one and what that costs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.result import Failure
+from tests.router.gateway.builders import make_entry
+from tests.router.gateway.gateway_harness import encode_request
+from tests.router.gateway.gateway_harness import read_response
+
+from cornellead.upstream import ConnectError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.router.gateway.gateway_harness import CallerResponse
+    from tests.router.gateway.gateway_harness import Gateway
+    from tests.router.gateway.scripted_server import Script
+    from tests.router.gateway.scripted_server import ScriptedExchange
+    from tests.router.gateway.scripted_server import ScriptedServer
+
+    StartServer = Callable[[Script], Awaitable[ScriptedServer]]
+
+DEADLINE_MS = 8000
+LATER_S = 0.1
+"""Time after which a further server is listed, so that the first one has the request."""
+
+
+async def _call(gateway: Gateway, path: str, number: int = 0) -> CallerResponse:
+    reader, writer = await gateway.connect()
+    writer.write(
+        encode_request(path, f"X-Deadline-Ms: {DEADLINE_MS}", request_id=f"7f{number:02d}")
+    )
+    response = await read_response(reader)
+    writer.close()
+    return response
+
+
+async def _answer(exchange: ScriptedExchange, path: str) -> None:
+    if path.startswith("/safe"):
+        await exchange.send(exchange.sealed_response(200, b"body"))
+    else:
+        await exchange.resume_stream(3)
+
+
+async def _stay_silent(exchange: ScriptedExchange) -> None:
+    await exchange.disconnected.wait()
+
+
+def _list(gateway: Gateway, server: ScriptedServer, **changes: object) -> None:
+    entry = make_entry("s1", address=server.address, **changes)
+    gateway.view.servers.put(entry, now=time.monotonic())
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/resumable/1"])
+async def test_server_that_was_full_once_takes_the_request_of_a_dead_one(
+    gateway: Gateway, start_server: StartServer, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against a request that stays with a dead server because the sound one refused it
+    before."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        if len(once_full.received) == 1:
+            await exchange.send(exchange.response(503, "X-Not-Executed: 1"))
+        else:
+            await _answer(exchange, path)
+
+    once_full, dead = await start_server(script), await start_server(_stay_silent)
+    gateway.configure(once_full)
+    send = gateway.sender.send
+
+    async def list_dead_and_send(*args: object, **kwargs: object) -> object:
+        _list(gateway, dead)
+        return await send(*args, **kwargs)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(gateway.sender, "send", list_dead_and_send)
+    response = await _call(gateway, path)
+    assert (response.status, response.complete) == (200, True)
+    assert len(dead.received) == 1 and len(once_full.received) == 2
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/resumable/1"])
+async def test_server_that_refused_one_connection_takes_the_request_of_a_dead_one(
+    gateway: Gateway, start_server: StartServer, monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Guards against a request that stays with a dead server because one connection to the sound
+    one could not be opened."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await _answer(exchange, path)
+
+    dead, sound = await start_server(_stay_silent), await start_server(script)
+    gateway.configure(dead)
+    open_connection = gateway.pool._open
+    refused: list[str] = []
+
+    async def refuse_once(address: str) -> object:
+        if address == sound.address and not refused:
+            refused.append(address)
+            return Failure(ConnectError("refused"))
+        return await open_connection(address)
+
+    monkeypatch.setattr(gateway.pool, "_open", refuse_once)
+    call = asyncio.create_task(_call(gateway, path))
+    await asyncio.sleep(LATER_S)
+    _list(gateway, sound)
+    response = await call
+    assert refused
+    assert (response.status, response.complete) == (200, True)
