Keep the connection of a move, and its retry, for the request that moves

Callers saw: 502 although the first server would have answered, when the server that a request moved to was gone by then and the retry budget was empty.

Cause: the connection that the search opened went into the pool of idle ones, where another request could take it or MAX_IDLE_PER_ADDRESS closed it. If a new one could not be opened, the next pick asked the gate for a second retry ("no_retry_budget").

Change: the pool hands out a connection that no other request gets, and the move carries it to the send (Successor). It is released if the request does not use it. A retry that was paid covers the next server until something was sent, also without a move. The second check of `allows_send` no longer breaks off a request that was just given up: the search has asked the gate in the same step.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -12,6 +12,7 @@
     import asyncio
     from collections.abc import Callable
 
+    from cornellead.gateway.forwarding._successor import Successor
     from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
 
@@ -64,7 +65,7 @@
         self.sent_at = now
         self.stall: Stall | None = None
         """Why the router gave the attempt up; ``None`` if it did not."""
-        self.successor: ServerState | None = None
+        self.successor: Successor | None = None
         """Server that takes the request after this attempt was given up."""
         self.blocked_on_caller = False
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
@@ -152,7 +153,7 @@
         elif self._can_fail_over and self.find_stall(now=now) is not None:
             self.on_stalled()
 
-    def give_up(self, successor: ServerState, *, now: float) -> bool:
+    def give_up(self, successor: Successor, *, now: float) -> bool:
         """Abort the attempt in favour of another server, unless it has gone on or ended meanwhile.
 
         :returns: Whether the attempt was aborted.
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -16,6 +16,7 @@
 
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.view import ServerState
+    from cornellead.upstream import Connection
     from cornellead.upstream import ConnectionPool
     from cornellead_core.routing import WireFormat
 
@@ -52,11 +53,13 @@
         *,
         source: ServerState | None,
         last_event_id: str,
+        reserved: Connection | None = None,
     ) -> Attempt | None:
-        """Send a request on a pooled connection.
+        """Send a request on a pooled or a reserved connection.
 
         :param source: Server from which the target fetches the cached prompt, if any.
         :param last_event_id: Id of the last event that the caller has, when a stream is resumed.
+        :param reserved: Connection that was opened for this request.
         :returns: ``None`` if no connection could be opened; then nothing was sent.
         """
         now = self._clock()
@@ -73,6 +76,7 @@
             state.entry.address,
             self._encode(admitted, target),
             admitted.req.body,
+            reserved=reserved,
             max_idle_s=REPEATABLE_MAX_IDLE_S if repeatable else NON_REPEATABLE_MAX_IDLE_S,
             expect=EchoedHeader(self._wire.request_id_header, admitted.caller.request_id),
         )
@@ -98,13 +102,13 @@
         self._in_flight.discard(attempt)
         attempt.close()
 
-    async def can_connect(self, state: ServerState) -> bool:
-        """Open a connection that the next request to the server uses; ``False`` on failure."""
-        result = await self._pool.probe(state.entry.address)
+    async def open_connection(self, state: ServerState) -> Connection | None:
+        """Open a connection for one request; ``None`` if the server refused it."""
+        result = await self._pool.reserve(state.entry.address)
         if isinstance(result, Failure):
             state.health.record_connect_failure(now=self._clock())
-            return False
-        return True
+            return None
+        return result.unwrap()
 
     def abort_stalled_attempts(self) -> None:
         """Check the attempts for stalled servers; their requests leave if another one takes them.
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from cornellead.gateway.forwarding._successor import Successor
 from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
@@ -96,18 +97,21 @@
             return obstacle
         refused: set[str] = set()
         while len(refused) < MAX_CONNECT_FAILURES:
-            successor = self._pick(admitted, trace, attempt, refused)
-            if successor is None:
+            state = self._pick(admitted, trace, attempt, refused)
+            if state is None:
                 return "no_other_server"
-            if not await self._sender.can_connect(successor):
-                refused.add(successor.entry.server)
+            connection = await self._sender.open_connection(state)
+            if connection is None:
+                refused.add(state.entry.server)
                 continue
             # Meanwhile other requests may have spent the budget, and the server may have gone on.
             obstacle = find_obstacle()
             now = self._clock()
-            if obstacle is None and attempt.give_up(successor, now=now):
+            if obstacle is None and attempt.give_up(Successor(state, connection), now=now):
                 self._gate.try_pass(admitted, trace)
-                self._log(admitted, trace, attempt, successor)
+                self._log(admitted, trace, attempt, state)
+            else:
+                connection.release()
             return obstacle
         return "no_connection"
 
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -35,12 +35,14 @@
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.forwarding._response_relay import ResponseRelay
     from cornellead.gateway.forwarding._server_picker import ServerPicker
+    from cornellead.gateway.forwarding._successor import Successor
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ResponseWriter
     from cornellead.gateway.ingress import ServingState
     from cornellead.gateway.policy import RetryBudgets
     from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import FleetView
+    from cornellead.upstream import Connection
     from cornellead_core.routing import WireFormat
 
 COLD_WAIT_SHARE = 0.25
@@ -137,17 +139,21 @@
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
         connect_failures = 0
-        successor: ServerState | None = None
+        successor: Successor | None = None
+        retry_paid = False
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
             picked: ServerState | NoServer
+            connection: Connection | None = None
             if successor is not None:
-                picked, successor = successor, None
+                (picked, connection), successor = successor, None
             else:
                 if not self._gate.allows_send(admitted):
                     trace.add_note(STOPPING)
                     break
-                if admitted.attempts.sends and not self._may_retry(admitted, trace, fallback):
-                    break
+                if admitted.attempts.sends and not retry_paid:
+                    if not self._may_retry(admitted, trace, fallback):
+                        break
+                    retry_paid = True
                 if not events.resumable:
                     trace.add_note("events_without_id")
                     break
@@ -159,17 +165,19 @@
                     trace.add_note("rate_limited")
                     self._stats.count_decision("rate_limited")
                 break
-            if not self._gate.allows_send(admitted):
+            if connection is None and not self._gate.allows_send(admitted):
                 # The stop began to refuse requests while this one waited for its server.
                 break
             admitted.attempts.count_send()
-            outcome = await self._try_server(admitted, trace, picked, events, out)
+            outcome = await self._try_server(admitted, trace, picked, connection, events, out)
             if outcome is None:
                 admitted.attempts.count_unsent()
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
                     break
+                # Nothing was sent, so a retry that was paid covers the next server.
                 continue
+            retry_paid = False
             if isinstance(outcome, DeliveredResponse):
                 trace.set_result(outcome.status, "delivered")
                 return
@@ -180,6 +188,9 @@
             if isinstance(outcome, BrokenResponse):
                 events.restart()
                 successor = outcome.successor
+                retry_paid = successor is not None
+        if successor is not None:
+            successor.connection.release()
         self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
 
     def _may_retry(
@@ -206,6 +217,7 @@
         admitted: AdmittedRequest,
         trace: RequestTrace,
         state: ServerState,
+        connection: Connection | None,
         events: EventSplitter,
         out: ResponseWriter,
     ) -> AttemptOutcome | None:
@@ -214,7 +226,11 @@
         if source is not None:
             trace.add_note(f"fetch_from_{source.entry.server}")
         attempt = await self._sender.send(
-            admitted, state, source=source, last_event_id=events.last_event_id
+            admitted,
+            state,
+            source=source,
+            last_event_id=events.last_event_id,
+            reserved=connection,
         )
         if attempt is None:
             trace.add_attempt(name, "no_connection")
@@ -231,6 +247,8 @@
             if isinstance(outcome, DeliveredResponse) and outcome.status < CLIENT_ERROR:
                 attempt.record_answered()
         except BaseException:
+            if attempt.successor is not None:
+                attempt.successor.connection.release()
             trace.add_attempt(name, "cancelled")
             raise
         finally:
--- a/packages/router/src/cornellead/gateway/forwarding/_outcome.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_outcome.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from cornellead.gateway.view import ServerState
+from cornellead.gateway.forwarding._successor import Successor
 from cornellead_core.routing import HeaderList
 
 
@@ -32,7 +32,7 @@
     """The response is missing or incomplete, or does not come from the intended server."""
 
     cause: str
-    successor: ServerState | None = None
+    successor: Successor | None = None
     """Server that takes the request now, if the router gave the attempt up."""
 
 
--- a/packages/router/src/cornellead/upstream/__init__.py
+++ b/packages/router/src/cornellead/upstream/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornellead.upstream._connection import Connection
 from cornellead.upstream._connection import EchoedHeader
 from cornellead.upstream._connection_pool import ConnectError
 from cornellead.upstream._connection_pool import ConnectionPool
@@ -12,6 +13,7 @@
 
 __all__ = [
     "ConnectError",
+    "Connection",
     "ConnectionPool",
     "EchoedHeader",
     "Exchange",
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -113,6 +113,11 @@
         """
         return expect is None or expect.value not in self._unsuccessful_ids
 
+    def release(self) -> None:
+        """Make the connection available for other requests, unless it is closed."""
+        if not self.closed:
+            self._release(self)
+
     def close(self) -> None:
         """Close immediately and discard unsent bytes."""
         self.closed = True
@@ -229,7 +234,7 @@
         self._resume()
         # The connection is released in the next iteration of the event loop, because the rest of
         # this read may contain unexpected bytes. They close the connection instead.
-        self._loop.call_soon(self._release_if_open)
+        self._loop.call_soon(self.release)
 
     def _belongs_to_request(self) -> bool:
         expected = self._expected_header
@@ -238,10 +243,6 @@
         value = self._headers.get(expected.name)
         return value == expected.value or (value is None and not self._reused)
 
-    def _release_if_open(self) -> None:
-        if not self.closed:
-            self._release(self)
-
     def _reset_headers(self) -> None:
         self._headers = {}
         self._raw_headers = []
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -55,6 +55,7 @@
         body: bytes,
         *,
         fresh: bool = False,
+        reserved: Connection | None = None,
         max_idle_s: float = IDLE_TIMEOUT_S,
         expect: EchoedHeader | None = None,
     ) -> Result[Exchange, ConnectError]:
@@ -64,11 +65,14 @@
         :param head: Request line and headers, including the empty line at the end.
         :param fresh: Always open a new connection. The server may close an idle connection while
             the request is in transit, and then it is unknown whether the request ran.
+        :param reserved: Connection of `reserve` that is used unless it has closed.
         :param max_idle_s: Maximum idle time of a connection that is reused.
         :param expect: Header that distinguishes the response from late responses to earlier
             requests on the connection. A connection on which a request with the same value was
             unsuccessful is not reused for it.
         """
+        if reserved is not None and not reserved.closed:
+            return Success(reserved.send(head, body, expect=expect))
         conn = None if fresh else self._pop_idle(address, max_idle_s, expect)
         if conn is not None:
             self.reused += 1
@@ -76,6 +80,10 @@
         opened = await self._open(address)
         return opened.map(lambda conn: conn.send(head, body, expect=expect))
 
+    async def reserve(self, address: str) -> Result[Connection, ConnectError]:
+        """Open a connection for one request; the holder passes it to `send` or releases it."""
+        return await self._open(address)
+
     async def probe(self, address: str) -> Result[None, ConnectError]:
         """Open a connection and keep it as an idle one, to find out whether a server listens."""
         opened = await self._open(address)
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 from returns.result import Failure
@@ -24,6 +25,8 @@
     from tests.router.gateway.scripted_server import ScriptedExchange
     from tests.router.gateway.scripted_server import ScriptedServer
 
+    from cornellead.gateway.view import ServerState
+
     StartServer = Callable[[Script], Awaitable[ScriptedServer]]
 
 DEADLINE_MS = 8000
@@ -112,3 +115,53 @@
     response = await call
     assert refused
     assert (response.status, response.complete) == (200, True)
+
+
+async def test_retry_of_a_successor_that_is_gone_is_not_paid_twice(
+    gateway: Gateway, start_server: StartServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a 502 for want of a second retry though the first server would answer."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.2)
+        await _answer(exchange, "/safe/1")
+
+    silent, gone = await start_server(script), await start_server(script)
+    gateway.configure(silent)
+    budgets = gateway.retries
+    spend, has_room, send = budgets.try_spend, budgets.has_room, gateway.sender.send
+    spent: list[str] = []
+
+    def record(service: str, **kwargs: Any) -> bool:
+        spent.append(service)
+        return spend(service, **kwargs)
+
+    async def send_unless_gone(admitted: Any, state: ServerState, **kwargs: Any) -> object:
+        if state.entry.server != "s1":
+            return await send(admitted, state, **kwargs)
+        state.health.record_connect_failure(now=time.monotonic())
+        return None
+
+    monkeypatch.setattr(budgets, "try_spend", record)
+    monkeypatch.setattr(budgets, "has_room", lambda *a, **k: not spent and has_room(*a, **k))
+    monkeypatch.setattr(gateway.sender, "send", send_unless_gone)
+    call = asyncio.create_task(_call(gateway, "/safe/1"))
+    await asyncio.sleep(LATER_S)
+    _list(gateway, gone)
+    response = await call
+    assert (response.status, len(spent), len(silent.received)) == (200, 1, 2)
+
+
+async def test_connection_of_a_move_is_not_taken_by_another_request(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a successor that is gone because another request took its connection."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await _answer(exchange, "/safe/1")
+
+    server = await start_server(script)
+    reserved = (await gateway.pool.reserve(server.address)).unwrap()
+    gateway.configure(server)
+    assert (await _call(gateway, "/safe/1")).status == 200
+    assert gateway.pool.opened == 2 and not reserved.closed
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -59,6 +59,7 @@
         self.limits = LIMITS
         self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
+        self.retries = RetryBudgets(bounds=BOUNDS)
         stats = GatewayStats(metrics=Metrics())
         forwarder = Forwarder(
             view=self.view,
@@ -80,7 +81,7 @@
             relay=ResponseRelay(
                 wire=wire, rate_limits=self.view.rate_limits, stats=stats, clock=clock
             ),
-            retries=RetryBudgets(bounds=BOUNDS),
+            retries=self.retries,
             wire=wire,
             stats=stats,
             crashes=CrashWatch(pool=self.pool, guard=self.view.guard, stats=stats, clock=clock),
