Count a move against a server's rate only when it is made

Callers saw: cold and rate-limited servers that took fewer requests than they allow, because the search for a successor used up their rate.

Cause: the search asked `ServerPicker.pick`, which counts a send for its choice. Choices whose connection failed were counted. With regions, the guard against the picker's fallback compared with servers that the route does not allow, so the picker fell back to the silent server itself and counted a send there at each search.

Change: `ServerPicker.find` chooses without counting and never chooses an excluded server; `pick` is `find` with a count. The search uses `find`, asks `may_send` once more after the connection has opened, and counts in the same step in which the attempt is given up.

--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -104,10 +104,14 @@
             if connection is None:
                 refused.add(state.entry.server)
                 continue
-            # Meanwhile other requests may have spent the budget, and the server may have gone on.
-            obstacle = find_obstacle()
+            # Meanwhile others may have spent the budget and the server's rate, and the own server
+            # may have gone on.
             now = self._clock()
+            obstacle = find_obstacle()
+            if obstacle is None and not self._picker.may_send(admitted, state, now=now):
+                obstacle = "no_other_server"
             if obstacle is None and attempt.give_up(Successor(state, connection), now=now):
+                self._picker.count_send(admitted, state, now=now)
                 self._gate.try_pass(admitted, trace)
                 self._log(admitted, trace, attempt, state)
             else:
@@ -134,7 +138,7 @@
         }
         unfit = silent | refused | trace.broke_off | {attempt.state.entry.server}
         for excluded in (unfit | trace.tried, unfit):
-            picked = self._picker.pick(admitted, tried=(), excluded=excluded, now=now)
+            picked = self._picker.find(admitted, excluded=excluded, now=now)
             if isinstance(picked, ServerState):
                 return picked
         return None
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.policy import order_for_chat
 from cornellead.gateway.policy import request_jitter
 from cornellead.gateway.policy import return_at
+from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -24,7 +25,6 @@
     from cornellead.gateway.policy import ColdStartLimiter
     from cornellead.gateway.policy import ServerRateLimiter
     from cornellead.gateway.view import FleetView
-    from cornellead.gateway.view import ServerState
 
 
 MIN_FETCHED_TOKENS = 256
@@ -80,17 +80,30 @@
         self._order = order
 
     def pick(
+        self, admitted: AdmittedRequest, *, tried: Collection[str], now: float
+    ) -> ServerState | NoServer:
+        """Choose a server, and count the request against the rate limits that apply to it.
+
+        :param tried: Servers that this request was already sent to; chosen only if no other is
+            left.
+        :param now: Seconds.
+        """
+        picked = self.find(admitted, tried=tried, now=now)
+        if isinstance(picked, ServerState):
+            self.count_send(admitted, picked, now=now)
+        return picked
+
+    def find(
         self,
         admitted: AdmittedRequest,
         *,
-        tried: Collection[str],
+        tried: Collection[str] = (),
         excluded: Collection[str] = (),
         now: float,
     ) -> ServerState | NoServer:
-        """Choose a server, and count the request against the rate limits that apply to it.
+        """Choose a server for a request that may not be sent in the end.
 
-        :param tried: Servers that this request was already sent to; chosen only if no other is
-            left.
+        :param tried: As for `pick`.
         :param excluded: Servers that are never chosen.
         :param now: Seconds.
         """
@@ -126,7 +139,6 @@
                 continue
             next_at = self._next_send_at(state, rate_per_s, routers, now=now)
             if next_at == now:
-                self._count_send(state, rate_per_s, routers, now=now)
                 return state
             rate_limited = rate_limited or self._limit_per_s(state) is not None
             if next_at is not None and (next_send_at is None or next_at < next_send_at):
@@ -157,10 +169,15 @@
             times.append(cold_until)
         return max(times)
 
-    def _count_send(
-        self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
-    ) -> None:
-        name = state.entry.server
+    def may_send(self, admitted: AdmittedRequest, state: ServerState, *, now: float) -> bool:
+        """Return whether the rate limits of a server allow a request now."""
+        rate_per_s, routers = admitted.service.cold_rate_per_s, self._view.routers(now=now)
+        return self._next_send_at(state, rate_per_s, routers, now=now) == now
+
+    def count_send(self, admitted: AdmittedRequest, state: ServerState, *, now: float) -> None:
+        """Count a request against the rate limits of the server that gets it."""
+        name, routers = state.entry.server, self._view.routers(now=now)
+        cold_rate_per_s = admitted.service.cold_rate_per_s
         limit_per_s = self._limit_per_s(state)
         if limit_per_s is not None:
             self._rate_limiter.try_send(name, limit_per_s=limit_per_s, routers=routers, now=now)
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -13,7 +13,9 @@
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 
+from cornellead.gateway.forwarding import ServerPicker
 from cornellead.upstream import ConnectError
+from cornellead_core.routing import RoutingConfig
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -25,6 +27,7 @@
     from tests.router.gateway.scripted_server import ScriptedExchange
     from tests.router.gateway.scripted_server import ScriptedServer
 
+    from cornellead.gateway.forwarding import AdmittedRequest
     from cornellead.gateway.view import ServerState
 
     StartServer = Callable[[Script], Awaitable[ScriptedServer]]
@@ -165,3 +168,62 @@
     gateway.configure(server)
     assert (await _call(gateway, "/safe/1")).status == 200
     assert gateway.pool.opened == 2 and not reserved.closed
+
+
+@pytest.fixture
+def counted(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Return the servers whose rate limits a send was counted against, filled as that happens."""
+    servers: list[str] = []
+    count_send = ServerPicker.count_send
+
+    def record(
+        picker: ServerPicker, admitted: AdmittedRequest, state: ServerState, *, now: float
+    ) -> None:
+        servers.append(state.entry.server)
+        count_send(picker, admitted, state, now=now)
+
+    monkeypatch.setattr(ServerPicker, "count_send", record)
+    return servers
+
+
+async def test_search_counts_no_send_at_the_silent_server(
+    gateway: Gateway, start_server: StartServer, counted: list[str]
+) -> None:
+    """Guards against a rate limit that is used up by a search whose other servers are in regions
+    that the route does not allow."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.5)
+        await _answer(exchange, "/safe/1")
+
+    silent, elsewhere = await start_server(script), await start_server(script)
+    gateway.configure(silent, cold_rate_per_s=5.0, cold_s=60.0)
+    gateway.picker._regions = {"dc-a": "r1", "dc-b": "r2"}
+    _list(gateway, elsewhere, data_centre="dc-b")
+    config = gateway.view.config
+    assert config is not None
+    routes = tuple(route._replace(regions=frozenset({"r1"})) for route in config.data.routes)
+    gateway.view.activate_config(RoutingConfig(data=config.data._replace(version=2, routes=routes)))
+    response = await _call(gateway, "/safe/1")
+    assert (response.status, len(elsewhere.received)) == (200, 0)
+    assert counted == ["s0"]
+
+
+async def test_search_counts_no_send_at_a_cold_server_that_refuses_connections(
+    gateway: Gateway, start_server: StartServer, counted: list[str]
+) -> None:
+    """Guards against a cold server whose rate is used up by connections that it refused."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.4)
+        await _answer(exchange, "/safe/1")
+
+    silent, unreachable = await start_server(script), await start_server(script)
+    gateway.configure(silent, cold_rate_per_s=5.0)
+    calls = [asyncio.create_task(_call(gateway, "/safe/1", number)) for number in range(10)]
+    await asyncio.sleep(LATER_S)
+    _list(gateway, unreachable, cold_s=60.0)
+    unreachable.stop()
+    responses = await asyncio.gather(*calls)
+    assert [response.status for response in responses] == [200] * 10
+    assert counted == ["s0"] * 10
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -59,6 +59,14 @@
         self.limits = LIMITS
         self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
+        self.picker = ServerPicker(
+            view=self.view,
+            cold_limiter=ColdStartLimiter(router=router, burst=BOUNDS.cold_slack),
+            rate_limiter=ServerRateLimiter(router=router),
+            data_centre="dc-a",
+            regions={},
+            load_factor=BOUNDS.load_factor,
+        )
         self.retries = RetryBudgets(bounds=BOUNDS)
         stats = GatewayStats(metrics=Metrics())
         forwarder = Forwarder(
@@ -69,14 +77,7 @@
                 max_config_age_s=BOUNDS.config_delay_s,
             ),
             serving=self.serving,
-            picker=ServerPicker(
-                view=self.view,
-                cold_limiter=ColdStartLimiter(router=router, burst=BOUNDS.cold_slack),
-                rate_limiter=ServerRateLimiter(router=router),
-                data_centre="dc-a",
-                regions={},
-                load_factor=BOUNDS.load_factor,
-            ),
+            picker=self.picker,
             sender=self.sender,
             relay=ResponseRelay(
                 wire=wire, rate_limits=self.view.rate_limits, stats=stats, clock=clock
