Keep an attempt whose head has arrived but was not read yet

Callers saw: a complete answer that had begun to arrive was dropped, and the work was run again at another server.

Cause: `give_up` refused for unread body bytes and for a response that had ended, but not for a head that the relay had not seen yet.

Change: the exchange tells of a head that `head` has not returned.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -160,7 +160,8 @@
         """
         exchange = self.exchange
         stall = self.find_stall(now=now)
-        if stall is None or exchange.complete or exchange.broken or exchange.pending_bytes:
+        ended = exchange.complete or exchange.broken
+        if stall is None or ended or exchange.has_unread_head or exchange.pending_bytes:
             return False
         self.stall, self.successor = stall, successor
         exchange.abort()
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -42,6 +42,8 @@
         self._abort = abort
         self._resume_reading = resume_reading
         self._head: ResponseHead | None = None
+        self.has_unread_head = False
+        """Whether status and headers arrived that `head` has not returned yet."""
         self._chunks: list[bytes] = []
         self._waiter: asyncio.Future[None] | None = None
         self._sink: Callable[[bytes], bool] | None = None
@@ -61,6 +63,7 @@
             if self.broken:
                 return None
             await self._wait()
+        self.has_unread_head = False
         return self._head
 
     async def read(self) -> bytes | None:
@@ -147,6 +150,7 @@
     def receive_head(self, head: ResponseHead) -> None:
         """Store status and headers; called by the connection."""
         self._head = head
+        self.has_unread_head = True
         self.wake()
 
     def receive_body(self, data: bytes) -> None:
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -10,11 +10,17 @@
 import pytest
 from returns.result import Failure
 from tests.router.gateway.builders import make_entry
+from tests.router.gateway.builders import make_state
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 
 from cornellead.gateway.forwarding import ServerPicker
+from cornellead.gateway.forwarding._attempt import Attempt
+from cornellead.gateway.forwarding._successor import Successor
 from cornellead.upstream import ConnectError
+from cornellead.upstream import Connection
+from cornellead.upstream import Exchange
+from cornellead.upstream import ResponseHead
 from cornellead_core.routing import RoutingConfig
 
 if TYPE_CHECKING:
@@ -227,3 +233,22 @@
     responses = await asyncio.gather(*calls)
     assert [response.status for response in responses] == [200] * 10
     assert counted == ["s0"] * 10
+
+
+async def test_attempt_is_kept_when_its_head_has_arrived_unread() -> None:
+    """Guards against an answer that is dropped because it began while its server was given up."""
+    loop = asyncio.get_running_loop()
+    exchange = Exchange(loop=loop, abort=lambda: None, resume_reading=lambda: None)
+    attempt = Attempt(
+        state=make_state("s1"),
+        exchange=exchange,
+        now=0.0,
+        first_byte_timeout_s=0.4,
+        can_fail_over=True,
+    )
+    successor = Successor(make_state("s2"), Connection(loop=loop, release=lambda _: None))
+    exchange.receive_head(ResponseHead(200, {}))
+    assert not attempt.give_up(successor, now=0.5)
+    assert not exchange.broken
+    await exchange.head()
+    assert attempt.give_up(successor, now=0.5)
