Keep a request from servers that reset connections or report to be full

Callers saw: 502 for a request whose silent server answered a moment later, because it had moved to a server beyond its max_connections, which accepts connections and resets them; and work that ran twice, because the request had moved to a full server that refused it.

Cause: an accepted connection was taken for "takes the request".

Evidence, on the code before: 502 on both paths with `attempts= ['s0:gave_up_silent', 's1:no_response']`; and for a server that had just reported all slots as taken, (status, sends to the silent server, to the full one) (200, 2, 1) instead of (200, 1, 0).

Change: the connection must stay open for CONNECTION_PROOF_S, else it counts as refused. Servers whose fresh report says that all slots are taken are not chosen for a move.

Open: a full server without a fresh report still gets the request, and the first server's answer is lost.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
@@ -31,6 +32,9 @@
 """Interval at which the attempts in flight are checked for a stall."""
 MAX_CHECK_DELAY_S = 0.5
 """Delay of a check above which this process counts as paused: half of the shortest timeout."""
+CONNECTION_PROOF_S = 0.03
+"""Time for which a new connection must stay open before a request leaves its server for it: a
+server that has too many connections accepts further ones and closes them at once."""
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -103,12 +107,19 @@
         attempt.close()
 
     async def open_connection(self, state: ServerState) -> Connection | None:
-        """Open a connection for one request; ``None`` if the server refused it."""
+        """Open a connection for one request; ``None`` if the server refuses or closes it."""
         result = await self._pool.reserve(state.entry.address)
-        if isinstance(result, Failure):
+        connection = None if isinstance(result, Failure) else result.unwrap()
+        if connection is not None:
+            try:
+                await asyncio.sleep(CONNECTION_PROOF_S)
+            except asyncio.CancelledError:
+                connection.release()
+                raise
+        if connection is None or connection.closed:
             state.health.record_connect_failure(now=self._clock())
             return None
-        return result.unwrap()
+        return connection
 
     def abort_stalled_attempts(self) -> None:
         """Check the attempts for stalled servers; their requests leave if another one takes them.
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -129,14 +129,14 @@
     def _pick(
         self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt, refused: set[str]
     ) -> ServerState | None:
-        """Choose a server that was not tried, else one that was tried but did not fail."""
+        """Choose a server with a free slot that was not tried, else one that did not fail."""
         now = self._clock()
-        silent = {
+        unfit = {
             state.entry.server
             for state in self._view.servers.listed(admitted.service.name)
-            if not state.health.responsive(now=now)
+            if not state.health.responsive(now=now) or _is_full(state, now=now)
         }
-        unfit = silent | refused | trace.broke_off | {attempt.state.entry.server}
+        unfit |= refused | trace.broke_off | {attempt.state.entry.server}
         for excluded in (unfit | trace.tried, unfit):
             picked = self._picker.find(admitted, excluded=excluded, now=now)
             if isinstance(picked, ServerState):
@@ -165,3 +165,8 @@
             silent_servers=sum(1 for state in listed if not state.health.responsive(now=now)),
             listed_servers=len(listed),
         )
+
+
+def _is_full(state: ServerState, *, now: float) -> bool:
+    load, slots = state.reported_load(now=now), state.entry.slots
+    return load is not None and 0 < slots <= load
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -21,6 +23,7 @@
 from cornellead.upstream import Connection
 from cornellead.upstream import Exchange
 from cornellead.upstream import ResponseHead
+from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import RoutingConfig
 
 if TYPE_CHECKING:
@@ -252,3 +255,59 @@
     assert not exchange.broken
     await exchange.head()
     assert attempt.give_up(successor, now=0.5)
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/resumable/1"])
+async def test_request_is_kept_if_the_other_server_resets_connections(
+    gateway: Gateway, start_server: StartServer, path: str
+) -> None:
+    """Guards against a 502 for a request that left its silent server for one that accepts
+    connections above its limit and resets them."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.6)
+        await _answer(exchange, path)
+
+    async def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    silent = await start_server(script)
+    resetting = await asyncio.start_server(reset, "127.0.0.1", 0)
+    gateway.configure(silent)
+    call = asyncio.create_task(_call(gateway, path))
+    await asyncio.sleep(LATER_S)
+    port = resetting.sockets[0].getsockname()[1]
+    entry = make_entry("s1", address=f"127.0.0.1:{port}")
+    gateway.view.servers.put(entry, now=time.monotonic())
+    response = await call
+    resetting.close()
+    assert (response.status, response.complete) == (200, True)
+    assert len(silent.received) == 1
+
+
+async def test_request_is_kept_if_the_other_server_reports_that_it_is_full(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a request that leaves its silent server for one that will refuse it."""
+
+    async def answer_late(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(0.9)
+        await _answer(exchange, "/safe/1")
+
+    async def refuse(exchange: ScriptedExchange) -> None:
+        await exchange.send(exchange.response(503, "X-Not-Executed: 1"))
+
+    silent, full = await start_server(answer_late), await start_server(refuse)
+    gateway.configure(silent)
+    call = asyncio.create_task(_call(gateway, "/safe/1"))
+    await asyncio.sleep(LATER_S)
+    _list(gateway, full)
+    state = gateway.view.servers.listed("llm")[1]
+    assert state.entry.server == "s1"
+    state.record_reported_load(
+        ReportedLoad(state.entry.slots, 0, state.entry.slots), now=time.monotonic()
+    )
+    response = await call
+    assert (response.status, len(silent.received), len(full.received)) == (200, 1, 0)
