Log a failed search for a successor once, and end it

An error in the search was swallowed by its task, and the next check of the attempt, every 0.05 s, began a search that failed in the same way.

Evidence: the test added here, on the code before: no line "search for a successor failed" ([] instead of one error).

Change: the error is logged with request and server, the request stays where it is with the note `kept_search_failed`, and no further search is begun for it. The docstring of Failover says what an open connection does not promise.

Result: test_failover.py passes (13 passed).

--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -31,10 +31,11 @@
 
 
 class Failover:
-    """Gives a stalled attempt up once another server accepts a connection for its request.
+    """Gives a stalled attempt up once a connection for its request is open to another server.
 
     A silent server usually goes on after a moment, so a request whose move would fail for want of
-    a server, of a retry or of an event to resume after is better left where it is.
+    a server, of a retry or of an event to resume after is better left where it is. An open
+    connection is no promise: the other server may still refuse the request.
     """
 
     def __init__(
@@ -65,11 +66,29 @@
 
         def start_search() -> None:
             if attempt.search is None or attempt.search.done():
-                search = self._search(admitted, trace, events, attempt)
+                search = self._run_search(admitted, trace, events, attempt)
                 attempt.search = asyncio.create_task(search)
 
         attempt.on_stalled = start_search
 
+    async def _run_search(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        events: EventSplitter,
+        attempt: Attempt,
+    ) -> None:
+        try:
+            await self._search(admitted, trace, events, attempt)
+        except Exception:
+            # The next check would start a search that fails in the same way.
+            attempt.on_stalled = lambda: None
+            trace.add_note_once("kept_search_failed")
+            server = attempt.state.entry.server
+            structlog.get_logger().exception(
+                "search for a successor failed", request=trace.request_id, server=server
+            )
+
     async def _search(
         self,
         admitted: AdmittedRequest,
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import pytest
+import structlog
 from returns.result import Failure
 from tests.router.gateway.builders import make_entry
 from tests.router.gateway.builders import make_state
@@ -18,6 +19,7 @@
 
 from cornellead.gateway.forwarding import ServerPicker
 from cornellead.gateway.forwarding._attempt import Attempt
+from cornellead.gateway.forwarding._failover import Failover
 from cornellead.gateway.forwarding._successor import Successor
 from cornellead.upstream import ConnectError
 from cornellead.upstream import Connection
@@ -311,3 +313,27 @@
     )
     response = await call
     assert (response.status, len(silent.received), len(full.received)) == (200, 1, 0)
+
+
+async def test_failed_search_is_logged_once_and_its_request_is_kept(
+    gateway: Gateway, start_server: StartServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an error in the search that nobody sees and that returns at every check."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.0)
+        await _answer(exchange, "/safe/1")
+
+    def fail(*args: object, **kwargs: object) -> None:
+        raise RuntimeError("defect")
+
+    server = await start_server(script)
+    gateway.configure(server)
+    monkeypatch.setattr(Failover, "_pick", fail)
+    with structlog.testing.capture_logs() as logs:
+        response = await _call(gateway, "/safe/1")
+    assert response.status == 200
+    errors = [line for line in logs if line["event"] == "search for a successor failed"]
+    assert [(line["request"], line["server"], line["log_level"]) for line in errors] == [
+        ("7f00", "s0", "error")
+    ]
