Name the check of stalled attempts after what it does

`check_stalled_attempts` aborts nothing since attempts are given up only for a certain successor. Formatter, linter and types pass; the whole folder tests/router/gateway/forwarding is run on this commit.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -121,8 +121,8 @@
             return None
         return connection
 
-    def abort_stalled_attempts(self) -> None:
-        """Check the attempts for stalled servers; their requests leave if another one takes them.
+    def check_stalled_attempts(self) -> None:
+        """Check the attempts in flight, and search for other servers for the stalled ones.
 
         After a pause of this process, received bytes are still unread and others are resent by the
         servers' hosts, so all timeouts start anew.
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -264,7 +264,7 @@
             Ticker(
                 name="watch-attempts",
                 interval_s=STALL_CHECK_INTERVAL_S,
-                action=self._sender.abort_stalled_attempts,
+                action=self._sender.check_stalled_attempts,
                 clock=read_clock,
             ),
             Ticker(
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -123,7 +123,7 @@
         """Check attempts for a stall until cancelled."""
         while True:
             await asyncio.sleep(0.02)
-            self.sender.abort_stalled_attempts()
+            self.sender.check_stalled_attempts()
 
     async def call(
         self,
