--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
@@ -16,6 +17,7 @@
 
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.view import ServerState
+    from cornellead.upstream import Connection
     from cornellead.upstream import ConnectionPool
     from cornellead_core.routing import WireFormat
 
@@ -30,6 +32,9 @@
 """Interval at which the attempts in flight are checked for a stall."""
 MAX_CHECK_DELAY_S = 0.5
 """Delay of a check above which this process counts as paused: half of the shortest timeout."""
+CONNECTION_PROOF_S = 0.03
+"""Time for which a new connection must stay open before a request leaves its server for it: a
+server that has too many connections accepts further ones and closes them at once."""
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -52,11 +57,13 @@
         *,
         source: ServerState | None,
         last_event_id: str,
+        reserved: Connection | None = None,
     ) -> Attempt | None:
-        """Send a request on a pooled connection.
+        """Send a request on a pooled or a reserved connection.
 
         :param source: Server from which the target fetches the cached prompt, if any.
         :param last_event_id: Id of the last event that the caller has, when a stream is resumed.
+        :param reserved: Connection that was opened for this request.
         :returns: ``None`` if no connection could be opened; then nothing was sent.
         """
         now = self._clock()
@@ -73,6 +80,7 @@
             state.entry.address,
             self._encode(admitted, target),
             admitted.req.body,
+            reserved=reserved,
             max_idle_s=REPEATABLE_MAX_IDLE_S if repeatable else NON_REPEATABLE_MAX_IDLE_S,
             expect=EchoedHeader(self._wire.request_id_header, admitted.caller.request_id),
         )
@@ -98,16 +106,23 @@
         self._in_flight.discard(attempt)
         attempt.close()
 
-    async def can_connect(self, state: ServerState) -> bool:
-        """Open a connection that the next request to the server uses; ``False`` on failure."""
-        result = await self._pool.probe(state.entry.address)
-        if isinstance(result, Failure):
+    async def open_connection(self, state: ServerState) -> Connection | None:
+        """Open a connection for one request; ``None`` if the server refuses or closes it."""
+        result = await self._pool.reserve(state.entry.address)
+        connection = None if isinstance(result, Failure) else result.unwrap()
+        if connection is not None:
+            try:
+                await asyncio.sleep(CONNECTION_PROOF_S)
+            except asyncio.CancelledError:
+                connection.release()
+                raise
+        if connection is None or connection.closed:
             state.health.record_connect_failure(now=self._clock())
-            return False
-        return True
+            return None
+        return connection
 
-    def abort_stalled_attempts(self) -> None:
-        """Check the attempts for stalled servers; their requests leave if another one takes them.
+    def check_stalled_attempts(self) -> None:
+        """Check the attempts in flight, and search for other servers for the stalled ones.
 
         After a pause of this process, received bytes are still unread and others are resent by the
         servers' hosts, so all timeouts start anew.
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from cornellead.gateway.forwarding._successor import Successor
 from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
@@ -30,10 +31,11 @@
 
 
 class Failover:
-    """Gives a stalled attempt up once another server accepts a connection for its request.
+    """Gives a stalled attempt up once a connection for its request is open to another server.
 
     A silent server usually goes on after a moment, so a request whose move would fail for want of
-    a server, of a retry or of an event to resume after is better left where it is.
+    a server, of a retry or of an event to resume after is better left where it is. An open
+    connection is no promise: the other server may still refuse the request.
     """
 
     def __init__(
@@ -64,11 +66,29 @@
 
         def start_search() -> None:
             if attempt.search is None or attempt.search.done():
-                search = self._search(admitted, trace, events, attempt)
+                search = self._run_search(admitted, trace, events, attempt)
                 attempt.search = asyncio.create_task(search)
 
         attempt.on_stalled = start_search
 
+    async def _run_search(
+        self,
+        admitted: AdmittedRequest,
+        trace: RequestTrace,
+        events: EventSplitter,
+        attempt: Attempt,
+    ) -> None:
+        try:
+            await self._search(admitted, trace, events, attempt)
+        except Exception:
+            # The next check would start a search that fails in the same way.
+            attempt.on_stalled = lambda: None
+            trace.add_note_once("kept_search_failed")
+            server = attempt.state.entry.server
+            structlog.get_logger().exception(
+                "search for a successor failed", request=trace.request_id, server=server
+            )
+
     async def _search(
         self,
         admitted: AdmittedRequest,
@@ -94,19 +114,27 @@
         obstacle = find_obstacle()
         if obstacle is not None:
             return obstacle
-        for _ in range(MAX_CONNECT_FAILURES):
-            successor = self._pick(admitted, trace, attempt)
-            if successor is None:
+        refused: set[str] = set()
+        while len(refused) < MAX_CONNECT_FAILURES:
+            state = self._pick(admitted, trace, attempt, refused)
+            if state is None:
                 return "no_other_server"
-            if not await self._sender.can_connect(successor):
-                trace.add_attempt(successor.entry.server, "no_connection")
+            connection = await self._sender.open_connection(state)
+            if connection is None:
+                refused.add(state.entry.server)
                 continue
-            # Meanwhile other requests may have spent the budget, and the server may have gone on.
-            obstacle = find_obstacle()
+            # Meanwhile others may have spent the budget and the server's rate, and the own server
+            # may have gone on.
             now = self._clock()
-            if obstacle is None and attempt.give_up(successor, now=now):
+            obstacle = find_obstacle()
+            if obstacle is None and not self._picker.may_send(admitted, state, now=now):
+                obstacle = "no_other_server"
+            if obstacle is None and attempt.give_up(Successor(state, connection), now=now):
+                self._picker.count_send(admitted, state, now=now)
                 self._gate.try_pass(admitted, trace)
-                self._log(admitted, trace, attempt, successor)
+                self._log(admitted, trace, attempt, state)
+            else:
+                connection.release()
             return obstacle
         return "no_connection"
 
@@ -118,23 +146,21 @@
         return self._gate.find_obstacle(admitted, trace)
 
     def _pick(
-        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt
+        self, admitted: AdmittedRequest, trace: RequestTrace, attempt: Attempt, refused: set[str]
     ) -> ServerState | None:
+        """Choose a server with a free slot that was not tried, else one that did not fail."""
         now = self._clock()
-        service = admitted.service.name
-        excluded = {
+        unfit = {
             state.entry.server
-            for state in self._view.servers.listed(service)
-            if not state.health.responsive(now=now)
+            for state in self._view.servers.listed(admitted.service.name)
+            if not state.health.responsive(now=now) or _is_full(state, now=now)
         }
-        excluded |= trace.tried | {attempt.state.entry.server}
-        # The picker falls back to excluded servers, and would count a send to one.
-        if excluded.issuperset(s.entry.server for s in self._view.servers.usable(service)):
-            return None
-        picked = self._picker.pick(admitted, tried=excluded, now=now)
-        if not isinstance(picked, ServerState) or picked.entry.server in excluded:
-            return None
-        return picked
+        unfit |= refused | trace.broke_off | {attempt.state.entry.server}
+        for excluded in (unfit | trace.tried, unfit):
+            picked = self._picker.find(admitted, excluded=excluded, now=now)
+            if isinstance(picked, ServerState):
+                return picked
+        return None
 
     def _log(
         self,
@@ -158,3 +184,8 @@
             silent_servers=sum(1 for state in listed if not state.health.responsive(now=now)),
             listed_servers=len(listed),
         )
+
+
+def _is_full(state: ServerState, *, now: float) -> bool:
+    load, slots = state.reported_load(now=now), state.entry.slots
+    return load is not None and 0 < slots <= load
