Back off when starting over in the store does not help

Cause: the reader starts over at once whatever came of the last time, and a position of unknown era never continues in a known one.

Change: from the second consecutive start over on, the reader waits with the backoff of failed reads. A position of unknown era that was read from the store after it had named an era takes that one. The first time it still starts over: what was read before may belong to a lost history.

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.relay._peer_client import FetchedPage
 from cornellead.gateway.relay._peer_client import PeerClient
 from cornellead_core.placement import rank_members
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
 from cornellead_core.routing import StoreError
@@ -197,11 +198,15 @@
         self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         """Read the store, or other routers if it fails."""
+        met_before = self._view.history.latest(topic)
         result = await self._store.read_after(topic, position=position, wait_s=wait_s)
         if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
             result = Failure(StoreError(EARLIER_ERA))
         if isinstance(result, Success):
             batch = result.unwrap()
+            if position.era == UNKNOWN_ERA and self.logs[topic].from_store:
+                # The newest records, which named none, were read after this era was met.
+                position = position._replace(era=met_before)
             if not position.continues_in(batch.era):
                 return Failure(OffsetExpired(position.offset, batch.era))
             self.logs[topic].add(
--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -52,7 +52,8 @@
     """Reads the newest notice of each writer once, then all later notices.
 
     It starts over when the store no longer has the history after its offset, or when it is so far
-    behind that a read leaves later notices in the store.
+    behind that a read leaves later notices in the store: at once the first time, with backoff when
+    that did not help.
 
     :param wait_s: Maximum time for which the store holds a read while it has no new records.
     :param interval_s: Returns the minimum time between reads.
@@ -75,6 +76,8 @@
         self._position: Position | None = None
         self._left: Position | None = None
         """Position in the history that was given up, until another one is begun."""
+        self._start_overs = 0
+        """Consecutive times that the reader started over without a complete read of changes."""
         self._confirm_at_once = False
         self._unavailable = False
 
@@ -89,13 +92,16 @@
         self._offset = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
-            if await self._read():
+            succeeded = await self._read()
+            if succeeded and self._start_overs <= 1:
                 backoff_s = INITIAL_BACKOFF_S
+            if succeeded and (self._start_overs <= 1 or self._position is not None):
                 await asyncio.sleep(self._interval_s())
-            else:
-                await asyncio.sleep(backoff_s)
-                max_backoff_s = MAX_STARTUP_BACKOFF_S if self._position is None else MAX_BACKOFF_S
-                backoff_s = min(max_backoff_s, 2 * backoff_s)
+                continue
+            await asyncio.sleep(backoff_s)
+            starting = self._position is None and not succeeded
+            max_backoff_s = MAX_STARTUP_BACKOFF_S if starting else MAX_BACKOFF_S
+            backoff_s = min(max_backoff_s, 2 * backoff_s)
 
     async def _read(self) -> bool:
         if self._position is None:
@@ -120,7 +126,7 @@
                     era=self._position.era,
                     store_era=error.era,
                 )
-                self._left, self._position = self._position, None
+                self._start_over(self._position)
                 return True
             self._record_failure(error.message)
             return False
@@ -130,10 +136,15 @@
         # The newest records are one transfer, however many there are before them.
         if batch.records_left == 0:
             self._position = batch.position
+            self._start_overs = 0
         else:
-            self._left, self._position = batch.position, None
+            self._start_over(batch.position)
         return True
 
+    def _start_over(self, left: Position) -> None:
+        self._left, self._position = left, None
+        self._start_overs += 1
+
     def _begin_history(self, position: Position) -> None:
         left, self._left, self._position = self._left, None, position
         if left is None or position.era == left.era:
