Keep the era of a position when an answer names none

What callers saw: nothing so far; found in review. A router whose log has lost its era serves pages without one, and its followers start over.

Cause: an answer that names no era continues at a position of a known one, but the log and the next position took over the unknown era.

Evidence: test_answer_that_names_no_era_keeps_that_of_the_position before: '(-1, -1) == (1, 1)'.

Change: answers of the store and pages of routers that continue at a position keep its era.

--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -209,6 +209,7 @@
                 position = position._replace(era=met_before)
             if not position.continues_in(batch.era):
                 return Failure(OffsetExpired(position.offset, batch.era))
+            batch = batch._replace(era=position.era)
             self.logs[topic].add(
                 batch.notices,
                 batch.position,
@@ -217,7 +218,7 @@
             )
             self.logs[topic].set_from_store(True)
             self._store_retry_at.pop(topic, None)
-            return result
+            return Success(batch)
         error = result.failure()
         if isinstance(error, OffsetExpired):
             self._meet(topic, error.era)
@@ -236,9 +237,10 @@
     def _apply_changes(
         self, topic: Topic, fetched: FetchedPage, *, position: Position
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
+        if fetched.page.snapshot or not position.continues_in(fetched.page.era):
+            return Failure(OffsetExpired(position.offset, fetched.page.era))
+        fetched = fetched._replace(page=fetched.page._replace(era=position.era))
         page, age_s = fetched.page, fetched.age_s
-        if page.snapshot or not position.continues_in(page.era):
-            return Failure(OffsetExpired(position.offset, page.era))
         self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
         return Success(_make_batch(fetched))
