Let a store whose era falls be followed again

What callers saw: nothing so far; found in review. One answer, or one page of another router, that names an implausibly high era isolates a router until its restart: all answers of the store are dropped, 'the answer is of an earlier era than one before'.

Cause: the highest era ever met counted for good, whoever named it.

Evidence: test_odd_eras.py before: two tests fail, the one of a high answer with 'assert (None is not None)', the one of a high page with 'Failure: StoreError(the answer is of an earlier era than one before)'.

Change: what another router names is used, since a router that is cut off has nothing else, but any answer of the store overrides it. A store that names lower eras only for 3.6 s, twice as long as an answer can be delayed, has a new history: 'store era fell', and the reader starts over.

--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -104,7 +104,8 @@
         decode_started_at = time.perf_counter()
         page = decode_page(response.body)
         page_era = parse_era(response.headers.get(ERA_HEADER.lower(), ""))
-        if page is None or not self._may_use(topic, page_era):
+        history = self._view.history
+        if page is None or not history.meet_at_router(topic, page_era, now=self._clock()):
             return None
         read = ReadStats(
             source=name,
@@ -115,12 +116,3 @@
         )
         self._view.renew_router(name, now=self._clock())
         return FetchedPage(page._replace(era=page_era), read)
-
-    def _may_use(self, topic: Topic, era: int) -> bool:
-        """Return whether a page is of the latest era, as far as it names one.
-
-        A router of an earlier build names none, and may follow a history that was lost.
-        """
-        history = self._view.history
-        restored = history.restored_at is not None
-        return history.meet(topic, era, now=self._clock()) and not (era == UNKNOWN_ERA and restored)
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -188,6 +188,10 @@
         """Record the era of an answer of the store, and return whether the answer may be used."""
         latest = self._view.history.latest(topic)
         if self._view.history.meet(topic, era, now=self._clock()):
+            if UNKNOWN_ERA < era < latest:
+                structlog.get_logger().warning(
+                    "store era fell", topic=topic.value, era=era, era_before=latest
+                )
             return True
         structlog.get_logger().info(
             "answer of an earlier era dropped", topic=topic.value, era=era, latest=latest
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -57,7 +57,7 @@
                     notice.data_centre
                 )
                 self._set_out_of_service(notice.data_centre, out=notice.out)
-        if not self._view.history.settling(now=self._clock()):
+        if not self._view.history.settling(Topic.OPERATOR, now=self._clock()):
             for data_centre in self._view.servers.data_centres_out_of_service - self._listed_out:
                 self._set_out_of_service(data_centre, out=False)
         if batch.records_left == 0 and not self._behind:
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -76,9 +76,10 @@
         self._view.mark_store_unavailable(Topic.SERVERS, now=self._clock())
 
     def _record_recovery(self, batch: NoticeBatch, *, now: float) -> None:
-        if self._view.history.restored_at != self._restored_at:
-            self._restored_at = self._view.history.restored_at
-            self._view.servers.mark_store_restored(now=now)
+        restored_at = self._view.history.restored_at(Topic.SERVERS)
+        if restored_at is not None and restored_at != self._restored_at:
+            self._restored_at = restored_at
+            self._view.servers.mark_store_restored(now=restored_at)
         if batch.is_current:
             self._view.servers.mark_store_available(now=now)
             self._view.mark_store_available(Topic.SERVERS)
--- a/tests/router/gateway/relay/test_odd_eras.py
+++ b/tests/router/gateway/relay/test_odd_eras.py
@@ -8,14 +8,19 @@
 from typing import Any
 
 import pytest
+import structlog
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
 from cornellead.gateway.relay import RelayedStore
+from cornellead.gateway.relay import RelayPage
+from cornellead.gateway.relay import encode_page
 from cornellead.gateway.sync import TopicReader
 from cornellead.gateway.view import FleetView
+from cornellead.gateway.view._store_history import FALLEN_ERA_S
 from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import HttpResponse
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import Position
 from cornellead_core.routing import RouterLocation
@@ -132,3 +137,72 @@
     later = await relayed.read_after(Topic.OPERATOR, position=newest.position, wait_s=0.0)
     page = relayed.logs[Topic.OPERATOR].read(None, now=time.monotonic())
     assert page is not None and (later.unwrap().era, page.era) == (1, 1)
+
+
+async def _read_twice(relayed: RelayedStore) -> NoticeBatch | None:
+    newest = await relayed.read_newest(Topic.OPERATOR)
+    if isinstance(newest, Failure):
+        return None
+    batch = newest.unwrap()
+    later = await relayed.read_after(Topic.OPERATOR, position=batch.position, wait_s=0.0)
+    return later.unwrap() if isinstance(later, Success) else None
+
+
+async def test_one_answer_of_a_high_era_does_not_isolate_a_router_for_good() -> None:
+    """Guards against a router that drops all answers of the store until it is restarted."""
+    now = 0.0
+    store = OddStore(lambda read: 10**17 if read == 3 else 1, lambda _: 1)
+    relayed = _make_relayed(store, lambda: now)
+    assert await _read_twice(relayed) is not None
+    assert await _read_twice(relayed) is None
+    with structlog.testing.capture_logs() as lines:
+        while now <= FALLEN_ERA_S:
+            now += 0.5
+            await _read_twice(relayed)
+        batch = await _read_twice(relayed)
+    assert batch is not None and batch.era == 1
+    fallen = [line for line in lines if line["event"] == "store era fell"]
+    assert [(line["era"], line["era_before"]) for line in fallen] == [(1, 10**17)]
+
+
+async def test_lower_era_is_not_taken_while_answers_may_be_delayed() -> None:
+    """Guards against a router that goes back to a lost history with delayed answers, however many
+    they are, while the store names the later one in between."""
+    now = 0.0
+    eras = iter([1, 2, 2, 1, 2, 2, 1, 2, 1])
+    relayed = _make_relayed(OddStore(lambda _: next(eras), lambda _: 2), lambda: now)
+    used = []
+    for _ in range(9):
+        used.append(isinstance(await relayed.read_newest(Topic.OPERATOR), Success))
+        now += FALLEN_ERA_S - 0.1
+    assert used == [True, True, True, False, True, True, False, True, False]
+
+
+class PeerHttp:
+    """Another router, whose pages name an era of the test's choice."""
+
+    def __init__(self, era: bytes | None) -> None:
+        self.era = era
+
+    async def call(self, *args: object, **arguments: object) -> Result[HttpResponse, str]:
+        headers = {} if self.era is None else {"notices-era": self.era.decode()}
+        page = RelayPage([], 5, True, 0.1)
+        return Success(HttpResponse(200, encode_page(page), headers=headers))
+
+
+def _make_follower(store: Any, http: Any) -> RelayedStore:
+    view = FleetView(router="r1")
+    reader = RouterLocation("127.0.0.1:9", "dc-a", 9.0)
+    view.apply_announcement("r0", reader, now=time.monotonic())
+    location = RouterLocation("127.0.0.1:1", "dc-a", 1.0)
+    return RelayedStore(store=store, view=view, http=http, location=location, clock=time.monotonic)
+
+
+async def test_high_era_of_another_router_is_refuted_by_the_store() -> None:
+    """Guards against a router that follows the era of a peer and drops all answers of the store."""
+    http = PeerHttp(b"9" * 18)
+    relayed = _make_follower(OddStore(lambda _: 1, lambda _: 1), http)
+    assert (await relayed.read_newest(Topic.OPERATOR)).unwrap().era == int("9" * 18)
+    http.era = b"1"
+    newest = await relayed.read_newest(Topic.OPERATOR)
+    assert isinstance(newest, Success) and newest.unwrap().era == 1
