Test that each topic has the whole time to settle after a restore

What callers saw: nothing so far; found in review. The operators' topic may be the last to meet a restore. If another topic met it more than 10 s before, a data centre whose removal the copy lacks was back in service at the first read.

Cause: the time ran from the first topic that met the era, in the registry of servers from the first read after it.

--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -185,3 +185,21 @@
     now += SETTLE_S + 0.1
     sink.apply_changes(NoticeBatch([], 2, era=2))
     assert view.servers.data_centres_out_of_service == {"dc-a"}
+
+
+def test_operators_topic_that_meets_the_restore_late_has_the_whole_time_to_settle() -> None:
+    """Guards against requests to a data centre that is returned to service by the first read of a
+    copy, since another topic was read 11 s before."""
+    now = NOW
+    view = FleetView(router="r1")
+    sink = OperatorSink(view=view, stats=GatewayStats(metrics=Metrics()), clock=lambda: now)
+    for topic in (Topic.OPERATOR, Topic.ROUTERS):
+        view.history.meet(topic, 1, now=now)
+    sink.apply_snapshot(NoticeBatch([DataCentreNotice("dc-a", out=True)], 3, era=1))
+    view.history.meet(Topic.ROUTERS, 2, now=now)
+    now += SETTLE_S + 1.0
+    view.history.meet(Topic.OPERATOR, 2, now=now)
+    sink.apply_snapshot(NoticeBatch([], 2, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a"}
+    assert not view.history.take_settled(Topic.OPERATOR, now=now + SETTLE_S - 0.1)
+    assert view.history.take_settled(Topic.OPERATOR, now=now + SETTLE_S)
