Keep a data centre out while a restored store lacks our configuration

What callers saw: nothing so far; found in review. A data centre whose removal was lost with the copy was back in service 10 s after the restore, also when the operator had written nothing again.

Cause: a time alone stood for 'the operator has written again what was lost'.

Evidence: the test before: 'assert frozenset() == {dc-a}', both cases.

Change: while the store lacks the version in force it has not settled, and for 10 s after it has one as new, since that may be the first of several writes; 60 s after the restore at most, so that no data centre stays out for ever.

--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -7,6 +7,8 @@
 
 import structlog
 
+from cornellead.gateway.view import MAX_BEHIND_S
+from cornellead.gateway.view import SETTLE_S
 from cornellead_core.routing import STORE_SOURCE
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import RoutingConfig
@@ -36,9 +38,12 @@
         self._behind = False
         """Whether the newest configuration that was read is older than the active one, as in a
         store that came back from a copy."""
+        self._behind_at = float("-inf")
+        """Time of the last read before which the store was behind."""
 
     def apply_snapshot(self, batch: NoticeBatch) -> None:
         """Replace the current state with the newest notice of each writer."""
+        self._note_behind()
         self._listed_out.clear()
         has_config = any(isinstance(n, RoutingNotice) for n in batch.notices)
         self._behind = self._view.config is not None and not has_config
@@ -47,6 +52,7 @@
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices; an empty batch confirms that nothing changed."""
         self._report_read(batch)
+        self._note_behind()
         if batch.is_current:
             self._view.mark_store_available(Topic.OPERATOR)
         for notice in batch.notices:
@@ -57,7 +63,7 @@
                     notice.data_centre
                 )
                 self._set_out_of_service(notice.data_centre, out=notice.out)
-        if not self._view.history.settling(Topic.OPERATOR, now=self._clock()):
+        if not self._may_lack_removals():
             for data_centre in self._view.servers.data_centres_out_of_service - self._listed_out:
                 self._set_out_of_service(data_centre, out=False)
         if batch.records_left == 0 and not self._behind:
@@ -67,6 +73,22 @@
         """Record the outage and keep the active configuration."""
         self._view.mark_store_unavailable(Topic.OPERATOR, now=self._clock())
 
+    def _note_behind(self) -> None:
+        if self._behind:
+            self._behind_at = self._clock()
+
+    def _may_lack_removals(self) -> bool:
+        """Return whether the store may have lost, when it was restored, that a data centre is out
+        of service.
+
+        While it lacks the configuration in force, the operator has not written again what was lost,
+        and a configuration that comes back may be the first of several changes.
+        """
+        now = self._clock()
+        behind = self._behind or now - self._behind_at < SETTLE_S
+        within_s = MAX_BEHIND_S if behind else SETTLE_S
+        return self._view.history.settling(Topic.OPERATOR, now=now, within_s=within_s)
+
     def _report_read(self, batch: NoticeBatch) -> None:
         read = batch.read
         if read is None or not batch.notices:
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -13,9 +13,13 @@
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._server_state import ServerState
+from cornellead.gateway.view._store_history import MAX_BEHIND_S
+from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead.gateway.view._store_history import StoreHistory
 
 __all__ = [
+    "MAX_BEHIND_S",
+    "SETTLE_S",
     "SILENCE_TIMEOUT_S",
     "FleetLoad",
     "FleetView",
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -19,6 +19,11 @@
 the copy holds. Copies are some seconds old, and operators and servers write what was lost again
 within seconds."""
 
+MAX_BEHIND_S = 60.0
+"""Maximum time after a restore for which an operators' topic without the configuration in force
+counts as one that lacks other changes too. Operators write again within seconds; after a minute
+nobody is about to, and a data centre that is not listed may be needed."""
+
 
 class StoreHistory:
     """The latest eras that this router has met.
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -13,9 +13,11 @@
 from cornellead.gateway.sync import ReportingSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.view import FleetView
+from cornellead.gateway.view._store_history import MAX_BEHIND_S
 from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import Notice
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import RoutingNotice
@@ -203,3 +205,34 @@
     assert view.servers.data_centres_out_of_service == {"dc-a"}
     assert not view.history.take_settled(Topic.OPERATOR, now=now + SETTLE_S - 0.1)
     assert view.history.take_settled(Topic.OPERATOR, now=now + SETTLE_S)
+
+
+@pytest.mark.parametrize("written", [False, True], ids=["never written", "moved on"])
+def test_data_centre_stays_out_while_the_store_lacks_the_version_in_force(written: bool) -> None:
+    """Guards against requests to a data centre whose removal the operator has not written again
+    after 10 s, and against one that stays out for ever."""
+    now = NOW
+    view = FleetView(router="r1")
+    sink = OperatorSink(view=view, stats=GatewayStats(metrics=Metrics()), clock=lambda: now)
+    lost: list[Notice] = [
+        RoutingNotice(make_config(7).data, ""),
+        DataCentreNotice("dc-a", out=True),
+    ]
+    copied: list[Notice] = [RoutingNotice(make_config(4).data, "")]
+    for era in (1, 2):
+        view.history.meet(Topic.OPERATOR, era, now=now)
+        sink.apply_snapshot(NoticeBatch([*lost] if era == 1 else [*copied], 3, era=era))
+    now += SETTLE_S + 0.1
+    sink.apply_changes(NoticeBatch([], 3, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a"}
+    now += SETTLE_S
+    sink.apply_snapshot(NoticeBatch([*copied], 3, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a"}
+    later: list[Notice] = [RoutingNotice(make_config(9).data, "")] if written else []
+    sink.apply_changes(NoticeBatch(later, 4, era=2))
+    now += SETTLE_S - 0.1
+    sink.apply_changes(NoticeBatch([], 4, era=2))
+    assert view.servers.data_centres_out_of_service == {"dc-a"}
+    now = now + 0.1 if written else NOW + MAX_BEHIND_S
+    sink.apply_changes(NoticeBatch([], 4, era=2))
+    assert view.servers.data_centres_out_of_service == set()
