Rely on no reader of an earlier build beside a store that names eras

What callers saw: nothing so far; found in review. A router behind a reader of an earlier build meets no era, and never gets the records at offsets that a restored store gives out again, as those of the earlier build.

Cause: pages without an era were used until this router had met a second era, which such a reader hides from it.

Evidence: the new test with the condition taken out: 'assert None is not None' (the router keeps to its reader).

Change: once the store has named an era to this router, in a read or in the response to an announcement, a reader that names none is not relied on. While the store fails, such pages are used as before, until a second era was met: the store is asked again each second, and tells. During a rollout, routers of the new build behind a reader of an earlier one thus read the store themselves.

Result: the tests of sync, odd eras and restores pass; the load on the store during a rollout was not measured.

--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -186,8 +186,11 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
-        """Announce the location of a running router; ``None`` announces its shutdown."""
+    ) -> Result[int, StoreError]:
+        """Announce the location of a running router; ``None`` announces its shutdown.
+
+        :returns: The era that the store named.
+        """
         ...
 
     async def publish_quarantine(
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -104,8 +104,9 @@
         decode_started_at = time.perf_counter()
         page = decode_page(response.body)
         page_era = parse_era(response.headers.get(ERA_HEADER.lower(), ""))
-        history = self._view.history
-        if page is None or not history.meet_at_router(topic, page_era, now=self._clock()):
+        if page is None or not self._view.history.meet_at_router(
+            topic, page_era, now=self._clock(), as_reader=as_reader
+        ):
             return None
         read = ReadStats(
             source=name,
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -137,12 +137,16 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
+    ) -> Result[int, StoreError]:
         """Announce a router in the store.
 
         :param location: Where the router runs; ``None`` if it is stopping.
+        :returns: The era that the store named.
         """
-        return await self._store.announce(router, location)
+        result = await self._store.announce(router, location)
+        if result.value_or(UNKNOWN_ERA) != UNKNOWN_ERA:
+            self._view.history.mark_named()
+        return result
 
     async def publish_quarantine(
         self, part: str, mark: QuarantineMark | None
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -51,6 +51,7 @@
         self._restored_at: dict[Topic, float] = {}
         self._settled: set[Topic] = set()
         self._newest = UNKNOWN_ERA
+        self._store_names_eras = False
         self._restored = asyncio.Event()
 
     @property
@@ -104,6 +105,10 @@
         self._settled.add(topic)
         return True
 
+    def mark_named(self) -> None:
+        """Record that an answer of the store named an era, also one that is of no topic."""
+        self._store_names_eras = True
+
     def meet(self, topic: Topic, era: int, *, now: float) -> bool:
         """Record the era of an answer of the store, and return whether the answer may be used."""
         if era == UNKNOWN_ERA:
@@ -112,6 +117,7 @@
             lower_since = self._lower_since.setdefault(topic, now)
             if now - lower_since < FALLEN_ERA_S:
                 return False
+        self.mark_named()
         before = self.latest(topic)
         self._lower_since.pop(topic, None)
         self._hinted.pop(topic, None)
@@ -119,13 +125,16 @@
         self._record_change(topic, before, era, now=now)
         return True
 
-    def meet_at_router(self, topic: Topic, era: int, *, now: float) -> bool:
+    def meet_at_router(self, topic: Topic, era: int, *, now: float, as_reader: bool) -> bool:
         """Record the era of another router's page, and return whether the page may be used.
 
-        A router of an earlier build names none, and may follow a history that was lost.
+        A router of an earlier build names none, and may follow a history that was lost. One that
+        is relied on to read the store would hide for good that it came back from a copy.
+
+        :param as_reader: Whether this router relies on the other one to read the store.
         """
         if era == UNKNOWN_ERA:
-            return not self.restored
+            return not (self.restored or (as_reader and self._store_names_eras))
         before = self.latest(topic)
         if era > before:
             self._hinted[topic] = era
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -91,7 +91,8 @@
         RouterNotice("r2", RouterLocation("10.0.0.2:7340", "kgl-b")),
         RouterNotice("r1", None),
     ]
-    await client.announce("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))
+    third = await client.announce("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))
+    assert third == Success(1)
     batch = (await client.read_after(Topic.ROUTERS, position=Position(3), wait_s=0.0)).unwrap()
     assert batch.notices == [RouterNotice("r3", RouterLocation("10.0.0.3:7340", "kgl-b", 100.0))]
 
--- a/tests/router/gateway/relay/test_odd_eras.py
+++ b/tests/router/gateway/relay/test_odd_eras.py
@@ -63,6 +63,9 @@
             NoticeBatch([], position.offset, 0.0, era=era, records_left=self._records_left)
         )
 
+    async def announce(self, router: str, location: RouterLocation | None) -> Result[int, Any]:
+        return Success(self._later_era(self.reads))
+
 
 class CountingSink:
     """Counts the reads that a sink gets."""
@@ -206,3 +209,15 @@
     http.era = b"1"
     newest = await relayed.read_newest(Topic.OPERATOR)
     assert isinstance(newest, Success) and newest.unwrap().era == 1
+
+
+async def test_reader_of_an_earlier_build_is_not_relied_on_beside_a_store_that_names_eras() -> None:
+    """Guards against a router that never learns of a restore, since its reader names no era."""
+    store = OddStore(lambda _: 2, lambda _: 2)
+    relayed = _make_follower(store, PeerHttp(None))
+    assert (await relayed.read_newest(Topic.OPERATOR)).unwrap().era == UNKNOWN_ERA
+    assert store.reads == 0
+    await relayed.announce("r1", None)
+    assert (await _read_twice(relayed)) is not None
+    page = relayed.logs[Topic.OPERATOR].read(None, now=time.monotonic())
+    assert page is not None and (store.reads, page.era) == (2, 2)
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -23,6 +23,7 @@
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.placement import rank_members
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
@@ -64,8 +65,8 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
-        return Success(None)
+    ) -> Result[int, StoreError]:
+        return Success(UNKNOWN_ERA)
 
     async def publish_quarantine(
         self, part: str, mark: QuarantineMark | None
--- a/tests/router/gateway/sync/test_announcer.py
+++ b/tests/router/gateway/sync/test_announcer.py
@@ -11,6 +11,7 @@
 
 from cornellead.gateway.sync import Announcer
 from cornellead.gateway.view import StoreHistory
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
@@ -25,9 +26,9 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
+    ) -> Result[int, StoreError]:
         self.announced_at.append(time.monotonic())
-        return Success(None)
+        return Success(UNKNOWN_ERA)
 
 
 async def test_router_announces_itself_again_soon_after_a_restore() -> None:
--- a/tests/router/gateway/sync/test_quarantine_publisher.py
+++ b/tests/router/gateway/sync/test_quarantine_publisher.py
@@ -45,7 +45,7 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
+    ) -> Result[int, StoreError]:
         raise NotImplementedError
 
     async def publish_quarantine(
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from cornellead.gateway.sync import TopicReader
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
 from cornellead_core.routing import Position
@@ -43,8 +44,8 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
-        return Success(None)
+    ) -> Result[int, StoreError]:
+        return Success(UNKNOWN_ERA)
 
     async def publish_quarantine(
         self, part: str, mark: QuarantineMark | None
