Announce a router again after a restore during its announcement

What callers saw: nothing so far; found in review. A router may be missing in the store for a whole interval after a restore.

Cause: the announcer waited for a later restore only, and missed one that came while it announced or slept.

Evidence: the new test before: 'assert 1 == 2' announcements.

Change: restores are counted, and the announcer compares with the count before its announcement.

Result: tests of the announcer and the sinks pass (14).

--- a/packages/router/src/cornellead/gateway/sync/_announcer.py
+++ b/packages/router/src/cornellead/gateway/sync/_announcer.py
@@ -50,9 +50,10 @@
     async def run(self) -> None:
         """Announce the router at each interval until cancelled."""
         while True:
+            restores = self._history.restores
             await self._announce(self._location)
             interval_s = self._interval_s()
-            if await self._history.wait_restored(timeout_s=interval_s):
+            if await self._history.wait_restored(after=restores, timeout_s=interval_s):
                 await asyncio.sleep(random.uniform(0.0, RESTORED_SHARE * interval_s))
 
     async def stop(self) -> None:
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -53,6 +53,8 @@
         self._newest = UNKNOWN_ERA
         self._store_names_eras = False
         self._restored = asyncio.Event()
+        self.restores = 0
+        """Restores of the store that this router has met."""
 
     @property
     def era(self) -> int:
@@ -85,8 +87,11 @@
         restored_at = self._restored_at.get(topic)
         return restored_at is not None and now - restored_at < within_s
 
-    async def wait_restored(self, *, timeout_s: float) -> bool:
-        """Wait until the era rises; return whether it did so within the timeout in seconds."""
+    async def wait_restored(self, *, after: int, timeout_s: float) -> bool:
+        """Wait for more restores than a count; return whether there are before the timeout in
+        seconds."""
+        if self.restores > after:
+            return True
         try:
             await asyncio.wait_for(self._restored.wait(), timeout_s)
         except TimeoutError:
@@ -151,5 +156,6 @@
             self._newest = era
         elif era > self._newest or (before != UNKNOWN_ERA and era != self._newest):
             self._newest = era
+            self.restores += 1
             self._restored.set()
             self._restored = asyncio.Event()
--- a/tests/router/gateway/sync/test_announcer.py
+++ b/tests/router/gateway/sync/test_announcer.py
@@ -23,11 +23,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.announced_at: list[float] = []
+        self.delay_s = 0.0
 
     async def announce(
         self, router: str, location: RouterLocation | None
     ) -> Result[int, StoreError]:
         self.announced_at.append(time.monotonic())
+        await asyncio.sleep(self.delay_s)
         return Success(UNKNOWN_ERA)
 
 
@@ -52,3 +54,24 @@
     task.cancel()
     first, again = store.announced_at
     assert first < restored_at and again - restored_at < 0.3
+
+
+async def test_restore_during_an_announcement_is_followed_by_another_one() -> None:
+    """Guards against a router that is missing in the store for a whole interval, since its
+    announcement was on the way to the store that was lost."""
+    store, history = AnnouncementStore(), StoreHistory()
+    store.delay_s = 0.05
+    announcer = Announcer(
+        store=store,
+        router="r1",
+        location=RouterLocation("10.0.0.1:1", "dc-a"),
+        interval_s=lambda: 0.8,
+        history=history,
+    )
+    history.meet(Topic.OPERATOR, 1, now=0.0)
+    task = asyncio.create_task(announcer.run())
+    await asyncio.sleep(0.02)
+    history.meet(Topic.OPERATOR, 2, now=1.0)
+    await asyncio.sleep(0.4)
+    task.cancel()
+    assert len(store.announced_at) == 2
