Play odd eras and routers of an earlier build in the model of restores

Evidence: without the announcements that routers make, the model fails at a reader that stops naming eras while its followers, which have not called the store, are in an earlier one ('assert 3 == 4' versions): a state that the routers' announcements rule out, so the model makes them, at the start and once the store is stable.

--- a/tests/router/gateway/relay/test_restored_store_model.py
+++ b/tests/router/gateway/relay/test_restored_store_model.py
@@ -14,6 +14,7 @@
 from tests.router.gateway.restored_fleet import RestoredFleet
 
 from cornellead.gateway.relay._relayed_store import READER_BACKOFF_S
+from cornellead.gateway.view._store_history import FALLEN_ERA_S
 from cornellead.gateway.view._store_history import SETTLE_S
 from cornellead_core.routing import Topic
 
@@ -24,6 +25,8 @@
 MAX_READS = 6
 """Reads of each router after which it knows the newest state: two to start over, and as many again
 for a follower whose reader starts over at the same time."""
+ODD_ERA = 10**17
+"""Era that a store names by mistake."""
 TOPICS = (Topic.OPERATOR, Topic.SERVERS)
 NAMES = ("s1", "s2", "s3")
 WRITES = st.one_of(
@@ -33,7 +36,10 @@
 )
 READS = st.one_of(
     st.just(("read_all", 0)),
-    st.tuples(st.sampled_from(("read", "cut", "mend", "restart")), st.integers(0, ROUTERS - 1)),
+    st.tuples(
+        st.sampled_from(("read", "cut", "mend", "restart", "odd", "earlier")),
+        st.integers(0, ROUTERS - 1),
+    ),
 )
 RESTORES = st.tuples(st.just("restore"), st.integers(1, 6))
 EPISODES = st.tuples(
@@ -76,6 +82,13 @@
         elif action == "read":
             for topic in TOPICS:
                 await router.read(topic)
+        elif action == "odd":
+            era, self.fleet.store.era = self.fleet.store.era, ODD_ERA
+            for topic in TOPICS:
+                await router.read(topic)
+            self.fleet.store.era = era
+        elif action == "earlier":
+            router.name_no_era()
         elif action in ("cut", "mend"):
             router.store_path.cut_off = action == "cut"
         elif action == "restart":
@@ -146,11 +159,17 @@
         await fleet.read(topic, times=MAX_READS)
 
 
+async def _announce_all(fleet: RestoredFleet) -> None:
+    for router in fleet.routers:
+        await router.store.announce(router.name, router.location)
+
+
 async def _play(free_address: Callable[[], str], steps: list[tuple[str, int]]) -> None:
     fleet = RestoredFleet(free_address, routers=ROUTERS)
     await fleet.start()
     try:
         fleet.put_config(1)
+        await _announce_all(fleet)
         model = Model(fleet)
         for action, number in steps:
             await model.apply(action, number)
@@ -158,6 +177,10 @@
         for router in fleet.routers:
             router.store_path.cut_off = False
             router.now_offset_s += READER_BACKOFF_S
+        await _announce_all(fleet)
+        await _read_all(fleet)
+        for router in fleet.routers:
+            router.now_offset_s += FALLEN_ERA_S
         await _read_all(fleet)
         model.check_safe()
         await model.apply("config", 0)
@@ -178,7 +201,7 @@
 def test_all_routers_know_the_newest_state_once_the_store_is_stable(
     free_address: Callable[[], str], episodes: list[tuple[list[tuple[str, int]], ...]]
 ) -> None:
-    """Guards against routers that stay in a lost history, whatever restores, cuts and restarts come
-    before, and against one that goes back."""
+    """Guards against routers that stay in a lost history, whatever restores, cuts, restarts and odd
+    eras come before and whichever of them name no era, and against one that goes back."""
     steps = [step for episode in episodes for part in episode for step in part]
     asyncio.run(_play(free_address, steps))
--- a/tests/router/gateway/restored_fleet.py
+++ b/tests/router/gateway/restored_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from returns.result import Failure
@@ -16,6 +17,7 @@
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.relay import RelayedStore
 from cornellead.gateway.relay import RelayHandler
+from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.sync import NoticeSink
 from cornellead.gateway.sync import OperatorSink
@@ -27,7 +29,9 @@
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.metrics import Metrics
 from cornellead_core.placement import rank_members
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import HttpResponse
+from cornellead_core.routing import Position
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import Topic
 from cornellead_platform import StoreClient
@@ -105,6 +109,11 @@
         for _ in range(times):
             await self.readers[topic]._read()
 
+    def name_no_era(self) -> None:
+        """Respond to other routers as one of an earlier build does."""
+        for log in self.store.logs.values():
+            log.read = partial(_read_without_era, log.read)  # type: ignore[method-assign]
+
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 without one."""
@@ -116,6 +125,13 @@
         return {state.entry.server for state in self.view.servers.usable("llm")}
 
 
+def _read_without_era(
+    read: Callable[..., RelayPage | None], position: Position | None, *, now: float
+) -> RelayPage | None:
+    page = read(None if position is None else Position(position.offset), now=now)
+    return None if page is None else page._replace(era=UNKNOWN_ERA)
+
+
 class RestoredFleet:
     """A store, and the routers of a data centre in rank order: the first one is its reader."""
 
