--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.relay._peer_client import FetchedPage
 from cornellead.gateway.relay._peer_client import PeerClient
 from cornellead_core.placement import rank_members
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import OffsetExpired
 from cornellead_core.routing import StoreError
@@ -136,12 +137,16 @@
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
+    ) -> Result[int, StoreError]:
         """Announce a router in the store.
 
         :param location: Where the router runs; ``None`` if it is stopping.
+        :returns: The era that the store named.
         """
-        return await self._store.announce(router, location)
+        result = await self._store.announce(router, location)
+        if result.value_or(UNKNOWN_ERA) != UNKNOWN_ERA:
+            self._view.history.mark_named()
+        return result
 
     async def publish_quarantine(
         self, part: str, mark: QuarantineMark | None
@@ -187,6 +192,10 @@
         """Record the era of an answer of the store, and return whether the answer may be used."""
         latest = self._view.history.latest(topic)
         if self._view.history.meet(topic, era, now=self._clock()):
+            if UNKNOWN_ERA < era < latest:
+                structlog.get_logger().warning(
+                    "store era fell", topic=topic.value, era=era, era_before=latest
+                )
             return True
         structlog.get_logger().info(
             "answer of an earlier era dropped", topic=topic.value, era=era, latest=latest
@@ -197,13 +206,18 @@
         self, topic: Topic, *, position: Position, wait_s: float
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         """Read the store, or other routers if it fails."""
+        met_before = self._view.history.latest(topic)
         result = await self._store.read_after(topic, position=position, wait_s=wait_s)
         if isinstance(result, Success) and not self._meet(topic, result.unwrap().era):
             result = Failure(StoreError(EARLIER_ERA))
         if isinstance(result, Success):
             batch = result.unwrap()
+            if position.era == UNKNOWN_ERA and self.logs[topic].from_store:
+                # The newest records, which named none, were read after this era was met.
+                position = position._replace(era=met_before)
             if not position.continues_in(batch.era):
                 return Failure(OffsetExpired(position.offset, batch.era))
+            batch = batch._replace(era=position.era)
             self.logs[topic].add(
                 batch.notices,
                 batch.position,
@@ -212,7 +226,7 @@
             )
             self.logs[topic].set_from_store(True)
             self._store_retry_at.pop(topic, None)
-            return result
+            return Success(batch)
         error = result.failure()
         if isinstance(error, OffsetExpired):
             self._meet(topic, error.era)
@@ -231,9 +245,10 @@
     def _apply_changes(
         self, topic: Topic, fetched: FetchedPage, *, position: Position
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
+        if fetched.page.snapshot or not position.continues_in(fetched.page.era):
+            return Failure(OffsetExpired(position.offset, fetched.page.era))
+        fetched = fetched._replace(page=fetched.page._replace(era=position.era))
         page, age_s = fetched.page, fetched.age_s
-        if page.snapshot or not position.continues_in(page.era):
-            return Failure(OffsetExpired(position.offset, page.era))
         self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
         return Success(_make_batch(fetched))
--- a/tests/router/gateway/sync/test_announcer.py
+++ b/tests/router/gateway/sync/test_announcer.py
@@ -11,6 +11,7 @@
 
 from cornellead.gateway.sync import Announcer
 from cornellead.gateway.view import StoreHistory
+from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import StoreError
 from cornellead_core.routing import Topic
@@ -22,12 +23,14 @@
     def __init__(self) -> None:
         super().__init__()
         self.announced_at: list[float] = []
+        self.delay_s = 0.0
 
     async def announce(
         self, router: str, location: RouterLocation | None
-    ) -> Result[None, StoreError]:
+    ) -> Result[int, StoreError]:
         self.announced_at.append(time.monotonic())
-        return Success(None)
+        await asyncio.sleep(self.delay_s)
+        return Success(UNKNOWN_ERA)
 
 
 async def test_router_announces_itself_again_soon_after_a_restore() -> None:
@@ -51,3 +54,24 @@
     task.cancel()
     first, again = store.announced_at
     assert first < restored_at and again - restored_at < 0.3
+
+
+async def test_restore_during_an_announcement_is_followed_by_another_one() -> None:
+    """Guards against a router that is missing in the store for a whole interval, since its
+    announcement was on the way to the store that was lost."""
+    store, history = AnnouncementStore(), StoreHistory()
+    store.delay_s = 0.05
+    announcer = Announcer(
+        store=store,
+        router="r1",
+        location=RouterLocation("10.0.0.1:1", "dc-a"),
+        interval_s=lambda: 0.8,
+        history=history,
+    )
+    history.meet(Topic.OPERATOR, 1, now=0.0)
+    task = asyncio.create_task(announcer.run())
+    await asyncio.sleep(0.02)
+    history.meet(Topic.OPERATOR, 2, now=1.0)
+    await asyncio.sleep(0.4)
+    task.cancel()
+    assert len(store.announced_at) == 2
