--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+import pytest
 import structlog
 from returns.result import Failure
 from returns.result import Result
@@ -157,3 +158,27 @@
     relayed = _batch(4)._replace(age_s=0.8)
     store, _ = await _read(_batch(3, "r1"), slow, relayed, _batch(5, "r3"))
     assert store.waits[:4] == [1.0, 0.0, 1.0, 1.0]
+
+
+async def test_restarted_reader_takes_a_snapshot() -> None:
+    """Guards against notices that are lost when a reader fails while it applies them."""
+    store = ScriptedStore(_batch(3, "r1"), _batch(5, "r2"), _batch(5, "r1", "r2"), _batch(5))
+
+    class FailingSink(RecordingSink):
+        def apply_changes(self, batch: NoticeBatch) -> None:
+            if _routers(batch):
+                raise ValueError("poisoned")
+
+    sink = FailingSink()
+    reader = TopicReader(
+        store=store, topic=Topic.ROUTERS, sink=sink, wait_s=1.0, interval_s=lambda: 0.0
+    )
+    with pytest.raises(ValueError, match="poisoned"):
+        await reader.run()
+    task = asyncio.create_task(reader.run())
+    async with asyncio.timeout(3.0):
+        while store._responses:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert store.reads[:3] == ["newest", 3, "newest"]
+    assert sink.calls == [("snapshot", ["r1"]), ("snapshot", ["r1", "r2"])]
