--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -337,3 +337,23 @@
     assert [(line["request"], line["server"], line["log_level"]) for line in errors] == [
         ("7f00", "s0", "error")
     ]
+
+
+async def test_connection_of_a_cancelled_search_goes_to_other_requests(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against connections that stay open without an owner."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await _answer(exchange, "/safe/1")
+
+    server = await start_server(script)
+    gateway.configure(server)
+    search = asyncio.create_task(gateway.sender.open_connection(make_state(address=server.address)))
+    while not gateway.pool.opened:
+        await asyncio.sleep(0)
+    search.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await search
+    assert (await _call(gateway, "/safe/1")).status == 200
+    assert (gateway.pool.opened, gateway.pool.reused) == (1, 1)
