--- a/packages/router/src/cornellead/gateway/sync/_topic_reader.py
+++ b/packages/router/src/cornellead/gateway/sync/_topic_reader.py
@@ -89,7 +89,7 @@
     async def run(self) -> None:
         """Read the topic until cancelled, with exponential backoff after failures."""
         # A restart after a failure takes a snapshot, whatever became of the notices before it.
-        self._offset = None
+        self._position = None
         backoff_s = INITIAL_BACKOFF_S
         while True:
             succeeded = await self._read()
--- a/tests/router/gateway/sync/test_topic_reader.py
+++ b/tests/router/gateway/sync/test_topic_reader.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+import pytest
 import structlog
 from returns.result import Failure
 from returns.result import Result
@@ -75,6 +76,20 @@
         self.calls.append("unavailable")
 
 
+class Broken(RecordingSink):
+    """Fails to apply whatever comes with the record of a second router."""
+
+    def apply_snapshot(self, batch: NoticeBatch) -> None:
+        self._check(batch)
+
+    def apply_changes(self, batch: NoticeBatch) -> None:
+        self._check(batch)
+
+    def _check(self, batch: NoticeBatch) -> None:
+        if "r2" in _routers(batch):
+            raise RuntimeError(batch)
+
+
 def _routers(batch: NoticeBatch) -> list[str]:
     return [n.router for n in batch.notices if isinstance(n, RouterNotice)]
 
@@ -157,3 +172,16 @@
     relayed = _batch(4)._replace(age_s=0.8)
     store, _ = await _read(_batch(3, "r1"), slow, relayed, _batch(5, "r3"))
     assert store.waits[:4] == [1.0, 0.0, 1.0, 1.0]
+
+
+async def test_restarted_reader_takes_a_snapshot() -> None:
+    """Guards against notices that are lost since the task ended while it applied them."""
+    store, sink = ScriptedStore(_batch(3, "r1"), _batch(5, "r2"), _batch(5, "r1", "r2")), Broken()
+    reader = TopicReader(
+        store=store, topic=Topic.ROUTERS, sink=sink, wait_s=1.0, interval_s=lambda: 0.0
+    )
+    with pytest.raises(RuntimeError):
+        await reader.run()
+    with pytest.raises(RuntimeError):
+        await reader.run()
+    assert store.reads == ["newest", 3, "newest"]
