Let a full server take the request of one that stays silent

A request stayed with a dead server until its deadline while all others reported to be full, as they do all through an overload: 504 in the new test, 200 now. After 2.5 s of silence, which no sound server keeps, a full server is chosen, too; it queues some requests or refuses in time for another caller's attempt. Before that it is avoided, since a refusal there would lose the first server's answer.

--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -28,6 +28,9 @@
 """Interval at which a further server is looked for while the attempt's own one stays silent."""
 MAX_CONNECT_FAILURES = 4
 """Failed connection attempts after which one search ends."""
+LONG_SILENCE_S = 2.5
+"""Silence after which a full server is better than the own one: sound servers are silent for about
+a second, and a full one queues some requests."""
 
 
 class Failover:
@@ -150,10 +153,12 @@
     ) -> ServerState | None:
         """Choose a server with a free slot that was not tried, else one that did not fail."""
         now = self._clock()
+        stall = attempt.find_stall(now=now)
+        avoids_full = stall is None or stall.seconds < LONG_SILENCE_S
         unfit = {
             state.entry.server
             for state in self._view.servers.listed(admitted.service.name)
-            if not state.health.responsive(now=now) or _is_full(state, now=now)
+            if not state.health.responsive(now=now) or (avoids_full and _is_full(state, now=now))
         }
         unfit |= refused | trace.broke_off | {attempt.state.entry.server}
         for excluded in (unfit | trace.tried, unfit):
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -315,6 +315,28 @@
     assert (response.status, len(silent.received), len(full.received)) == (200, 1, 0)
 
 
+async def test_full_server_takes_the_request_of_a_dead_one(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against requests that stay with a dead server for as long as all others are busy."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await _answer(exchange, "/resumable/1")
+
+    dead, full = await start_server(_stay_silent), await start_server(script)
+    gateway.configure(dead)
+    call = asyncio.create_task(_call(gateway, "/resumable/1"))
+    await asyncio.sleep(LATER_S)
+    _list(gateway, full)
+    state = gateway.view.servers.listed("llm")[1]
+    while not call.done():
+        load = ReportedLoad(state.entry.slots, 0, state.entry.slots)
+        state.record_reported_load(load, now=time.monotonic())
+        await asyncio.sleep(0.05)
+    response = await call
+    assert (response.status, response.complete, len(full.received)) == (200, True, 1)
+
+
 async def test_failed_search_is_logged_once_and_its_request_is_kept(
     gateway: Gateway, start_server: StartServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
