--- a/tests/router/gateway/forwarding/test_silent_servers.py
+++ b/tests/router/gateway/forwarding/test_silent_servers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.builders import make_entry
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 from tests.router.gateway.scripted_server import encode_events
@@ -184,3 +185,25 @@
     assert time.monotonic() - started_at < 4.0
     assert response.complete and response.body == encode_events(1, 4)
     assert overlaps == [False]
+
+
+async def test_answer_of_a_silent_server_is_not_lost_to_one_that_refuses(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a request that leaves its server for one that is full without saying so."""
+
+    async def answer_late(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(1.6)
+        await exchange.send(exchange.sealed_response(200, b"body"))
+
+    async def refuse(exchange: ScriptedExchange) -> None:
+        await exchange.send(exchange.response(503, "X-Not-Executed: 1"))
+
+    late, full = await start_server(answer_late), await start_server(refuse)
+    gateway.configure(late)
+    call = asyncio.create_task(_call(gateway, "/safe/1"))
+    await asyncio.sleep(0.1)
+    entry = make_entry("s1", address=full.address)
+    gateway.view.servers.put(entry, now=time.monotonic())
+    response = await call
+    assert (response.status, response.complete) == (200, True)
