--- a/tests/router/gateway/quarantine/test_culprits.py
+++ b/tests/router/gateway/quarantine/test_culprits.py
@@ -119,3 +119,14 @@
     spread = [b - a for a, b in pairwise(crashes)]
     if len([gap for gap in spread if gap > 1.5]) >= 2 and not sound:
         assert "bad" in quarantined_parts(guard, now=60.0)
+
+
+def test_answer_at_the_moment_of_the_last_crash_lifts_the_quarantine() -> None:
+    """Guards against a quarantine that outlives an answer with the same time as its last crash."""
+    guard = PromptGuard(router="r1")
+    guard.record_answer(("part",), now=0.0)
+    for number, at in enumerate((0.5, 1.0, 1.5, 2.0, 2.5)):
+        guard.record_crash([make_report(number, "part", at=at)], now=at)
+    assert quarantined_parts(guard, now=2.5) == {"part"}
+    guard.record_answer(("part",), now=2.5)
+    assert quarantined_parts(guard, now=2.5) == set()
