Wait only for admitted requests before a stop closes its connections

Cause: the phase 'refusing' lasted until no request was in progress, and those that it refused at once counted. Callers who come back after each refusal kept it up until the final answers, 0.3 s before the exit; what was accepted in the last moments was cut. The phase now lasts as long as admitted requests have no final answer; the log line names both numbers.

--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -19,6 +19,8 @@
     def __init__(self) -> None:
         self.phase = ServingPhase.RUNNING
         self.in_progress = 0
+        """Requests without a complete response, including those that are being refused."""
+
         self.refused = 0
         """Requests that were refused because the process is stopping."""
 
@@ -31,6 +33,11 @@
         """Whether the requests that were in progress at `answer_by` were ended."""
         self._limits: set[asyncio.Timeout] = set()
 
+    @property
+    def admitted(self) -> int:
+        """Number of admitted requests without a final answer."""
+        return len(self._limits)
+
     def time_left_s(self) -> float:
         """Return the seconds until `answer_by`; infinite unless a stop was requested."""
         return self.answer_by - asyncio.get_running_loop().time()
--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -74,9 +74,10 @@
         self._advance(ServingPhase.LEAVING)
         await asyncio.sleep(min(BALANCER_REMOVAL_S, self._grace_period_s / 2))
         self._advance(ServingPhase.REFUSING)
-        while self._serving.in_progress and self._serving.time_left_s() > 0:
+        # Callers that come back after each refusal must not use up the grace period.
+        while self._serving.admitted and self._serving.time_left_s() > 0:
             await asyncio.sleep(POLL_INTERVAL_S)
-        if self._serving.in_progress:
+        if self._serving.admitted:
             self._serving.expire()
             # The final answers are written even if the host was suspended past the exit time.
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -89,5 +90,8 @@
     def _advance(self, phase: ServingPhase) -> None:
         self._serving.advance(phase)
         structlog.get_logger().info(
-            "planned stop", phase=phase.name.lower(), in_progress=self._serving.in_progress
+            "planned stop",
+            phase=phase.name.lower(),
+            in_progress=self._serving.in_progress,
+            admitted=self._serving.admitted,
         )
--- a/tests/router/gateway/process/test_graceful_shutdown.py
+++ b/tests/router/gateway/process/test_graceful_shutdown.py
@@ -13,6 +13,7 @@
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 
+from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.process import GracefulShutdown
 
 if TYPE_CHECKING:
@@ -100,6 +101,25 @@
     writer.close()
 
 
+class _SettledCallers:
+    """Callers without a connection that the stop has to wait for."""
+
+    unsettled = 0
+
+    def finish(self) -> int:
+        return 0
+
+
+async def test_refused_requests_do_not_use_up_the_grace_time() -> None:
+    """Guards against a stop that waits for callers who come back after each refusal, until the
+    exit cuts off the requests that it has just accepted."""
+    serving = ServingState()
+    serving.in_progress = 1
+    shutdown = GracefulShutdown(serving=serving, grace_period_s=GRACE_S, callers=_SettledCallers())
+    assert await shutdown.run() == 0
+    assert not serving.expired
+
+
 class _Sent(NamedTuple):
     request_id: str
     response: CallerResponse | None
@@ -161,6 +181,7 @@
     await asyncio.gather(*callers)
     ran = {seen.request_id for server in servers for seen in server.received}
     assert cut == 0 and len(ran) > CALLERS
+    assert not gateway.serving.expired, "refused requests were waited for like admitted ones"
     for request_id, response in sent:
         assert response is None or response.complete, f"{request_id} has a partial answer"
         if response is None:
