--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import os
-import socket
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
 from hypothesis import settings
+from scripts.fleet import PortBlock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 ROOT = Path(__file__).parent.parent
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
@@ -52,12 +53,22 @@
 
 
 @pytest.fixture
-def free_address() -> Callable[[], str]:
-    """Return a function that returns an unused ``ip:port`` of the loopback interface."""
+def free_address() -> Iterator[Callable[[], str]]:
+    """Yield a function that returns an unused ``ip:port`` of the loopback interface.
 
-    def find_address() -> str:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            return f"127.0.0.1:{sock.getsockname()[1]}"
+    The ports are below the ephemeral range: a port of that range may be returned twice, or be given
+    to an outgoing connection before a process listens on it.
+    """
+    block = PortBlock()
 
-    return find_address
+    def find_address() -> str:
+        nonlocal block
+        try:
+            return block.allocate()
+        except RuntimeError:
+            block.release()
+            block = PortBlock()
+            return block.allocate()
+
+    yield find_address
+    block.release()
