--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -80,8 +80,10 @@
 
     async def wait_readiness(self, status: int = 200) -> None:
         """Wait until the readiness endpoint responds with a status code."""
+        assert self.process is not None
         async with asyncio.timeout(READY_TIMEOUT_S):
             while (await self._readiness_status()) != status:
+                assert self.process.returncode is None, "the gateway has ended"
                 await asyncio.sleep(0.05)
 
     async def send_payment(self, *, key: str = "k1", path: str = "/pay/1") -> CallerResponse:
