Let an answer at the time of the last crash lift a quarantine

A part whose answer has the time of its last crash stayed quarantined for ten minutes, found once by a property test with random examples. The history of crashes drops the reports up to the time of an answer, that time included; the quarantine asked for a later one. Both now count an answer as late as the crash. The test failed before (part still quarantined) and passes; its entry in KNOWN-RED.txt is removed.

--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -184,7 +184,7 @@
 
     def _refutes(self, held: QuarantinedPart) -> bool:
         """Return whether a known answer speaks against a quarantine."""
-        if self._history.answered_at(held.part) > held.since:
+        if self._history.answered_at(held.part) >= held.since:
             return True
         return self.was_answered(held.part) and held.crashes < MIN_CRASHES_AFTER_ANSWER
 
