Judge quarantined parts again when further reports of crashes come

Before any answer, sound parts were refused for ten minutes beside the part that crashed servers. Cause: a part once blamed was never judged again, though the evidence on the culprit explains all its crashes; refused everywhere, it had no answer to clear it. Parts in quarantine whose evidence is known here are now judged anew together with the new reports. One that a better culprit explains is let go, logged as 'quarantine withdrawn', and the reports that show it are told to the others, as an answer is. Quarantines known without their reports stay as they are.

--- a/packages/router/src/cornellead/gateway/quarantine/_culprits.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_culprits.py
@@ -88,6 +88,11 @@
         explaining.append(evidence(best.part))
 
 
+def is_blamable(part: str, reports: Sequence[CrashReport], *, answered: bool) -> bool:
+    """Return whether reports on a part suffice to quarantine it if nothing else explains them."""
+    return _judge(part, reports, answered, on_probation=False) is not None
+
+
 def count_crashes(reports: Iterable[CrashReport]) -> int:
     """Return the number of crashes that the reports are about."""
     return len(_crash_times(reports))
--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.quarantine._culprits import MIN_CRASHES_AFTER_ANSWER
 from cornellead.gateway.quarantine._culprits import count_crashes
 from cornellead.gateway.quarantine._culprits import find_culprits
+from cornellead.gateway.quarantine._culprits import is_blamable
 from cornellead.gateway.quarantine._evidence import AnswerItem
 from cornellead.gateway.quarantine._evidence import CrashItem
 from cornellead.gateway.quarantine._evidence import Evidence
@@ -26,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from cornellead.gateway.quarantine._culprits import Culprit
+
 MAX_QUARANTINED = 256
 """Capacity in quarantined parts; the one that ends first is evicted."""
 REPEAT_INTERVAL_S = 1.0
@@ -105,21 +108,24 @@
         for part in parts:
             self._record_part_answer(part, at=now, rounds=OWN_ROUNDS, source=self._router)
 
-    def restore(self, held: QuarantinedPart, *, source: str) -> None:
+    def restore(self, held: QuarantinedPart, *, source: str) -> bool:
         """Add a quarantine that another router or the store knows.
 
         It is ignored if a later answer is known, or if the evidence for it does not suffice for a
         part that was answered before.
+
+        :returns: Whether it was added.
         """
         if self._refutes(held):
             self._answer_queue.put(held.part, rounds=OWN_ROUNDS)
-            return
+            return False
         known = self._quarantined.get(held.part)
         if known is not None and known.strikes >= held.strikes:
-            return
+            return False
         self._hold(held)
         self._quarantine_queue.put(held.part, rounds=RELAY_ROUNDS)
         structlog.get_logger().info("quarantine learned", source=source, **_log_fields(held))
+        return True
 
     @property
     def has_new_evidence(self) -> bool:
@@ -175,12 +181,15 @@
                     part for part in union_of_parts(added) if not self.was_answered(part)
                 )[:MAX_LOGGED_PARTS],
             )
-        for held in evidence.quarantined:
+        learned = [
             self.restore(
                 QuarantinedPart(held.part, held.strikes, held.crashes, now - held.age_s),
                 source=evidence.router,
             )
-        self._quarantine_culprits(added, now=now)
+            for held in evidence.quarantined
+        ]
+        if added or any(learned):
+            self._quarantine_culprits(added, now=now)
 
     def _refutes(self, held: QuarantinedPart) -> bool:
         """Return whether a known answer speaks against a quarantine."""
@@ -200,7 +209,8 @@
             self._answer_queue.put(part, rounds=rounds)
 
     def _quarantine_culprits(self, added: Sequence[CrashReport], *, now: float) -> None:
-        """Quarantine parts of new reports if the evidence suffices."""
+        """Quarantine parts of new reports if the evidence suffices, and judge again which of the
+        parts in quarantine the evidence is for."""
         held = {part for part, entry in self._quarantined.items() if now < entry.until}
         probation = {part: entry.until for part, entry in self._quarantined.items()}
 
@@ -208,29 +218,54 @@
             counted_from = probation.get(part, NEVER) if part not in held else NEVER
             return [r for r in self._history.evidence(part) if r.at > counted_from]
 
-        for culprit in find_culprits(
-            union_of_parts(added),
+        # Routers learn of crashes in any order, so a part may be blamed before the culprit.
+        open_cases = {
+            part
+            for part in held
+            if is_blamable(part, evidence(part), answered=self.was_answered(part))
+        }
+        culprits = find_culprits(
+            union_of_parts(added) | open_cases,
             evidence=evidence,
             answered=self.was_answered,
-            quarantined=held,
+            quarantined=held - open_cases,
             on_probation=set(probation) - held,
-        ):
-            previous = self._quarantined.get(culprit.part)
-            entry = QuarantinedPart(
-                culprit.part,
-                strikes=1 if previous is None else previous.strikes + 1,
-                crashes=culprit.crashes + (0 if previous is None else previous.crashes),
-                since=culprit.last_at,
-            )
-            self._hold(entry)
-            self._quarantine_queue.put(entry.part, rounds=OWN_ROUNDS)
-            structlog.get_logger().warning(
-                "part quarantined",
-                answered_before=culprit.answered,
-                first_crash_age_s=round(now - culprit.first_at, 2),
-                decided_after_s=round(now - culprit.last_at, 2),
-                **_log_fields(entry),
-            )
+        )
+        for culprit in culprits:
+            if culprit.part not in held:
+                self._quarantine(culprit, now=now)
+        for part in open_cases.difference(culprit.part for culprit in culprits):
+            self._withdraw(part, culprits)
+
+    def _quarantine(self, culprit: Culprit, *, now: float) -> None:
+        previous = self._quarantined.get(culprit.part)
+        entry = QuarantinedPart(
+            culprit.part,
+            strikes=1 if previous is None else previous.strikes + 1,
+            crashes=culprit.crashes + (0 if previous is None else previous.crashes),
+            since=culprit.last_at,
+        )
+        self._hold(entry)
+        self._quarantine_queue.put(entry.part, rounds=OWN_ROUNDS)
+        structlog.get_logger().warning(
+            "part quarantined",
+            answered_before=culprit.answered,
+            first_crash_age_s=round(now - culprit.first_at, 2),
+            decided_after_s=round(now - culprit.last_at, 2),
+            **_log_fields(entry),
+        )
+
+    def _withdraw(self, part: str, culprits: Sequence[Culprit]) -> None:
+        """End a quarantine whose crashes other parts explain, and tell the reports that show it."""
+        entry = self._quarantined.pop(part)
+        for culprit in culprits:
+            for report in self._history.evidence(culprit.part):
+                self._crash_queue.put(report.request, rounds=OWN_ROUNDS)
+        structlog.get_logger().info(
+            "quarantine withdrawn",
+            explained_by=[culprit.part for culprit in culprits][:MAX_LOGGED_PARTS],
+            **_log_fields(entry),
+        )
 
     def _hold(self, entry: QuarantinedPart) -> None:
         self._quarantined[entry.part] = entry
--- a/tests/router/gateway/quarantine/test_culprits.py
+++ b/tests/router/gateway/quarantine/test_culprits.py
@@ -73,6 +73,17 @@
     assert quarantined_parts(guard) == {"bad"}
 
 
+@given(order=st.permutations(range(6)))
+def test_order_of_reports_does_not_decide_who_is_blamed(order: list[int]) -> None:
+    """Guards against sound parts refused for long since their reports came before the culprit's."""
+    guard = PromptGuard(router="r1")
+    for number in order:
+        crash = number // 2
+        parts = ("shared", "rare", "bad") if number % 2 else ("shared", "rare")
+        guard.record_crash([make_report(number, *parts, at=1.0 + crash, server=crash)], now=5.0)
+    assert quarantined_parts(guard) == {"bad"}
+
+
 def test_several_reports_on_one_crash_count_once() -> None:
     """Guards against a quarantine after one crash with many requests of a part."""
     reports = [make_report(number, "part", at=1.0 + 0.3 * number, server=7) for number in range(5)]
--- a/tests/router/gateway/quarantine/test_prompt_guard.py
+++ b/tests/router/gateway/quarantine/test_prompt_guard.py
@@ -81,6 +81,22 @@
     assert not any(refuses(guard, "part", now=12.0) for guard in guards)
 
 
+def test_routers_without_the_reports_drop_a_wrong_quarantine_too() -> None:
+    """Guards against a wrong quarantine that routers with a part of the reports keep for long."""
+    guards = [PromptGuard(router=f"r{number}") for number in range(5)]
+    for number in range(3):
+        report = CrashReport(number, number, ("shared", "rare"), 1.0 + number)
+        guards[0].record_crash([report], now=3.0)
+    spread(guards, now=3.0, rounds=10)
+    assert all(refuses(guard, "rare", now=5.0) for guard in guards)
+    for number in range(3):
+        report = CrashReport(10 + number, number, ("shared", "rare", "bad"), 1.0 + number)
+        guards[1].record_crash([report], now=5.0)
+    spread(guards, now=5.0, rounds=20)
+    assert not any(refuses(guard, "rare", now=9.0) for guard in guards)
+    assert all(refuses(guard, "bad", now=9.0) for guard in guards)
+
+
 def test_one_request_at_a_time_is_let_through_after_a_quarantine() -> None:
     """Guards against a burst of requests that crash servers once a quarantine has ended."""
     routers = ["r0", "r1", "r2"]
