Read header values without the white space behind them

A caller whose X-Request-Id ended with a space got 504 although a server had run the request: the server read the id without the space, so its answer counted as one to an earlier request and was dropped. The same happened to every answer of a server that writes a space behind the id. A space behind Host, X-Api-Key or Content-Length gave 404, 401 and 400.

Cause: httptools strips the white space in front of a value, not the one behind it. Both is no part of the value (RFC 9112, section 5.1). The parsers of callers and servers strip it.

15 of 15 new tests failed before (504 in 6, 404, 401 and 400 in 3 each), and pass.

--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -100,7 +100,8 @@
         """Add a header; trailers after a chunked body are dropped."""
         if self._headers_complete:
             return
-        self._headers.append((name, value))
+        # The parser strips white space in front of a value only (RFC 9112, section 5.1).
+        self._headers.append((name, value.rstrip(b" \t")))
         self._parsed_header_bytes += len(name) + len(value)
         if self._parsed_header_bytes > self.limits.header_bytes:
             self._reject(RejectionStatus.HEADERS_TOO_LARGE)
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -178,6 +178,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        # The parser strips white space in front of a value only (RFC 9112, section 5.1).
+        value = value.rstrip(b" \t")
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
         self._raw_headers.append((name, value))
 
--- a/tests/router/gateway/forwarding/test_response_framing.py
+++ b/tests/router/gateway/forwarding/test_response_framing.py
@@ -113,3 +113,18 @@
     response = await gateway.call("/resumable/1")
     assert response.complete
     assert response.body == b"".join(encode_event(number) for number in (1, 2, 3))
+
+
+@pytest.mark.parametrize("space", [" ", "\t", " \t "])
+async def test_space_behind_the_request_id_changes_nothing(
+    gateway: Gateway, start_server: StartServer, space: str
+) -> None:
+    """Guards against an answer that is taken for one to an earlier request."""
+
+    async def respond(exchange: ScriptedExchange) -> None:
+        exchange.request_id += space
+        await exchange.send(exchange.sealed_response(200, b"whole body"))
+
+    gateway.configure(await start_server(respond), timeout_s=1.0)
+    response = await gateway.call("/unsafe/1", body=b"pay")
+    assert (response.status, response.body) == (200, b"whole body")
--- /dev/null
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -0,0 +1,40 @@
+"""Requests of callers whose headers a parser could read in another way than their servers do."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.router.gateway.gateway_harness import encode_request
+from tests.router.gateway.gateway_harness import read_response
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tests.router.gateway.gateway_harness import Gateway
+    from tests.router.gateway.scripted_server import Script
+    from tests.router.gateway.scripted_server import ScriptedExchange
+    from tests.router.gateway.scripted_server import ScriptedServer
+
+    StartServer = Callable[[Script], Awaitable[ScriptedServer]]
+
+
+async def _echo(exchange: ScriptedExchange) -> None:
+    await exchange.send(exchange.sealed_response(200, exchange.request_id.encode() + exchange.body))
+
+
+@pytest.mark.parametrize("space", [b" ", b"\t", b" \t "])
+@pytest.mark.parametrize("name", [b"Host", b"X-Request-Id", b"X-Api-Key", b"Content-Length"])
+async def test_space_behind_a_header_value_changes_nothing(
+    gateway: Gateway, start_server: StartServer, name: bytes, space: bytes
+) -> None:
+    """Guards against the loss of an answer whose request id the server read without the space."""
+    gateway.configure(await start_server(_echo), timeout_s=1.0)
+    reader, writer = await gateway.connect()
+    head, _, body = encode_request("/unsafe/1", body=b"payment").partition(b"\r\n\r\n")
+    lines = [line + space if line.startswith(name) else line for line in head.split(b"\r\n")]
+    writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+    response = await read_response(reader)
+    assert (response.status, response.body) == (200, b"7f01payment")
+    writer.close()
