Read the body of a request that offers another protocol

A POST with Connection: Upgrade, as HTTP clients send it that offer HTTP/2 in clear text, was passed on with an empty body and run; the server's answer was followed by a 400 that answered no request, which a caller may take for the answer to its next one, and what was pipelined behind it was dropped.

Cause: httptools ends at the head of such a request, also if a body follows. The parser took the end of the head for the end of the request. Now the head is read again without the offer, which a server may decline (RFC 9110, section 7.8); CONNECT is rejected before it is passed on.

--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -80,8 +80,9 @@
             self._received_header_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(RejectionStatus.BAD_REQUEST)
+        except httptools.HttpParserUpgrade as exc:
+            (head_end,) = exc.args
+            self._decline_upgrade(data[head_end:])
         except httptools.HttpParserError:
             self._reject(RejectionStatus.BAD_REQUEST)
         if not self._headers_complete and self._received_header_bytes > self.limits.header_bytes:
@@ -136,6 +137,9 @@
 
     def on_message_complete(self) -> None:
         """Append the request to `requests` unless it was rejected."""
+        if self._parser.should_upgrade():
+            # Its body is still unread; `feed` goes on with it.
+            return
         self.expects_continue = False
         if self.rejection is None:
             self.requests.append(
@@ -153,6 +157,24 @@
         """Break the reference cycle between the httptools parser and this object."""
         del self._parser
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Read a request that offers another protocol as one that does not (RFC 9110, section 7.8).
+
+        The parser ends at the head of such a request, and takes what follows for another protocol.
+        """
+        method, target = self._parser.get_method(), bytes(self._target)
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (method, target, version)]
+        lines += [b"%b: %b" % field for field in self._headers if field[0].lower() != b"upgrade"]
+        started_at = self._started_at
+        self._reset()
+        self._started_at = started_at
+        self._parser = httptools.HttpRequestParser(self)
+        if method == b"CONNECT":
+            self._reject(RejectionStatus.BAD_REQUEST)
+            return
+        self.feed(b"\r\n".join([*lines, b"", rest]), now=self._now)
+
     def _reject(self, rejection: RejectionStatus) -> None:
         if self.rejection is None:
             self.rejection = rejection
--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -38,3 +38,27 @@
     response = await read_response(reader)
     assert (response.status, response.body) == (200, b"7f01payment")
     writer.close()
+
+
+@pytest.mark.parametrize("pieces", [1, 2, 7])
+async def test_body_behind_an_offered_upgrade_is_read(
+    gateway: Gateway, start_server: StartServer, pieces: int
+) -> None:
+    """Guards against a payment that is passed on without its body, and answers to no request."""
+    server = await start_server(_echo)
+    gateway.configure(server)
+    reader, writer = await gateway.connect()
+    offer = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABk")
+    data = encode_request("/unsafe/1", body=b"first", request_id="7f01")
+    data += encode_request("/unsafe/2", *offer, body=b"payment", request_id="7f02")
+    data += encode_request("/unsafe/3", body=b"third", request_id="7f03")
+    size = -(-len(data) // pieces)
+    for start in range(0, len(data), size):
+        writer.write(data[start : start + size])
+        await writer.drain()
+    responses = [await read_response(reader) for _ in range(3)]
+    assert [response.status for response in responses] == [200, 200, 200]
+    bodies = [response.body for response in responses]
+    assert bodies == [b"7f01first", b"7f02payment", b"7f03third"]
+    assert not any(b"upgrade" in seen.head.lower() for seen in server.received)
+    writer.close()
