Count no request as cut that a stop has answered

A stop reported cut_requests=1 for a request that was received in part, had passed its time limit and had got its 408 within the last second before the exit.

Cause: what was received of it stays in the parser, so its connection counted as one with a request in progress until it was closed. A connection that has its final response now counts by its unsent bytes.

The new test failed with 1 in place of 0 and passes; tests/router/gateway/process and ingress: 63 passed.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -88,7 +88,8 @@
     @property
     def settled(self) -> bool:
         """Whether closing the connection would cut off neither a request nor a response."""
-        return self.idle and (
+        answered = self.idle or (self._closing and self._task is None)
+        return answered and (
             self._transport is None or self._transport.get_write_buffer_size() == 0
         )
 
--- a/tests/router/gateway/process/test_graceful_shutdown.py
+++ b/tests/router/gateway/process/test_graceful_shutdown.py
@@ -101,6 +101,21 @@
     writer.close()
 
 
+async def test_request_that_timed_out_just_before_the_exit_is_not_counted_as_cut(
+    gateway: Gateway,
+) -> None:
+    """Guards against a report of cut requests that were answered."""
+    gateway.configure()
+    gateway.limits = gateway.limits._replace(header_timeout_s=1.3)
+    reader, writer = await gateway.connect()
+    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
+    await asyncio.sleep(0.05)
+    stop = asyncio.create_task(_stop(gateway, grace_s=2.0))
+    assert (await read_response(reader)).status == 408
+    assert await stop == 0
+    writer.close()
+
+
 class _SettledCallers:
     """Callers without a connection that the stop has to wait for."""
 
