Answer time limits that passed in a suspension before the exit

A request that was received in part was cut without its 408 when the host was suspended at the end of a planned stop until after the exit time: the stop compared the time and exited before the event loop had run the timer that was due.

--- a/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
+++ b/packages/router/src/cornellead/gateway/process/_graceful_shutdown.py
@@ -85,6 +85,9 @@
         # Requests that are being received get an answer, and responses reach slow callers.
         while self._callers.finish() and loop.time() < exit_at:
             await asyncio.sleep(POLL_INTERVAL_S)
+        if self._callers.unsettled:
+            # Time limits that passed while the host was suspended are answered first.
+            await asyncio.sleep(POLL_INTERVAL_S)
         return self._callers.unsettled
 
     def _advance(self, phase: ServingPhase) -> None:
--- a/tests/router/gateway/process/test_graceful_shutdown.py
+++ b/tests/router/gateway/process/test_graceful_shutdown.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -116,6 +117,43 @@
     writer.close()
 
 
+class _SuspendedCallers:
+    """Suspends the process once, for longer than the grace time has left."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._listener = gateway.listener
+        self._suspended = False
+
+    @property
+    def unsettled(self) -> int:
+        return self._listener.unsettled
+
+    def finish(self) -> int:
+        open_connections = self._listener.finish()
+        if not self._suspended:
+            self._suspended = True
+            time.sleep(0.8)
+        return open_connections
+
+
+async def test_timed_out_request_is_answered_though_the_host_was_suspended(
+    gateway: Gateway,
+) -> None:
+    """Guards against an exit before timers that came due while the host was suspended."""
+    gateway.configure()
+    gateway.limits = gateway.limits._replace(header_timeout_s=1.3)
+    reader, writer = await gateway.connect()
+    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
+    await asyncio.sleep(0.05)
+    shutdown = GracefulShutdown(
+        serving=gateway.serving, grace_period_s=2.0, callers=_SuspendedCallers(gateway)
+    )
+    assert await shutdown.run() == 0
+    gateway.exit()
+    assert (await read_response(reader)).status == 408
+    writer.close()
+
+
 class _SettledCallers:
     """Callers without a connection that the stop has to wait for."""
 
