Answer a request whose handler another task cancelled

When something that the handler of a request awaited was cancelled by another task, the handler ended like one whose caller had left: no answer was written, and no timer was left that would close the connection.

Cause: a CancelledError was taken for the cancellation of the handler's own task. It is only if that task was asked to cancel; controllers tell the two apart in the same way. Otherwise the request fails with 500, or its stream is reset, like after any other error.

No path of the present code is known that does this.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -223,20 +223,28 @@
         try:
             await self._handler.handle(req, self)
         except asyncio.CancelledError:
-            if not self._closing:
+            task = asyncio.current_task()
+            if task is None or not task.cancelling():
+                # Another task cancelled what the handler awaited.
+                self._respond_to_error()
+            elif not self._closing:
                 raise
         except Exception:
-            # An error in one request must not affect others. A server may have run this one.
-            structlog.get_logger().exception("request handler failed")
-            if not self.started:
-                self.respond(500, (), b"")
-            elif not self._response_complete:
-                self.abort()
+            self._respond_to_error()
         finally:
             self._serving.in_progress -= 1
             self._task = None
         self._finish_request()
 
+    def _respond_to_error(self) -> None:
+        """End a request whose handler failed; a server may have run it."""
+        # An error in one request must not affect others.
+        structlog.get_logger().exception("request handler failed")
+        if not self.started:
+            self.respond(500, (), b"")
+        elif not self._response_complete:
+            self.abort()
+
     def _finish_request(self) -> None:
         if self._closing:
             return
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -25,6 +25,9 @@
     from tests.router.gateway.scripted_server import ScriptedExchange
     from tests.router.gateway.scripted_server import ScriptedServer
 
+    from cornellead.gateway.ingress import CallerRequest
+    from cornellead.gateway.ingress import ResponseWriter
+
 HEAD = b"POST /unsafe/1 HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: 7f\r\nX-Api-Key: key-1\r\n"
 
 
@@ -248,6 +251,33 @@
     assert transport.closed
 
 
+class _CancelledHandler:
+    """Awaits something that another task cancels."""
+
+    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
+        del req, out
+        awaited = asyncio.get_running_loop().create_future()
+        awaited.cancel()
+        await awaited
+
+
+async def test_request_is_answered_though_another_task_cancelled_what_it_awaits() -> None:
+    """Guards against a connection that stalls without an answer to a request that was read."""
+    conn = CallerConnection(
+        handler=_CancelledHandler(),
+        serving=ServingState(),
+        limits=lambda: LIMITS,
+        clock=lambda: 0.0,
+        on_closed=lambda _: None,
+    )
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    conn.data_received(encode_request("/unsafe/1", body=b"a"))
+    await asyncio.sleep(0.05)
+    assert transport.written.startswith(b"HTTP/1.1 500")
+    assert conn.settled
+
+
 @pytest.mark.parametrize("partial", [b"", b"POST /unsafe/3 HTTP/1.1\r\nHost:"])
 async def test_requests_behind_a_stream_that_announced_the_close_are_logged_and_counted(
     gateway: Gateway,
