--- a/tests/platform_adapter/test_formats.py
+++ b/tests/platform_adapter/test_formats.py
@@ -176,6 +176,22 @@
     assert isinstance(load_node_settings(str(path)), Failure)
 
 
+@pytest.mark.parametrize("value", [0, -1])
+@pytest.mark.parametrize("name", ["grace_s", "budget_window_s", "reads_per_s", "writes_per_s"])
+def test_settings_that_end_tasks_or_requests_are_rejected(
+    tmp_path: Path, name: str, value: int
+) -> None:
+    """Guards against a changed settings file that stops the readers, cuts requests at a stop, or
+    fails each request."""
+    path = tmp_path / "boot.json"
+    settings = payloads.node_settings("10.0.0.1:80")
+    section = "platform" if name.endswith("per_s") else "bounds"
+    settings[section] = {**settings[section], name: value}
+    path.write_bytes(msgspec.json.encode(settings))
+    result = load_node_settings(str(path))
+    assert isinstance(result, Failure) and name in result.failure()
+
+
 @pytest.mark.parametrize(
     ("team", "value"), [("écoles", "écoles".encode("latin-1")), ("Łódź", "Łódź".encode())]
 )
