List an answer to HEAD that is lost

A caller's HEAD request gets 504 although its server answered: the parser of the response waits for the body that its Content-Length names, which an answer to HEAD does not have. Not mended here: the answer to the caller needs a length without a body as well.

--- a/tests/router/gateway/forwarding/test_response_framing.py
+++ b/tests/router/gateway/forwarding/test_response_framing.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.scripted_server import encode_event
 
 if TYPE_CHECKING:
@@ -128,3 +130,20 @@
     gateway.configure(await start_server(respond), timeout_s=1.0)
     response = await gateway.call("/unsafe/1", body=b"pay")
     assert (response.status, response.body) == (200, b"whole body")
+
+
+async def test_answer_to_a_head_request_has_no_body(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against an answer that is lost while the router waits for a body that never comes."""
+
+    async def respond(exchange: ScriptedExchange) -> None:
+        response = exchange.sealed_response(200, b"whole body")
+        await exchange.send(response.removesuffix(b"whole body"))
+
+    gateway.configure(await start_server(respond), timeout_s=1.0)
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/safe/1").replace(b"GET", b"HEAD", 1))
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3.0)
+    assert head.startswith(b"HTTP/1.1 200") and b"Content-Length: 10" in head
+    writer.close()
