Reject a call on the own interface that would run without its body

A POST with Connection: Upgrade reached the application of the own interface with an empty body, so that a service would run it without what the caller sent.

Cause: the one of the gateway's parser; uvicorn uses httptools, too, and starts the request at its head. A request with a body that offers another protocol is now rejected with 400 before it starts. It is not served, as the gateway does, since uvicorn does not hand out where the body begins.

The agent's listener has the same parser; routers send it no such request, so it is not changed.

--- a/packages/router/src/cornellead/process/_http_server.py
+++ b/packages/router/src/cornellead/process/_http_server.py
@@ -7,6 +7,8 @@
 
 import uvicorn
 
+from cornellead.process._http_protocol import HttpProtocol
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -31,7 +33,7 @@
                 host=host,
                 port=int(port),
                 loop="asyncio",
-                http="httptools",
+                http=HttpProtocol,
                 ws="none",
                 lifespan="off",
                 access_log=False,
