--- a/tests/router/gateway/process/test_graceful_shutdown.py
+++ b/tests/router/gateway/process/test_graceful_shutdown.py
@@ -44,6 +44,18 @@
     return cut
 
 
+async def _send_part(
+    gateway: Gateway, *, header_timeout_s: float
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a part of the headers of a request, which the gateway waits for."""
+    gateway.configure()
+    gateway.limits = gateway.limits._replace(header_timeout_s=header_timeout_s)
+    reader, writer = await gateway.connect()
+    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
+    await asyncio.sleep(0.05)
+    return reader, writer
+
+
 async def test_response_reaches_a_slow_caller(gateway: Gateway, start_server: StartServer) -> None:
     """Guards against a response that is cut off by the exit since its caller reads slowly."""
     body = b"x" * (8 << 20)
@@ -90,11 +102,7 @@
     gateway: Gateway, start_server: StartServer
 ) -> None:
     """Guards against a process that is killed because a caller never completes its request."""
-    gateway.configure()
-    gateway.limits = gateway.limits._replace(header_timeout_s=30.0)
-    _, writer = await gateway.connect()
-    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
-    await asyncio.sleep(0.05)
+    _, writer = await _send_part(gateway, header_timeout_s=30.0)
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     assert await _stop(gateway, grace_s=2.0) == 1
@@ -106,11 +114,7 @@
     gateway: Gateway,
 ) -> None:
     """Guards against a report of cut requests that were answered."""
-    gateway.configure()
-    gateway.limits = gateway.limits._replace(header_timeout_s=1.3)
-    reader, writer = await gateway.connect()
-    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
-    await asyncio.sleep(0.05)
+    reader, writer = await _send_part(gateway, header_timeout_s=1.3)
     stop = asyncio.create_task(_stop(gateway, grace_s=2.0))
     assert (await read_response(reader)).status == 408
     assert await stop == 0
@@ -140,11 +144,7 @@
     gateway: Gateway,
 ) -> None:
     """Guards against an exit before timers that came due while the host was suspended."""
-    gateway.configure()
-    gateway.limits = gateway.limits._replace(header_timeout_s=1.3)
-    reader, writer = await gateway.connect()
-    writer.write(b"POST /unsafe/1 HTTP/1.1\r\nHost: b")
-    await asyncio.sleep(0.05)
+    reader, writer = await _send_part(gateway, header_timeout_s=1.3)
     shutdown = GracefulShutdown(
         serving=gateway.serving, grace_period_s=2.0, callers=_SuspendedCallers(gateway)
     )
