Ask other routers what is in force when a router starts

A router that started while the store had only a copy some seconds old took the copy for the newest state: it served by an older version than the acknowledged one, answered 404 or 401 by it, and sent requests to a data centre that was taken out since. A page of another router was no better, since pages follow the store.

Cause: the first configuration counted as confirmed by the store, whatever running routers had in force.

A router that starts now asks up to four others what they have in force, whichever way its first configuration came, before it applies that: the version, the data centres out of service and the age of the last restore that they met; the configuration itself is sent by one of them, if it is later. The sink takes both into account as a running router does after a restore: a later version counts and confirms nothing until the store has it again (503 in place of 404 and 401), a data centre stays out for 10 s (60 s at most while the store is behind). Routers that do not answer delay the start by 0.3 s, and are asked again each second for 10 s beside the reads. A router that knows no other one serves at once.

The model of restores now fails a router that starts and serves by an older version than those that run; before, a restart set what was expected of it to nothing. What another router has in force and cannot be applied is left out by the contained sink like any other notice.

Not changed: routers that start together and reach only each other, while those that know more are silent, take the copy.

--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -139,6 +139,8 @@
     """Records of the store that name nothing to use; empty if another router relayed the batch."""
     era: int = UNKNOWN_ERA
     """History of the store that they belong to."""
+    not_stored: tuple[Notice, ...] = ()
+    """What is in force at other routers, and may have been lost when the store was restored."""
 
     @property
     def position(self) -> Position:
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -172,7 +172,7 @@
             store=store, view=self._view, http=http, location=location, clock=read_clock
         )
         self._exchange = LoadExchange(view=self._view, address=location.address, clock=read_clock)
-        relay = RelayHandler(logs=self._store.logs, clock=read_clock)
+        relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
             settings.caller_address, forwarder, sock=caller_socket
         )
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qsl
 
+from cornellead.gateway.relay._in_force_handler import IN_FORCE_PATH
+from cornellead.gateway.relay._in_force_handler import InForceHandler
 from cornellead.gateway.relay._relay_codec import MAX_OFFSET
 from cornellead.gateway.relay._relay_codec import encode_page
 from cornellead_core.routing import UNKNOWN_ERA
@@ -18,6 +20,7 @@
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ResponseWriter
     from cornellead.gateway.relay._change_log import ChangeLog
+    from cornellead.gateway.view import FleetView
 
 PATH_PREFIX = "/notices/"
 ERA_HEADER = "Notices-Era"
@@ -31,11 +34,14 @@
     """Handles ``GET /notices/<topic>?after=<offset>&era=<era>&wait=<seconds>&reader=1``.
 
     With ``reader``, the other router relies on this one to read the store. ``era`` is the latest
-    one of the store that the other router has met in the topic.
+    one of the store that the other router has met in the topic. ``/in-force`` is passed on.
     """
 
-    def __init__(self, *, logs: Mapping[Topic, ChangeLog], clock: Callable[[], float]) -> None:
+    def __init__(
+        self, *, logs: Mapping[Topic, ChangeLog], view: FleetView, clock: Callable[[], float]
+    ) -> None:
         self._logs = logs
+        self._in_force = InForceHandler(view=view, clock=clock)
         self._clock = clock
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
@@ -43,6 +49,9 @@
         notices were read, to a router that relies on this one while it does not read the store, and
         to one that has met a later era.
         """
+        if req.path == IN_FORCE_PATH:
+            self._in_force.handle(req, out)
+            return
         topic = req.path.removeprefix(PATH_PREFIX)
         if topic not in list(Topic):
             out.respond(404, (), b"")
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -13,6 +13,8 @@
 from returns.result import Success
 
 from cornellead.gateway.relay._change_log import ChangeLog
+from cornellead.gateway.relay._in_force_client import InForceClient
+from cornellead.gateway.relay._in_force_client import newest_version
 from cornellead.gateway.relay._peer_client import FetchedPage
 from cornellead.gateway.relay._peer_client import PeerClient
 from cornellead_core.placement import rank_members
@@ -50,6 +52,9 @@
 """Interval until other routers are queried by a router that reads the store for the first time: the
 first load reports, which name routers, arrive within a few milliseconds."""
 MAX_POLL_S = 0.16
+PEERS_WAIT_S = 0.3
+"""Maximum time for which a router that starts waits for the names of others: they come with the
+first read of the routers or with load reports."""
 EARLIER_ERA = "the answer is of an earlier era than one before"
 MAX_QUERIED_PEERS = 4
 """Number of routers queried concurrently when the store is unavailable at startup."""
@@ -82,6 +87,7 @@
         self._store = store
         self._view = view
         self._peers = PeerClient(view=view, http=http, clock=clock)
+        self._in_force = InForceClient(view=view, http=http, clock=clock)
         self._location = location
         self._clock = clock
         self._backoff_until: dict[tuple[str, Topic], float] = {}
@@ -93,6 +99,17 @@
 
     async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         """Return the newest notice of each writer."""
+        result = await self._read_newest(topic)
+        if topic is not Topic.OPERATOR or isinstance(result, Failure):
+            return result
+        batch, read_at = result.unwrap(), self._clock()
+        if self._in_force.is_due():
+            await self._await_peers()
+            await self._ask_in_force(newest_version(batch.notices))
+        aged = batch._replace(age_s=batch.age_s + self._clock() - read_at)
+        return Success(self._in_force.complete(aged))
+
+    async def _read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
         fetched = await self._query_reader(topic, position=None, wait_s=0.0)
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
@@ -125,6 +142,34 @@
 
         :param wait_s: Maximum wait in seconds; 0 returns immediately.
         """
+        if topic is not Topic.OPERATOR:
+            return await self._read_after(topic, position=position, wait_s=wait_s)
+        if self._in_force.is_due():
+            cfg = self._view.config
+            result, _ = await asyncio.gather(
+                self._read_after(topic, position=position, wait_s=wait_s),
+                self._ask_in_force(-1 if cfg is None else cfg.version),
+            )
+        else:
+            result = await self._read_after(topic, position=position, wait_s=wait_s)
+        return result.map(self._in_force.complete)
+
+    async def _ask_in_force(self, version: int) -> None:
+        peers = self._sample_peers(MAX_QUERIED_PEERS)
+        await self._in_force.ask(peers.values(), above=version)
+
+    async def _await_peers(self) -> None:
+        """Wait until other routers are known, or it is known that there are none."""
+        try:
+            async with asyncio.timeout(PEERS_WAIT_S):
+                while not (self._view.peers(now=self._clock()) or self.logs[Topic.ROUTERS].loaded):
+                    await asyncio.sleep(FIRST_POLL_S)
+        except TimeoutError:
+            return
+
+    async def _read_after(
+        self, topic: Topic, *, position: Position, wait_s: float
+    ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         if self._view.history.take_settled(topic, now=self._clock()):
             return Failure(OffsetExpired(position.offset, position.era, settled=True))
         hold_s = min(MAX_WAIT_S, wait_s)
--- a/packages/router/src/cornellead/gateway/sync/_contained_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_contained_sink.py
@@ -38,7 +38,7 @@
         except Exception:
             self._log_failure(batch)
             sound = self._apply_one_by_one(batch)
-            self._apply_sound(batch._replace(notices=sound))
+            self._apply_sound(batch._replace(notices=sound, not_stored=()))
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices."""
@@ -54,11 +54,17 @@
 
     def _apply_one_by_one(self, batch: NoticeBatch) -> list[Notice]:
         """Apply each notice by itself, and return those that could be applied."""
-        sound = []
+        sound: list[Notice] = []
         logged = 0
+        single: list[tuple[Notice, NoticeBatch]] = [
+            (notice, batch._replace(notices=[], not_stored=(notice,)))
+            for notice in batch.not_stored
+        ]
         for notice in batch.notices:
+            single.append((notice, batch._replace(notices=[notice], not_stored=())))
+        for notice, part in single:
             try:
-                self._sink.apply_changes(batch._replace(notices=[notice]))
+                self._sink.apply_changes(part)
             except Exception as exc:
                 self._stats.count_unreadable_records(self._topic.value, 1)
                 logged += 1
@@ -71,7 +77,7 @@
                         error=repr(exc)[:MAX_ERROR_LENGTH],
                     )
             else:
-                sound.append(notice)
+                sound += part.notices
         return sound
 
     def _apply_sound(self, batch: NoticeBatch) -> None:
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -45,14 +45,16 @@
         """Replace the current state with the newest notice of each writer."""
         self._note_behind()
         self._listed_out.clear()
+        self._apply_not_stored(batch)
         has_config = any(isinstance(n, RoutingNotice) for n in batch.notices)
         self._behind = self._view.config is not None and not has_config
-        self.apply_changes(batch)
+        self.apply_changes(batch._replace(not_stored=()))
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices; an empty batch confirms that nothing changed."""
         self._report_read(batch)
         self._note_behind()
+        self._apply_not_stored(batch)
         if batch.is_current:
             self._view.mark_store_available(Topic.OPERATOR)
         for notice in batch.notices:
@@ -89,6 +91,19 @@
         within_s = MAX_BEHIND_S if behind else SETTLE_S
         return self._view.history.settling(Topic.OPERATOR, now=now, within_s=within_s)
 
+    def _apply_not_stored(self, batch: NoticeBatch) -> None:
+        """Apply what other routers have in force, which the store may have lost."""
+        for notice in batch.not_stored:
+            if isinstance(notice, RoutingNotice):
+                before = self._view.config
+                self._apply_config(notice)
+                if self._view.config is not before:
+                    self._behind = True
+                    # What the store confirmed until now may have been the copy.
+                    self._view.confirmed_at = None
+            elif isinstance(notice, DataCentreNotice) and self._may_lack_removals():
+                self._set_out_of_service(notice.data_centre, out=True)
+
     def _report_read(self, batch: NoticeBatch) -> None:
         read = batch.read
         if read is None or not batch.notices:
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -110,6 +110,10 @@
         self._settled.add(topic)
         return True
 
+    def adopt_restore(self, topic: Topic, *, restored_at: float) -> None:
+        """Record a restore that another router met before this one started, in seconds."""
+        self._restored_at.setdefault(topic, restored_at)
+
     def mark_named(self) -> None:
         """Record that an answer of the store named an era, also one that is of no topic."""
         self._store_names_eras = True
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -17,6 +17,7 @@
 from cornellead.gateway.relay import RelayPage
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
+from cornellead.gateway.view import FleetView
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import QuarantineNotice
@@ -77,7 +78,9 @@
     """Guards against a request of another router that gets no answer."""
     log = ChangeLog()
     log.replace([], Position(5), now=0.0)
-    handler = RelayHandler(logs=dict.fromkeys(Topic, log), clock=lambda: 1.0)
+    handler = RelayHandler(
+        logs=dict.fromkeys(Topic, log), view=FleetView(router="r1"), clock=lambda: 1.0
+    )
     writer = RecordingWriter()
     target = b"/notices/servers?after=" + b"9" * 30
     await handler.handle(RelayRequest("/notices/servers", target), writer)  # type: ignore[arg-type]
--- a/tests/router/gateway/relay/test_relayed_store.py
+++ b/tests/router/gateway/relay/test_relayed_store.py
@@ -94,7 +94,7 @@
         )
         self.listener = CallerListener(
             address=address,
-            handler=RelayHandler(logs=self.store.logs, clock=time.monotonic),
+            handler=RelayHandler(logs=self.store.logs, view=self.view, clock=time.monotonic),
             serving=ServingState(),
             limits=lambda: LIMITS,
             clock=time.monotonic,
--- a/tests/router/gateway/relay/test_restored_store_model.py
+++ b/tests/router/gateway/relay/test_restored_store_model.py
@@ -41,14 +41,16 @@
         st.integers(0, ROUTERS - 1),
     ),
 )
+STARTS = st.tuples(st.just("start"), st.integers(0, ROUTERS - 1))
 RESTORES = st.tuples(st.just("restore"), st.integers(1, 6))
 EPISODES = st.tuples(
     st.lists(WRITES, min_size=2, max_size=6),
     st.lists(READS, min_size=1, max_size=3),
     st.lists(RESTORES, max_size=1),
-    st.lists(READS, max_size=3),
+    st.lists(st.one_of(STARTS, READS), max_size=3),
 )
-"""Some writes that routers may see, then often a restore to a copy without them."""
+"""Some writes that routers may see, then often a restore to a copy without them, and often routers
+that start while the store has only the copy."""
 
 
 class Model:
@@ -91,9 +93,13 @@
             router.name_no_era()
         elif action in ("cut", "mend"):
             router.store_path.cut_off = action == "cut"
-        elif action == "restart":
+        elif action in ("restart", "start"):
+            known = [other.version for other in self.fleet.routers if other is not router]
             await self.fleet.restart(number)
-            self.versions[router.name] = 0
+            self.versions[router.name] = max(known)
+            if action == "start":
+                for topic in TOPICS:
+                    await self.fleet.routers[number].read(topic)
         elif action == "read_all":
             for topic in TOPICS:
                 await self.fleet.read(topic)
@@ -117,10 +123,12 @@
                 self._write_server(name)
 
     def check_versions(self) -> None:
-        """Check that no router went back to an older configuration."""
+        """Check that no router went back to an older configuration, and that one that starts does
+        not serve by an older one than those that were running."""
         for router in self.fleet.routers:
-            assert router.version >= self.versions[router.name]
-            self.versions[router.name] = router.version
+            if router.version:
+                assert router.version >= self.versions[router.name]
+                self.versions[router.name] = router.version
 
     def check_safe(self) -> None:
         """Check that all routers know the newest configuration and use no server that is not to be
@@ -205,3 +213,23 @@
     eras come before and whichever of them name no era, and against one that goes back."""
     steps = [step for episode in episodes for part in episode for step in part]
     asyncio.run(_play(free_address, steps))
+
+
+@settings(
+    max_examples=60, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture]
+)
+@given(
+    writes=st.lists(WRITES, max_size=3),
+    copy=st.integers(2, 6),
+    starts=st.lists(st.one_of(STARTS, READS), min_size=1, max_size=4),
+)
+def test_routers_that_start_with_the_copy_serve_by_no_older_version_than_the_others(
+    free_address: Callable[[], str],
+    writes: list[tuple[str, int]],
+    copy: int,
+    starts: list[tuple[str, int]],
+) -> None:
+    """Guards against a restarted router that takes the copy for the newest state, whether the
+    others have noticed the restore or not."""
+    lost = [*writes, ("config", 0), ("read_all", 0), ("restore", copy)]
+    asyncio.run(_play(free_address, [*lost, *starts]))
--- a/tests/router/gateway/restored_fleet.py
+++ b/tests/router/gateway/restored_fleet.py
@@ -94,7 +94,7 @@
         }
         self.listener = CallerListener(
             address=address,
-            handler=RelayHandler(logs=self.store.logs, clock=self.clock),
+            handler=RelayHandler(logs=self.store.logs, view=self.view, clock=self.clock),
             serving=ServingState(),
             limits=lambda: LIMITS,
             clock=time.monotonic,
--- a/tests/router/gateway/sync/test_sinks.py
+++ b/tests/router/gateway/sync/test_sinks.py
@@ -155,6 +155,28 @@
     assert view.servers.get("s3") is not None
 
 
+def test_configuration_of_another_router_that_cannot_be_applied_is_left_out() -> None:
+    """Guards against a router that starts and serves nobody, since what another one has in force
+    cannot be applied."""
+    view, stats = FleetView(router="r1"), GatewayStats(metrics=Metrics())
+
+    class PoisonedSink(OperatorSink):
+        def _apply_config(self, notice: RoutingNotice) -> None:
+            if notice.data is not None and notice.data.version == 7:
+                raise ValueError("poisoned")
+            super()._apply_config(notice)
+
+    sink = ContainedSink(
+        topic=Topic.OPERATOR,
+        sink=PoisonedSink(view=view, stats=stats, clock=lambda: NOW),
+        stats=stats,
+    )
+    stored: list[Notice] = [RoutingNotice(make_config(4).data, "")]
+    poisoned = RoutingNotice(make_config(7).data, "")
+    sink.apply_snapshot(NoticeBatch(stored, 3, not_stored=(poisoned,)))
+    assert view.config is not None and view.config.version == 4
+
+
 def _contained_server_sink(view: FleetView, stats: GatewayStats) -> ContainedSink:
     class SnapshotFailingSink(ServerSink):
         def apply_snapshot(self, batch: NoticeBatch) -> None:
