Publish lost quarantines as soon as a restore is met

A quarantine published since the copy was published again only after the next read of the routers' topic, every 4 s or later. If all routers ended before that, requests with the part crashed servers anew.

Cause: what is in the store was known from before the restore. The publisher now takes a store that came back from a copy for empty until the routers' topic was read in the later era. The first router in rendezvous order for the part publishes at once, the next one each second later until it has read that.

Evidence: test_lost_quarantine_is_published_before_the_routers_topic_is_read_again, 0 notices before, 1 after; at most 4 writes by 6 routers in 4 s. Another test guards against writing what was read again. Remains: a quarantine that was lifted since the copy is removed again only after the next read.

--- a/packages/router/src/cornellead/gateway/sync/_quarantine_publisher.py
+++ b/packages/router/src/cornellead/gateway/sync/_quarantine_publisher.py
@@ -11,6 +11,7 @@
 
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import QuarantineMark
+from cornellead_core.routing import Topic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,7 +32,8 @@
     that have ended.
 
     All routers know of a quarantine. The first one in rendezvous order for the part publishes it at
-    once, and the next one does if that has not happened.
+    once, and the next one does if that has not happened. A store that came back from a copy counts
+    as empty until it was read: all routers may end before that.
 
     :param sink: Tells which quarantines are in the store.
     :param wall_clock: Returns Unix seconds.
@@ -55,6 +57,8 @@
         self._wall_clock = wall_clock
         self._differs_since: dict[str, float] = {}
         """Time since when the store differs from this router's view, by part."""
+        self._restores = 0
+        """Restores of the store that were taken into account."""
 
     async def run(self) -> None:
         """Compare and publish until cancelled."""
@@ -65,6 +69,7 @@
     async def publish_differences(self) -> None:
         """Publish each difference whose turn it is for this router."""
         now = self._clock()
+        self._forget_published_before_restore()
         held = {entry.part: entry for entry in self._view.guard.quarantined(now=now)}
         published = self._sink.published
         differing = {
@@ -85,6 +90,15 @@
                 mark = QuarantineMark(entry.strikes, entry.crashes, since_ms)
             await self._publish(part, mark)
 
+    def _forget_published_before_restore(self) -> None:
+        history = self._view.history
+        if history.restores == self._restores:
+            return
+        self._restores = history.restores
+        if history.latest(Topic.ROUTERS) != history.era:
+            self._sink.published.clear()
+            self._differs_since.clear()
+
     async def _publish(self, part: str, mark: QuarantineMark | None) -> None:
         result = await self._store.publish_quarantine(part, mark)
         failed = isinstance(result, Failure)
--- a/tests/router/gateway/sync/test_quarantine_publisher.py
+++ b/tests/router/gateway/sync/test_quarantine_publisher.py
@@ -192,3 +192,54 @@
     assert not router.refuses("bad")
     await router.publisher.publish_differences()
     assert store.notices[-1] == QuarantineNotice("bad", None)
+
+
+def _restore(router: Router) -> None:
+    """Let the router meet a restored store in another topic than the one of quarantines."""
+    for era in (1, 2):
+        router.view.history.meet(Topic.OPERATOR, era, now=router.now)
+
+
+async def test_lost_quarantine_is_published_before_the_routers_topic_is_read_again() -> None:
+    """Guards against a quarantine that is lost for good since all routers end within the interval
+    of 4 s after the restore."""
+    store = MemoryStore()
+    names = ("r1", "r2", "r3", "r4", "r5", "r6")
+    routers = [
+        Router(name, store, others=tuple(other for other in names if other != name))
+        for name in names
+    ]
+    for router in routers:
+        router.see_crashes("bad", at=5.0)
+        await router.publisher.publish_differences()
+    for router in routers:
+        router.read_store()
+    store.notices.clear()
+    for router in routers:
+        router.now = 9.0
+        _restore(router)
+        await router.publisher.publish_differences()
+    assert len(store.notices) == 1
+    for step in range(8):
+        for router in routers:
+            router.now = 9.0 + 0.5 * step
+            await router.publisher.publish_differences()
+    assert len(store.notices) <= 4
+    for router in routers:
+        router.read_store()
+        router.now = 30.0
+        await router.publisher.publish_differences()
+    assert len(store.notices) <= 4
+
+
+async def test_quarantine_that_was_read_in_the_restored_store_is_not_published_again() -> None:
+    """Guards against writes of every quarantine by several routers after each restore."""
+    store = MemoryStore()
+    router = Router("r1", store)
+    router.see_crashes("bad", at=5.0)
+    await router.publisher.publish_differences()
+    _restore(router)
+    router.view.history.meet(Topic.ROUTERS, 2, now=router.now)
+    router.read_store()
+    await router.publisher.publish_differences()
+    assert len(store.notices) == 1
