Let a cancellation that arrives with the awaited event end the wait

A task that was cancelled in the moment in which a change or a restore was met went on: the announcer would announce a router again that is stopping, and a request of another router went on after its end.

Cause: on Python 3.11 asyncio.wait_for returns the result of a wait that has completed and drops the cancellation. asyncio.timeout doesn't.

Evidence: test_announcer_that_is_cancelled_as_the_store_comes_back_ends and test_wait_that_is_cancelled_as_a_change_arrives_ends fail before and pass after, three runs each. The same call stands in core (blackboard, config distributor) and the agent (partition, found by reading): not changed.

--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -149,7 +149,8 @@
         ):
             return
         try:
-            await asyncio.wait_for(self._changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
         except TimeoutError:
             return
 
--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -93,7 +93,8 @@
         if self.restores > after:
             return True
         try:
-            await asyncio.wait_for(self._restored.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._restored.wait()
         except TimeoutError:
             return False
         return True
--- a/tests/router/gateway/relay/test_change_log.py
+++ b/tests/router/gateway/relay/test_change_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -110,3 +112,22 @@
 def test_invalid_bytes_are_rejected(data: bytes) -> None:
     """Guards against a crash when another kind of process responds on the port."""
     assert decode_page(data) is None
+
+
+async def test_wait_that_is_cancelled_as_a_change_arrives_ends() -> None:
+    """Guards against a request that goes on after its connection was closed, since its cancellation
+    was swallowed."""
+    log = ChangeLog()
+    log.replace([], Position(1), now=0.0)
+
+    async def wait_and_go_on() -> None:
+        await log.wait(Position(1), timeout_s=5.0)
+        await asyncio.sleep(0.2)
+
+    task = asyncio.create_task(wait_and_go_on())
+    await asyncio.sleep(0.01)
+    log.add([_notice("a", "ready")], Position(2), now=1.0)
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait([task], timeout=0.5)
+    assert task.cancelled()
--- a/tests/router/gateway/sync/test_announcer.py
+++ b/tests/router/gateway/sync/test_announcer.py
@@ -75,3 +75,25 @@
     await asyncio.sleep(0.4)
     task.cancel()
     assert len(store.announced_at) == 2
+
+
+async def test_announcer_that_is_cancelled_as_the_store_comes_back_ends() -> None:
+    """Guards against a stop that waits for a task whose cancellation was swallowed."""
+    store, history = AnnouncementStore(), StoreHistory()
+    history.meet(Topic.OPERATOR, 1, now=0.0)
+    announcer = Announcer(
+        store=store,
+        router="r1",
+        location=RouterLocation("10.0.0.1:1", "dc-a"),
+        interval_s=lambda: 0.2,
+        history=history,
+    )
+    task = asyncio.create_task(announcer.run())
+    await asyncio.sleep(0.02)
+    history.meet(Topic.OPERATOR, 2, now=1.0)
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait([task], timeout=0.5)
+    ended = task.cancelled()
+    task.cancel()
+    assert ended
