--- a/packages/router/src/cornellead/gateway/view/_store_history.py
+++ b/packages/router/src/cornellead/gateway/view/_store_history.py
@@ -93,7 +93,8 @@
         if self.restores > after:
             return True
         try:
-            await asyncio.wait_for(self._restored.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._restored.wait()
         except TimeoutError:
             return False
         return True
@@ -110,6 +111,10 @@
         self._settled.add(topic)
         return True
 
+    def adopt_restore(self, topic: Topic, *, restored_at: float) -> None:
+        """Record a restore that another router met before this one started, in seconds."""
+        self._restored_at.setdefault(topic, restored_at)
+
     def mark_named(self) -> None:
         """Record that an answer of the store named an era, also one that is of no topic."""
         self._store_names_eras = True
