Name the era of the log in its pages

A log service that comes back from an older copy gives out the offsets after the copy again. Its readers could not tell: a page holds offsets, not the history that they belong to.

A page now has `era`, a number that rises each time, and `restored_ms`, the time of the last return by the log's clock. A log service that sends neither is read as before (era unknown). The stand-in saves a copy and comes back from it (`PUT /copy`, `POST /restore`). No reader uses the era yet.

--- a/packages/core/src/cornellead_core/platform/_http_log_client.py
+++ b/packages/core/src/cornellead_core/platform/_http_log_client.py
@@ -17,6 +17,7 @@
 from cornellead_core.platform._log_client import LogPage
 from cornellead_core.platform._log_client import LogRecord
 from cornellead_core.platform._log_client import PlatformError
+from cornellead_core.routing import UNKNOWN_ERA
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -42,6 +43,8 @@
     end: int
     retention_s: float
     time_ms: int
+    era: int = UNKNOWN_ERA
+    restored_ms: int = 0
 
 
 class _AppendBody(msgspec.Struct):
@@ -114,7 +117,16 @@
         LogRecord(offset, time_ms, _parse_value(value)) for offset, time_ms, value in body.records
     ]
     return Success(
-        LogPage(records, body.next, body.oldest, body.end, body.retention_s, body.time_ms)
+        LogPage(
+            records,
+            body.next,
+            body.oldest,
+            body.end,
+            body.retention_s,
+            body.time_ms,
+            max(UNKNOWN_ERA, body.era),
+            body.restored_ms,
+        )
     )
 
 
--- a/packages/core/src/cornellead_core/platform/_log_client.py
+++ b/packages/core/src/cornellead_core/platform/_log_client.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from cornellead_core.routing import UNKNOWN_ERA
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
@@ -53,6 +55,13 @@
     """Time for which the log service retains records."""
     time_ms: int
     """Unix time of the response in ms, by the clock of the log service."""
+    era: int = UNKNOWN_ERA
+    """Number of the history, which rises each time the log comes back from an older copy."""
+    restored_ms: int = 0
+    """Unix time in ms, by the same clock, at which the log last came back from a copy; else 0.
+
+    Earlier appends may be missing.
+    """
 
 
 class LogClient(Protocol):
--- a/packages/standins/src/cornellead_standins/platform/_app.py
+++ b/packages/standins/src/cornellead_standins/platform/_app.py
@@ -128,6 +128,16 @@
             int(query.get("wait_ms", 0)) / 1000,
         )
 
+    @put("/copy")
+    async def save_copy() -> Response[bytes]:
+        platform.log.save_copy()
+        return _json_response({})
+
+    @post("/restore", status_code=200)
+    async def restore_copy() -> Response[bytes]:
+        platform.log.restore_copy(time_ms=time.time_ns() // 1_000_000)
+        return _json_response({})
+
     @get("/hosts")
     async def list_hosts(request: Request[Any, Any, Any]) -> Response[bytes]:
         faults = platform.faults
@@ -177,5 +187,6 @@
     async def health() -> Response[bytes]:
         return _json_response({"status": "ok"})
 
-    handlers = [append, read, list_hosts, put_host, delete_host, fetch_weights, set_faults, health]
+    handlers = [append, read, save_copy, restore_copy, list_hosts, put_host, delete_host]
+    handlers += [fetch_weights, set_faults, health]
     return Litestar(handlers, openapi_config=None)
--- a/packages/standins/src/cornellead_standins/platform/_log_store.py
+++ b/packages/standins/src/cornellead_standins/platform/_log_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections import defaultdict
 from collections import deque
 from typing import TYPE_CHECKING
@@ -33,7 +34,8 @@
 class LogStore:
     """Streams of records by name; the offsets of each stream start at 0.
 
-    Expired records are dropped when their stream is read.
+    Expired records are dropped when their stream is read. A store that comes back from a copy gives
+    out the later offsets again, in a new era.
 
     :param retention_records: Maximum number of records kept per stream.
 
@@ -45,12 +47,32 @@
     >>> page = store.read("s", from_offset=0, limit=10, time_ms=12_000)
     >>> page["records"], page["oldest"], page["end"]
     ([], 2, 2)
+    >>> store.save_copy()
+    >>> store.append("s", [{"a": 3}], time_ms=12_000)
+    2
+    >>> store.restore_copy(time_ms=13_000)
+    >>> page = store.read("s", from_offset=0, limit=10, time_ms=13_000)
+    >>> page["end"], page["era"], page["restored_ms"]
+    (2, 1, 13000)
     """
 
     def __init__(self, *, retention_s: float, retention_records: int) -> None:
         self._retention_s = retention_s
         self._retention_records = retention_records
         self._streams: defaultdict[str, _Stream] = defaultdict(_Stream)
+        self._copy: defaultdict[str, _Stream] = defaultdict(_Stream)
+        self._era = 0
+        self._restored_ms = 0
+
+    def save_copy(self) -> None:
+        """Replace the copy by the present records."""
+        self._copy = copy.deepcopy(self._streams)
+
+    def restore_copy(self, *, time_ms: int) -> None:
+        """Come back from the copy, which is empty if none was saved, and begin a new era."""
+        self._streams = copy.deepcopy(self._copy)
+        self._era += 1
+        self._restored_ms = time_ms
 
     def append(self, name: str, values: Sequence[dict[str, Any]], *, time_ms: int) -> int:
         """Append records and return the offset of the first."""
@@ -82,6 +104,8 @@
             "end": stream.end_offset,
             "retention_s": self._retention_s,
             "time_ms": time_ms,
+            "era": self._era,
+            "restored_ms": self._restored_ms,
         }
 
     def _drop_expired(self, stream: _Stream, time_ms: int) -> None:
--- a/tests/core/platform/test_http_log_client.py
+++ b/tests/core/platform/test_http_log_client.py
@@ -10,6 +10,7 @@
 
 from cornellead_core.platform import HttpHostList
 from cornellead_core.platform import HttpLogClient
+from cornellead_core.routing import UNKNOWN_ERA
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
 ODD_VALUES = {
@@ -60,3 +61,18 @@
     async with _client(content) as client:
         result = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
     assert [record.value for record in result.unwrap().records] == [value, {}]
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [(b"", (UNKNOWN_ERA, 0)), (b',"era":3,"restored_ms":7', (3, 7)), (b',"era":-9', (-1, 0))],
+)
+async def test_page_tells_the_history_that_it_belongs_to(
+    fields: bytes, expected: tuple[int, int]
+) -> None:
+    """Guards against a log service that names no era and can no longer be read."""
+    content = b'{"records":[],"next":0,"oldest":0,"end":0,"retention_s":1,"time_ms":9%b}' % fields
+    async with _client(content) as client:
+        result = await HttpLogClient(client=client, url="http://x").read("s", from_offset=0)
+    assert isinstance(result, Success)
+    assert (result.unwrap().era, result.unwrap().restored_ms) == expected
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -83,6 +83,21 @@
     assert _values(platform) == []
 
 
+def test_log_that_came_back_from_a_copy_names_a_later_era(platform: TestClient[Litestar]) -> None:
+    """Guards against a restored log that its readers cannot tell from the one before."""
+    _append(platform, 1)
+    platform.put("/copy")
+    _append(platform, 2)
+    before = platform.get("/log/s").json()
+    platform.post("/restore")
+    after = platform.get("/log/s").json()
+    _append(platform, 3)
+    assert _values(platform) == [1, 3]
+    assert (before["end"], before["era"], before["restored_ms"]) == (2, 0, 0)
+    assert (after["end"], after["era"]) == (1, 1)
+    assert before["time_ms"] <= after["restored_ms"] <= after["time_ms"]
+
+
 @pytest.mark.parametrize("late_s", [0.0, 0.05])
 def test_append_with_lost_response_is_stored(platform: TestClient[Litestar], late_s: float) -> None:
     """Guards against a fault ``lost_answers`` that drops the append as well."""
