Run no key again whose claim the log lost with its history

What callers saw: after the log came back from an older copy, a payment or booking ran a second time. The claim and the recorded answer were gone, and another agent found the key free. A reader that had been ahead read on at its old offset once the stream had grown past it, and missed the new claims below.

Cause: an offset, an epoch and a ledger used without the history of the log that they belong to. Only a stream that ended before what was read stopped dispatch, and the owner then also waited for an offset that was gone.

Change: `StreamReader` compares the era of each page. When the log came back, it discards the ledger and reads the stream again; the partition gives up its epoch, claims anew what was not dispatched, and no longer waits for the old end. The ledger takes all claims appended before the return for lost: a key without a creation time after it is answered `unknown`, unless it is done on the log, until such claims have expired. Recorded answers are read in the history that their offset belongs to. A log that names no era is read as before.

--- a/packages/agent/src/cornellead_agent/services/_call.py
+++ b/packages/agent/src/cornellead_agent/services/_call.py
@@ -76,6 +76,12 @@
         self.call_id = ""
         self.claim_sent = False
 
+    @property
+    def key_time_ms(self) -> int | None:
+        """Creation time of the key by the caller's clock, in Unix milliseconds."""
+        key_time_s = self.request.key_time_s
+        return None if key_time_s is None else round(key_time_s * 1000)
+
     def respond(self, response: ServiceResponse) -> None:
         """Set the response, unless one was set before or the caller disconnected."""
         if not self.fut.done():
--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -200,7 +200,11 @@
         return batch
 
     async def _catch_up(self) -> bool:
-        if not await self._log.catch_up(self._apply_page):
+        histories = self._reader.histories
+        caught_up = await self._log.catch_up(self._apply_page)
+        if self._reader.histories != histories:
+            self._handle_history_loss()
+        if not caught_up:
             return False
         for name in self._log.pop_dropped_claims():
             for call in [call for call in self._active.values() if call.call_id == name]:
@@ -235,15 +239,28 @@
             self._handle_ownership_loss(record.owner)
 
     def _handle_ownership_loss(self, new_owner: str) -> None:
-        self._epoch = -1
         self._superseded_at = _now()
         self._new_owner = new_owner
-        self._stats.ownerships_lost += 1
-        self._logger.info("partition_lost", owner=new_owner)
+        self._drop_epoch()
         for call in list(self._active.values()):
             if call.phase is Phase.CLAIMING and not call.claim_sent:
                 self._requeue(call)
 
+    def _handle_history_loss(self) -> None:
+        """Claim anew what was not dispatched, because its claim and the epoch may be lost."""
+        self._logger.warning("log_history_lost", era=self._reader.era)
+        self._new_owner = ""
+        if self._epoch >= 0:
+            self._drop_epoch()
+        for call in list(self._active.values()):
+            if call.phase is Phase.CLAIMING:
+                self._requeue(call)
+
+    def _drop_epoch(self) -> None:
+        self._epoch = -1
+        self._stats.ownerships_lost += 1
+        self._logger.info("partition_lost", owner=self._new_owner)
+
     # Decisions on queued and claiming calls
 
     def _process_queue(self) -> None:
@@ -271,6 +288,9 @@
         call.phase = Phase.QUEUED
         if call.expires_ms is not None and self._reader.ledger.time_ms > call.expires_ms:
             self._refuse(call, RefusalReason.KEY_EXPIRED)
+        elif self._reader.ledger.may_lack_claim(call.key_time_ms):
+            self._queue.remove(call)
+            self._close_unresolved(call)
         elif self._epoch >= 0:
             self._claim(call)
         elif _now() - self._superseded_at < TAKEOVER_HOLDOFF_S:
@@ -285,13 +305,12 @@
         call.call_id = self._identity.next_call_id()
         self._active[call.key] = call
         self._stats.claims += 1
-        key_time_s = call.request.key_time_s
         record = ClaimRecord(
             epoch=self._epoch,
             key=call.key,
             request=call.request_digest,
             call=call.call_id,
-            key_time_ms=None if key_time_s is None else round(key_time_s * 1000),
+            key_time_ms=call.key_time_ms,
             expires_ms=call.expires_ms,
         )
         self._outbox.put(call.call_id, record)
@@ -306,8 +325,11 @@
         self._block(call, view.request)
         if call.phase is Phase.BLOCKED and _now() - call.arrived_at >= FOREIGN_CLAIM_TIMEOUT_S:
             self._queue.remove(call)
-            self._stats.unresolved += 1
-            call.close(_error_responses.unresolved())
+            self._close_unresolved(call)
+
+    def _close_unresolved(self, call: Call) -> None:
+        self._stats.unresolved += 1
+        call.close(_error_responses.unresolved())
 
     def _handle_done_key(self, call: Call, view: KeyView) -> None:
         if call.request_digest != view.request:
--- a/packages/agent/src/cornellead_agent/services/_partition_log.py
+++ b/packages/agent/src/cornellead_agent/services/_partition_log.py
@@ -87,10 +87,13 @@
         :returns: Whether all reads succeeded.
         """
         self.must_read = True
+        histories = self.reader.histories
         while True:
             result = await self.reader.read(wait_s=READ_BACK_WAIT_S if self.reader.at_end else 0.0)
             if not isinstance(result, Success):
                 self.last_error = result.failure()
+                if self.reader.histories != histories:
+                    self._recorded_end = 0
                 return False
             apply_page(result.unwrap())
             if self.reader.at_end and self.reader.next_offset >= self._recorded_end:
--- a/packages/agent/src/cornellead_agent/services/_stream_reader.py
+++ b/packages/agent/src/cornellead_agent/services/_stream_reader.py
@@ -14,6 +14,8 @@
 from cornellead_core.claims import Verdict
 from cornellead_core.claims import check_retention
 from cornellead_core.claims import decode_record
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import are_different
 
 if TYPE_CHECKING:
     from cornellead_core.platform import LogClient
@@ -37,13 +39,22 @@
 
 
 class StreamReader:
-    """Ledger of one partition and the offset up to which the stream was read into it."""
+    """Ledger of one partition and the offset up to which the stream was read into it.
+
+    Both belong to one history of the log. When the log came back from an older copy, the stream is
+    read again, and claims appended before that moment may be lost.
+    """
 
     def __init__(self, *, log: LogClient, stream: str, validity_s: float) -> None:
         self._log = log
         self._stream = stream
         self._validity_s = validity_s
+        self.era = UNKNOWN_ERA
+        """Era of the log that the ledger belongs to."""
+        self._lost_ms = 0
         self.ledger = Ledger(validity_s=validity_s)
+        self.histories = 1
+        """Number of histories of the log that were read."""
         self.next_offset = -1
         """Offset of the next read, or -1 before the first one."""
         self.at_end = False
@@ -52,6 +63,7 @@
     def reset(self) -> None:
         """Discard the ledger and the position; the next read starts from the beginning."""
         self.ledger = Ledger(validity_s=self._validity_s)
+        self.ledger.mark_lost(self._lost_ms)
         self.next_offset = -1
         self.at_end = False
 
@@ -77,8 +89,11 @@
 
     async def fetch_record(self, offset: int) -> Result[ClaimsRecord | None, str]:
         """Read a single record without applying it to the ledger."""
-        page = await self._fetch(from_offset=offset, limit=1, wait_s=0.0)
-        return page.map(lambda page: _record_at(page, offset))
+        era = self.era
+        result = await self._fetch_page(from_offset=offset, limit=1, wait_s=0.0)
+        return result.map(
+            lambda page: None if are_different(era, page.era) else _record_at(page, offset)
+        )
 
     def _apply(self, page: LogPage) -> list[ReadRecord]:
         applied: list[ReadRecord] = []
@@ -100,6 +115,34 @@
         return applied
 
     async def _fetch(self, *, from_offset: int, limit: int, wait_s: float) -> Result[LogPage, str]:
+        """Read a page that belongs to the same history as the ledger."""
+        result = await self._fetch_page(from_offset=from_offset, limit=limit, wait_s=wait_s)
+        if not isinstance(result, Success):
+            return result
+        page = result.unwrap()
+        if self._came_back(page):
+            self._begin_history(page)
+            return Failure(f"the log came back from an older copy; {self._stream} is read again")
+        if page.end_offset < self.next_offset:
+            return Failure(f"stream {self._stream} ends before records that were read from it")
+        self.era = max(self.era, page.era)
+        self._lost_ms = max(self._lost_ms, page.restored_ms)
+        self.ledger.mark_lost(self._lost_ms)
+        return result
+
+    def _came_back(self, page: LogPage) -> bool:
+        return are_different(self.era, page.era) or 0 < self.ledger.time_ms < page.restored_ms
+
+    def _begin_history(self, page: LogPage) -> None:
+        came_back_ms = page.restored_ms if page.restored_ms > self._lost_ms else page.time_ms
+        self._lost_ms = max(self._lost_ms, came_back_ms)
+        self.era = page.era
+        self.histories += 1
+        self.reset()
+
+    async def _fetch_page(
+        self, *, from_offset: int, limit: int, wait_s: float
+    ) -> Result[LogPage, str]:
         result = await self._log.read(
             self._stream, from_offset=from_offset, limit=limit, wait_s=wait_s
         )
@@ -109,8 +152,6 @@
         checked = check_retention(validity_s=self._validity_s, retention_s=page.retention_s)
         if not isinstance(checked, Success):
             return Failure(checked.failure())
-        if page.end_offset < self.next_offset:
-            return Failure(f"stream {self._stream} ends before records that were read from it")
         return Success(page)
 
     async def _find_start(self) -> Result[int, str]:
--- a/packages/core/src/cornellead_core/claims/_ledger.py
+++ b/packages/core/src/cornellead_core/claims/_ledger.py
@@ -101,6 +101,7 @@
         self._clock_allowance_ms = round(clock_allowance_s(validity_s) * 1000)
         self._key_retention_ms = round(validity_s * 1000) + self._clock_allowance_ms
         self._time_ms = 0
+        self._lost_ms = 0
         self._epoch: Epoch | None = None
         self._open_claims: dict[bytes, tuple[_OpenClaim, ...]] = {}
         self._done_entries: dict[bytes, bytes] = {}
@@ -146,6 +147,22 @@
         """
         self._epoch = None
 
+    def mark_lost(self, until_ms: int) -> None:
+        """Take records appended up to a log time for lost: the log came back from an older copy.
+
+        :param until_ms: The time, 0 if the log never came back from one.
+        """
+        self._lost_ms = max(self._lost_ms, until_ms)
+
+    def may_lack_claim(self, key_time_ms: int | None) -> bool:
+        """Return whether a valid claim on a key may be among the lost records.
+
+        :param key_time_ms: Creation time of the key by the caller's clock, ``None`` if unknown.
+        """
+        if not self._lost_ms or not self._is_retained(self._lost_ms):
+            return False
+        return key_time_ms is None or key_time_ms <= self._lost_ms + self._clock_allowance_ms
+
     def advance_time(self, time_ms: int) -> None:
         """Advance the ledger to a log time and evict expired entries."""
         self._time_ms = max(self._time_ms, time_ms)
--- a/tests/guarantees/claim_histories/_fake_log.py
+++ b/tests/guarantees/claim_histories/_fake_log.py
@@ -1,4 +1,4 @@
-"""Fake log service with delays, lost responses, late records, rejections, outages and retention."""
+"""Fake log service: delays, lost responses, late records, outages, retention and older copies."""
 
 from __future__ import annotations
 
@@ -49,6 +49,9 @@
         self.retention_records = 10**9
         self.outage = False
         self.appends = 0
+        self.names_era = True
+        self._era = 0
+        self._restored_ms = 0
         self._streams: dict[str, list[LogRecord]] = {}
         self._end_offsets: dict[str, int] = {}
         self._record_stored = asyncio.Event()
@@ -69,6 +72,17 @@
         self._record_stored = asyncio.Event()
         return first
 
+    def copy(self) -> tuple[dict[str, list[LogRecord]], dict[str, int]]:
+        """Return a copy of all streams."""
+        streams = {name: list(records) for name, records in self._streams.items()}
+        return streams, dict(self._end_offsets)
+
+    def restore(self, copy: tuple[dict[str, list[LogRecord]], dict[str, int]]) -> None:
+        """Come back from a copy: later offsets are given out again, in a later era."""
+        self._streams, self._end_offsets = copy
+        self._era += 1
+        self._restored_ms = self.time_ms()
+
     def page(self, stream: str, from_offset: int, limit: int) -> LogPage:
         """Drop expired records and return a page of the current stream."""
         records = self._streams.setdefault(stream, [])
@@ -80,7 +94,10 @@
         oldest = records[0].offset if records else end
         page_records = [record for record in records if record.offset >= from_offset][:limit]
         next_offset = page_records[-1].offset + 1 if page_records else max(from_offset, oldest)
-        return LogPage(page_records, min(next_offset, end), oldest, end, self.retention_s, now)
+        page = LogPage(page_records, min(next_offset, end), oldest, end, self.retention_s, now)
+        if not self.names_era:
+            return page
+        return page._replace(era=self._era, restored_ms=self._restored_ms)
 
     async def wait_for_record(self, timeout_s: float) -> None:
         """Wait until a record is stored in any stream, or until the timeout."""
--- a/tests/guarantees/claim_histories/_history.py
+++ b/tests/guarantees/claim_histories/_history.py
@@ -138,15 +138,30 @@
             world.log.outage = False
 
 
-async def _run_workload(world: World, profile: _Profile) -> None:
+async def _restore_log(world: World, profile: _Profile) -> None:
+    rng = world.rng
+    await asyncio.sleep(rng.uniform(0.0, profile.span_s * 0.6))
+    copy = world.log.copy()
+    await asyncio.sleep(rng.choice((0.2, 1.0, profile.span_s / 3)) * rng.random())
+    world.log.outage = True
+    await asyncio.sleep(rng.choice((0.0, 0.2, 2.0)))
+    world.log.restore(copy)
+    world.log.outage = False
+
+
+async def _run_workload(world: World, profile: _Profile, *, restores: int) -> None:
     tasks = [world.start(_call_and_retry(world, profile)) for _ in range(profile.callers)]
     tasks += [world.start(_inject_fault(world, profile)) for _ in range(profile.fault_count)]
+    tasks += [world.start(_restore_log(world, profile)) for _ in range(restores)]
     await asyncio.wait(tasks)
     await asyncio.sleep(QUIESCENCE_S)
 
 
-def run_history(seed: int) -> History:
-    """Run the history of a seed and check it."""
+def run_history(seed: int, *, restores: int = 0) -> History:
+    """Run the history of a seed and check it.
+
+    :param restores: How often the log comes back from an older copy.
+    """
     rng = random.Random(seed)
     profile = _random_profile(rng)
     worlds: list[World] = []
@@ -161,7 +176,7 @@
             service_faults=profile.service_faults,
         )
         worlds.append(world)
-        await _run_workload(world, profile)
+        await _run_workload(world, profile, restores=restores)
 
     run_in_virtual_time(run_workload())
     world = worlds[0]
--- a/tests/guarantees/claim_histories/_mutants.py
+++ b/tests/guarantees/claim_histories/_mutants.py
@@ -181,6 +181,16 @@
     patch.setattr(StreamReader, "_may_lack_claims", lambda self, page: False)
 
 
+def forget_lost_claims(patch: Patch) -> None:
+    """Takes a key for free although its claim may be lost with the log's history."""
+    patch.setattr(Ledger, "may_lack_claim", lambda self, key_time_ms: False)
+
+
+def read_on_in_other_history(patch: Patch) -> None:
+    """Reads on at an offset of a lost history."""
+    patch.setattr(StreamReader, "_came_back", lambda self, page: False)
+
+
 MUTANTS: list[Callable[[Patch], None]] = [
     dispatch_before_verdict,
     ignore_later_epoch,
--- a/tests/guarantees/test_g6_at_most_once.py
+++ b/tests/guarantees/test_g6_at_most_once.py
@@ -17,8 +17,10 @@
 from tests.guarantees.claim_histories._fake_log import EPOCH_MS
 from tests.guarantees.claim_histories._mutants import MUTANTS
 from tests.guarantees.claim_histories._mutants import evict_without_clock_allowance
+from tests.guarantees.claim_histories._mutants import forget_lost_claims
 from tests.guarantees.claim_histories._mutants import ignore_early_drops
 from tests.guarantees.claim_histories._mutants import keep_epoch_after_gap
+from tests.guarantees.claim_histories._mutants import read_on_in_other_history
 
 from cornellead_agent.services import _partition
 from cornellead_agent.services._stream_reader import MIN_KEPT_RECORDS
@@ -45,6 +47,17 @@
     assert {"ran", "replayed", "not_run", "unknown"} <= outcomes.keys()
 
 
+@pytest.mark.parametrize("restores", [1, 2])
+def test_restored_log_causes_no_violation(restores: int) -> None:
+    """Guards against a second run of a key whose claim was lost with the log's history."""
+    outcomes: Counter[str] = Counter()
+    for seed in range(SEEDS_PER_TEST):
+        history = run_history(seed, restores=restores)
+        assert not history.violations, f"seed {seed}: {history.violations}"
+        outcomes += history.outcomes
+    assert {"ran", "replayed", "not_run", "unknown"} <= outcomes.keys()
+
+
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.__name__)
 def test_histories_detect_mutants(
     mutant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
@@ -102,6 +115,31 @@
     await world.call(1, key="k41")
 
 
+async def restore_log_without_a_claim(world: World) -> None:
+    """The log comes back without the claim and the answer of a call that ran."""
+    await world.call(0, key="k51")
+    copy = world.log.copy()
+    await world.call(0, key="k41")
+    await asyncio.sleep(1.0)
+    world.log.restore(copy)
+    await world.call(1, key="k41")
+
+
+async def claim_below_an_offset_of_the_lost_history(world: World) -> None:
+    """The log comes back and grows past what the first owner read, with claims of the second."""
+    copy = world.log.copy()
+    for key in ("k51", "k101", "k119", "k147"):
+        await world.call(0, key=key)
+    await asyncio.sleep(1.0)
+    world.log.restore(copy)
+    await asyncio.sleep(1.0)
+    key_time_s = EPOCH_MS / 1000 + asyncio.get_running_loop().time()
+    await world.call(1, key="k41", key_time_s=key_time_s)
+    await asyncio.sleep(1.0)
+    world.log.store("claims.booking.0", ['{"kind": "cancel", "key": "", "call": ""}'] * 50)
+    await world.call(0, key="k41", key_time_s=key_time_s)
+
+
 @pytest.mark.parametrize("is_mutated", [False, True])
 @pytest.mark.parametrize(
     ("scenario", "mutant"),
@@ -109,6 +147,8 @@
         (pause_owner_until_epoch_is_dropped, keep_epoch_after_gap),
         (retry_key_dated_after_its_claim, evict_without_clock_allowance),
         (drop_claim_by_record_count, ignore_early_drops),
+        (restore_log_without_a_claim, forget_lost_claims),
+        (claim_below_an_offset_of_the_lost_history, read_on_in_other_history),
     ],
 )
 def test_rare_scenarios(
