Follow the configuration log after it came back from an older copy

What callers saw: after the log came back from a copy, an operator's change that the command line had reported as accepted came into force nowhere. Changes confirmed before were gone for every process that started later.

Cause: `ConfigStore` ignores records at or below its offset. Records of the new history got offsets that the fleet had read in the lost one.

Change: records are numbered by era and offset, so the number in force rises across eras; in the first era, and with a log that names none, numbers are the offsets and messages are as before. In a new era the log is read again from its start, by the reducer alone. Objects in force that it lacks stay in force beside it until they are changed there. Log readers append those changes again, by rank, with an id that all compute alike; the reducer takes one of them, and an operator's change since wins. The envelope of a state tells peers which records belong to the copy, in later eras only.

--- a/packages/core/src/cornellead_core/distribution/__init__.py
+++ b/packages/core/src/cornellead_core/distribution/__init__.py
@@ -10,6 +10,7 @@
 from cornellead_core.distribution._host_view import ChangeResult
 from cornellead_core.distribution._host_view import HostView
 from cornellead_core.distribution._host_view import digest_hosts
+from cornellead_core.distribution._offset_numbers import first_number
 from cornellead_core.distribution._snapshot_search import FoundSnapshot
 from cornellead_core.distribution._snapshot_search import find_snapshot
 
@@ -24,4 +25,5 @@
     "HostView",
     "digest_hosts",
     "find_snapshot",
+    "first_number",
 ]
--- a/packages/core/src/cornellead_core/distribution/_config_distributor.py
+++ b/packages/core/src/cornellead_core/distribution/_config_distributor.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import structlog
 from returns.result import Success
 
 from cornellead_core.config import STREAM
@@ -20,6 +21,8 @@
 from cornellead_core.distribution._log_read_policy import retry_delay_s
 from cornellead_core.distribution._log_read_policy import snapshot_due_ms
 from cornellead_core.distribution._log_read_policy import snapshot_rank
+from cornellead_core.distribution._offset_numbers import MAX_ERA
+from cornellead_core.distribution._offset_numbers import number_page
 from cornellead_core.distribution._snapshot_search import PAGE_RECORDS
 from cornellead_core.distribution._snapshot_search import find_snapshot
 from cornellead_core.facts import HOSTS
@@ -87,8 +90,10 @@
         self._exchange = ConfigExchange(
             store=self.store, name=settings.name, dc=settings.dc, rng=self._rng, now=clock()
         )
+        self._logger = structlog.get_logger()
         self._hosts_revision = -1
         self._next_snapshot_at = float("-inf")
+        self._next_rewrite_at = float("-inf")
         self._gap_detected = asyncio.Event()
         self._push_slots = asyncio.Semaphore(MAX_CONCURRENT_PUSHES)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -179,11 +184,19 @@
         while True:
             offset = self.store.offset
             read = await self._log.read(
-                STREAM, from_offset=offset + 1, limit=PAGE_RECORDS, wait_s=wait_s
+                STREAM,
+                from_offset=self.store.state.offset + 1,
+                limit=PAGE_RECORDS,
+                wait_s=wait_s,
             )
             if not isinstance(read, Success):
                 return False
-            page = read.unwrap()
+            page = number_page(read.unwrap(), era=self.store.era)
+            if not self.store.era <= page.era <= MAX_ERA:
+                return False
+            if page.era > self.store.era:
+                self._begin_era(page)
+                continue
             # A push may have advanced the offset while the read was in flight.
             if page.oldest_offset > self.store.offset + 1:
                 if not await self._adopt_snapshot_from_log():
@@ -192,11 +205,27 @@
             self._exchange.apply_log_page(page, now=self._clock())
             self._send_pushes()
             if self.store.offset + 1 >= page.end_offset:
+                await self._append_lost_changes()
                 await self._append_snapshot_if_due(page)
                 return True
             if self.store.offset == offset:
                 return False
 
+    def _begin_era(self, page: LogPage) -> None:
+        self._logger.warning("config_era_changed", era_before=self.store.era, era=page.era)
+        self.store.begin_era(page.era, restored_ms=page.restored_ms)
+        rank = snapshot_rank(self._exchange.peers)
+        self._next_rewrite_at = self._clock() + SNAPSHOT_DELAY_PER_RANK_S * rank
+
+    async def _append_lost_changes(self) -> None:
+        """Append the changes that a restored log lacks, one process after the other."""
+        now = self._clock()
+        changes = self.store.lost_changes()
+        if not changes or now < self._next_rewrite_at:
+            return
+        self._next_rewrite_at = now + SNAPSHOT_RETRY_INTERVAL_S
+        await self._log.append(STREAM, [change.to_record() for change in changes])
+
     async def _append_snapshot_if_due(self, page: LogPage) -> None:
         """Append a snapshot before the log's retention drops records that a new process needs."""
         now = self._clock()
--- a/packages/core/src/cornellead_core/distribution/_config_exchange.py
+++ b/packages/core/src/cornellead_core/distribution/_config_exchange.py
@@ -10,6 +10,8 @@
 from cornellead_core.distribution._config_store import encode_envelope
 from cornellead_core.distribution._config_store import encode_record
 from cornellead_core.distribution._log_read_policy import LogReadPolicy
+from cornellead_core.distribution._offset_numbers import era_of
+from cornellead_core.distribution._offset_numbers import first_number
 from cornellead_core.membership import Peers
 from cornellead_core.wire import UNKNOWN_AGE_MS
 from cornellead_core.wire import Ack
@@ -119,12 +121,21 @@
                 self._apply_peer_records(reply, now=now)
         elif isinstance(reply, ConfigSnapshot):
             envelope = decode_envelope(reply.state)
-            if envelope is not None:
-                self._store.adopt(envelope.state, oldest_needed_ms=envelope.oldest_needed_ms)
+            if envelope is None:
+                return
+            era = era_of(reply.offset)
+            if first_number(era) + envelope.state.offset == reply.offset:
+                self._store.adopt(
+                    envelope.state,
+                    oldest_needed_ms=envelope.oldest_needed_ms,
+                    era=era,
+                    restored=envelope.restored,
+                )
 
     def apply_log_page(self, page: LogPage, *, now: float) -> list[LogRecord]:
         """Apply a page read from the log and enqueue pushes of its new records.
 
+        :param page: Page with numbers for offsets.
         :returns: The records that were new.
         """
         applied = self._store.apply(page.records)
--- a/packages/core/src/cornellead_core/distribution/_config_store.py
+++ b/packages/core/src/cornellead_core/distribution/_config_store.py
@@ -17,6 +17,8 @@
 from cornellead_core.config import reduce_record
 from cornellead_core.config import verified_digest
 from cornellead_core.decoding import UNREADABLE
+from cornellead_core.distribution._lost_objects import LostObjects
+from cornellead_core.distribution._offset_numbers import first_number
 from cornellead_core.facts import CONFIG
 from cornellead_core.platform import LogRecord
 
@@ -26,6 +28,7 @@
 
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.config import AuditRecord
+    from cornellead_core.config import ChangeRecord
 
 MAX_CACHED_RECORDS = 256
 """Records cached for lagging peers; a peer that lags further behind gets the whole state."""
@@ -47,17 +50,30 @@
     value: bytes
 
 
+class RestoredLog(NamedTuple):
+    """What is known about a log that came back from an older copy."""
+
+    time_ms: int
+    """When it came back, in Unix milliseconds; 0 if it never did."""
+    copy_end: int
+    """Offset after the last record of the copy."""
+
+
 class ConfigStore:
     """Applies records in order of offset and publishes the resolved configuration as a fact.
 
-    The offset never decreases. Only the record at the next offset is applied; duplicates and
-    records after a gap are ignored.
+    The offset never decreases: offsets of a restored log are numbered after those of its earlier
+    eras. Only the record at the next offset is applied; duplicates and records after a gap are
+    ignored.
     """
 
     def __init__(self, *, board: Blackboard) -> None:
         self._board = board
         self._resolver = Resolver()
         self._state = ConfigState()
+        self._lost = LostObjects()
+        self.era = 0
+        """Era of the log that the state belongs to."""
         self._past_states: deque[_PastState] = deque(maxlen=MAX_PAST_STATES)
         self._records: deque[WireRecord] = deque(maxlen=MAX_CACHED_RECORDS)
         self._published = False
@@ -70,13 +86,18 @@
 
     @property
     def state(self) -> ConfigState:
-        """State after the last applied record."""
+        """State of the log after the last applied record, with the offsets of the log."""
         return self._state
 
     @property
     def offset(self) -> int:
-        """Offset of the last applied record, -1 before any."""
-        return self._state.offset
+        """Number of the last applied record, -1 before any."""
+        return first_number(self.era) + self._state.offset
+
+    @property
+    def restored(self) -> RestoredLog:
+        """What is known about the copy that the log came back from."""
+        return RestoredLog(self._lost.restored_ms, self._lost.copy_end)
 
     @property
     def published(self) -> bool:
@@ -107,13 +128,49 @@
             self._write_fact()
         return applied
 
-    def adopt(self, state: ConfigState, *, oldest_needed_ms: int) -> bool:
+    def begin_era(self, era: int, *, restored_ms: int) -> None:
+        """Begin with the records of a log that came back from an older copy.
+
+        The objects in force stay in force, unless they are changed in the new era.
+
+        :param restored_ms: When the log came back, in Unix milliseconds.
+        """
+        self._lost.begin(self._lost.add_to(self._state).objects, restored_ms=restored_ms)
+        self.era = era
+        self._state = ConfigState()
+        self._records.clear()
+        self._past_states.clear()
+        self._write_fact()
+
+    def lost_changes(self) -> list[ChangeRecord]:
+        """Return the changes in force that the log lost, for appending them again."""
+        self._lost.settle(self._state, era=self.era)
+        return self._lost.make_changes(self._state, era=self.era)
+
+    def adopt(
+        self,
+        state: ConfigState,
+        *,
+        oldest_needed_ms: int,
+        era: int | None = None,
+        restored: RestoredLog | None = None,
+    ) -> bool:
         """Replace the state if the given one has a higher offset.
 
+        :param era: Era of a peer's state; by default, the present one.
+        :param restored: What the peer knows about the copy that the log came back from; ``None``
+            for a snapshot of the log, which was appended at `oldest_needed_ms`.
         :returns: Whether the state was replaced.
         """
-        if state.offset <= self.offset:
+        era = self.era if era is None else era
+        if first_number(era) + state.offset <= self.offset:
             return False
+        if restored is None:
+            self._lost.skip_copy(state.offset, time_ms=oldest_needed_ms)
+        else:
+            if era > self.era:
+                self.begin_era(era, restored_ms=restored.time_ms)
+            self._lost.copy_end = max(self._lost.copy_end, restored.copy_end)
         self._state = state
         self.oldest_needed_ms = oldest_needed_ms
         self._records.clear()
@@ -135,7 +192,9 @@
         return records if sum(len(record.value) for record in records) <= max_bytes else None
 
     def _apply_record(self, record: LogRecord, *, from_peer: bool) -> LogRecord:
-        if self.offset == -1:
+        number = record.offset
+        record = record._replace(offset=number - first_number(self.era))
+        if record.offset == 0:
             self.oldest_needed_ms = record.time_ms
             self._past_states.append(_PastState(self._state, record.time_ms))
         if record.value.get("kind") == SNAPSHOT:
@@ -144,6 +203,10 @@
             record = record._replace(value=_without_state(record, digest))
         self._state, audit = reduce_record(self._state, record)
         self._past_states.append(_PastState(self._state, record.time_ms))
+        self._lost.skip_copy(record.offset, time_ms=record.time_ms)
+        if record.time_ms >= self._lost.restored_ms:
+            self._lost.settle(self._state, era=self.era)
+        record = record._replace(offset=number)
         self._records.append(encode_record(record))
         if audit is not None:
             self.audits.append(audit)
@@ -166,7 +229,9 @@
 
     def _write_fact(self) -> None:
         if self._published and self.offset > self._board.read(CONFIG).offset:
-            self._board.write(CONFIG, self._resolver.resolve(self._state))
+            in_force = self._lost.add_to(self._state)
+            resolved = self._resolver.resolve(in_force)
+            self._board.write(CONFIG, resolved._replace(offset=self.offset))
 
 
 def encode_record(record: LogRecord) -> WireRecord:
@@ -203,6 +268,8 @@
 
     state: ConfigState
     oldest_needed_ms: int
+    restored: RestoredLog = RestoredLog(0, 0)
+    """Left out in the first era, in which peers of earlier versions read the envelope."""
 
 
 _envelope_decoder = msgspec.json.Decoder(StateEnvelope)
@@ -210,7 +277,8 @@
 
 def encode_envelope(store: ConfigStore) -> bytes:
     """Encode the state of a store as JSON for a peer."""
-    return msgspec.json.encode(StateEnvelope(store.state, store.oldest_needed_ms))
+    envelope = StateEnvelope(store.state, store.oldest_needed_ms, store.restored)
+    return msgspec.json.encode(envelope if store.era else envelope[:2])
 
 
 def decode_envelope(content: bytes) -> StateEnvelope | None:
--- a/tests/core/distribution/test_config_store.py
+++ b/tests/core/distribution/test_config_store.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from cornellead_core.blackboard import Blackboard
@@ -130,3 +131,12 @@
     assert (store.oldest_needed_ms, store.snapshots_ignored) == (0, 1)
     store.apply([LogRecord(3, 3000, {**stripped, "upto": 1})], from_peer=True)
     assert store.oldest_needed_ms == 2000
+
+
+def test_envelope_of_the_first_era_is_read_by_earlier_versions(store: ConfigStore) -> None:
+    """Guards against a rollout in which processes of two versions cannot exchange states."""
+    store.apply([_make_record(0)])
+    assert len(msgspec.json.decode(encode_envelope(store))) == 2
+    store.begin_era(1, restored_ms=7)
+    envelope = decode_envelope(encode_envelope(store))
+    assert envelope is not None and envelope.restored.time_ms == 7
--- a/tests/guarantees/fake_fleet.py
+++ b/tests/guarantees/fake_fleet.py
@@ -79,6 +79,8 @@
         self.state_by_offset: dict[int, ConfigState] = {-1: ConfigState()}
         """Configuration state after each offset, as computed by the reducer."""
         self.down = False
+        self._era = 0
+        self._restored_ms = 0
         self.unacknowledged_appends = 0
         """Number of following appends that are stored but reported with an unknown outcome."""
         self._blocked_reads: set[asyncio.Future[None]] = set()
@@ -102,6 +104,12 @@
         self._blocked_reads.clear()
         return record.offset
 
+    def restore(self, records: Sequence[LogRecord]) -> None:
+        """Come back from a copy of all records: later offsets are given out again, in a new era."""
+        self.all_records, self.retained = list(records), list(records)
+        self._era += 1
+        self._restored_ms = self.time_ms
+
     async def append(
         self, stream: str, values: Sequence[Mapping[str, Any]]
     ) -> Result[int, AppendError]:
@@ -136,7 +144,7 @@
         records = [record for record in self.retained if record.offset >= from_offset][:limit]
         next_offset = records[-1].offset + 1 if records else max(from_offset, oldest)
         page = LogPage(records, next_offset, oldest, end, self.retention_s, self.time_ms)
-        return Success(page)
+        return Success(page._replace(era=self._era, restored_ms=self._restored_ms))
 
 
 class _NodeLog:
