Publish a change again that the log lost while the command waited

What callers saw: `cornellead` waited until its time limit for the decision on a change whose record the log lost when it came back from an older copy, and took processes that still follow the lost history for up to date, because their offset was higher.

Cause: the command line read on at an offset of the lost history, and compared offsets of two histories.

Change: `ConfigHistory` reads the log again in a new era, the publisher appends the change again with the same id, and offsets are compared, and shown by `status`, as the numbers that processes use, which are the offsets in the first era.

Evidence: with the files of the command line before, the change ends as not confirmed after the time limit (1 s in the test); the second test needs the new method and cannot run there.

--- a/packages/router/src/cornellead/cli/_change.py
+++ b/packages/router/src/cornellead/cli/_change.py
@@ -66,7 +66,10 @@
         )
         if isinstance(outcome, Success) and outcome.unwrap().accepted and values.wait:
             behind = await wait_until_in_force(
-                client, values.platform, outcome.unwrap().offset, timeout_s=values.timeout
+                client,
+                values.platform,
+                history.number(outcome.unwrap().offset),
+                timeout_s=values.timeout,
             )
     if not isinstance(outcome, Success):
         print(outcome.failure().message, file=sys.stderr)
--- a/packages/router/src/cornellead/cli/_config_history.py
+++ b/packages/router/src/cornellead/cli/_config_history.py
@@ -17,7 +17,10 @@
 from cornellead_core.config import parse_change
 from cornellead_core.config import reduce_record
 from cornellead_core.distribution import find_snapshot
+from cornellead_core.distribution import first_number
 from cornellead_core.platform import LogRecord
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import are_different
 
 if TYPE_CHECKING:
     from cornellead_core.platform import LogClient
@@ -41,16 +44,22 @@
 
     def __init__(self, *, log: LogClient) -> None:
         self._log = log
+        self.era = UNKNOWN_ERA
+        """Era of the log that was read."""
         self.state = ConfigState()
         self.decided_changes: list[DecidedChange] = []
         """Changes that were read, oldest first. After a start from a snapshot, earlier changes are
         included if the log still has the change and the snapshot has the decision on it."""
 
+    def number(self, offset: int) -> int:
+        """Return the number by which processes call an offset of the log."""
+        return first_number(self.era) + offset
+
     async def refresh(self) -> Result[ConfigState, PlatformError]:
         """Read up to the end of the stream and return the state there.
 
-        If records that are needed were dropped by the log's retention, reading starts from the
-        latest snapshot instead.
+        If the log came back from an older copy, it is read again. If records that are needed were
+        dropped by the log's retention, reading starts from the latest snapshot instead.
         """
         while True:
             offset = self.state.offset + 1
@@ -58,6 +67,10 @@
             if not isinstance(read, Success):
                 return Failure(read.failure())
             page = read.unwrap()
+            if are_different(self.era, page.era):
+                self.era, self.state, self.decided_changes = page.era, ConfigState(), []
+                continue
+            self.era = max(self.era, page.era)
             if page.oldest_offset > offset:
                 snapshot = await find_snapshot(self._log)
                 if not isinstance(snapshot, Success):
--- a/packages/router/src/cornellead/cli/_publisher.py
+++ b/packages/router/src/cornellead/cli/_publisher.py
@@ -18,6 +18,7 @@
 from cornellead_core.config import AuditRecord
 from cornellead_core.config import ChangeRecord
 from cornellead_core.platform import AppendError
+from cornellead_core.routing import are_different
 
 if TYPE_CHECKING:
     from cornellead.cli._config_history import ConfigHistory
@@ -53,7 +54,7 @@
 
         A failed append is retried with the same change id. This is idempotent: the reducer ignores
         a second copy, so the change is applied once even if the response to the first append was
-        lost.
+        lost. So is one whose record was lost because the log came back from an older copy.
 
         :param objects: New value by object name; ``None`` deletes the object.
         :param base: Offset of the configuration that the change is based on.
@@ -66,7 +67,10 @@
                 appended = await self._log.append(STREAM, [change.to_record()])
                 stored = isinstance(appended, Success)
                 maybe_stored = maybe_stored or stored or appended.failure() is AppendError.UNKNOWN
+            era = self._history.era
             refreshed = await self._history.refresh()
+            if are_different(era, self._history.era):
+                stored = False
             audit = self._history.find_decision(change.change_id)
             if audit is not None:
                 return Success(audit)
--- a/packages/router/src/cornellead/cli/_status.py
+++ b/packages/router/src/cornellead/cli/_status.py
@@ -93,8 +93,9 @@
             hosts = sorted(fetched.unwrap(), key=lambda host: (host.dc, host.name))
             history = ConfigHistory(log=HttpLogClient(client=client, url=values.platform))
             read = await history.refresh()
-            state = read.unwrap() if isinstance(read, Success) else None
-            if state is None:
+            if isinstance(read, Success):
+                state = read.unwrap()._replace(offset=history.number(read.unwrap().offset))
+            else:
                 print_errors(["the log does not answer; offsets are those of the processes"])
         statuses = await collect_status(client, hosts, timeout_s=values.timeout)
     report = _build_report([_identify(status) for status in statuses], state)
