Keep a silent server's request until another one has taken it

Callers saw: a 504 after 2.0 s for a request whose server was silent for 1.6 s and then answered. It had left that server for one that accepted its connection and refused it (503, not run).

Cause: an attempt was given up for an open connection, which says nothing about the request.

Change: the request is sent to the other server while the first attempt stays. A first server that goes on wins and the other attempt is aborted; if it breaks off, the other one answers, unless the caller has got an event since the send. Nothing changes for requests that may run once. The run state of a request is derived from the sends that may have run, as refusals no longer come in the order of the sends.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -12,7 +12,6 @@
     import asyncio
     from collections.abc import Callable
 
-    from cornellead.gateway.forwarding._successor import Successor
     from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
 
@@ -48,6 +47,7 @@
         server counts as responsive, for example because it sends data on other requests.
     :param can_fail_over: Whether the request may be sent to another server if this one stalls.
     :param urgency: 0 is the most urgent.
+    :param last_event_id: Id of the last event that the caller had when the attempt was sent.
     """
 
     def __init__(
@@ -59,14 +59,17 @@
         first_byte_timeout_s: float | None,
         can_fail_over: bool,
         urgency: int = 0,
+        last_event_id: str = "",
     ) -> None:
         self.state = state
         self.exchange = exchange
         self.sent_at = now
+        self.last_event_id = last_event_id
         self.stall: Stall | None = None
         """Why the router gave the attempt up; ``None`` if it did not."""
-        self.successor: Successor | None = None
-        """Server that takes the request after this attempt was given up."""
+        self.successor: Attempt | None = None
+        """Attempt at another server that was sent while this one was stalled, and that replaces it
+        if this one is given up or fails."""
         self.blocked_on_caller = False
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
         self.answered = False
@@ -153,18 +156,24 @@
         elif self._can_fail_over and self.find_stall(now=now) is not None:
             self.on_stalled()
 
-    def give_up(self, successor: Successor, *, now: float) -> bool:
+    def waits_in_vain(self, *, now: float) -> bool:
+        """Return whether the server has stalled, and nothing that it sent is left to be read."""
+        exchange = self.exchange
+        if exchange.complete or exchange.broken:
+            return False
+        if exchange.has_unread_head or exchange.pending_bytes:
+            return False
+        return self.find_stall(now=now) is not None
+
+    def give_up(self, *, now: float) -> bool:
         """Abort the attempt in favour of another server, unless it has gone on or ended meanwhile.
 
         :returns: Whether the attempt was aborted.
         """
-        exchange = self.exchange
-        stall = self.find_stall(now=now)
-        ended = exchange.complete or exchange.broken
-        if stall is None or ended or exchange.has_unread_head or exchange.pending_bytes:
+        if not self.waits_in_vain(now=now):
             return False
-        self.stall, self.successor = stall, successor
-        exchange.abort()
+        self.stall = self.find_stall(now=now)
+        self.exchange.abort()
         return True
 
     def find_stall(self, *, now: float) -> Stall | None:
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -0,0 +1,135 @@
+"""Attempts of a request from their send to their outcome."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.forwarding._outcome import BrokenResponse
+from cornellead.gateway.forwarding._outcome import DeliveredResponse
+from cornellead.gateway.forwarding._outcome import NotRunResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead.gateway.forwarding._attempt import Attempt
+    from cornellead.gateway.forwarding._attempt_sender import AttemptSender
+    from cornellead.gateway.forwarding._crash_watch import CrashWatch
+    from cornellead.gateway.forwarding._outcome import AttemptOutcome
+    from cornellead.gateway.forwarding._request_context import RequestContext
+    from cornellead.gateway.forwarding._response_relay import ResponseRelay
+    from cornellead.gateway.forwarding._server_picker import ServerPicker
+    from cornellead.gateway.view import FleetView
+    from cornellead.gateway.view import ServerState
+    from cornellead.upstream import Connection
+
+CLIENT_ERROR = 400
+
+
+class AttemptRunner:
+    """Starts attempts, relays their responses, and records what the outcomes tell."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        picker: ServerPicker,
+        sender: AttemptSender,
+        relay: ResponseRelay,
+        crashes: CrashWatch,
+        clock: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._picker = picker
+        self._sender = sender
+        self._relay = relay
+        self._crashes = crashes
+        self._clock = clock
+
+    async def start(
+        self, context: RequestContext, state: ServerState, *, reserved: Connection | None = None
+    ) -> Attempt | None:
+        """Send the request to a server.
+
+        :param reserved: Connection that was opened for the request.
+        :returns: ``None`` if no connection could be opened; then nothing was sent.
+        """
+        admitted, trace = context.admitted, context.trace
+        source = self._picker.prompt_source(admitted, state, now=self._clock())
+        if source is not None:
+            trace.add_note(f"fetch_from_{source.entry.server}")
+        admitted.attempts.count_send()
+        attempt = await self._sender.send(
+            admitted,
+            state,
+            source=source,
+            last_event_id=context.events.last_event_id,
+            reserved=reserved,
+        )
+        if attempt is None:
+            admitted.attempts.count_unsent()
+            trace.add_attempt(state.entry.server, "no_connection")
+            return None
+        attempt.on_answered = partial(self._crashes.record_answer, admitted)
+        return attempt
+
+    async def run(self, context: RequestContext, attempt: Attempt) -> AttemptOutcome:
+        """Relay the response of an attempt and end it.
+
+        Its successor is kept if it can go on where this attempt ended, and aborted otherwise.
+        """
+        admitted, trace, events, out = context
+        state = attempt.state
+        name = state.entry.server
+        try:
+            outcome = await self._relay.relay(admitted, attempt, events, out)
+            if isinstance(outcome, BrokenResponse):
+                trace.broke_off.add(name)
+            if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
+                trace.unanswered_breaks += 1
+                self._crashes.record_broken(admitted, attempt)
+            if isinstance(outcome, DeliveredResponse) and outcome.status < CLIENT_ERROR:
+                attempt.record_answered()
+        except BaseException:
+            trace.add_attempt(name, "cancelled")
+            self.drop_successor(context, attempt)
+            raise
+        finally:
+            self._sender.finish(attempt)
+        if isinstance(outcome, NotRunResponse):
+            admitted.attempts.count_not_run()
+        ok = isinstance(outcome, DeliveredResponse)
+        if ok and admitted.affinity:
+            self._view.prompts.record(admitted.affinity, name, now=self._clock())
+        paused = isinstance(outcome, NotRunResponse) and self._clock() < state.paused_until
+        if not paused:
+            state.health.record_outcome(ok=ok, now=self._clock())
+        trace.add_attempt(name, _outcome_label(outcome))
+        if ok or not _can_go_on(context, attempt.successor):
+            self.drop_successor(context, attempt)
+        return outcome
+
+    def drop_successor(self, context: RequestContext, attempt: Attempt) -> None:
+        """Abort the successor of an attempt, if there is one."""
+        successor, attempt.successor = attempt.successor, None
+        if successor is not None:
+            self._sender.finish(successor)
+            context.trace.add_attempt(successor.state.entry.server, "overtaken")
+
+
+def _can_go_on(context: RequestContext, successor: Attempt | None) -> bool:
+    """Return whether the stream of a successor begins after the last event that the caller has."""
+    events = context.events
+    return (
+        successor is not None
+        and events.resumable
+        and successor.last_event_id == events.last_event_id
+    )
+
+
+def _outcome_label(outcome: AttemptOutcome) -> str:
+    if isinstance(outcome, BrokenResponse):
+        return outcome.cause
+    if isinstance(outcome, NotRunResponse):
+        return f"not_run_{outcome.status}"
+    return str(outcome.status)
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -97,6 +97,7 @@
             ),
             can_fail_over=repeatable and admitted.attempts.may_send(now=now),
             urgency=admitted.urgency,
+            last_event_id=last_event_id,
         )
         self._in_flight.add(attempt)
         return attempt
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
@@ -11,13 +10,14 @@
 from cornellead.gateway.forwarding._admission import OTHER_ROUTER_RETRY_AFTER_S
 from cornellead.gateway.forwarding._admission import stopping_refusal
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
+from cornellead.gateway.forwarding._attempt_runner import AttemptRunner
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
 from cornellead.gateway.forwarding._failover import MAX_CONNECT_FAILURES
 from cornellead.gateway.forwarding._failover import Failover
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._outcome import ErrorResponse
-from cornellead.gateway.forwarding._outcome import NotRunResponse
+from cornellead.gateway.forwarding._request_context import RequestContext
 from cornellead.gateway.forwarding._request_trace import RequestTrace
 from cornellead.gateway.forwarding._retry_gate import STOPPING
 from cornellead.gateway.forwarding._retry_gate import RetryGate
@@ -30,19 +30,17 @@
 
     from cornellead.gateway.forwarding._admission import Admission
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
+    from cornellead.gateway.forwarding._attempt import Attempt
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._crash_watch import CrashWatch
-    from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.forwarding._response_relay import ResponseRelay
     from cornellead.gateway.forwarding._server_picker import ServerPicker
-    from cornellead.gateway.forwarding._successor import Successor
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ResponseWriter
     from cornellead.gateway.ingress import ServingState
     from cornellead.gateway.policy import RetryBudgets
     from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import FleetView
-    from cornellead.upstream import Connection
     from cornellead_core.routing import WireFormat
 
 COLD_WAIT_SHARE = 0.25
@@ -58,7 +56,6 @@
 outage of the store may end as quickly, and a caller that has to retry loses more time than this."""
 STARTUP_POLL_S = 0.02
 """Interval at which a held request checks whether the router is ready."""
-CLIENT_ERROR = 400
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -87,17 +84,25 @@
         self._serving = serving
         self._picker = picker
         self._sender = sender
-        self._relay = relay
         self._retries = retries
         self._gate = RetryGate(
             view=view, serving=serving, retries=retries, stats=stats, clock=clock
         )
+        self._runner = AttemptRunner(
+            view=view, picker=picker, sender=sender, relay=relay, crashes=crashes, clock=clock
+        )
         self._failover = Failover(
-            view=view, picker=picker, sender=sender, gate=self._gate, stats=stats, clock=clock
+            view=view,
+            picker=picker,
+            sender=sender,
+            relay=relay,
+            runner=self._runner,
+            gate=self._gate,
+            stats=stats,
+            clock=clock,
         )
         self._wire = wire
         self._stats = stats
-        self._crashes = crashes
         self._clock = clock
 
     async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
@@ -136,17 +141,14 @@
         self, admitted: AdmittedRequest, trace: RequestTrace, out: ResponseWriter
     ) -> None:
         events = EventSplitter(last_event_id=admitted.caller.last_event)
+        context = RequestContext(admitted, trace, events, out)
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
         connect_failures = 0
-        successor: Successor | None = None
+        attempt: Attempt | None = None
         retry_paid = False
         while admitted.attempts.time_left_s(now=self._clock()) > 0:
-            picked: ServerState | NoServer
-            connection: Connection | None = None
-            if successor is not None:
-                (picked, connection), successor = successor, None
-            else:
+            if attempt is None:
                 if not self._gate.allows_send(admitted):
                     trace.add_note(STOPPING)
                     break
@@ -158,41 +160,41 @@
                     trace.add_note("events_without_id")
                     break
                 picked = await self._pick_server(admitted, trace)
-            if isinstance(picked, NoServer):
-                trace.add_note(f"no_server_of_{picked.usable_servers}")
-                wait_s = picked.wait_s
-                if picked.rate_limited:
-                    trace.add_note("rate_limited")
-                    self._stats.count_decision("rate_limited")
-                break
-            if connection is None and not self._gate.allows_send(admitted):
-                # The stop began to refuse requests while this one waited for its server.
-                break
-            admitted.attempts.count_send()
-            outcome = await self._try_server(admitted, trace, picked, connection, events, out)
-            if outcome is None:
-                admitted.attempts.count_unsent()
+                if isinstance(picked, NoServer):
+                    self._record_no_server(trace, picked)
+                    wait_s = picked.wait_s
+                    break
+                if not self._gate.allows_send(admitted):
+                    # The stop began to refuse requests while this one waited for its server.
+                    break
+                attempt = await self._runner.start(context, picked)
+            if attempt is None:
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
                     break
                 # Nothing was sent, so a retry that was paid covers the next server.
                 continue
             retry_paid = False
+            self._failover.watch(context, attempt)
+            outcome = await self._runner.run(context, attempt)
             if isinstance(outcome, DeliveredResponse):
                 trace.set_result(outcome.status, "delivered")
                 return
-            if isinstance(outcome, NotRunResponse):
-                admitted.attempts.count_not_run()
             if isinstance(outcome, ErrorResponse):
                 fallback = outcome
             if isinstance(outcome, BrokenResponse):
                 events.restart()
-                successor = outcome.successor
-                retry_paid = successor is not None
-        if successor is not None:
-            successor.connection.release()
+            attempt = attempt.successor
+        if attempt is not None:
+            self._sender.finish(attempt)
         self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
 
+    def _record_no_server(self, trace: RequestTrace, result: NoServer) -> None:
+        trace.add_note(f"no_server_of_{result.usable_servers}")
+        if result.rate_limited:
+            trace.add_note("rate_limited")
+            self._stats.count_decision("rate_limited")
+
     def _may_retry(
         self, admitted: AdmittedRequest, trace: RequestTrace, fallback: ErrorResponse | None
     ) -> bool:
@@ -212,56 +214,6 @@
                 return picked
             await asyncio.sleep(max(0.001, picked.next_send_at - self._clock()))
 
-    async def _try_server(
-        self,
-        admitted: AdmittedRequest,
-        trace: RequestTrace,
-        state: ServerState,
-        connection: Connection | None,
-        events: EventSplitter,
-        out: ResponseWriter,
-    ) -> AttemptOutcome | None:
-        name = state.entry.server
-        source = self._picker.prompt_source(admitted, state, now=self._clock())
-        if source is not None:
-            trace.add_note(f"fetch_from_{source.entry.server}")
-        attempt = await self._sender.send(
-            admitted,
-            state,
-            source=source,
-            last_event_id=events.last_event_id,
-            reserved=connection,
-        )
-        if attempt is None:
-            trace.add_attempt(name, "no_connection")
-            return None
-        attempt.on_answered = partial(self._crashes.record_answer, admitted)
-        self._failover.watch(admitted, trace, events, attempt)
-        try:
-            outcome = await self._relay.relay(admitted, attempt, events, out)
-            if isinstance(outcome, BrokenResponse):
-                trace.broke_off.add(name)
-            if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
-                trace.unanswered_breaks += 1
-                self._crashes.record_broken(admitted, attempt)
-            if isinstance(outcome, DeliveredResponse) and outcome.status < CLIENT_ERROR:
-                attempt.record_answered()
-        except BaseException:
-            if attempt.successor is not None:
-                attempt.successor.connection.release()
-            trace.add_attempt(name, "cancelled")
-            raise
-        finally:
-            self._sender.finish(attempt)
-        ok = isinstance(outcome, DeliveredResponse)
-        if ok and admitted.affinity:
-            self._view.prompts.record(admitted.affinity, name, now=self._clock())
-        paused = isinstance(outcome, NotRunResponse) and self._clock() < state.paused_until
-        if not paused:
-            state.health.record_outcome(ok=ok, now=self._clock())
-        trace.add_attempt(name, _outcome_label(outcome))
-        return outcome
-
     def _respond_to_failure(
         self,
         admitted: AdmittedRequest,
@@ -349,11 +301,3 @@
             config_age_s=round(self._view.config_age_s(now=now), 2),
             elapsed_ms=round(elapsed_s * 1000),
         )
-
-
-def _outcome_label(outcome: AttemptOutcome) -> str:
-    if isinstance(outcome, BrokenResponse):
-        return outcome.cause
-    if isinstance(outcome, NotRunResponse):
-        return f"not_run_{outcome.status}"
-    return str(outcome.status)
--- a/packages/router/src/cornellead/gateway/forwarding/_outcome.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_outcome.py
@@ -4,7 +4,6 @@
 
 from typing import NamedTuple
 
-from cornellead.gateway.forwarding._successor import Successor
 from cornellead_core.routing import HeaderList
 
 
@@ -32,8 +31,6 @@
     """The response is missing or incomplete, or does not come from the intended server."""
 
     cause: str
-    successor: Successor | None = None
-    """Server that takes the request now, if the router gave the attempt up."""
 
 
 AttemptOutcome = DeliveredResponse | ErrorResponse | NotRunResponse | BrokenResponse
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/forwarding/_request_context.py
@@ -0,0 +1,19 @@
+"""Request that is being served, with everything that its attempts share."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
+from cornellead.gateway.forwarding._event_splitter import EventSplitter
+from cornellead.gateway.forwarding._request_trace import RequestTrace
+from cornellead.gateway.ingress import ResponseWriter
+
+
+class RequestContext(NamedTuple):
+    """An admitted request, its record, its events so far and its caller."""
+
+    admitted: AdmittedRequest
+    trace: RequestTrace
+    events: EventSplitter
+    out: ResponseWriter
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -77,15 +77,13 @@
             return _broken(attempt, "no_response")
         attempt.record_data(now=self._clock())
         reply = self._wire.decode_reply(head.status, head.raw)
-        wrong_request = reply.request_id != admitted.caller.request_id
-        # A refusal without an id is believed: the connection is new and has carried nothing else.
-        refused = reply.not_run and (not wrong_request or not reply.request_id)
-        own = head.status != MISDIRECTED and (refused or not wrong_request)
+        refused = _is_refusal(admitted, reply)
+        own = head.status != MISDIRECTED and (refused or _is_for(admitted, reply))
         self._recorder.record(attempt.state, reply, own=own)
         if refused:
             await _skip_refusal_body(attempt.exchange)
             return NotRunResponse(head.status)
-        if wrong_request or not reply.sealed or CONTENT_ENCODING in head.headers:
+        if not _is_answer(admitted, head, reply):
             return BrokenResponse("not_the_servers_response")
         if head.status == OK:
             attempt.record_head(now=self._clock())
@@ -100,6 +98,11 @@
         out.respond(head.status, reply.forwarded, body)
         return DeliveredResponse(head.status)
 
+    def is_answer(self, admitted: AdmittedRequest, head: ResponseHead) -> bool:
+        """Return whether a response shows that its server has taken the request."""
+        reply = self._wire.decode_reply(head.status, head.raw)
+        return not _is_refusal(admitted, reply) and _is_answer(admitted, head, reply)
+
     async def _read_body(self, attempt: Attempt) -> bytes | None:
         """Read the whole body, unless it or all bodies that are being read become too large."""
         counted_bytes = 0
@@ -165,9 +168,20 @@
 
 
 def _broken(attempt: Attempt, cause: str) -> BrokenResponse:
-    if attempt.successor is None:
-        return BrokenResponse(cause)
-    return BrokenResponse("gave_up_silent", attempt.successor)
+    return BrokenResponse(cause if attempt.stall is None else "gave_up_silent")
+
+
+def _is_for(admitted: AdmittedRequest, reply: ServerReply) -> bool:
+    return reply.request_id == admitted.caller.request_id
+
+
+def _is_refusal(admitted: AdmittedRequest, reply: ServerReply) -> bool:
+    # A refusal without an id is believed: the connection is new and has carried nothing else.
+    return reply.not_run and (_is_for(admitted, reply) or not reply.request_id)
+
+
+def _is_answer(admitted: AdmittedRequest, head: ResponseHead, reply: ServerReply) -> bool:
+    return _is_for(admitted, reply) and reply.sealed and CONTENT_ENCODING not in head.headers
 
 
 def _may_be_event_stream(head: ResponseHead) -> bool:
--- a/packages/router/src/cornellead/gateway/policy/_request_attempts.py
+++ b/packages/router/src/cornellead/gateway/policy/_request_attempts.py
@@ -45,8 +45,13 @@
         self.deadline = deadline
         self.sends = 0
         """Number of sends, including those that were rejected."""
-        self.state = RunState.NOT_SENT
-        self._previous_state = RunState.NOT_SENT
+
+    @property
+    def state(self) -> RunState:
+        """Whether a server may have executed the request."""
+        if self._possible_runs:
+            return RunState.MAYBE_RUN
+        return RunState.NOT_RUN if self.sends else RunState.NOT_SENT
 
     @property
     def not_run(self) -> bool:
@@ -67,18 +72,12 @@
         """Count a send, after which the server may execute the request."""
         self.sends += 1
         self._possible_runs += 1
-        self._previous_state = self.state
-        self.state = RunState.MAYBE_RUN
 
     def count_not_run(self) -> None:
-        """Undo the attempt of the last send, as its server reported that it did not run the
-        request."""
+        """Undo the attempt of a send, as its server reported that it did not run the request."""
         self._possible_runs -= 1
-        if self._previous_state is not RunState.MAYBE_RUN:
-            self.state = RunState.NOT_RUN
 
     def count_unsent(self) -> None:
-        """Undo the last send: it failed before any byte was transmitted."""
+        """Undo a send that failed before any byte was transmitted."""
         self._possible_runs -= 1
         self.sends -= 1
-        self.state = self._previous_state
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -66,6 +66,27 @@
         self.has_unread_head = False
         return self._head
 
+    @property
+    def received_head(self) -> ResponseHead | None:
+        """Status and headers if they have arrived, also before `head` returns them."""
+        return self._head
+
+    async def wait_for_head(self, *, timeout_s: float) -> None:
+        """Wait until status and headers arrive, the connection breaks or the time is over.
+
+        Unlike `head` this may be cancelled: another task reads the response then.
+        """
+        if self._head is not None or self.broken:
+            return
+        waiter = self._waiter = self._loop.create_future()
+        timer = self._loop.call_later(timeout_s, self.wake)
+        try:
+            await waiter
+        finally:
+            timer.cancel()
+            if self._waiter is waiter:
+                self._waiter = None
+
     async def read(self) -> bytes | None:
         """Wait for body bytes.
 
