Read any number of offered upgrades without using up the stack

A caller that pipelined some 500 requests with Connection: Upgrade in one read got 400 for the next one, and the rest was dropped: each offer that was declined took a level of the stack. The parser now goes on in a loop. The new test (1,000 requests in one read) failed with 497 requests and a rejection, and passes.

--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -71,22 +71,8 @@
         :param now: Seconds of the process clock.
         """
         self._now = now
-        if self._started_at is None:
-            if not data.strip(b"\r\n"):
-                # Empty lines before a request line are ignored (RFC 9112, section 2.2).
-                return
-            self._started_at = now
-        if not self._headers_complete:
-            self._received_header_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as exc:
-            (head_end,) = exc.args
-            self._decline_upgrade(data[head_end:])
-        except httptools.HttpParserError:
-            self._reject(RejectionStatus.BAD_REQUEST)
-        if not self._headers_complete and self._received_header_bytes > self.limits.header_bytes:
-            self._reject(RejectionStatus.HEADERS_TOO_LARGE)
+        while data:
+            data = self._feed_until_upgrade(data)
 
     def on_message_begin(self) -> None:
         """Record the start of a request that is pipelined behind another one."""
@@ -157,10 +143,33 @@
         """Break the reference cycle between the httptools parser and this object."""
         del self._parser
 
-    def _decline_upgrade(self, rest: bytes) -> None:
-        """Read a request that offers another protocol as one that does not (RFC 9110, section 7.8).
+    def _feed_until_upgrade(self, data: bytes) -> bytes:
+        """Parse bytes up to the head of a request that offers another protocol, and return those
+        that are still to be parsed."""
+        if self._started_at is None:
+            if not data.strip(b"\r\n"):
+                # Empty lines before a request line are ignored (RFC 9112, section 2.2).
+                return b""
+            self._started_at = self._now
+        if not self._headers_complete:
+            self._received_header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            (head_end,) = exc.args
+            return self._decline_upgrade(data[head_end:])
+        except httptools.HttpParserError:
+            self._reject(RejectionStatus.BAD_REQUEST)
+        if not self._headers_complete and self._received_header_bytes > self.limits.header_bytes:
+            self._reject(RejectionStatus.HEADERS_TOO_LARGE)
+        return b""
+
+    def _decline_upgrade(self, rest: bytes) -> bytes:
+        """Return a request as one that does not offer another protocol (RFC 9110, section 7.8).
 
         The parser ends at the head of such a request, and takes what follows for another protocol.
+
+        :param rest: What follows the head.
         """
         method, target = self._parser.get_method(), bytes(self._target)
         version = self._parser.get_http_version().encode()
@@ -172,8 +181,8 @@
         self._parser = httptools.HttpRequestParser(self)
         if method == b"CONNECT":
             self._reject(RejectionStatus.BAD_REQUEST)
-            return
-        self.feed(b"\r\n".join([*lines, b"", rest]), now=self._now)
+            return b""
+        return b"\r\n".join([*lines, b"", rest])
 
     def _reject(self, rejection: RejectionStatus) -> None:
         if self.rejection is None:
--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -5,9 +5,12 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.builders import LIMITS
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 
+from cornellead.gateway.ingress._request_parser import RequestParser
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -62,3 +65,11 @@
     assert bodies == [b"7f01first", b"7f02payment", b"7f03third"]
     assert not any(b"upgrade" in seen.head.lower() for seen in server.received)
     writer.close()
+
+
+def test_number_of_offered_upgrades_in_one_read_is_not_limited() -> None:
+    """Guards against requests that are rejected since each offer before them took of the stack."""
+    parser = RequestParser(limits=LIMITS)
+    request = encode_request("/safe/1", "Connection: Upgrade", "Upgrade: h2c")
+    parser.feed(request * 1000, now=0.0)
+    assert (len(parser.requests), parser.rejection) == (1000, None)
