Answer a HEAD request whose answer announces a length

A caller's HEAD got 504 at the route's time limit though its server had answered: the connection to the server waited for the body that Content-Length names, which an answer to HEAD does not have. Own answers to HEAD, such as those of the metrics port, were followed by a body that a caller takes for the next answer.

The connection to the server takes such an answer for whole at its head, and closes. The caller gets the length that the server announced and no body, nor chunks.

The two new cases on a kept connection failed and pass. 66 tests of the framing, ingress and upstream pass. Not tried on the own interface.

--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.forwarding._attempt import Attempt
@@ -95,7 +96,7 @@
             return _broken(attempt, "truncated")
         if head.status >= SERVER_ERROR or out.started:
             return ErrorResponse(head.status, reply.forwarded, body)
-        out.respond(head.status, reply.forwarded, body)
+        out.respond(head.status, _headers_of_response(admitted, head, reply), body)
         return DeliveredResponse(head.status)
 
     def is_answer(self, admitted: AdmittedRequest, head: ResponseHead) -> bool:
@@ -189,6 +190,16 @@
     return content_type.strip().lower().startswith(EVENT_STREAM)
 
 
+def _headers_of_response(
+    admitted: AdmittedRequest, head: ResponseHead, reply: ServerReply
+) -> Sequence[tuple[bytes, bytes]]:
+    """Return the headers for the caller, with the length that the answer to HEAD announces."""
+    length = head.headers.get("content-length")
+    if admitted.req.method != b"HEAD" or length is None:
+        return reply.forwarded
+    return (*reply.forwarded, (b"Content-Length", length.encode("latin-1")))
+
+
 async def _skip_refusal_body(exchange: Exchange) -> None:
     try:
         async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -77,6 +77,8 @@
         self._closing = False
         self._continue_sent = False
         self._response_complete = False
+        self._head_only = False
+        """Whether the request asks for the head of a response only."""
         self._dropped_bytes = 0
         self.started = False
 
@@ -176,7 +178,7 @@
         self._close_if_stopping()
         self._response_complete = True
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
-        self._write(head + body)
+        self._write(head if self._head_only else head + body)
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
@@ -186,14 +188,16 @@
 
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body; waits while the caller reads slowly."""
-        self._write(encode_chunk(data))
+        if not self._head_only:
+            self._write(encode_chunk(data))
         if not self._writable.is_set():
             await self._writable.wait()
 
     def end(self) -> None:
         """Complete a chunked response."""
         self._response_complete = True
-        self._write(LAST_CHUNK)
+        if not self._head_only:
+            self._write(LAST_CHUNK)
 
     def abort(self) -> None:
         """Reset the connection, so that a partial response does not look complete."""
@@ -214,6 +218,7 @@
         self.started = False
         self._response_complete = False
         self._continue_sent = False
+        self._head_only = req.method == b"HEAD"
         self._caller_closes = "close" in req.header(b"connection").lower()
         self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
--- a/packages/router/src/cornellead/gateway/ingress/_response_writer.py
+++ b/packages/router/src/cornellead/gateway/ingress/_response_writer.py
@@ -48,6 +48,7 @@
 ) -> bytes:
     """Return the status line and headers of a response.
 
+    :param headers: May hold the length that the answer to HEAD announces.
     :param length: Length of the body in bytes, or ``None`` if it is chunked.
     :param close: Whether the connection closes after the response.
     """
@@ -55,13 +56,17 @@
     lines += [b"%b: %b" % header for header in headers]
     if length is None:
         lines.append(b"Transfer-Encoding: chunked")
-    elif status not in BODILESS_STATUSES:
+    elif status not in BODILESS_STATUSES and not _announce_length(headers):
         lines.append(b"Content-Length: %d" % length)
     if close:
         lines.append(b"Connection: close")
     return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+def _announce_length(headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    return any(name.lower() == b"content-length" for name, _ in headers)
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Return a chunk in the chunked transfer coding.
 
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -67,6 +67,8 @@
         self._overhead_bytes = 0
         self._discarded_bytes = 0
         self._ends_at_eof = False
+        self._head_only = False
+        """Whether the response ends with its head, as one to HEAD does."""
         self._paused = False
         self._reused = False
         self._unsuccessful_ids: set[str] = set()
@@ -102,6 +104,7 @@
         self._overhead_bytes = 0
         self._discarded_bytes = 0
         self._ends_at_eof = False
+        self._head_only = head.startswith(b"HEAD ")
         self._exchange = Exchange(loop=self._loop, abort=self.close, resume_reading=self._resume)
         self._transport.write(head + body)
         return self._exchange
@@ -204,6 +207,11 @@
             and status not in (NO_CONTENT, NOT_MODIFIED)
         )
         self._exchange.receive_head(ResponseHead(status, self._headers, tuple(self._raw_headers)))
+        if self._head_only:
+            # The parser would take what follows for a body.
+            self._exchange.finish(complete=True)
+            self._exchange = None
+            self.close()
 
     def on_body(self, data: bytes) -> None:
         """Pass body bytes on to the exchange."""
--- a/tests/router/gateway/forwarding/test_response_framing.py
+++ b/tests/router/gateway/forwarding/test_response_framing.py
@@ -7,6 +7,7 @@
 
 import pytest
 from tests.router.gateway.gateway_harness import encode_request
+from tests.router.gateway.gateway_harness import read_response
 from tests.router.gateway.scripted_server import encode_event
 
 if TYPE_CHECKING:
@@ -147,3 +148,24 @@
     head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3.0)
     assert head.startswith(b"HTTP/1.1 200") and b"Content-Length: 10" in head
     writer.close()
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/stream/1"])
+async def test_connection_goes_on_behind_the_answer_to_a_head_request(
+    gateway: Gateway, start_server: StartServer, path: str
+) -> None:
+    """Guards against bytes behind the answer to HEAD that the caller takes for the next answer."""
+
+    async def respond(exchange: ScriptedExchange) -> None:
+        response = exchange.sealed_response(200, b"whole body")
+        asks_for_head = exchange.head.startswith(b"HEAD")
+        await exchange.send(response.removesuffix(b"whole body") if asks_for_head else response)
+
+    gateway.configure(await start_server(respond), timeout_s=1.0)
+    reader, writer = await gateway.connect()
+    first = encode_request(path, request_id="7f02").partition(b" ")[2]
+    writer.write(b"HEAD " + first + encode_request("/safe/2", request_id="7f03"))
+    assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+    response = await read_response(reader)
+    assert (response.status, response.body) == (200, b"whole body")
+    writer.close()
