Let one agent command an engine after the log lost fencing tokens

What callers saw: two agents of one server could command its engine at once, for example load and unload models against each other, after the log came back from an older copy.

Cause: a token is an offset, used without the history of the log that it belongs to. The agent whose record was lost read on at its old offset; the next agent got the same offset as its token, and neither read a record after its own.

Change: in a new era the stream is read again. An agent whose record is lost appends another one and waits until no confirmation of the lost history is valid; if the log has a record of an agent that it does not know to be earlier, it has been replaced, and it stays replaced across later returns. Tokens are numbered by era and offset, so they rise for an engine that checks them. In the first era nothing changes.

--- a/packages/agent/src/cornellead_agent/engine/_fencing_token.py
+++ b/packages/agent/src/cornellead_agent/engine/_fencing_token.py
@@ -7,10 +7,15 @@
 
 from returns.result import Success
 
+from cornellead_core.distribution import first_number
+from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import are_different
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cornellead_core.platform import LogClient
+    from cornellead_core.platform import LogRecord
 
 PAGE_RECORDS = 1000
 CONFIRMATION_S = 1.0
@@ -33,6 +38,10 @@
     engine may ignore tokens, so the confirmation of a token ends by time, and an agent that
     replaces another one waits until that one has no valid confirmation left.
 
+    If the log came back from an older copy without its record, an agent appends another one, unless
+    the log has a record of an agent that is not known to be earlier. Tokens of a later era of the
+    log are higher.
+
     :param owner: Id of the process, by which it recognises its own record.
     :param clock: Returns seconds, including the time for which the host was suspended.
     """
@@ -48,18 +57,21 @@
         self._log = log
         self._stream = f"fence.{server}"
         self._owner = owner
+        self._era = UNKNOWN_ERA
         self._next_offset = 0
         self._appended = False
         self._own_offset = -1
-        self._latest_offset = -1
+        self._had_record = False
+        self._earlier_owners: set[str] = set()
+        self._replaced = False
         self._clock = clock
         self._confirmed_at = float("-inf")
         self._usable_at = float("-inf")
 
     @property
     def replaced(self) -> bool:
-        """Whether another agent has a higher token."""
-        return self._own_offset >= 0 and self._latest_offset > self._own_offset
+        """Whether a later agent has a record, or had one in a lost history of the log."""
+        return self._replaced
 
     @property
     def confirmed(self) -> bool:
@@ -69,7 +81,7 @@
     async def token(self) -> int | None:
         """Return the token, or ``None`` if it cannot be confirmed as the highest or may not be used
         yet."""
-        if not await self._read_to_end():
+        if not await self._read_to_end() or self._replaced:
             return None
         if self._own_offset < 0 and not self._appended:
             # If the response is lost, the record is searched for in the stream, not appended again.
@@ -79,9 +91,9 @@
                 self._appended = False
             if not await self._read_to_end():
                 return None
-        if self._own_offset < 0 or self.replaced or self._clock() < self._usable_at:
+        if self._own_offset < 0 or self._replaced or self._clock() < self._usable_at:
             return None
-        return self._own_offset if self.confirmed else None
+        return first_number(self._era) + self._own_offset if self.confirmed else None
 
     async def _read_to_end(self) -> bool:
         # A token is confirmed as of the time at which it was asked for.
@@ -93,13 +105,31 @@
             if not isinstance(read, Success):
                 return False
             page = read.unwrap()
+            if are_different(self._era, page.era):
+                self._begin_era(page.era)
+                continue
+            self._era = max(self._era, page.era)
             for record in page.records:
-                self._latest_offset = record.offset
-                if record.value.get("owner") == self._owner:
-                    self._own_offset = record.offset
-                    if record.offset > 0:
-                        self._usable_at = self._clock() + TAKEOVER_DELAY_S
+                self._apply(record)
             self._next_offset = max(page.next_offset, page.oldest_offset)
             if self._next_offset >= page.end_offset:
                 self._confirmed_at = asked_at
                 return True
+
+    def _apply(self, record: LogRecord) -> None:
+        owner = str(record.value.get("owner"))
+        if owner == self._owner:
+            self._own_offset = record.offset
+            self._had_record = True
+            if record.offset > 0 or self._era > 0:
+                self._usable_at = self._clock() + TAKEOVER_DELAY_S
+        elif not self._had_record:
+            self._earlier_owners.add(owner)
+        elif owner not in self._earlier_owners:
+            self._replaced = True
+
+    def _begin_era(self, era: int) -> None:
+        self._era = era
+        self._next_offset = 0
+        self._own_offset = -1
+        self._appended = False
--- a/tests/agent/engine/test_engine_reconciler.py
+++ b/tests/agent/engine/test_engine_reconciler.py
@@ -52,9 +52,15 @@
         self.on_read: Callable[[], None] = lambda: None
         """Called before each read returns, for example to let time pass."""
         self.values: list[dict[str, Any]] = []
+        self.era = 0
         self.append_result: AppendError | None = None
         self.readable = True
 
+    def restore(self, values: Sequence[dict[str, Any]]) -> None:
+        """Come back from a copy, in a later era."""
+        self.values = list(values)
+        self.era += 1
+
     async def append(
         self, stream: str, values: Sequence[Mapping[str, Any]]
     ) -> Result[int, AppendError]:
@@ -78,7 +84,7 @@
         ]
         end = len(self.values)
         self.on_read()
-        return Success(LogPage(records, end, 0, end, 1e6, 0))
+        return Success(LogPage(records, end, 0, end, 1e6, 0, self.era))
 
 
 class ModelEngine(EngineClient):
@@ -251,3 +257,81 @@
             old_sent_at = clock.now
         clock.now += 0.1
     assert old_sent_at > 100.0 and clock.now - old_sent_at >= TAKEOVER_DELAY_S / 2
+
+
+@pytest.mark.parametrize("checks_fence", [True, False])
+async def test_one_agent_commands_after_the_log_lost_its_record(checks_fence: bool) -> None:
+    """Guards against two agents with one token: the record of the first one was lost."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=checks_fence), ManualClock()
+    old, new = (ReconcilerHarness(log, engine, name, clock) for name in ("old", "new"))
+    await old.reconcile("b")
+    log.restore([])
+    await new.take_over("c")
+    await new.reconcile("c")
+    sent = len(engine.commands)
+    assert sent == 2
+    await old.take_over("b")
+    await old.reconcile("b")
+    assert len(engine.commands) == sent
+    assert (old.fence.replaced, new.fence.replaced) == (True, False)
+
+
+async def test_agent_goes_on_after_the_log_lost_its_record() -> None:
+    """Guards against a token below one that the engine has seen in the lost history."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=True), ManualClock()
+    log.values = [{"owner": "earlier"}] * 3
+    harness = ReconcilerHarness(log, engine, "one", clock)
+    await harness.take_over("b")
+    await harness.reconcile("b")
+    log.restore(log.values[:1])
+    await harness.take_over("c")
+    await harness.reconcile("c")
+    assert "c" in engine.models
+
+
+async def test_replaced_agent_stays_replaced_after_the_log_was_restored() -> None:
+    """Guards against an agent whose replacement is missing in the copy of the log."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=False), ManualClock()
+    old, new = (ReconcilerHarness(log, engine, name, clock) for name in ("old", "new"))
+    await old.reconcile("b")
+    copy = list(log.values)
+    await new.take_over("c")
+    await new.reconcile("c")
+    await old.reconcile("b")
+    log.restore(copy)
+    sent = len(engine.commands)
+    await old.take_over("b")
+    await old.reconcile("b")
+    assert len(engine.commands) == sent
+    await new.take_over("c")
+    await new.reconcile("c")
+    assert (old.fence.replaced, new.fence.replaced) == (True, False)
+    assert len(engine.commands) > sent
+
+
+async def test_agents_pause_before_they_act_in_a_restored_log() -> None:
+    """Guards against a command beside an agent that acts on a confirmation of the lost history."""
+    log, clock = MemoryLog(), ManualClock()
+    old = FencingToken(log=log, server="m0", owner="old", clock=clock)
+    assert await old.token() == 0
+    log.restore([])
+    new = FencingToken(log=log, server="m0", owner="new", clock=clock)
+    assert await new.token() is None and old.confirmed
+    clock.now += TAKEOVER_DELAY_S
+    assert await new.token() is not None and not old.confirmed
+
+
+async def test_only_the_later_agent_commands_when_both_records_were_lost() -> None:
+    """Guards against a paused agent that takes the token back, and against no agent with one."""
+    log, engine, clock = MemoryLog(), ModelEngine(checks_fence=False), ManualClock()
+    old, new = (ReconcilerHarness(log, engine, name, clock) for name in ("old", "new"))
+    await old.reconcile("b")
+    await new.take_over("c")
+    log.restore([])
+    await old.take_over("b")
+    await new.take_over("c")
+    for _ in range(2):
+        await old.reconcile("b")
+        await new.reconcile("c")
+    assert (old.fence.replaced, new.fence.replaced) == (True, False)
+    assert "c" in engine.models
