--- a/tests/guarantees/test_g9_restored_log.py
+++ b/tests/guarantees/test_g9_restored_log.py
@@ -24,8 +24,8 @@
     """Return a function that starts a fleet in which every process has applied one change."""
     fleets = []
 
-    def make(*, seed: int) -> FakeFleet:
-        fleet = FakeFleet(CURRENT_FLEET, seed=seed)
+    def make(*, seed: int, retention_s: float = 1e9) -> FakeFleet:
+        fleet = FakeFleet(CURRENT_FLEET, seed=seed, retention_s=retention_s)
         fleets.append(fleet)
         fleet.publish({"model/first": {}})
         fleet.run(STEADY_STATE_S)
@@ -150,3 +150,23 @@
     assert _models_in_force(fleet) == {"first", "a", "b"}
     last = fleet.log.state_by_offset[len(fleet.log.all_records) - 1]
     assert {"model/a", "model/b"} <= set(last.objects)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_restored_log_that_begins_with_a_snapshot_is_followed(
+    make_fleet: Callable[..., FakeFleet], seed: int
+) -> None:
+    """Guards against lost changes beside a copy that no longer has its first records."""
+    fleet = make_fleet(seed=seed, retention_s=100.0)
+    fleet.run(150.0)
+    _restore_without(fleet, "a", "b", outage_s=2.0)
+    fleet.run(10.0)
+    assert fleet.log.all_records[0] not in fleet.log.retained
+    fleet.publish({"model/later": {}})
+    fleet.run(CURRENT_LIMIT_S)
+    assert _models_in_force(fleet) == {"first", "a", "b", "later"}
+    fleet.run(150.0)
+    for name in list(fleet.nodes):
+        fleet.start(name)
+    fleet.run(STEADY_STATE_S)
+    assert _models_in_force(fleet) == {"first", "a", "b", "later"}
