Split the ownership and the execution out of a partition

Ownership holds the epoch, its renewal interval and the holdoff after a takeover; CallExecutor runs calls at the server and replays recorded responses. No behaviour is meant to change. The one place that differs in form: a renewal no longer replaces an epoch record that is still pending, which was equal to it.

Tests differ in names only: MIN_EPOCH_RENEWAL_S is patched in _ownership, and two mutants reach dispatch and _handle_send_error through CallExecutor.

The whole suite was not run.

--- a/packages/agent/src/cornellead_agent/services/_partition.py
+++ b/packages/agent/src/cornellead_agent/services/_partition.py
@@ -4,19 +4,15 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import assert_never
 
 import structlog
-from returns.result import Success
 
 from cornellead_agent.services import _error_responses
 from cornellead_agent.services._call import Call
 from cornellead_agent.services._call import Phase
-from cornellead_agent.services._outbox import EPOCH_NAME
+from cornellead_agent.services._call_executor import CallExecutor
+from cornellead_agent.services._ownership import Ownership
 from cornellead_agent.services._partition_log import PartitionLog
-from cornellead_agent.services._recorded_response import make_done_record
-from cornellead_agent.services._recorded_response import replay_response
-from cornellead_agent.services._server_client import SendError
 from cornellead_core.claims import CancelRecord
 from cornellead_core.claims import ClaimRecord
 from cornellead_core.claims import EpochRecord
@@ -25,8 +21,6 @@
 from cornellead_core.outcomes import RefusalReason
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-
     from cornellead_agent.services._append_pacer import AppendPacer
     from cornellead_agent.services._identity import AgentIdentity
     from cornellead_agent.services._server_client import ServerClient
@@ -43,23 +37,13 @@
 MAX_BACKOFF_S = 1.0
 FOREIGN_CLAIM_TIMEOUT_S = 1.0
 """Longest wait for the response to a key that another process claimed."""
-TAKEOVER_HOLDOFF_S = 1.0
-"""Minimum time between losing a partition and acquiring it again. Without it, two agents whose host
-lists differ would acquire the partition in turn."""
-EPOCH_RENEWAL_FRACTION = 0.04
-"""Interval at which an idle owner renews its epoch, as a fraction of the key validity. The log
-retains records for at least 1.11 times the validity, and keys are remembered for 1.05 times."""
-MIN_EPOCH_RENEWAL_S = 10.0
-SERVER_TIMEOUT_S = 60.0
-"""Longest wait for a response of the server; it is recorded even after the caller's deadline."""
 
 
 class Partition:
     """Controller that claims, dispatches and records the calls of one partition.
 
     A single loop appends and reads, so at most one append is in flight and calls that arrive during
-    it share the next. A call is dispatched only after its own claim was read back as live. The
-    latest epoch record on the stream names the owner; its offset is the epoch of later claims.
+    it share the next. A call is dispatched only after its own claim was read back as live.
     """
 
     def __init__(
@@ -76,7 +60,6 @@
     ) -> None:
         self.name = f"claims-{number}"
         self._identity = identity
-        self._server = server
         self._stats = stats
         self._logger = structlog.get_logger().bind(stream=stream)
         self._log = PartitionLog(log=log, stream=stream, pacer=pacer, validity_s=validity_s)
@@ -84,13 +67,24 @@
         self._outbox = self._log.outbox
         self._queue: list[Call] = []
         self._active: dict[bytes, Call] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._epoch = -1
-        self._renewal_s = max(MIN_EPOCH_RENEWAL_S, EPOCH_RENEWAL_FRACTION * validity_s)
         self._work_event = asyncio.Event()
         self._log_failing_since: float | None = None
-        self._superseded_at = -TAKEOVER_HOLDOFF_S
-        self._new_owner = ""
+        self._ownership = Ownership(
+            identity=identity,
+            outbox=self._outbox,
+            stats=stats,
+            logger=self._logger,
+            validity_s=validity_s,
+        )
+        self._executor = CallExecutor(
+            server=server,
+            reader=self._reader,
+            outbox=self._outbox,
+            stats=stats,
+            active=self._active,
+            cancel=self._cancel,
+            work_event=self._work_event,
+        )
 
     @property
     def entries(self) -> int:
@@ -100,7 +94,7 @@
     @property
     def idle(self) -> bool:
         """Whether no call is queued or in progress and all records are on the log."""
-        return not (self._queue or self._active or self._tasks or len(self._outbox))
+        return self._executor.idle and not (self._queue or self._active or len(self._outbox))
 
     async def execute(self, call: Call) -> ServiceResponse:
         """Run a call and return its response, at the latest at its deadline.
@@ -140,15 +134,15 @@
         leaves a record older than any valid key for later readers. A ledger without ownership is
         discarded and read again when it is needed.
         """
-        if self._epoch < 0 and not self._active:
+        if not self._ownership.held and not self._active:
             self._log.reset()
             await self._work_event.wait()
             return
         try:
-            await asyncio.wait_for(self._work_event.wait(), self._renewal_s)
+            await asyncio.wait_for(self._work_event.wait(), self._ownership.renewal_s)
         except TimeoutError:
-            if await self._catch_up() and self._epoch >= 0:
-                self._outbox.put(EPOCH_NAME, self._identity.epoch_record())
+            if await self._catch_up() and self._ownership.held:
+                self._ownership.request_epoch()
 
     def _has_work(self) -> bool:
         return bool(
@@ -214,13 +208,15 @@
     def _apply_page(self, page: list[ReadRecord]) -> None:
         for read in page:
             self._apply_record(read)
-        if self._reader.ledger.epoch is None and self._epoch >= 0:
-            self._handle_ownership_loss("")
+        if self._reader.ledger.epoch is None and self._ownership.held:
+            self._ownership.supersede("")
+            self._requeue_unsent_claims()
 
     def _apply_record(self, read: ReadRecord) -> None:
         match read.record:
             case EpochRecord():
-                self._apply_epoch(read.record, read.offset)
+                if self._ownership.apply_epoch(read.record, read.offset):
+                    self._requeue_unsent_claims()
             case ClaimRecord():
                 call = self._active.get(read.record.key)
                 if call is not None and call.call_id == read.record.call:
@@ -228,20 +224,7 @@
             case _:
                 pass
 
-    def _apply_epoch(self, record: EpochRecord, offset: int) -> None:
-        if record.token == self._identity.token:
-            if self._epoch < 0:
-                self._stats.ownerships += 1
-                self._logger.info("partition_taken", epoch=offset)
-            self._epoch = offset
-            self._outbox.drop(EPOCH_NAME)
-        elif self._epoch >= 0:
-            self._handle_ownership_loss(record.owner)
-
-    def _handle_ownership_loss(self, new_owner: str) -> None:
-        self._superseded_at = _now()
-        self._new_owner = new_owner
-        self._drop_epoch()
+    def _requeue_unsent_claims(self) -> None:
         for call in list(self._active.values()):
             if call.phase is Phase.CLAIMING and not call.claim_sent:
                 self._requeue(call)
@@ -249,18 +232,11 @@
     def _handle_history_loss(self) -> None:
         """Claim anew what was not dispatched, because its claim and the epoch may be lost."""
         self._logger.warning("log_history_lost", era=self._reader.era)
-        self._new_owner = ""
-        if self._epoch >= 0:
-            self._drop_epoch()
+        self._ownership.forget()
         for call in list(self._active.values()):
             if call.phase is Phase.CLAIMING:
                 self._requeue(call)
 
-    def _drop_epoch(self) -> None:
-        self._epoch = -1
-        self._stats.ownerships_lost += 1
-        self._logger.info("partition_lost", owner=self._new_owner)
-
     # Decisions on queued and claiming calls
 
     def _process_queue(self) -> None:
@@ -291,12 +267,12 @@
         elif self._reader.ledger.may_lack_claim(call.key_time_ms):
             self._queue.remove(call)
             self._close_unresolved(call)
-        elif self._epoch >= 0:
+        elif self._ownership.held:
             self._claim(call)
-        elif _now() - self._superseded_at < TAKEOVER_HOLDOFF_S:
+        elif self._ownership.may_acquire:
+            self._ownership.request_epoch()
+        else:
             self._refuse(call, RefusalReason.NOT_OWNER)
-        elif EPOCH_NAME not in self._outbox:
-            self._outbox.put(EPOCH_NAME, self._identity.epoch_record())
 
     def _claim(self, call: Call) -> None:
         self._queue.remove(call)
@@ -306,7 +282,7 @@
         self._active[call.key] = call
         self._stats.claims += 1
         record = ClaimRecord(
-            epoch=self._epoch,
+            epoch=self._ownership.epoch,
             key=call.key,
             request=call.request_digest,
             call=call.call_id,
@@ -336,9 +312,7 @@
             self._refuse(call, RefusalReason.KEY_CONFLICT)
             return
         self._queue.remove(call)
-        call.phase = Phase.REPLAYING
-        self._stats.replayed += 1
-        self._start_task(self._replay(call, view.done_offset))
+        self._executor.replay(call, view.done_offset)
 
     def _apply_verdict(self, call: Call, verdict: Verdict | None) -> None:
         """Dispatch, refuse or requeue a claiming call, depending on the verdict on its claim."""
@@ -348,7 +322,7 @@
         match verdict:
             case Verdict.LIVE:
                 if _now() < call.deadline:
-                    self._dispatch(call)
+                    self._executor.dispatch(call)
                 else:
                     self._refuse(call, RefusalReason.DEADLINE)
             case Verdict.EXPIRED:
@@ -395,7 +369,7 @@
             # Another call with this key may have run, so the outcome must not be `not_run`.
             call.respond(_error_responses.unresolved())
             return
-        hint = self._new_owner if reason is RefusalReason.NOT_OWNER else ""
+        hint = self._ownership.new_owner if reason is RefusalReason.NOT_OWNER else ""
         detail = self._log.last_error if reason is RefusalReason.LOG_UNAVAILABLE else ""
         call.respond(_error_responses.refuse_call(reason, hint=hint, detail=detail))
 
@@ -411,50 +385,6 @@
         else:
             self._refuse(call, RefusalReason.DEADLINE)
 
-    # Execution at the server and replay
-
-    def _dispatch(self, call: Call) -> None:
-        call.phase = Phase.DISPATCHED
-        self._stats.dispatched += 1
-        self._start_task(self._run_call(call))
-
-    def _start_task(self, coro: Coroutine[None, None, None]) -> None:
-        task = asyncio.ensure_future(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _run_call(self, call: Call) -> None:
-        result = await self._server.send(call.request, timeout_s=SERVER_TIMEOUT_S)
-        if isinstance(result, Success):
-            self._complete(call, result.unwrap(), result.unwrap())
-        else:
-            self._handle_send_error(call, result.failure())
-        self._work_event.set()
-
-    def _complete(
-        self, call: Call, recorded: ServiceResponse | None, response: ServiceResponse
-    ) -> None:
-        self._outbox.put(f"done {call.call_id}", make_done_record(call, recorded))
-        self._active.pop(call.key, None)
-        call.close(response)
-
-    def _handle_send_error(self, call: Call, error: SendError) -> None:
-        match error:
-            case SendError.NOT_SENT:
-                self._cancel(call)
-                call.close(_error_responses.refuse_call(RefusalReason.SERVER_DOWN))
-            case SendError.LOST:
-                self._active.pop(call.key, None)
-                call.close(_error_responses.response_lost())
-            case SendError.TOO_LARGE:
-                self._complete(call, None, _error_responses.response_not_recorded())
-            case _:
-                assert_never(error)
-
-    async def _replay(self, call: Call, offset: int) -> None:
-        result = await self._reader.fetch_record(offset)
-        call.close(replay_response(call, result.unwrap() if isinstance(result, Success) else None))
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/guarantees/claim_histories/_mutants.py
+++ b/tests/guarantees/claim_histories/_mutants.py
@@ -8,6 +8,7 @@
 from cornellead_agent.services import _error_responses
 from cornellead_agent.services._call import Call
 from cornellead_agent.services._call import Phase
+from cornellead_agent.services._call_executor import CallExecutor
 from cornellead_agent.services._partition import Partition
 from cornellead_agent.services._server_client import SendError
 from cornellead_agent.services._stream_reader import StreamReader
@@ -44,7 +45,7 @@
         for call in list(self._active.values()):
             if call.phase is Phase.CLAIMING and self._outbox.awaiting_read:
                 self._outbox.drop(call.call_id)
-                self._dispatch(call)
+                self._executor.dispatch(call)
         return maybe_stored
 
     patch.setattr(Partition, "_send", mutant)
@@ -121,12 +122,12 @@
 
 def cancel_after_lost_response(patch: Patch) -> None:
     """Treats a connection that broke after sending like a failed connection attempt."""
-    original = Partition._handle_send_error
+    original = CallExecutor._handle_send_error
 
     def mutant(self: Any, call: Any, error: SendError) -> None:
         original(self, call, SendError.NOT_SENT)
 
-    patch.setattr(Partition, "_handle_send_error", mutant)
+    patch.setattr(CallExecutor, "_handle_send_error", mutant)
 
 
 def discard_open_claims_at_epoch(patch: Patch) -> None:
--- a/tests/guarantees/test_g6_at_most_once.py
+++ b/tests/guarantees/test_g6_at_most_once.py
@@ -22,7 +22,7 @@
 from tests.guarantees.claim_histories._mutants import keep_epoch_after_gap
 from tests.guarantees.claim_histories._mutants import read_on_in_other_history
 
-from cornellead_agent.services import _partition
+from cornellead_agent.services import _ownership
 from cornellead_agent.services._stream_reader import MIN_KEPT_RECORDS
 
 if TYPE_CHECKING:
@@ -159,7 +159,7 @@
 ) -> None:
     """Guards against violations in scenarios that random histories rarely reach."""
     # If an idle owner renewed its epoch, some of these scenarios could not occur.
-    monkeypatch.setattr(_partition, "MIN_EPOCH_RENEWAL_S", 1e6)
+    monkeypatch.setattr(_ownership, "MIN_EPOCH_RENEWAL_S", 1e6)
     if is_mutated:
         mutant(monkeypatch)
     violations: list[str] = []
