Show that streams of the own interface survive a silence of their engines

docs/GUARANTEES.md said "not tried". Every stream arrives whole, with one request each.

FakeAgent.start does nothing if the agent listens, so that several routers can share agents; no check changed. Not tried: whole processes, service calls at a silent server.

--- a/tests/agent/api/test_chat_relay.py
+++ b/tests/agent/api/test_chat_relay.py
@@ -58,6 +58,23 @@
     assert harness.admission.in_flight == 0
 
 
+async def test_stream_survives_silences_of_its_engine(
+    engine: ScriptedEngine, harness: Harness
+) -> None:
+    """Guards against a stream that is cut or resumed since its sound engine is silent for a second
+    before the head, before the first event or between events."""
+    engine.part_delay_s = 1.3
+    body = event(1) + event(2)
+    engine.prepare_response(
+        b"", sse_head(), chunk(body), chunk(event(3, usage=True) + DONE), LAST_CHUNK
+    )
+    await harness.send_request()
+    # The engine sleeps after its last part, too.
+    await asyncio.sleep(engine.part_delay_s + 0.1)
+    assert harness.content == COMPLETE_STREAM
+    assert (len(engine.requests), harness.counters.resumes) == (1, 0)
+
+
 @pytest.mark.parametrize("delivered", [3, 4])
 async def test_resume_near_the_end_sends_the_final_marker_once(
     engine: ScriptedEngine, harness: Harness, delivered: int
--- a/tests/router/fake_agent.py
+++ b/tests/router/fake_agent.py
@@ -56,7 +56,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Start to listen on a free port."""
+        """Start to listen on a free port, unless it does for another router."""
+        if self._server is not None:
+            return
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
 
     async def stop(self) -> None:
