--- a/tests/router/gateway/ingress/test_caller_connection_model.py
+++ b/tests/router/gateway/ingress/test_caller_connection_model.py
@@ -160,6 +160,13 @@
         self._send(head + (CLOSE + b"\r\n" if closes else b"") + b"\r\n" + body, final=closes)
         self.ends.append(self.sent_bytes)
 
+    @precondition(lambda self: self.transport.reading)
+    @rule(count=st.integers(2, 3))
+    def read_pipelined_requests(self, count: int) -> None:
+        for _ in range(count):
+            self.send_request(False, b"")
+        self.deliver(400)
+
     @rule()
     def send_malformed(self) -> None:
         if self.final_end is None:
