Let servers of the soak leave and ask for pauses, and check what reaches them

The soak's servers did neither. One at a time now says Server-Leaving in all its answers (whole ones, streams at their head, errors, refusals, broken ones) for 2.5 to 4 s, in half of the cases with a draining entry, goes, and comes back as another process at the same address. Others refuse all with 503 and Retry-After for 0.8 to 3 s. Checked, by the address to which the caller of a request is connected: no request sent later than drain_ms after a gateway had passed on an answer with Server-Leaving reaches that server from it (restarts and freezes excuse); at most two requests from half a second after a 503 with Retry-After to the end of its time (faults on the path excuse too). The server's end counts as a fault for kept callers, as a crash does.

--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -23,6 +23,8 @@
         self.writer = writer
         self.rate_limit: float | None = None
         """Rate of requests that the responses name."""
+        self.extra_headers: tuple[str, ...] = ()
+        """Header lines that all responses have."""
         self.disconnected = asyncio.Event()
         """Set once the router has closed the connection."""
 
@@ -53,7 +55,7 @@
     def response(self, status: int, *headers: str, body: bytes = b"") -> bytes:
         """Return a complete response without a seal."""
         lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {self.request_id}", *headers]
-        lines += self._limit_header()
+        lines += self._own_headers()
         lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -61,8 +63,9 @@
         """Return a complete response with the seal that marks it as the server's own."""
         return self.response(status, "X-Response-Seal: seal", *headers, body=body)
 
-    def _limit_header(self) -> list[str]:
-        return [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
+    def _own_headers(self) -> list[str]:
+        limit = [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
+        return [*limit, *self.extra_headers]
 
     async def begin_stream(self, *headers: str) -> None:
         """Write the head of an event stream.
@@ -76,7 +79,7 @@
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
             *headers,
-            *self._limit_header(),
+            *self._own_headers(),
         )
         await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
--- a/tests/soak/broken_answers.py
+++ b/tests/soak/broken_answers.py
@@ -47,6 +47,7 @@
         """Write a stream from an event on in one of the ways of `BROKEN_ANSWERS`."""
         lines = ["HTTP/1.1 200 OK", f"X-Request-Id: {exchange.request_id}"]
         lines += ["X-Response-Seal: seal", "Content-Type: text/event-stream"]
+        lines += exchange.extra_headers
         head = "\r\n".join(lines).encode()
         if kind.startswith("head"):
             await self._write_head_part(exchange, head)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,6 +19,8 @@
     from collections.abc import Callable
 
     from tests.router.gateway.gateway_harness import CallerResponse
+    from tests.soak.requests import Streams
+    from tests.soak.server_notices import ServerNotices
 
 REQUEST_TIMEOUT_S = 3.0
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -31,6 +33,7 @@
 
     :param runs: Executions by request id, as the servers count them.
     :param addresses: Addresses of the gateways.
+    :param notices: Learns which gateway gets a request and what it passes on.
     :param violations: Receives what the responses violate.
     """
 
@@ -40,11 +43,13 @@
         rng: random.Random,
         runs: Counter[str],
         addresses: list[str],
+        notices: ServerNotices,
         violations: list[Violation],
     ) -> None:
         self._rng = rng
         self._runs = runs
         self._addresses = addresses
+        self._notices = notices
         self._violations = violations
         self._unsafe_ids: set[str] = set()
         """Ids of requests that may run at most once."""
@@ -82,12 +87,26 @@
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 streams = await connect(address)
-                response = await exchange(streams, path, request_id, prompt)
+                response = await self.exchange(streams, path, request_id, prompt)
                 streams[1].close()
                 return response
         except (OSError, TimeoutError):
             return None
 
+    async def exchange(
+        self, streams: Streams, path: str, request_id: str, prompt: str = ""
+    ) -> CallerResponse:
+        """Send a request on a connection to a gateway and read the response.
+
+        :param prompt: Header line with the prompt, or empty.
+        """
+        host, port = streams[1].get_extra_info("peername")
+        address = f"{host}:{port}"
+        self._notices.record_sent(address, request_id)
+        response = await exchange(streams, path, request_id, prompt)
+        self._notices.record_response(address, response)
+        return response
+
     def check_response(self, kind: str, request_id: str, response: CallerResponse | None) -> None:
         """Check that a successful response is whole, or a part of the right one if cut off."""
         if response is None or response.status == 0:
--- a/tests/soak/config_callers.py
+++ b/tests/soak/config_callers.py
@@ -9,7 +9,6 @@
 from tests.soak.callers import REQUEST_TIMEOUT_S
 from tests.soak.requests import Violation
 from tests.soak.requests import connect
-from tests.soak.requests import exchange
 
 if TYPE_CHECKING:
     import random
@@ -61,7 +60,7 @@
                 async with asyncio.timeout(REQUEST_TIMEOUT_S):
                     streams = streams or await connect(address)
                     request_id = self._callers.new_request_id("many")
-                    response = await exchange(streams, route.name, request_id)
+                    response = await self._callers.exchange(streams, route.name, request_id)
             except (OSError, TimeoutError):
                 response = None
             if response is None or not response.complete or "close" in response.head.lower():
--- a/tests/soak/fault_log.py
+++ b/tests/soak/fault_log.py
@@ -20,6 +20,10 @@
         """Record that a gateway is killed, paused or resumed now."""
         self._gateways_at[number] = time.monotonic()
 
+    def latest_of_gateway(self, number: int) -> float:
+        """Return the time at which a gateway was last killed, paused or resumed."""
+        return self._gateways_at.get(number, 0.0)
+
     def latest(self, number: int) -> float:
         """Return the time of the latest fault on paths through a gateway, in monotonic seconds."""
         return max(self._servers_at, self._gateways_at.get(number, 0.0))
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import time
 from enum import StrEnum
 
 
@@ -40,11 +41,22 @@
         self.fault = Fault.NONE
         self.bytes_per_s: float | None = None
         """Rate of responses; unlimited if ``None``."""
-        self.paused = False
-        """Whether the target falls silent for now, whatever the fault is."""
+        self._paused = False
+        self.paused_at = 0.0
+        """Time in monotonic seconds at which a pause last began or ended."""
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def paused(self) -> bool:
+        """Whether the target falls silent for now, whatever the fault is."""
+        return self._paused
+
+    @paused.setter
+    def paused(self, paused: bool) -> None:
+        self._paused = paused
+        self.paused_at = time.monotonic()
+
     async def start(self) -> None:
         """Start to listen.
 
@@ -113,7 +125,7 @@
             writer.close()
 
     def _holds_back(self, *, responses: bool) -> bool:
-        if self.paused or self.fault is Fault.SILENT:
+        if self._paused or self.fault is Fault.SILENT:
             return True
         return responses and self.fault is Fault.ONE_WAY
 
--- a/tests/soak/gateway_processes.py
+++ b/tests/soak/gateway_processes.py
@@ -96,6 +96,11 @@
         self._started_at[process.pid] = time.monotonic()
         self._signals[process.pid] = set()
 
+    def started_at(self, number: int) -> float:
+        """Return the start of a gateway's latest process in monotonic seconds."""
+        process = self.processes[number]
+        return self._started_at[process.pid] if process is not None else 0.0
+
     def is_running(self, number: int) -> bool:
         """Whether the process of a gateway has not ended; it may be paused."""
         process = self.processes[number]
--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -10,7 +10,6 @@
 from tests.soak.config_series import IDLE_TIMEOUTS_MS
 from tests.soak.requests import Violation
 from tests.soak.requests import connect
-from tests.soak.requests import exchange
 
 if TYPE_CHECKING:
     import random
@@ -96,7 +95,7 @@
     ) -> CallerResponse | None:
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                return await exchange(streams, kind, request_id)
+                return await self._callers.exchange(streams, kind, request_id)
         except (OSError, TimeoutError):
             return None
 
--- a/tests/soak/server_trouble.py
+++ b/tests/soak/server_trouble.py
@@ -43,6 +43,7 @@
         self._servers = servers
         self._rng = rng
         self._tasks: set[asyncio.Task[None]] = set()
+        self._down: set[FaultProxy] = set()
         self.crashes = 0
         self.on_crash: Callable[[], None] = lambda: None
         """Called when a server crashes, and when it listens again."""
@@ -62,7 +63,7 @@
     @property
     def has_crashed(self) -> bool:
         """Whether a server is down now."""
-        return bool(self._tasks)
+        return bool(self._down)
 
     def toggle_limit(self) -> str:
         """Let a server name a limit or lift it."""
@@ -89,15 +90,20 @@
 
     def _crash(self, proxy: FaultProxy) -> None:
         self.crashes += 1
-        self.on_crash()
-        proxy.stop()
-        task = asyncio.create_task(self._restart(proxy))
+        task = asyncio.create_task(self.stop_for_a_while(proxy))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _restart(self, proxy: FaultProxy) -> None:
+    async def stop_for_a_while(self, proxy: FaultProxy) -> None:
+        """Cut a server's connections and let it listen again later, unless it is down already."""
+        if proxy in self._down:
+            return
+        self._down.add(proxy)
+        self.on_crash()
+        proxy.stop()
         await asyncio.sleep(DOWN_S)
         await proxy.start()
+        self._down.discard(proxy)
         self.on_crash()
 
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -11,6 +11,8 @@
 from tests.router.gateway.scripted_server import ScriptedServer
 from tests.soak.broken_answers import BROKEN_ANSWERS
 from tests.soak.broken_answers import BrokenAnswers
+from tests.soak.server_notices import LEAVING_HEADER
+from tests.soak.server_notices import SERVER_HEADER
 from tests.soak.server_trouble import CRASHING_PART
 
 if TYPE_CHECKING:
@@ -49,6 +51,15 @@
         self.arrivals: deque[float] = deque(maxlen=MAX_ARRIVALS)
         self.crash: Callable[[], None] = lambda: None
         """Called when a request crashes the server."""
+        self.name = ""
+        self.on_arrival: Callable[[str], None] = lambda _: None
+        """Called with the id of each request."""
+        self.leaving = False
+        """Whether all responses say that the server is leaving."""
+        self.paused_until = 0.0
+        """Time until which all requests are refused with a Retry-After."""
+        self.on_pause: Callable[[str, float], None] = lambda *_: None
+        """Called with the id of a refused request and the pause that was asked for, in seconds."""
         self.failure_rate = 0.0
         """Fraction of the requests that fail, in a way chosen at random."""
         self._refusals: WeakKeyDictionary[asyncio.StreamWriter, bytes] = WeakKeyDictionary()
@@ -58,7 +69,14 @@
 
     async def _serve(self, exchange: ScriptedExchange) -> None:
         self.arrivals.append(time.monotonic())
+        self.on_arrival(exchange.request_id)
         exchange.rate_limit = self.limit_per_s
+        leaving = (LEAVING_HEADER,) if self.leaving else ()
+        exchange.extra_headers = (f"{SERVER_HEADER}: {self.name}", *leaving)
+        pause_s = self.paused_until - time.monotonic()
+        if pause_s > 0.0:
+            await self._ask_for_pause(exchange, pause_s)
+            return
         failure = ""
         if self._rng.random() < self.failure_rate:
             failure = self._rng.choice(FAILURES)
@@ -93,6 +111,11 @@
             if failure == "extra":
                 await exchange.send(exchange.sealed_response(200, b"extra"))
 
+    async def _ask_for_pause(self, exchange: ScriptedExchange, pause_s: float) -> None:
+        lines = ("X-Not-Executed: 1", f"Retry-After: {pause_s:.3f}")
+        await exchange.send(exchange.response(503, *lines))
+        self.on_pause(exchange.request_id, pause_s)
+
     async def _refuse(self, exchange: ScriptedExchange) -> None:
         refusal = exchange.response(503, "X-Not-Executed: 1")
         copy = refusal
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from tests.platform_adapter import payloads
 from tests.platform_adapter.fake_store import FakeStore
 from tests.soak.callers import Callers
 from tests.soak.config_callers import ConfigCallers
@@ -20,12 +19,15 @@
 from tests.soak.gateway_processes import START_S
 from tests.soak.gateway_processes import GatewayProcesses
 from tests.soak.kept_callers import KeptCallers
+from tests.soak.leaving_servers import LeavingServers
+from tests.soak.leaving_servers import SoakServer
 from tests.soak.odd_entries import OddEntries
 from tests.soak.planned_work import PlannedWork
 from tests.soak.recovery_check import RecoveryCheck
 from tests.soak.requests import Violation
 from tests.soak.requests import make_route
 from tests.soak.restored_store import RestoredStore
+from tests.soak.server_notices import ServerNotices
 from tests.soak.server_trouble import CRASHING_SHARE
 from tests.soak.server_trouble import ServerTrouble
 from tests.soak.servers import RecordingServer
@@ -81,8 +83,17 @@
             violations=self.violations,
         )
         addresses = self._gateways.caller_addresses
+        self.notices = ServerNotices(
+            was_restarted=self._was_restarted,
+            was_disturbed=self._was_disturbed,
+            violations=self.violations,
+        )
         self._callers = Callers(
-            rng=self._rng, runs=self._runs, addresses=addresses, violations=self.violations
+            rng=self._rng,
+            runs=self._runs,
+            addresses=addresses,
+            notices=self.notices,
+            violations=self.violations,
         )
         self._kept_callers = KeptCallers(
             rng=self._rng,
@@ -146,13 +157,21 @@
     async def _start_fleet(self) -> None:
         for number, server in enumerate(self._servers):
             await server.http_server.start()
-            proxy = await self._start_proxy(f"server-{number}", server.http_server.address)
-            entry = payloads.server_entry(proxy.address, service="app", slots=6)
-            self._store.put("keyed.servers", f"s{number}", entry)
+            await self._start_proxy(f"server-{number}", server.http_server.address)
         proxies = [self._proxies[f"server-{number}"] for number in range(SERVER_COUNT)]
         servers = list(zip(self._servers, proxies, strict=True))
         self._trouble = ServerTrouble(servers=servers, rng=self._rng)
         self._trouble.on_crash = self._faults_seen.record_servers
+        names = [f"server-{number}" for number in range(SERVER_COUNT)]
+        self._leaving = LeavingServers(
+            rng=self._rng,
+            store=self._store,
+            servers=[
+                SoakServer(*parts) for parts in zip(names, self._servers, proxies, strict=True)
+            ],
+            trouble=self._trouble,
+            notices=self.notices,
+        )
         self._silence = SilentServers(
             rng=self._rng, proxies=proxies, callers=self._callers, violations=self.violations
         )
@@ -196,6 +215,8 @@
             self._odd_entries.inject,
             self._silence.inject,
             self._planned_work.inject,
+            self._leaving.let_leave,
+            self._leaving.ask_for_pause,
         ]
         rare: list[Callable[[], Awaitable[str]]] = [
             self._toggle_store,
@@ -253,6 +274,7 @@
             proxy.set_fault(Fault.NONE)
         self._trouble.clear()
         self._trouble.crashing_share = 0.0
+        self._leaving.finish()
         self._odd_entries.clear()
         for server in self._servers:
             server.failure_rate = 0.0
@@ -307,6 +329,24 @@
             )
         )
 
+    def _was_restarted(self, address: str, since: float) -> bool:
+        number = self._gateways.caller_addresses.index(address)
+        return (
+            self._gateways.started_at(number) >= since
+            or self._faults_seen.latest_of_gateway(number) >= since
+        )
+
+    def _was_disturbed(self, address: str, server: str, since: float) -> bool:
+        """Whether a fault was on the path between a gateway and a server since a time."""
+        number = self._gateways.caller_addresses.index(address)
+        proxy = self._proxies[server]
+        return (
+            self._faults_seen.latest(number) >= since
+            or proxy.fault is not Fault.NONE
+            or proxy.paused_at >= since
+            or proxy.paused
+        )
+
     def _is_disturbed(self, number: int) -> bool:
         return (
             self._store.down
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,7 @@
 from tests.soak.soak import Soak
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 pytestmark = pytest.mark.processes
@@ -32,12 +33,15 @@
 
 
 @pytest.mark.parametrize("seed", _selected_seeds())
-async def test_guarantees_hold_under_random_faults(seed: int, tmp_path: Path) -> None:
+async def test_guarantees_hold_under_random_faults(
+    seed: int, tmp_path: Path, record_property: Callable[[str, object], None]
+) -> None:
     """Guards against broken guarantees when network, processes, store and servers fail together.
 
     Checks that unsafe requests run at most once and not at all when refused, that responses are
-    not mixed up, that requests on kept connections are answered beside planned work, that no
-    gateway ends by itself, and that all gateways serve again after the faults.
+    not mixed up, that requests on kept connections are answered beside planned work, that nothing
+    reaches servers that are leaving or asked for a pause, that no gateway ends by itself, and that
+    all gateways serve again after the faults.
     """
     duration_s = float(os.environ.get("SOAK_SECONDS", CI_DURATION_S))
     # Ports below the ephemeral range: otherwise an outgoing connection may be given the port of a
@@ -50,7 +54,9 @@
         violations = await soak.run()
     finally:
         ports.release()
-    report = [*map(str, violations), f"faults: {soak.faults}", str(dict(soak.responses))]
+    counts = f"leaving passed on: {soak.notices.passed_on}, pauses: {soak.notices.pauses}"
+    record_property("notices", counts)
+    report = [*map(str, violations), counts, f"faults: {soak.faults}", str(dict(soak.responses))]
     assert violations == [], "\n".join(report)
     assert soak.responses[200] > 0
     assert soak.calm_requests > 0
