Judge the reports again that a lifted quarantine had explained

If a shared part was blamed first and an answer cleared it, the culprit whose crashes it had explained stayed free until a further crash. Cause: parts are judged when reports come, not when an answer ends a quarantine. The reports on the cleared part are now judged once all parts of the answer are recorded.

--- a/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
+++ b/packages/router/src/cornellead/gateway/quarantine/_prompt_guard.py
@@ -105,8 +105,13 @@
 
     def record_answer(self, parts: Sequence[str], *, now: float) -> None:
         """Record that a server began to answer a request and survived that."""
+        unexplained: list[CrashReport] = []
         for part in parts:
-            self._record_part_answer(part, at=now, rounds=OWN_ROUNDS, source=self._router)
+            unexplained += self._record_part_answer(
+                part, at=now, rounds=OWN_ROUNDS, source=self._router
+            )
+        if unexplained:
+            self._quarantine_culprits(unexplained, now=now)
 
     def restore(self, held: QuarantinedPart, *, source: str) -> bool:
         """Add a quarantine that another router or the store knows.
@@ -158,8 +163,9 @@
 
     def apply_evidence(self, evidence: Evidence, *, now: float) -> None:
         """Apply a message of another router."""
+        unexplained: list[CrashReport] = []
         for answer in evidence.answers:
-            self._record_part_answer(
+            unexplained += self._record_part_answer(
                 answer.part, at=now - answer.age_s, rounds=RELAY_ROUNDS, source=evidence.router
             )
         added = []
@@ -188,8 +194,8 @@
             )
             for held in evidence.quarantined
         ]
-        if added or any(learned):
-            self._quarantine_culprits(added, now=now)
+        if added or unexplained or any(learned):
+            self._quarantine_culprits([*added, *unexplained], now=now)
 
     def _refutes(self, held: QuarantinedPart) -> bool:
         """Return whether a known answer speaks against a quarantine."""
@@ -197,7 +203,14 @@
             return True
         return self.was_answered(held.part) and held.crashes < MIN_CRASHES_AFTER_ANSWER
 
-    def _record_part_answer(self, part: str, *, at: float, rounds: int, source: str) -> None:
+    def _record_part_answer(
+        self, part: str, *, at: float, rounds: int, source: str
+    ) -> Sequence[CrashReport]:
+        """Record an answer to requests with a part.
+
+        :returns: The reports that a quarantine explained which the answer has ended.
+        """
+        reports = self._history.evidence(part)
         refuted = self._history.record_answer(part, at=at)
         held = self._quarantined.get(part)
         lifted = held is not None and self._refutes(held)
@@ -207,6 +220,7 @@
         # A popular part is answered all the time, and only the first answer after a crash counts.
         if refuted or lifted:
             self._answer_queue.put(part, rounds=rounds)
+        return reports if lifted else ()
 
     def _quarantine_culprits(self, added: Sequence[CrashReport], *, now: float) -> None:
         """Quarantine parts of new reports if the evidence suffices, and judge again which of the
--- a/tests/router/gateway/quarantine/test_culprits.py
+++ b/tests/router/gateway/quarantine/test_culprits.py
@@ -84,6 +84,22 @@
     assert quarantined_parts(guard) == {"bad"}
 
 
+def test_culprit_is_found_when_an_answer_clears_the_part_that_was_blamed() -> None:
+    """Guards against a culprit that crashes one more server since another part was blamed first."""
+    guard = PromptGuard(router="r1")
+    for number in (1, 2, 3):
+        guard.record_crash([make_report(number, "shared", at=number)], now=number)
+    assert quarantined_parts(guard) == {"shared"}
+    for number in (1, 2, 3):
+        parts = ("shared", "bad")
+        guard.record_crash(
+            [make_report(10 + number, *parts, at=number + 0.1, server=number)], now=4
+        )
+    guard.record_crash([make_report(4, "shared", at=4)], now=4)
+    guard.record_answer(("shared",), now=5.0)
+    assert quarantined_parts(guard) == {"bad"}
+
+
 def test_several_reports_on_one_crash_count_once() -> None:
     """Guards against a quarantine after one crash with many requests of a part."""
     reports = [make_report(number, "part", at=1.0 + 0.3 * number, server=7) for number in range(5)]
