--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -77,6 +77,8 @@
         self._closing = False
         self._continue_sent = False
         self._response_complete = False
+        self._head_only = False
+        """Whether the request asks for the head of a response only."""
         self._dropped_bytes = 0
         self.started = False
 
@@ -88,7 +90,8 @@
     @property
     def settled(self) -> bool:
         """Whether closing the connection would cut off neither a request nor a response."""
-        return self.idle and (
+        answered = self.idle or (self._closing and self._task is None)
+        return answered and (
             self._transport is None or self._transport.get_write_buffer_size() == 0
         )
 
@@ -175,7 +178,7 @@
         self._close_if_stopping()
         self._response_complete = True
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
-        self._write(head + body)
+        self._write(head if self._head_only else head + body)
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
@@ -185,14 +188,16 @@
 
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body; waits while the caller reads slowly."""
-        self._write(encode_chunk(data))
+        if not self._head_only:
+            self._write(encode_chunk(data))
         if not self._writable.is_set():
             await self._writable.wait()
 
     def end(self) -> None:
         """Complete a chunked response."""
         self._response_complete = True
-        self._write(LAST_CHUNK)
+        if not self._head_only:
+            self._write(LAST_CHUNK)
 
     def abort(self) -> None:
         """Reset the connection, so that a partial response does not look complete."""
@@ -213,6 +218,7 @@
         self.started = False
         self._response_complete = False
         self._continue_sent = False
+        self._head_only = req.method == b"HEAD"
         self._caller_closes = "close" in req.header(b"connection").lower()
         self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
@@ -222,20 +228,28 @@
         try:
             await self._handler.handle(req, self)
         except asyncio.CancelledError:
-            if not self._closing:
+            task = asyncio.current_task()
+            if task is None or not task.cancelling():
+                # Another task cancelled what the handler awaited.
+                self._respond_to_error()
+            elif not self._closing:
                 raise
         except Exception:
-            # An error in one request must not affect others. A server may have run this one.
-            structlog.get_logger().exception("request handler failed")
-            if not self.started:
-                self.respond(500, (), b"")
-            elif not self._response_complete:
-                self.abort()
+            self._respond_to_error()
         finally:
             self._serving.in_progress -= 1
             self._task = None
         self._finish_request()
 
+    def _respond_to_error(self) -> None:
+        """End a request whose handler failed; a server may have run it."""
+        # An error in one request must not affect others.
+        structlog.get_logger().exception("request handler failed")
+        if not self.started:
+            self.respond(500, (), b"")
+        elif not self._response_complete:
+            self.abort()
+
     def _finish_request(self) -> None:
         if self._closing:
             return
