Resume no stream after an event id that fits into no header

A server's event id went into the request that resumes the stream at another server as it was: with a carriage return in it, it added a header line to that request, and an id of any length was sent.

Such a stream counts as one without ids: it is not resumed, and its break shows.

--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -7,6 +7,8 @@
 COMMENT = b":"
 MAX_ID_DIGITS = 18
 """Maximum number of digits of an id that counts as a number, which keeps it below 2**63."""
+MAX_ID_LENGTH = 1024
+"""Maximum length of an id that is sent to another server: headers are commonly limited to 8 KB."""
 
 
 class EventSplitter:
@@ -44,8 +46,10 @@
 
     @property
     def resumable(self) -> bool:
-        """Whether another server can be told where to continue."""
-        return not self._delivered or bool(self.last_event_id)
+        """Whether a header can tell another server where to continue."""
+        event_id = self.last_event_id
+        fits = event_id.isprintable() and len(event_id) <= MAX_ID_LENGTH
+        return not self._delivered or (bool(event_id) and fits)
 
     def restart(self) -> None:
         """Expect the stream of another attempt, which resumes after ``last_event_id``."""
--- a/tests/router/gateway/forwarding/test_stream_continuation.py
+++ b/tests/router/gateway/forwarding/test_stream_continuation.py
@@ -137,3 +137,22 @@
     gateway.configure(await start_server(script))
     response = await gateway.call("/resumable/1", body=b"prompt")
     assert (response.status, response.body, response.complete) == (200, ERROR_TEXT, True)
+
+
+@pytest.mark.parametrize("odd_id", [b"1\rX-Api-Key: other", b"1\0", b"1" * 20_000])
+async def test_stream_is_not_resumed_after_an_id_that_fits_into_no_header(
+    gateway: Gateway, start_server: StartServer, odd_id: bytes
+) -> None:
+    """Guards against header lines that a server's event id adds to a request to another server."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.begin_stream()
+        await exchange.send_chunk(b"id: %b\ndata: a\n\n" % odd_id)
+        await asyncio.sleep(0.05)
+        exchange.reset()
+
+    servers = [await start_server(script) for _ in range(2)]
+    gateway.configure(*servers)
+    response = await gateway.call("/resumable/1", body=b"prompt")
+    assert not response.complete and response.body.startswith(b"id: 1")
+    assert sum(len(server.received) for server in servers) == 1
