--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -189,9 +189,12 @@
         self.state = "ready"
         self.connected = True
         """Whether its heartbeats reach the store."""
+        self.lose_next, self.lost = False, None
+        self.beaten = asyncio.Event()
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.requests = []
+        self.open_requests = []
         self.address = ""
         self._beats = None
 
@@ -201,27 +204,35 @@
         self.beat()
         self._beats = asyncio.create_task(self._run_beats())
 
-    def beat(self):
-        self.sequence += 1
-        if not self.connected:
-            return
-        entry = {
+    def entry(self):
+        return {
             "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
             "slots": self.slots, "state": self.state, "cold_remaining_ms": 0, "stage": "both",
             "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": self.sequence,
             "born": self.born,
         }  # fmt: skip
-        self.store.put("keyed.servers", self.name, entry)
+
+    def beat(self):
+        self.sequence += 1
+        self.beaten.set()
+        self.beaten = asyncio.Event()
+        if self.lose_next:
+            # The store has the call, answers nothing, and executes it later.
+            self.lose_next, self.lost = False, self.entry()
+        elif self.connected:
+            self.store.put("keyed.servers", self.name, self.entry())
 
     async def _run_beats(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             self.beat()
 
-    def stop(self):
-        if self._beats is not None:
-            self._beats.cancel()
+    def exit(self):
+        """End as a process does: open connections are reset."""
+        self._beats.cancel()
         self._server.close()
+        for req in self.open_requests:
+            req.reset()
 
     async def _handle(self, req):
         expected = req.headers.get("x-expect-instance")
@@ -234,7 +245,11 @@
             f"server {self.name}: request {request_id} arrives,"
             f" last-event-id {req.headers.get('last-event-id', '-')}"
         )
-        await self.script(self, req)
+        self.open_requests.append(req)
+        try:
+            await self.script(self, req)
+        finally:
+            self.open_requests.remove(req)
 
 
 def own_headers(req, *more):
