--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -227,6 +227,12 @@
             await asyncio.sleep(HEARTBEAT_S)
             self.beat()
 
+    def leave(self):
+        """Leave without reporting `draining`: the entry is removed, and the server serves on."""
+        self.state = "leaving"
+        self._beats.cancel()
+        self.store.put("keyed.servers", self.name, None)
+
     def exit(self):
         """End as a process does: open connections are reset."""
         self._beats.cancel()
