--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -78,10 +78,12 @@
         self.writer.transport.abort()
 
 
-async def serve_http(handle, port=0):
+async def serve_http(handle, port=0, writers=None):
     """Listen on a port; ``handle`` gets each request of each connection in turn."""
 
     async def on_connection(reader, writer):
+        if writers is not None:
+            writers.add(writer)
         try:
             while not writer.is_closing():
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -99,6 +101,8 @@
             pass
         finally:
             writer.close()
+            if writers is not None:
+                writers.discard(writer)
 
     return await asyncio.start_server(on_connection, "127.0.0.1", port)
 
@@ -195,11 +199,14 @@
         self.born = int(time.time() * 1000)
         self.requests = []
         self.open_requests = []
+        self.writers = set()
         self.address = ""
         self._beats = None
 
     async def start(self):
-        self._server = await serve_http(self._handle)
+        # A server that starts again keeps its address.
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await serve_http(self._handle, port, self.writers)
         self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]
         self.beat()
         self._beats = asyncio.create_task(self._run_beats())
@@ -233,6 +240,19 @@
         self._beats.cancel()
         self.store.put("keyed.servers", self.name, None)
 
+    def end(self):
+        """End as a crashed process does: its host ends the open connections and refuses others."""
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def restart(self, after_s):
+        """Start again under the same id, as a new incarnation."""
+        await asyncio.sleep(after_s)
+        self.sequence, self.born = 0, int(time.time() * 1000)
+        await self.start()
+
     def exit(self):
         """End as a process does: open connections are reset."""
         self._beats.cancel()
@@ -462,9 +482,15 @@
     }  # fmt: skip
 
 
-def run_case(folder, case, limit_s=110):
+LOGGED = ("request", "attempt given up", "server ended")
+
+
+def run_case(folder, case, *, limit_s=110, events=LOGGED):
     """Run a case in a temporary folder; exit with 1 if the rule was broken, 0 if it held, and 2 if
-    the case could not run. ``case`` returns the text of the break, or an empty text."""
+    the case could not run. ``case`` returns the text of the break, or an empty text.
+
+    :param events: Log lines of the gateways to keep, by event.
+    """
     record = Record(Path(folder) / "record.txt")
     record.add(f"TROUBLE={int(TROUBLE)}")
     scratch = tempfile.mkdtemp()
@@ -479,7 +505,7 @@
     finally:
         for gateway in gateways:
             gateway.stop()
-            for line in gateway.log_lines("request", "attempt given up", "server ended"):
+            for line in gateway.log_lines(*events):
                 record.add(f"log of {gateway.name}: {line}")
         shutil.rmtree(scratch, ignore_errors=True)
         record.close()
