--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
 """A server leaves and says so in its answers. Its last heartbeat, which got no answer from the store,
-is executed after its entry was removed. The gateway that knows of the leaving may not send again."""
+is executed after its entry was removed. The gateway that knows of the leaving may not send again.
+"""
 
 import asyncio
 import sys
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -327,7 +327,9 @@
         self._path.write_text(json.dumps(self.settings))
         deploy = (ROOT / "deploy" / "system.toml").read_text()
         words = re.search(r'^run = "(.*)"$', deploy, re.MULTILINE).group(1).split()
-        words = [f"--metrics_port={self.metrics}" if w.startswith("--metrics") else w for w in words]
+        words = [
+            f"--metrics_port={self.metrics}" if w.startswith("--metrics") else w for w in words
+        ]
         env = {"PYTHONPATH": str(ROOT / "target" / "deps"), "CORNELLEAD_NODE_FILE": str(self._path)}
         env |= {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         with open(self._log_path, "ab") as log:
--- a/review/harness/poison.py
+++ b/review/harness/poison.py
@@ -134,4 +134,3 @@
         f"BUDGET: {len(late)} requests with the part {TAINTED} reached servers later than"
         f" {CONTACT_S:g} s after the fifth crash; {len(sound) - sum(sound)} sound requests failed"
     )
-
