--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
+RECORD = HERE / "record.txt"
 sys.path.insert(0, str(HERE.parent))
 
 from harness import fleet
@@ -89,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    fleet.run_case(HERE, case)
+    fleet.run_case(RECORD, case)
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -45,7 +45,7 @@
 
 
 class Record:
-    """Events of a run with their times, for record.txt."""
+    """Events of a run with their times, for the record.txt of a case."""
 
     def __init__(self, path):
         self._file = open(path, "w", buffering=1)
@@ -487,15 +487,16 @@
 LOGGED = ("request", "attempt given up", "server ended")
 
 
-def run_case(folder, case, *, limit_s=110, events=LOGGED):
+def run_case(record_path, case, *, limit_s=110, events=LOGGED):
     """Run a case in a temporary folder; exit with 1 if the rule was broken, 0 if it held, and 2 if
     the case could not run. ``case`` returns the text of the break, or an empty text.
 
+    :param record_path: File for what was sent, answered and run.
     :param events: Log lines of the gateways to keep, by event.
     """
     # A case that is ended early ends its processes, too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    record = Record(Path(folder) / "record.txt")
+    record = Record(record_path)
     record.add(f"TROUBLE={int(TROUBLE)}")
     scratch = tempfile.mkdtemp()
     gateways = []
