Record a successor that broke off without relaying its events

Cause: the search for a successor learned how a failed one had ended by relaying its response as that of a regular attempt, to the caller that the silent attempt still served.

Change: `AttemptRunner.end_failed` records refusal, leaving, pause, limit, crash evidence and health of the failed successor and writes nothing. Only the task that serves the request relays a response.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from cornellead.gateway.forwarding._attempt import Attempt
@@ -76,13 +77,26 @@
     async def run(self, context: RequestContext, attempt: Attempt) -> AttemptOutcome:
         """Relay the response of an attempt and end it.
 
-        Its successor is kept if it can go on where this attempt ended, and aborted otherwise.
+        Only one attempt of a request is relayed at a time. Its successor is kept if it can go on
+        where this attempt ended, and aborted otherwise.
         """
-        admitted, trace, events, out = context
+        admitted, _, events, out = context
+        response = self._relay.relay(admitted, attempt, events, out)
+        return await self._end(context, attempt, response)
+
+    async def end_failed(self, context: RequestContext, attempt: Attempt) -> None:
+        """End an attempt that failed while another one serves the caller."""
+        await self._end(context, attempt, self._relay.read_failure(context.admitted, attempt))
+
+    async def _end(
+        self, context: RequestContext, attempt: Attempt, response: Awaitable[AttemptOutcome]
+    ) -> AttemptOutcome:
+        """Wait for the outcome of an attempt, and record what it tells."""
+        admitted, trace = context.admitted, context.trace
         state = attempt.state
         name = state.entry.server
         try:
-            outcome = await self._relay.relay(admitted, attempt, events, out)
+            outcome = await response
             if isinstance(outcome, BrokenResponse):
                 trace.broke_off.add(name)
             if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -159,7 +159,7 @@
         answers = head is None or self._relay.is_answer(context.admitted, head)
         if exchange.broken or not answers:
             attempt.successor = None
-            await self._runner.run(context, successor)
+            await self._runner.end_failed(context, successor)
             return "refused"
         if attempt.give_up(now=self._clock()):
             self._log(context, attempt, state)
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -4,13 +4,16 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._outcome import ErrorResponse
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._reply_recorder import ReplyRecorder
+from cornellead.upstream import ResponseHead
 from cornellead_core.routing import RequestKind
+from cornellead_core.routing import ServerReply
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,8 +27,6 @@
     from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import RateLimits
     from cornellead.upstream import Exchange
-    from cornellead.upstream import ResponseHead
-    from cornellead_core.routing import ServerReply
     from cornellead_core.routing import WireFormat
 
 MAX_RESPONSE_BYTES = 16 << 20
@@ -49,6 +50,13 @@
 EVENT_STREAM = "text/event-stream"
 
 
+class _AcceptedHead(NamedTuple):
+    """Head of a response of the intended server to this request."""
+
+    head: ResponseHead
+    reply: ServerReply
+
+
 class ResponseRelay:
     """Checks that responses come from the intended server, and writes them to the caller."""
 
@@ -73,21 +81,10 @@
         out: ResponseWriter,
     ) -> AttemptOutcome:
         """Read the response of an attempt and write it to the caller, unless it may be retried."""
-        head = await attempt.exchange.head()
-        if head is None:
-            return _broken(attempt, "no_response")
-        attempt.record_data(now=self._clock())
-        reply = self._wire.decode_reply(head.status, head.raw)
-        refused = _is_refusal(admitted, reply)
-        own = head.status != MISDIRECTED and (refused or _is_for(admitted, reply))
-        self._recorder.record(attempt.state, reply, own=own)
-        if refused:
-            await _skip_refusal_body(attempt.exchange)
-            return NotRunResponse(head.status)
-        if not _is_answer(admitted, head, reply):
-            return BrokenResponse("not_the_servers_response")
-        if head.status == OK:
-            attempt.record_head(now=self._clock())
+        accepted = await self._receive_head(admitted, attempt)
+        if not isinstance(accepted, _AcceptedHead):
+            return accepted
+        head, reply = accepted
         streaming = admitted.route.kind is RequestKind.STREAMING and head.status == OK
         if streaming and _may_be_event_stream(head):
             return await self._relay_stream(attempt, events, head.status, reply, out)
@@ -99,11 +96,40 @@
         out.respond(head.status, _headers_of_response(admitted, head, reply), body)
         return DeliveredResponse(head.status)
 
+    async def read_failure(
+        self, admitted: AdmittedRequest, attempt: Attempt
+    ) -> NotRunResponse | BrokenResponse:
+        """Record what the response of a failed attempt tells, without writing to the caller."""
+        accepted = await self._receive_head(admitted, attempt)
+        if isinstance(accepted, _AcceptedHead):
+            return _broken(attempt, "broke_off_in_overlap")
+        return accepted
+
     def is_answer(self, admitted: AdmittedRequest, head: ResponseHead) -> bool:
         """Return whether a response shows that its server has taken the request."""
         reply = self._wire.decode_reply(head.status, head.raw)
         return not _is_refusal(admitted, reply) and _is_answer(admitted, head, reply)
 
+    async def _receive_head(
+        self, admitted: AdmittedRequest, attempt: Attempt
+    ) -> _AcceptedHead | NotRunResponse | BrokenResponse:
+        head = await attempt.exchange.head()
+        if head is None:
+            return _broken(attempt, "no_response")
+        attempt.record_data(now=self._clock())
+        reply = self._wire.decode_reply(head.status, head.raw)
+        refused = _is_refusal(admitted, reply)
+        own = head.status != MISDIRECTED and (refused or _is_for(admitted, reply))
+        self._recorder.record(attempt.state, reply, own=own)
+        if refused:
+            await _skip_refusal_body(attempt.exchange)
+            return NotRunResponse(head.status)
+        if not _is_answer(admitted, head, reply):
+            return BrokenResponse("not_the_servers_response")
+        if head.status == OK:
+            attempt.record_head(now=self._clock())
+        return _AcceptedHead(head, reply)
+
     async def _read_body(self, attempt: Attempt) -> bytes | None:
         """Read the whole body, unless it or all bodies that are being read become too large."""
         counted_bytes = 0
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -67,8 +67,8 @@
         limit = [] if self.rate_limit is None else [f"Server-Limit: {self.rate_limit}"]
         return [*limit, *self.extra_headers]
 
-    async def begin_stream(self, *headers: str) -> None:
-        """Write the head of an event stream.
+    def stream_head(self, *headers: str) -> bytes:
+        """Return the head of an event stream.
 
         :param headers: Further header lines.
         """
@@ -81,7 +81,14 @@
             *headers,
             *self._own_headers(),
         )
-        await self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+    async def begin_stream(self, *headers: str) -> None:
+        """Write the head of an event stream.
+
+        :param headers: Further header lines.
+        """
+        await self.send(self.stream_head(*headers))
 
     async def send_events(self, first: int, last: int) -> None:
         """Write numbered events, ``last`` included."""
@@ -90,7 +97,7 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Write bytes as a chunk of an event stream."""
-        await self.send(b"%x\r\n%b\r\n" % (len(data), data))
+        await self.send(encode_chunk(data))
 
     async def resume_stream(self, last: int) -> None:
         """Write an event stream that goes on after the last event id, up to ``last``."""
@@ -103,6 +110,11 @@
         await self.send(b"0\r\n\r\n")
 
 
+def encode_chunk(data: bytes) -> bytes:
+    """Return bytes as a chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def encode_event(number: int) -> bytes:
     """Return an event of a stream, with its number as id."""
     return b"id: %d\ndata: x%d\n\n" % (number, number)
