Deliver the events of a resumed stream that precede a gap

Cause: `EventSplitter` had counted them as delivered when the relay gave the attempt up, so the next server was asked to go on after them.

Change: the relay writes the complete events first and gives the attempt up afterwards. The same holds for an event that is too large.

Result: test_events_before_a_gap_of_a_resumed_stream_are_delivered failed on (events 3 and 4 of 7 missing) and passes.

--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -170,10 +170,6 @@
                 if events.progressed:
                     attempt.record_progress(buffered_bytes=len(events.tail), now=now)
                 attempt.record_buffered(len(events.tail), now=now)
-                if events.has_gap:
-                    return BrokenResponse("events_missing")
-                if len(events.tail) > MAX_EVENT_BYTES:
-                    return BrokenResponse("event_too_large")
             elif events.tail:
                 return BrokenResponse("ended_inside_event")
             else:
@@ -187,6 +183,10 @@
                 attempt.blocked_on_caller = True
                 await out.write(complete)
                 attempt.blocked_on_caller = False
+            if events.has_gap:
+                return BrokenResponse("events_missing")
+            if len(events.tail) > MAX_EVENT_BYTES:
+                return BrokenResponse("event_too_large")
             if not data:
                 if first_data_at is not None:
                     attempt.state.health.record_stream_duration(self._clock() - first_data_at)
--- a/tests/router/gateway/forwarding/test_stream_continuation.py
+++ b/tests/router/gateway/forwarding/test_stream_continuation.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.scripted_server import encode_chunk
 from tests.router.gateway.scripted_server import encode_event
 from tests.router.gateway.scripted_server import encode_events
 
@@ -156,3 +157,31 @@
     response = await gateway.call("/resumable/1", body=b"prompt")
     assert not response.complete and response.body.startswith(b"id: 1")
     assert sum(len(server.received) for server in servers) == 1
+
+
+async def test_events_before_a_gap_of_a_resumed_stream_are_delivered(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against an event that no server sends again, as a gap followed it in the same read."""
+    resumed: list[str] = []
+
+    async def script(exchange: ScriptedExchange) -> None:
+        last_event_id = exchange.header("last-event-id")
+        if not last_event_id:
+            await exchange.begin_stream()
+            await exchange.send_events(1, 2)
+            await asyncio.sleep(0.05)
+            exchange.reset()
+            return
+        resumed.append(last_event_id)
+        if len(resumed) == 1:
+            skipping = encode_events(3, 4) + encode_events(6, 7)
+            await exchange.send(exchange.stream_head() + encode_chunk(skipping))
+            await exchange.disconnected.wait()
+        else:
+            await exchange.resume_stream(7)
+
+    gateway.configure(*[await start_server(script) for _ in range(3)], max_attempts=3)
+    response = await gateway.call("/resumable/1", body=b"prompt")
+    assert response.complete and response.body == encode_events(1, 7)
+    assert resumed == ["2", "4"]
