Keep the state of an incarnation whose entry comes back

Cause: an entry that was removed and came back by a late write got a new ServerState, so leaving, pause, rate limit, requests in flight, health and cold period of the same incarnation were forgotten.

Change: EndedServers keeps the states of incarnations that are listed no longer, by name and start, for 600 s (a pause lasts 300 s at most), also of those whose address another entry took. An entry of the same start gets its state back; another start begins anew. A data centre that returns makes unlisted servers cold, too.

The model in test_server_sources.py forgot a server with its entry, which is the fault itself. It now compares incarnations, listed or not, and gets a rule that removes an entry and lists it again; nothing else is relaxed.

--- a/packages/router/src/cornellead/gateway/view/_ended_servers.py
+++ b/packages/router/src/cornellead/gateway/view/_ended_servers.py
@@ -1,40 +1,61 @@
-"""Servers that ended, so that an older entry does not bring them back."""
+"""Incarnations of servers that are listed no longer."""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from cornellead_core.routing import ServerEntry
+from cornellead.gateway.view._server_state import ServerState
 
-RETENTION_S = 60.0
-"""Time for which an ended server is remembered: longer than a copy of the store is old and than it
-takes until the store has removed the server again."""
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cornellead_core.routing import ServerEntry
+
+RETENTION_S = 600.0
+"""Time for which an incarnation is remembered: twice the longest pause that a server may ask for,
+longer than a copy of the store is old and than a write may be late."""
 
 
 class _Ended(NamedTuple):
     at: float
-    entry: ServerEntry
+    state: ServerState
 
 
 class EndedServers:
-    """Last entries of the servers that ended recently."""
+    """States of the incarnations whose entries were removed or replaced recently.
+
+    An entry may be removed while its server still runs, and a late write may bring it back. What
+    the server's responses told holds for the whole incarnation, so its state is kept until then.
+    """
 
     def __init__(self) -> None:
-        self._ended: dict[str, _Ended] = {}
+        self._ended: dict[tuple[str, int], _Ended] = {}
 
-    def add(self, entry: ServerEntry, *, now: float) -> None:
-        """Remember a server that ended.
+    def add(self, state: ServerState, *, now: float) -> None:
+        """Remember an incarnation that is listed no longer.
 
         :param now: Seconds.
         """
         self._ended = {
-            name: ended for name, ended in self._ended.items() if now - ended.at <= RETENTION_S
+            key: ended for key, ended in self._ended.items() if now - ended.at <= RETENTION_S
         }
-        self._ended[entry.server] = _Ended(now, entry)
-
-    def find(self, entry: ServerEntry) -> ServerEntry | None:
-        """Return the last entry of the same start of a server if it has ended."""
-        ended = self._ended.get(entry.server)
-        if ended is None or not 0 < entry.started_ms == ended.entry.started_ms:
-            return None
-        return ended.entry
+        if state.entry.started_ms > 0:
+            self._ended[_key(state.entry)] = _Ended(now, state)
+
+    def find(self, entry: ServerEntry) -> ServerState | None:
+        """Return the state of the incarnation that an entry belongs to, if it was remembered."""
+        ended = self._ended.get(_key(entry))
+        return None if ended is None else ended.state
+
+    def pop(self, entry: ServerEntry) -> ServerState | None:
+        """Return the state that `find` returns, and forget it."""
+        ended = self._ended.pop(_key(entry), None)
+        return None if ended is None else ended.state
+
+    def __iter__(self) -> Iterator[ServerState]:
+        return (ended.state for ended in self._ended.values())
+
+
+def _key(entry: ServerEntry) -> tuple[str, int]:
+    return entry.server, entry.started_ms
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -27,7 +27,8 @@
 
     A server receives no requests while its entry or one of its responses says that it is leaving,
     after its entry was removed, or while its data centre is out of service. An entry that still
-    says ready was written before the server began to leave. During a store outage healthy servers
+    says ready was written before the server began to leave. An incarnation whose entry comes back
+    has the state that it had. During a store outage healthy servers
     cannot renew their entries either, so the removal of an entry that expired meanwhile is deferred
     until `EXPIRY_GRACE_S` after the outage.
 
@@ -86,8 +87,6 @@
             if service_changed:
                 self._rebuild_indexes()
             return []
-        if state is not None:
-            self._ended.add(state.entry, now=now)
         ended = [] if state is None else [state]
         address_owner = self._by_address.get(entry.address)
         if (
@@ -100,8 +99,11 @@
                 return []
             if 0 < earlier_ms < later_ms:
                 del self._servers[address_owner.entry.server]
+                self._ended.add(address_owner, now=now)
                 ended.append(address_owner)
-        self._servers[entry.server] = ServerState(entry=entry, now=now)
+        if state is not None:
+            self._ended.add(state, now=now)
+        self._servers[entry.server] = self._make_state(entry, now=now)
         self._rebuild_indexes()
         return ended
 
@@ -118,7 +120,7 @@
             state.missing_since = now if state.missing_since is None else state.missing_since
             return None
         del self._servers[server]
-        self._ended.add(state.entry, now=now)
+        self._ended.add(state, now=now)
         self._rebuild_indexes()
         return state
 
@@ -143,7 +145,7 @@
         ended = [state for state in self._servers.values() if state.missing_since is not None]
         for state in ended:
             del self._servers[state.entry.server]
-            self._ended.add(state.entry, now=now)
+            self._ended.add(state, now=now)
         if ended:
             self._rebuild_indexes()
         return ended
@@ -180,7 +182,7 @@
             self._out_of_service.add(data_centre)
             return True
         self._out_of_service.discard(data_centre)
-        for state in self._servers.values():
+        for state in (*self._servers.values(), *self._ended):
             if state.entry.data_centre == data_centre:
                 state.assume_cold(self.return_cold_s, now=now)
         return True
@@ -246,9 +248,10 @@
         """
         state = self._servers.get(entry.server)
         ended = self._ended.find(entry) if state is None else None
-        known = ended if state is None else state.entry
-        if known is None or not entry.started_ms > 0:
+        last = ended if state is None else state
+        if last is None or not entry.started_ms > 0:
             return False
+        known = last.entry
         restored_at = self._store_restored_at
         settling = restored_at is not None and now - restored_at < SETTLE_S
         if entry.started_ms != known.started_ms:
@@ -261,6 +264,14 @@
             return settling and not entry.sequence
         return settling and known.draining and not entry.draining
 
+    def _make_state(self, entry: ServerEntry, *, now: float) -> ServerState:
+        """Return the state for an entry: the earlier one if its incarnation was listed before."""
+        state = self._ended.pop(entry)
+        if state is None:
+            return ServerState(entry=entry, now=now)
+        state.update(entry, now=now)
+        return state
+
     def _rebuild_indexes(self) -> None:
         self._by_service = {}
         self._by_hash = {state.name_hash: state for state in self._servers.values()}
--- a/tests/router/gateway/view/test_server_registry.py
+++ b/tests/router/gateway/view/test_server_registry.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from tests.router.gateway.builders import make_entry
 
+from cornellead.gateway.view import ServerRateLimit
 from cornellead.gateway.view import ServerRegistry
+from cornellead_core.routing import ReportedLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cornellead.gateway.view import ServerState
 
 SERVERS = st.sampled_from(["s1", "s2", "s3"])
 DATA_CENTRES = st.sampled_from(["dc-a", "dc-b"])
@@ -191,3 +201,91 @@
         for entry in entries:
             assert registry.put(entry, now=0.0) == []
         assert [state.entry.server for state in registry.usable("llm")] == ["s1"]
+
+
+def _record_responses(state: ServerState) -> None:
+    state.record_leaving(now=1.0)
+    state.record_pause(30.0, now=1.0)
+    state.record_rate_limit(ServerRateLimit(4.0, 1.0, "r1"))
+    state.record_reported_load(ReportedLoad(running=5, waiting=2, slots=8), now=1.0)
+    state.health.start_request(1, now=1.0)
+    state.health.record_connect_failure(now=1.0)
+
+
+def _remove(registry: ServerRegistry) -> None:
+    registry.remove("s1", now=2.0)
+
+
+def _lapse_in_an_outage(registry: ServerRegistry) -> None:
+    registry.mark_store_unavailable()
+    registry.remove("s1", now=2.0)
+    registry.mark_store_available(now=2.0)
+    registry.remove_expired(now=2.0 + EXPIRY_GRACE_S)
+
+
+def _list_without(registry: ServerRegistry) -> None:
+    registry.replace_all([], now=2.0)
+
+
+def _lose_address(registry: ServerRegistry) -> None:
+    """Let another writer's entry take the address for a while."""
+    address = make_entry("s1").address
+    registry.put(make_entry("odd", address=address, started_ms=9), now=2.0)
+    registry.remove("odd", now=3.0)
+
+
+def _list_an_earlier_start(registry: ServerRegistry) -> None:
+    """Let a write that was held up bring the entry of an earlier incarnation back."""
+    registry.put(make_entry(started_ms=4), now=2.0)
+
+
+LOSSES = [_remove, _lapse_in_an_outage, _list_without, _lose_address, _list_an_earlier_start]
+
+
+@pytest.mark.parametrize("lose_entry", LOSSES)
+def test_server_whose_entry_comes_back_keeps_its_state(
+    lose_entry: Callable[[ServerRegistry], None],
+) -> None:
+    """Guards against requests to a leaving or pausing server after a late write of its entry
+    (issue 35, review/5)."""
+    registry = ServerRegistry()
+    registry.set_services(["llm"])
+    registry.put(make_entry(started_ms=5, sequence=7), now=0.0)
+    state = registry.get("s1")
+    assert state is not None
+    _record_responses(state)
+    lose_entry(registry)
+    assert registry.get("s1") is not state
+    registry.put(make_entry(started_ms=5, sequence=8), now=6.0)
+    assert registry.get("s1") is state
+    assert registry.usable("llm") == []
+    assert state.paused_until == 31.0 and state.health.in_flight == 1
+
+
+@pytest.mark.parametrize("lose_entry", LOSSES)
+def test_restarted_server_is_used_at_once(lose_entry: Callable[[ServerRegistry], None]) -> None:
+    """Guards against a leaving or a pause that outlasts the incarnation that told it."""
+    registry = ServerRegistry()
+    registry.set_services(["llm"])
+    registry.put(make_entry(started_ms=5, sequence=7), now=0.0)
+    state = registry.get("s1")
+    assert state is not None
+    _record_responses(state)
+    lose_entry(registry)
+    registry.put(make_entry(started_ms=6, sequence=1), now=6.0)
+    restarted = registry.get("s1")
+    assert restarted is not None and registry.usable("llm") == [restarted]
+    assert restarted.paused_until == 0.0 and restarted.health.in_flight == 0
+    assert restarted.rate_limit is None and restarted.health.responsive(now=6.0)
+
+
+def test_server_without_entry_is_cold_after_its_data_centre_returns() -> None:
+    """Guards against a burst to a cold server whose entry was missing at the return."""
+    registry = ServerRegistry(return_cold_s=3.0)
+    registry.put(make_entry(sequence=1), now=0.0)
+    registry.set_out_of_service("dc-a", out=True, now=1.0)
+    registry.remove("s1", now=2.0)
+    registry.set_out_of_service("dc-a", out=False, now=9.0)
+    registry.put(make_entry(sequence=2), now=9.5)
+    state = registry.get("s1")
+    assert state is not None and state.cold(now=11.0) and not state.cold(now=12.1)
--- a/tests/router/gateway/view/test_server_sources.py
+++ b/tests/router/gateway/view/test_server_sources.py
@@ -18,19 +18,20 @@
 
 
 class _Incarnation(NamedTuple):
-    started_ms: int
     draining: bool
     leaving: bool
     paused_until: float
 
 
 class ServerSources(RuleBasedStateMachine):
-    """Compares the registry with a model of each server's incarnation."""
+    """Compares the registry with a model of each server's incarnations, listed or not."""
 
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.model: dict[str, _Incarnation] = {}
+        self.listed: dict[str, int] = {}
+        """Start of the incarnation that is listed, by server."""
+        self.model: dict[tuple[str, int], _Incarnation] = {}
         self.registry = self._make_registry()
         self.earlier: list[ServerState] = []
         """States of servers to which requests were sent, whose responses may still arrive."""
@@ -43,29 +44,39 @@
     @rule(server=SERVERS, started_ms=STARTS, draining=st.booleans())
     def receive_entry(self, server: str, started_ms: int, draining: bool) -> None:
         """Read a new entry of a server."""
-        known = self.model.get(server)
-        if known is not None and (
-            started_ms < known.started_ms or (known.draining and started_ms == known.started_ms)
-        ):
+        listed = self.listed.get(server)
+        known = self.model.get((server, started_ms))
+        if listed is not None and started_ms < listed:
+            return
+        if listed == started_ms and known is not None and known.draining:
             return
         self.registry.put(
             make_entry(server, started_ms=started_ms, draining=draining), now=self.now
         )
-        if known is not None and known.started_ms == started_ms:
-            self.model[server] = known._replace(draining=draining)
-        else:
-            self.model[server] = _Incarnation(started_ms, draining, False, 0.0)
+        self.listed[server] = started_ms
+        if known is None:
+            known = _Incarnation(draining, False, 0.0)
+        self.model[server, started_ms] = known._replace(draining=draining)
 
     @rule(server=SERVERS)
     def remove_entry(self, server: str) -> None:
-        """Read that a server's entry was removed."""
+        """Read that a server's entry was removed; the server itself may run on."""
         self.registry.remove(server, now=self.now)
-        self.model.pop(server, None)
+        self.listed.pop(server, None)
+
+    @rule(server=SERVERS)
+    def remove_and_list_again(self, server: str) -> None:
+        """Read that an entry was removed, and then a late write of it."""
+        started_ms = self.listed.get(server)
+        if started_ms is not None:
+            self.remove_entry(server)
+            draining = self.model[server, started_ms].draining
+            self.receive_entry(server, started_ms, draining)
 
     @rule()
     def read_snapshot(self) -> None:
         """Read the newest entries of all servers again, which may be older than responses."""
-        states = [self.registry.get(server) for server in self.model]
+        states = [self.registry.get(server) for server in self.listed]
         self.registry.replace_all([s.entry for s in states if s is not None], now=self.now)
 
     @rule(server=SERVERS)
@@ -84,11 +95,9 @@
         if leaving:
             state.record_leaving(now=self.now)
         state.record_pause(pause_s, now=self.now)
-        server = state.entry.server
-        if self.registry.get(server) is not state:
-            return
-        known = self.model[server]
-        self.model[server] = known._replace(
+        incarnation = state.entry.server, state.entry.started_ms
+        known = self.model[incarnation]
+        self.model[incarnation] = known._replace(
             leaving=known.leaving or leaving,
             paused_until=max(known.paused_until, self.now + pause_s),
         )
@@ -101,28 +110,30 @@
     @rule()
     def restart_router(self) -> None:
         """Start anew with the entries alone."""
-        entries = [s.entry for name in self.model if (s := self.registry.get(name)) is not None]
+        entries = [s.entry for name in self.listed if (s := self.registry.get(name)) is not None]
         self.registry = self._make_registry()
         self.registry.replace_all(entries, now=self.now)
         self.earlier = []
         self.model = {
-            name: known._replace(leaving=False, paused_until=0.0)
-            for name, known in self.model.items()
+            incarnation: self.model[incarnation]._replace(leaving=False, paused_until=0.0)
+            for incarnation in self.listed.items()
         }
 
     @invariant()
     def only_servers_that_are_not_leaving_are_used(self) -> None:
         """Guards against a source that overrules later news of the same incarnation."""
         usable = {state.entry.server for state in self.registry.usable("llm")}
+        listed = {name: self.model[name, start] for name, start in self.listed.items()}
         assert usable == {
-            name for name, known in self.model.items() if not (known.draining or known.leaving)
+            name for name, known in listed.items() if not (known.draining or known.leaving)
         }
 
     @invariant()
     def pauses_belong_to_the_incarnation(self) -> None:
         """Guards against a pause that is lost, shortened, or kept for a server that restarted."""
-        for name, known in self.model.items():
+        for name, started_ms in self.listed.items():
             state = self.registry.get(name)
+            known = self.model[name, started_ms]
             assert state is not None and state.paused_until == known.paused_until
 
 
