Keep the rate of a cold or limited server whose entry comes back

Each router that may send to a cold server, or to one with a rate limit, sent a request above the rate whenever the server's entry was removed and came back: its limiter forgot the last request with the entry.

Change: ServerCleanup, split out of GatewayProcess, clears the limiters only for a server that has started again. They forget a server that is gone once the time of its last request limits nothing any more.

--- a/packages/router/src/cornellead/gateway/policy/_server_rate_limiter.py
+++ b/packages/router/src/cornellead/gateway/policy/_server_rate_limiter.py
@@ -71,9 +71,13 @@
         return self._shared.try_send(server, rate_per_s=rate_per_s, routers=routers, now=now)
 
     def remove_server(self, server: str) -> None:
-        """Remove the state of a server that ended."""
+        """Remove the state of a server that has started again."""
         self._shared.remove_server(server)
 
+    def remove_idle(self, *, now: float) -> None:
+        """Remove the state of servers that got no request for a while."""
+        self._shared.remove_idle(now=now)
+
 
 def _max_senders(rate_per_s: float) -> int:
     return MIN_SENDERS + int(SENDERS_PER_RATE * rate_per_s)
--- a/packages/router/src/cornellead/gateway/policy/_shared_rate_limiter.py
+++ b/packages/router/src/cornellead/gateway/policy/_shared_rate_limiter.py
@@ -12,6 +12,10 @@
     from collections.abc import Sequence
 
 
+IDLE_S = 60.0
+"""Time without a request after which a server is forgotten, unless its rate allows fewer."""
+
+
 class _Interval(NamedTuple):
     routers: list[str]
     rate_per_s: float
@@ -63,10 +67,22 @@
         return True
 
     def remove_server(self, server: str) -> None:
-        """Remove the state of a server that ended."""
+        """Remove the state of a server that has started again."""
         self._sent_at.pop(server, None)
         self._intervals.pop(server, None)
 
+    def remove_idle(self, *, now: float) -> None:
+        """Remove the state of servers that got no request for a while.
+
+        The state of a server whose entry is removed is kept until then: it may run on, and its
+        entry may come back.
+        """
+        for server in {*self._sent_at, *self._intervals}:
+            interval = self._intervals.get(server)
+            interval_s = 0.0 if interval is None else interval.interval_s or 0.0
+            if now - self._sent_at.get(server, float("-inf")) > max(IDLE_S, interval_s):
+                self.remove_server(server)
+
     def _interval_s(self, server: str, rate_per_s: float, routers: Sequence[str]) -> float | None:
         if rate_per_s <= 0:
             return None
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -24,6 +24,7 @@
 from cornellead.gateway.process._admin_handler import AdminHandler
 from cornellead.gateway.process._clock import read_clock
 from cornellead.gateway.process._graceful_shutdown import GracefulShutdown
+from cornellead.gateway.process._server_cleanup import ServerCleanup
 from cornellead.gateway.process._settings_watcher import SettingsWatcher
 from cornellead.gateway.process._ticker import Ticker
 from cornellead.gateway.relay import RelayedStore
@@ -54,7 +55,6 @@
 
     from cornellead.gateway.ingress import RequestHandler
     from cornellead.gateway.sync import NoticeSink
-    from cornellead.gateway.view import ServerState
     from cornellead_core.blackboard import Controller
     from cornellead_core.routing import FleetStore
     from cornellead_core.routing import HttpClient
@@ -116,13 +116,16 @@
         self._cold_limiter = ColdStartLimiter(
             router=settings.node, burst=settings.bounds.cold_slack
         )
-        self._rate_limiter = ServerRateLimiter(router=settings.node)
+        rate_limiter = ServerRateLimiter(router=settings.node)
         metrics = Metrics()
         self._stats = GatewayStats(metrics=metrics)
         self._register_gauges(metrics)
         self._pool = ConnectionPool(
             loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
         )
+        self._cleanup = ServerCleanup(
+            view=self._view, pool=self._pool, limiters=[self._cold_limiter, rate_limiter]
+        )
         http = PooledHttpClient(pool=self._pool)
         store = open_store(http)
         self._sender = AttemptSender(pool=self._pool, wire=wire, clock=read_clock)
@@ -130,7 +133,7 @@
         self._picker = ServerPicker(
             view=self._view,
             cold_limiter=self._cold_limiter,
-            rate_limiter=self._rate_limiter,
+            rate_limiter=rate_limiter,
             data_centre=settings.data_centre,
             regions=settings.regions,
             load_factor=settings.bounds.load_factor,
@@ -250,9 +253,7 @@
             ),
             self._make_reader(
                 Topic.SERVERS,
-                ServerSink(
-                    view=view, stats=stats, clock=read_clock, on_ended=self._on_server_removed
-                ),
+                ServerSink(view=view, stats=stats, clock=read_clock, on_ended=self._cleanup.remove),
                 interval_s=lambda: self._read_interval_s(SERVERS_READ_INTERVAL_S),
             ),
             self._make_reader(
@@ -271,9 +272,9 @@
                 clock=read_clock,
             ),
             Ticker(
-                name="close-idle",
+                name="remove-idle",
                 interval_s=POOL_CHECK_INTERVAL_S,
-                action=self._close_idle_connections,
+                action=self._remove_idle,
                 clock=read_clock,
             ),
         ]
@@ -332,14 +333,9 @@
         for name, (description, read_value) in gauges.items():
             metrics.gauge(f"gateway_{name}", description).set_function(read_value)
 
-    def _close_idle_connections(self) -> None:
+    def _remove_idle(self) -> None:
         self._pool.close_idle(now=asyncio.get_running_loop().time())
-
-    def _on_server_removed(self, state: ServerState) -> None:
-        self._pool.discard(state.entry.address)
-        self._cold_limiter.remove_server(state.entry.server)
-        self._rate_limiter.remove_server(state.entry.server)
-        self._view.prompts.remove_server(state.entry.server)
+        self._cleanup.remove_idle(now=read_clock())
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = settings
