Let no late write bring an earlier incarnation back

Change: an entry of an incarnation that a later one has replaced is no news. A start that was never listed is taken as before, since the clock of a server may be set back while it is down.

--- a/packages/router/src/cornellead/gateway/view/_ended_servers.py
+++ b/packages/router/src/cornellead/gateway/view/_ended_servers.py
@@ -48,6 +48,23 @@
         ended = self._ended.get(_key(entry))
         return None if ended is None else ended.state
 
+    def is_superseded(self, entry: ServerEntry, listed: ServerState | None) -> bool:
+        """Return whether the server is known to have started again after this incarnation.
+
+        A start that was not listed before may be a restart after which the server's clock is
+        behind.
+
+        :param listed: The incarnation of the server that is listed now.
+        """
+        if _key(entry) not in self._ended:
+            return False
+        # In the order in which they ended.
+        names = [key for key in self._ended if key[0] == entry.server]
+        later = [started_ms for _, started_ms in names[names.index(_key(entry)) :]]
+        if listed is not None:
+            later.append(listed.entry.started_ms)
+        return max(later) > entry.started_ms
+
     def pop(self, entry: ServerEntry) -> ServerState | None:
         """Return the state that `find` returns, and forget it."""
         ended = self._ended.pop(_key(entry), None)
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -242,11 +242,14 @@
     def _is_outdated(self, entry: ServerEntry, *, now: float) -> bool:
         """Return whether a later entry of the server is known.
 
-        Counts start anew with a restart, so only those of the same start are compared. While a
+        Counts start anew with a restart, so only those of the same start are compared. An
+        incarnation that a later one has replaced does not come back. While a
         restored store settles, an entry without a count or of an earlier start is taken for one of
         the copy if it contradicts what is known.
         """
         state = self._servers.get(entry.server)
+        if self._ended.is_superseded(entry, state):
+            return True
         ended = self._ended.find(entry) if state is None else None
         last = ended if state is None else state
         if last is None or not entry.started_ms > 0:
