Bound what all responses in progress hold together

Change: BufferBudget counts what the responses of a process hold (heads, unread bytes, bodies, incomplete events, events that a caller does not read) and ends the largest while it is above 32 MB, a sixth of the memory of the smallest hosts. A response has 256 header fields at most, since short ones take far more memory than bytes. Pieces of a body are joined beyond 64. Responses of the store and of other routers are exempt. The event splitter no longer copies and searches a long event again with each piece.

It replaces the limit on buffered bodies, which let each response hold 256 KB beyond it.

--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -35,12 +35,12 @@
         events, so that the caller would not get the rest of its stream."""
         self.progressed = False
         """Whether the latest bytes contained the end of an event that the caller lacked."""
-        self._tail = b""
+        self._tail = bytearray()
         self._resumed = False
         self._delivered = False
 
     @property
-    def tail(self) -> bytes:
+    def tail(self) -> bytearray:
         """Bytes after the last complete event."""
         return self._tail
 
@@ -53,19 +53,21 @@
 
     def restart(self) -> None:
         """Expect the stream of another attempt, which resumes after ``last_event_id``."""
-        self._tail = b""
+        self._tail = bytearray()
         self._resumed = True
         self.has_gap = False
 
     def feed(self, data: bytes) -> bytes:
         """Buffer bytes of the stream and return the complete events that the caller lacks."""
-        buffer = self._tail + data if self._tail else data
-        end = buffer.rfind(SEPARATOR)
+        # The tail has no separator, but may end inside one.
+        searched_bytes = max(0, len(self._tail) - 1)
+        self._tail += data
+        end = self._tail.rfind(SEPARATOR, searched_bytes)
         self.progressed = False
         if end < 0:
-            self._tail = buffer
             return b""
-        complete, self._tail = buffer[: end + 2], buffer[end + 2 :]
+        complete = bytes(self._tail[: end + 2])
+        del self._tail[: end + 2]
         if self._resumed:
             complete = b"".join(self._drop_delivered(complete))
         else:
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -31,11 +31,6 @@
 
 MAX_RESPONSE_BYTES = 16 << 20
 """Maximum size of a response that is buffered in memory."""
-MAX_BUFFERED_BYTES = 32 << 20
-"""Maximum size of all responses that are buffered at the same time: a sixth of the memory of the
-smallest hosts."""
-MAX_SMALL_RESPONSE_BYTES = 256 << 10
-"""Size up to which a response is buffered even if others have used up `MAX_BUFFERED_BYTES`."""
 REFUSAL_BODY_TIMEOUT_S = 0.05
 """Maximum time for the body of a refusal, which is read only to reuse the connection."""
 MAX_REFUSAL_BYTES = 64 << 10
@@ -71,7 +66,6 @@
         self._wire = wire
         self._recorder = ReplyRecorder(rate_limits=rate_limits, stats=stats, clock=clock)
         self._clock = clock
-        self._buffered_bytes = 0
 
     async def relay(
         self,
@@ -131,23 +125,16 @@
         return _AcceptedHead(head, reply)
 
     async def _read_body(self, attempt: Attempt) -> bytes | None:
-        """Read the whole body, unless it or all bodies that are being read become too large."""
-        counted_bytes = 0
+        """Read the whole body, unless it or all responses that are being read become too large."""
 
-        def count(size: int) -> None:
-            nonlocal counted_bytes
-            self._buffered_bytes += size - counted_bytes
-            counted_bytes = size
+        def record_progress(size: int) -> None:
             now = self._clock()
             attempt.record_data(now=now)
             attempt.record_buffered(size, now=now)
-            if self._buffered_bytes > MAX_BUFFERED_BYTES and size > MAX_SMALL_RESPONSE_BYTES:
-                attempt.exchange.abort()
 
-        try:
-            return await attempt.exchange.read_all(limit=MAX_RESPONSE_BYTES, on_progress=count)
-        finally:
-            self._buffered_bytes -= counted_bytes
+        return await attempt.exchange.read_all(
+            limit=MAX_RESPONSE_BYTES, on_progress=record_progress
+        )
 
     async def _relay_stream(
         self,
@@ -180,9 +167,8 @@
             if complete and data:
                 attempt.record_event(now=self._clock())
             if complete:
-                attempt.blocked_on_caller = True
-                await out.write(complete)
-                attempt.blocked_on_caller = False
+                await self._write(attempt, complete, out)
+            attempt.exchange.hold(len(events.tail))
             if events.has_gap:
                 return BrokenResponse("events_missing")
             if len(events.tail) > MAX_EVENT_BYTES:
@@ -193,8 +179,20 @@
                 out.end()
                 return DeliveredResponse(status)
 
+    async def _write(self, attempt: Attempt, data: bytes, out: ResponseWriter) -> None:
+        """Write events; what a slow caller does not read is held in its connection."""
+        exchange = attempt.exchange
+        attempt.blocked_on_caller = True
+        exchange.hold(len(data))
+        exchange.on_dropped = out.abort
+        await out.write(data)
+        exchange.on_dropped = lambda: None
+        attempt.blocked_on_caller = False
+
 
 def _broken(attempt: Attempt, cause: str) -> BrokenResponse:
+    if attempt.exchange.dropped:
+        return BrokenResponse("buffers_full")
     return BrokenResponse(cause if attempt.stall is None else "gave_up_silent")
 
 
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornellead_core.buffers import BufferBudget
 
 READ_BUFFER_BYTES = 64 << 10
 _read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
@@ -28,6 +29,9 @@
 MAX_OVERHEAD_BYTES = 64 << 10
 """Maximum number of bytes without a complete head or body data: long headers, interim responses,
 chunk extensions or trailers. The parser stores a header until its end."""
+MAX_HEADER_FIELDS = 256
+"""Maximum number of header and trailer fields of a response: each takes some hundred bytes, however
+short it is."""
 MAX_DISCARDED_BYTES = 1 << 20
 """Maximum size of late responses to earlier requests that are skipped."""
 MAX_UNSUCCESSFUL_IDS = 32
@@ -50,13 +54,19 @@
     """Sends one request at a time and passes the parsed response on to an `Exchange`.
 
     :param release: Called when a response is complete and the connection can be reused.
+    :param budget: Bounds what all responses hold together.
     """
 
     def __init__(
-        self, *, loop: asyncio.AbstractEventLoop, release: Callable[[Connection], None]
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        release: Callable[[Connection], None],
+        budget: BufferBudget | None = None,
     ) -> None:
         self._loop = loop
         self._release = release
+        self._budget = budget
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._exchange: Exchange | None = None
@@ -65,6 +75,7 @@
         self._expected_header: EchoedHeader | None = None
         self._discarding = False
         self._overhead_bytes = 0
+        self._largest_head_bytes = 0
         self._discarded_bytes = 0
         self._ends_at_eof = False
         self._head_only = False
@@ -87,12 +98,20 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
-    def send(self, head: bytes, body: bytes, *, expect: EchoedHeader | None = None) -> Exchange:
+    def send(
+        self,
+        head: bytes,
+        body: bytes,
+        *,
+        expect: EchoedHeader | None = None,
+        essential: bool = False,
+    ) -> Exchange:
         """Send a request.
 
         :param head: Request line and headers, including the empty line at the end.
         :param expect: Responses in which this header has another value are discarded. On a reused
             connection, so are responses without it, since they may belong to an earlier request.
+        :param essential: Whether the response is kept even if all responses hold too much.
         """
         assert self._transport is not None and self._exchange is None
         # With a new parser for each response, no state of an earlier response can leak into it.
@@ -102,10 +121,16 @@
         self._expected_header = expect
         self._discarding = False
         self._overhead_bytes = 0
+        self._largest_head_bytes = 0
         self._discarded_bytes = 0
         self._ends_at_eof = False
         self._head_only = head.startswith(b"HEAD ")
-        self._exchange = Exchange(loop=self._loop, abort=self.close, resume_reading=self._resume)
+        self._exchange = Exchange(
+            loop=self._loop,
+            abort=self.close,
+            resume_reading=self._resume,
+            budget=None if essential else self._budget,
+        )
         self._transport.write(head + body)
         return self._exchange
 
@@ -154,6 +179,9 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES or self._discarded_bytes > MAX_DISCARDED_BYTES:
             self._fail()
             return
+        if self._overhead_bytes > self._largest_head_bytes:
+            self._largest_head_bytes = self._overhead_bytes
+            exchange.receive_head_bytes(self._largest_head_bytes)
         if exchange.pending_bytes > HIGH_WATER_BYTES and not self._paused and not self.closed:
             self._paused = True
             assert self._transport is not None
@@ -180,7 +208,12 @@
             self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header.
+
+        :raises ValueError: There are too many; the parser reports that as an error of its own.
+        """
+        if len(self._raw_headers) >= MAX_HEADER_FIELDS:
+            raise ValueError("too many header fields")
         # The parser strips white space in front of a value only (RFC 9112, section 5.1).
         value = value.rstrip(b" \t")
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from cornellead.upstream._connection import Connection
+from cornellead_core.buffers import BufferBudget
 
 if TYPE_CHECKING:
     from cornellead.upstream._connection import EchoedHeader
@@ -37,13 +38,19 @@
     """Opens connections and keeps idle ones for reuse, by address ``ip:port``.
 
     :param connect_timeout_s: Maximum time for opening a connection.
+    :param budget: Bounds what all responses hold together.
     """
 
     def __init__(
-        self, *, loop: asyncio.AbstractEventLoop, connect_timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        budget: BufferBudget | None = None,
     ) -> None:
         self._loop = loop
         self._connect_timeout_s = connect_timeout_s
+        self.budget = BufferBudget() if budget is None else budget
         self._idle: dict[str, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -58,6 +65,7 @@
         reserved: Connection | None = None,
         max_idle_s: float = IDLE_TIMEOUT_S,
         expect: EchoedHeader | None = None,
+        essential: bool = False,
     ) -> Result[Exchange, ConnectError]:
         """Send a request on an idle connection, or on a new one if there is none.
 
@@ -70,15 +78,16 @@
         :param expect: Header that distinguishes the response from late responses to earlier
             requests on the connection. A connection on which a request with the same value was
             unsuccessful is not reused for it.
+        :param essential: Whether the response is kept even if all responses hold too much.
         """
         if reserved is not None and not reserved.closed:
-            return Success(reserved.send(head, body, expect=expect))
+            return Success(reserved.send(head, body, expect=expect, essential=essential))
         conn = None if fresh else self._pop_idle(address, max_idle_s, expect)
         if conn is not None:
             self.reused += 1
-            return Success(conn.send(head, body, expect=expect))
+            return Success(conn.send(head, body, expect=expect, essential=essential))
         opened = await self._open(address)
-        return opened.map(lambda conn: conn.send(head, body, expect=expect))
+        return opened.map(lambda conn: conn.send(head, body, expect=expect, essential=essential))
 
     async def reserve(self, address: str) -> Result[Connection, ConnectError]:
         """Open a connection for one request; the holder passes it to `send` or releases it."""
@@ -126,7 +135,9 @@
             async with asyncio.timeout(self._connect_timeout_s):
                 _, conn = await self._loop.create_connection(
                     lambda: Connection(
-                        loop=self._loop, release=lambda conn: self._add_idle(address, conn)
+                        loop=self._loop,
+                        release=lambda conn: self._add_idle(address, conn),
+                        budget=self.budget,
                     ),
                     host,
                     int(port),
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -10,8 +10,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from cornellead_core.buffers import BufferBudget
+
 HIGH_WATER_BYTES = 64 << 10
 """Number of unread response bytes above which the connection stops reading from its socket."""
+MAX_CHUNKS = 64
+"""Number of unread pieces of a body that are kept apart: an object takes more than a short one."""
 
 
 class ResponseHead(NamedTuple):
@@ -29,6 +33,8 @@
 
     :param abort: Closes the connection.
     :param resume_reading: Makes the connection read again after it paused for back-pressure.
+    :param budget: Bounds what all responses hold together; ``None`` for a response that others must
+        not end.
     """
 
     def __init__(
@@ -37,10 +43,14 @@
         loop: asyncio.AbstractEventLoop,
         abort: Callable[[], None],
         resume_reading: Callable[[], None],
+        budget: BufferBudget | None = None,
     ) -> None:
         self._loop = loop
         self._abort = abort
         self._resume_reading = resume_reading
+        self._budget = budget
+        self._head_bytes = 0
+        self._held_bytes = 0
         self._head: ResponseHead | None = None
         self.has_unread_head = False
         """Whether status and headers arrived that `head` has not returned yet."""
@@ -50,6 +60,10 @@
         self.pending_bytes = 0
         self.complete = False
         self.broken = False
+        self.dropped = False
+        """Whether the response was given up because all of them held too much."""
+        self.on_dropped: Callable[[], None] = lambda: None
+        """Called when `dropped` becomes true."""
         self.sent_at = loop.time()
         self.first_byte_at: float | None = None
         """Event loop time, in seconds, at which the first body bytes arrived."""
@@ -111,6 +125,7 @@
         if self.pending_bytes > HIGH_WATER_BYTES:
             self._resume_reading()
         self.pending_bytes = 0
+        self._record_size()
         return data
 
     def set_sink(self, sink: Callable[[bytes], bool]) -> None:
@@ -145,29 +160,55 @@
         :param on_progress: Called with the size so far whenever bytes arrive.
         :returns: ``None`` if the body is incomplete or too long.
         """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            data = await self.read()
-            if data is None:
-                return None
-            if not data:
-                return b"".join(parts)
-            size += len(data)
-            if size > limit:
-                self.abort()
-                return None
-            parts.append(data)
-            if on_progress is not None:
-                on_progress(size)
+        body = bytearray()
+        try:
+            while True:
+                data = await self.read()
+                if data is None:
+                    return None
+                if not data:
+                    return bytes(body)
+                if len(body) + len(data) > limit:
+                    self.abort()
+                    return None
+                body += data
+                self.hold(len(body))
+                if on_progress is not None:
+                    on_progress(len(body))
+        finally:
+            self.hold(0)
+
+    def hold(self, size: int) -> None:
+        """Count bytes that the reader has read and keeps, such as an incomplete event."""
+        self._held_bytes = size
+        self._record_size()
+
+    def drop_buffer(self) -> None:
+        """Give the response up, since all of them hold too much; called by the budget."""
+        self.dropped = True
+        if self.complete:
+            # Its connection may carry another request by now.
+            self.complete = False
+            self.broken = True
+            self._release_buffer()
+            self.wake()
+        else:
+            self.abort()
+        self.on_dropped()
 
     def abort(self) -> None:
         """Close the connection and mark the response as broken, unless it is complete."""
         if not self.complete:
             self.broken = True
             self._abort()
+            self._release_buffer()
             self.wake()
 
+    def receive_head_bytes(self, size: int) -> None:
+        """Count the bytes of a head or trailer; called by the connection."""
+        self._head_bytes = size
+        self._record_size()
+
     def receive_head(self, head: ResponseHead) -> None:
         """Store status and headers; called by the connection."""
         self._head = head
@@ -181,7 +222,10 @@
         if self._sink is not None and not self._chunks and self._sink(data):
             return
         self._chunks.append(data)
+        if len(self._chunks) > MAX_CHUNKS:
+            self._chunks = [b"".join(self._chunks)]
         self.pending_bytes += len(data)
+        self._record_size()
         self.wake()
 
     def finish(self, *, complete: bool) -> None:
@@ -195,6 +239,16 @@
         self.broken = not complete
         self.wake()
 
+    def _release_buffer(self) -> None:
+        self._chunks = []
+        self.pending_bytes = 0
+        self._head_bytes = 0
+        self.hold(0)
+
+    def _record_size(self) -> None:
+        if self._budget is not None:
+            self._budget.record(self, self._head_bytes + self.pending_bytes + self._held_bytes)
+
     async def _wait(self) -> None:
         self._waiter = self._loop.create_future()
         try:
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -67,7 +67,7 @@
 
         try:
             async with asyncio.timeout(timeout_s) as deadline:
-                sent = await self._pool.send(address, head, body)
+                sent = await self._pool.send(address, head, body, essential=True)
                 if isinstance(sent, Failure):
                     return Failure(sent.failure().message)
                 exchange = sent.unwrap()
