Bound what agents and routers of the own interface hold

The router's stream filter held up to 1 MB a stream.

A response has 256 header fields at most. Long events are not copied and searched again with each piece.

Result: 199 events of 60 KB out of order overflow now (they did not before); eight endless answers at once stay below 64 MB in test_endless_responses.py (that test uses a method that is new).

--- a/packages/agent/src/cornellead_agent/api/_chat_relay.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -12,6 +12,7 @@
 from cornellead_agent.api._responses import send_error
 from cornellead_agent.api._responses import send_response
 from cornellead_agent.facts import MOVE_STREAMS
+from cornellead_agent.relay import MAX_RESPONSE_BYTES
 from cornellead_agent.relay import EventAssembler
 from cornellead_core import headers
 from cornellead_core.outcomes import Outcome
@@ -108,21 +109,17 @@
             return True
         conn = self._conn = opened.unwrap()
         head = await conn.read_head()
-        body = bytearray()
-        while head is not None and not conn.complete:
-            data = await conn.read()
-            if not data and not conn.complete:
-                break
-            body += data
+        body = await conn.read_all(limit=MAX_RESPONSE_BYTES)
         if self._disconnected:
             return False
-        if head is None or not conn.complete:
-            await self._send_failure(send, "the engine's answer ended early", sent=True)
+        if head is None or body is None:
+            message = "the engine's answer ended early, or is too large"
+            await self._send_failure(send, message, sent=True)
             return False
         if head.status != 200:
-            await self._send_engine_error(send, head.status, bytes(body))
+            await self._send_engine_error(send, head.status, body)
             return True
-        cached = self._counters.count_usage(bytes(body))
+        cached = self._counters.count_usage(body)
         if cached is None:
             await self._send_failure(send, "the engine's answer is malformed", sent=True)
             return True
@@ -132,7 +129,7 @@
             ("content-type", "application/json"),
             (headers.CACHED, str(cached)),
         ]
-        await send_response(send, 200, fields, bytes(body))
+        await send_response(send, 200, fields, body)
         return True
 
     async def _relay_stream(self, send: Any) -> bool:
@@ -165,6 +162,7 @@
             if self._disconnected:
                 return False
             events = assembler.feed(data) if data else b""
+            self._conn.hold(assembler.buffered_bytes)
             if self._conn.complete:
                 assembler.end_response()
             if events:
--- a/packages/agent/src/cornellead_agent/relay/__init__.py
+++ b/packages/agent/src/cornellead_agent/relay/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cornellead_agent.relay._active_connections import ActiveConnections
+from cornellead_agent.relay._engine_client import MAX_RESPONSE_BYTES
 from cornellead_agent.relay._engine_client import CompleteResponse
 from cornellead_agent.relay._engine_client import EngineClient
 from cornellead_agent.relay._engine_client import EngineRequestError
@@ -13,6 +14,7 @@
 from cornellead_agent.relay._upstream import Upstream
 
 __all__ = [
+    "MAX_RESPONSE_BYTES",
     "ActiveConnections",
     "ChatRequest",
     "CompleteResponse",
--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from cornellead_agent.relay._engine_connection import EngineConnection
+from cornellead_core.buffers import BufferBudget
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -47,9 +48,11 @@
     only periodic reads share connections; other requests have one each.
 
     :param url: Base URL with a numeric address, such as ``http://127.0.0.1:8000``.
+    :param budget: Bounds what all responses hold together, those of periodic reads excepted.
     """
 
-    def __init__(self, *, url: str) -> None:
+    def __init__(self, *, url: str, budget: BufferBudget | None = None) -> None:
+        self._budget = BufferBudget() if budget is None else budget
         parts = urlsplit(url)
         self._host = parts.hostname or "127.0.0.1"
         self._port = parts.port or 80
@@ -77,7 +80,9 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, conn = await asyncio.get_running_loop().create_connection(
-                        EngineConnection, self._host, self._port
+                        lambda: EngineConnection(budget=None if shared else self._budget),
+                        self._host,
+                        self._port,
                     )
             except (OSError, TimeoutError) as exc:
                 return Failure(
@@ -136,23 +141,12 @@
         self, conn: EngineConnection
     ) -> Result[CompleteResponse, EngineRequestError]:
         head = await conn.read_head()
-        parts: list[bytes] = []
-        size = 0
-        while not conn.complete:
-            data = await conn.read()
-            if not data and not conn.complete:
-                break
-            size += len(data)
-            if size > MAX_RESPONSE_BYTES:
-                return Failure(EngineRequestError("the response is too large", sent=True))
-            parts.append(data)
-        if head is None or not conn.complete:
+        body = await conn.read_all(limit=MAX_RESPONSE_BYTES)
+        if head is None or body is None:
             return Failure(
-                EngineRequestError(
-                    "the server closed the connection before the end of the response", sent=True
-                )
+                EngineRequestError("the response ended early, or is too large", sent=True)
             )
-        return Success(CompleteResponse(head.status, head.headers, b"".join(parts)))
+        return Success(CompleteResponse(head.status, head.headers, body))
 
     def _pop_idle_connection(self) -> EngineConnection | None:
         while self._idle_connections:
--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import httptools
 
+if TYPE_CHECKING:
+    from cornellead_core.buffers import BufferBudget
+
 HIGH_WATER_BYTES = 256 * 1024
 """Unread response bytes above which reading from the socket is paused."""
 LOW_WATER_BYTES = 64 * 1024
@@ -14,6 +18,12 @@
 """Maximum number of bytes without a complete head or body data; the parser stores a header until
 its end."""
 
+MAX_HEADER_FIELDS = 256
+"""Maximum number of header and trailer fields of a response: each takes some hundred bytes, however
+short it is."""
+MAX_PARTS = 64
+"""Number of unread pieces of a body that are kept apart: an object takes more than a short one."""
+
 FIRST_FINAL_STATUS = 200
 NO_CONTENT = 204
 NOT_MODIFIED = 304
@@ -31,9 +41,15 @@
 
     An `asyncio.Protocol` with the `httptools` parser instead of `httpx`, which needs 3 ms of CPU
     for a stream of 50 chunks. The ``on_`` methods are callbacks of the parser.
+
+    :param budget: Bounds what all responses hold together; ``None`` for one that others must not
+        end.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, budget: BufferBudget | None = None) -> None:
+        self._budget = budget
+        self._held_bytes = 0
+        self._field_count = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
@@ -81,6 +97,7 @@
         ):
             self._transport.pause_reading()
             self._paused = True
+        self._record_size()
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -90,13 +107,20 @@
         return False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a response header."""
+        """Collect a response header.
+
+        :raises ValueError: There are too many; the parser reports that as an error of its own.
+        """
+        self._field_count += 1
+        if self._field_count > MAX_HEADER_FIELDS:
+            raise ValueError("too many header fields")
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Store status and headers for `read_head`, except those of an interim response."""
         if self._parser.get_status_code() < FIRST_FINAL_STATUS:
             self._headers = {}
+            self._field_count = 0
             return
         self._overhead_bytes = 0
         status = self._parser.get_status_code()
@@ -111,6 +135,8 @@
         """Queue a part of the response body for `read`."""
         self._overhead_bytes = 0
         self._body_parts.append(body)
+        if len(self._body_parts) > MAX_PARTS:
+            self._body_parts = [b"".join(self._body_parts)]
         self._unread_bytes += len(body)
 
     def on_message_complete(self) -> None:
@@ -128,6 +154,7 @@
         self._body_parts.clear()
         self._unread_bytes = 0
         self._overhead_bytes = 0
+        self._field_count = 0
         self.sent = True
         self._transport.write(head + body)
 
@@ -155,8 +182,42 @@
         if self._paused and self._transport is not None:
             self._transport.resume_reading()
             self._paused = False
+        self._record_size()
         return data
 
+    async def read_all(self, *, limit: int) -> bytes | None:
+        """Read the whole body.
+
+        :param limit: Maximum size in bytes; a longer body closes the connection.
+        :returns: ``None`` if the body is incomplete or too long.
+        """
+        body = bytearray()
+        try:
+            while not self.complete:
+                data = await self.read()
+                if not data and not self.complete:
+                    return None
+                body += data
+                if len(body) > limit:
+                    self.abort()
+                    return None
+                self.hold(len(body))
+        finally:
+            self.hold(0)
+        return bytes(body)
+
+    def hold(self, size: int) -> None:
+        """Count bytes that the reader has read and keeps, such as an incomplete event."""
+        self._held_bytes = size
+        self._record_size()
+
+    def drop_buffer(self) -> None:
+        """Give the response up, since all of them hold too much; called by the budget."""
+        self._body_parts.clear()
+        self._unread_bytes = 0
+        self._complete = False
+        self.abort()
+
     @property
     def complete(self) -> bool:
         """Whether the whole response was received and its body read."""
@@ -180,6 +241,11 @@
             self._transport.abort()
         self._wake_reader()
 
+    def _record_size(self) -> None:
+        if self._budget is not None:
+            size = self._overhead_bytes + self._unread_bytes + self._held_bytes
+            self._budget.record(self, size)
+
     async def _wait_for_data(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/packages/agent/src/cornellead_agent/relay/_event_assembler.py
+++ b/packages/agent/src/cornellead_agent/relay/_event_assembler.py
@@ -8,8 +8,9 @@
 NULL_USAGE = (b'"usage":null', b'"usage": null')
 MAX_BUFFERED_EVENTS = 256
 """Events buffered behind a missing one; above this number the stream is resumed instead."""
-MAX_EVENT_BYTES = 1 << 20
-"""Size of an incomplete event above which the stream is resumed instead."""
+MAX_BUFFERED_BYTES = 1 << 20
+"""Size of an incomplete event, or of all events behind a missing one, above which the stream is
+resumed instead."""
 
 
 class EventAssembler:
@@ -34,8 +35,9 @@
         """Whether the final marker and all events before it were delivered."""
         self.usage_event = b""
         """The event with the token usage, empty until it was received."""
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self._out_of_order: dict[int, bytes] = {}
+        self._out_of_order_bytes = 0
         self._done_received = False
         self._event_count = 0
 
@@ -53,13 +55,20 @@
         """Whether too many events, or too long an incomplete one, are buffered."""
         return (
             len(self._out_of_order) > MAX_BUFFERED_EVENTS
-            or len(self._partial_event) > MAX_EVENT_BYTES
+            or self._out_of_order_bytes > MAX_BUFFERED_BYTES
+            or len(self._partial_event) > MAX_BUFFERED_BYTES
         )
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete event and of those behind a missing one."""
+        return len(self._partial_event) + self._out_of_order_bytes
+
     def reset(self) -> None:
         """Discard partial and buffered input before the stream is resumed on a new connection."""
-        self._partial_event = b""
+        self._partial_event = bytearray()
         self._out_of_order.clear()
+        self._out_of_order_bytes = 0
         self._done_received = False
         self._event_count = 0
 
@@ -74,14 +83,16 @@
 
     def feed(self, data: bytes) -> bytes:
         """Parse bytes from the engine and return the events that are next in order."""
-        buffer = self._partial_event + data if self._partial_event else data
-        end = buffer.rfind(SEPARATOR)
+        # The partial event has no separator, but may end inside one.
+        searched_bytes = max(0, len(self._partial_event) - 1)
+        self._partial_event += data
+        end = self._partial_event.rfind(SEPARATOR, searched_bytes)
         if end < 0:
-            self._partial_event = buffer
             return b""
-        self._partial_event = buffer[end + 2 :]
+        events = bytes(self._partial_event[:end])
+        del self._partial_event[: end + 2]
         ready: list[bytes] = []
-        for event in buffer[:end].split(SEPARATOR):
+        for event in events.split(SEPARATOR):
             self._process_event(event, ready)
         if self._done_received:
             self._complete_if_done(ready)
@@ -102,12 +113,14 @@
             return
         if event_id != self.delivered + 1:
             self._out_of_order[event_id] = event
+            self._out_of_order_bytes += len(event)
             return
         self._deliver(event, ready)
         while (
             self._out_of_order
             and (next_event := self._out_of_order.pop(self.delivered + 1, None)) is not None
         ):
+            self._out_of_order_bytes -= len(next_event)
             self._deliver(next_event, ready)
 
     def _deliver(self, event: bytes, ready: list[bytes]) -> None:
--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -13,6 +13,7 @@
 from returns.result import Success
 
 from cornellead_agent.services._service_response import ServiceResponse
+from cornellead_core.buffers import BufferBudget
 
 if TYPE_CHECKING:
     from cornellead_agent.services._service_request import ServiceRequest
@@ -29,7 +30,7 @@
     LOST = "lost"
     """The call was sent at least in part, and no complete response arrived."""
     TOO_LARGE = "too_large"
-    """The response body exceeds `MAX_RESPONSE_BYTES`."""
+    """The response body exceeds `MAX_RESPONSE_BYTES`, or all responses hold too much."""
 
 
 class ServerClient:
@@ -37,11 +38,15 @@
 
     :param client: HTTP client, which the caller closes.
     :param url: Base URL of the service.
+    :param budget: Bounds what all responses hold together.
     """
 
-    def __init__(self, *, client: httpx.AsyncClient, url: str) -> None:
+    def __init__(
+        self, *, client: httpx.AsyncClient, url: str, budget: BufferBudget | None = None
+    ) -> None:
         self._client = client
         self._url = url.rstrip("/")
+        self._budget = BufferBudget() if budget is None else budget
 
     async def send(
         self, request: ServiceRequest, *, timeout_s: float
@@ -69,18 +74,35 @@
                     "POST", url, content=request.body, headers=fields, timeout=timeout
                 ) as resp,
             ):
-                return await _read_response(resp)
+                return await _read_response(resp, self._budget)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return Failure(SendError.NOT_SENT)
         except (httpx.HTTPError, httpx.InvalidURL, TimeoutError):
             return Failure(SendError.LOST)
 
 
-async def _read_response(resp: httpx.Response) -> Result[ServiceResponse, SendError]:
-    body = bytearray()
+class _Body:
+    """Body of a response that is being read."""
+
+    def __init__(self) -> None:
+        self.data = bytearray()
+        self.dropped = False
+
+    def drop_buffer(self) -> None:
+        """Give the response up; called by the budget."""
+        self.data.clear()
+        self.dropped = True
+
+
+async def _read_response(
+    resp: httpx.Response, budget: BufferBudget
+) -> Result[ServiceResponse, SendError]:
+    body = _Body()
     async for chunk in resp.aiter_bytes():
-        body += chunk
-        if len(body) > MAX_RESPONSE_BYTES:
+        body.data += chunk
+        budget.record(body, len(body.data))
+        if body.dropped or len(body.data) > MAX_RESPONSE_BYTES:
             return Failure(SendError.TOO_LARGE)
     content_type = resp.headers.get("content-type", "application/octet-stream")
-    return Success(ServiceResponse(resp.status_code, [("content-type", content_type)], bytes(body)))
+    content = bytes(body.data)
+    return Success(ServiceResponse(resp.status_code, [("content-type", content_type)], content))
--- a/packages/router/src/cornellead/relay/_event_stream_filter.py
+++ b/packages/router/src/cornellead/relay/_event_stream_filter.py
@@ -27,7 +27,7 @@
 
     def __init__(self, *, request_id: str) -> None:
         self._request_id = request_id.encode()
-        self._buffer = b""
+        self._buffer = bytearray()
         self._done_event = b""
         self._next_event_prefix = b"id: 1\n"
         self.delivered = 0
@@ -41,7 +41,7 @@
 
     def restart(self) -> None:
         """Discard incomplete data of the previous response before a resumed stream is read."""
-        self._buffer = b""
+        self._buffer = bytearray()
         self._done_event = b""
         self.moved = False
         self.fault = ""
@@ -61,26 +61,33 @@
             return data
         return self._split_events(data)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete event that was received so far."""
+        return len(self._buffer)
+
     @property
     def stopped(self) -> bool:
         """Whether the rest of this response is ignored."""
         return self.ended or self.moved or bool(self.fault)
 
     def _split_events(self, data: bytes) -> bytes:
+        # The buffer has no boundary, but may end inside one.
+        searched_bytes = max(0, len(self._buffer) - 1)
         self._buffer += data
         out: list[bytes] = []
         start = 0
         while not self.stopped:
-            end = self._buffer.find(EVENT_BOUNDARY, start)
+            end = self._buffer.find(EVENT_BOUNDARY, max(start, searched_bytes))
             if end < 0:
                 break
-            event = self._buffer[start : end + 2]
+            event = bytes(self._buffer[start : end + 2])
             start = end + 2
             if event.startswith(b":"):
                 self._handle_comment(event, out)
             else:
                 self._handle_event(event, out)
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
         if len(self._buffer) > MAX_EVENT_BYTES:
             self.fault = f"event {self.delivered + 1} is longer than {MAX_EVENT_BYTES} bytes"
         return b"".join(out)
--- a/packages/router/src/cornellead/relay/_stream_relay.py
+++ b/packages/router/src/cornellead/relay/_stream_relay.py
@@ -45,6 +45,7 @@
             await self._forward(exchange)
         finally:
             exchange.clear_sink()
+            exchange.hold(0)
             self._exchange = None
 
     async def _forward(self, exchange: Exchange) -> None:
@@ -77,6 +78,8 @@
         if stream_filter.stopped or not data:
             return True
         out = stream_filter.feed(data)
+        if self._exchange is not None:
+            self._exchange.hold(stream_filter.buffered_bytes)
         if stream_filter.stopped:
             self._final_bytes = out
             self._wake()
--- a/tests/agent/relay/test_endless_responses.py
+++ b/tests/agent/relay/test_endless_responses.py
@@ -13,6 +13,7 @@
 
 from cornellead_agent.relay import EngineClient
 from cornellead_agent.relay import EventAssembler
+from cornellead_agent.relay._event_assembler import MAX_BUFFERED_BYTES
 
 TIMEOUT_S = 2.0
 MAX_MEMORY_BYTES = 64 << 20
@@ -61,3 +62,60 @@
         assembler.feed(BLOCK)
         blocks += 1
     assert blocks < 100
+
+
+def test_events_behind_a_missing_one_overflow_by_their_size() -> None:
+    """Guards against one stream that holds hundreds of long events out of order (issue 35)."""
+    assembler = EventAssembler(delivered=0)
+    for number in range(2, 200):
+        assembler.feed(b"id: %d\ndata: %b\n\n" % (number, BLOCK))
+        if assembler.overflowed:
+            break
+    assert assembler.overflowed and assembler.buffered_bytes < 2 * MAX_BUFFERED_BYTES
+    assembler.reset()
+    assert assembler.buffered_bytes == 0 and not assembler.overflowed
+
+
+@pytest.mark.parametrize("step", [1, 7, 60_000])
+def test_counted_bytes_are_those_that_are_held(step: int) -> None:
+    """Guards against a count that drifts from what the stream holds."""
+    assembler = EventAssembler(delivered=0)
+    order = [3, 2, 5, 1, 4, 7, 6]
+    data = b"".join(b"id: %d\ndata: %d\n\n" % (number, number) for number in order)
+    out = b"".join(assembler.feed(data[at : at + step]) for at in range(0, len(data), step))
+    assert out == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 8))
+    assert assembler.buffered_bytes == 0
+
+
+ENDLESS_IN_CHAT = {
+    "whole body": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", CHUNK),
+    "short header lines": (b"HTTP/1.1 200 OK\r\n", b"a:b\r\n" * 10_000),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS_IN_CHAT)
+async def test_endless_answer_to_a_chat_ends_early(kind: str) -> None:
+    """Guards against an agent that keeps all bytes of an answer which is not streamed."""
+    first, repeated = ENDLESS_IN_CHAT[kind]
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.send(first)
+        while not exchange.disconnected.is_set():
+            await exchange.send(repeated)
+            await asyncio.sleep(0)
+
+    server = ScriptedServer(script)
+    await server.start()
+    client = EngineClient(url=f"http://{server.address}")
+    tracemalloc.start()
+    try:
+        async with asyncio.timeout(10.0):
+            opened = [await client.open("POST", "/v1/chat/completions") for _ in range(8)]
+            conns = [result.unwrap() for result in opened]
+            bodies = await asyncio.gather(*(conn.read_all(limit=16 << 20) for conn in conns))
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+        server.stop()
+    assert bodies == [None] * 8
+    assert peak_bytes < MAX_MEMORY_BYTES
