--- a/packages/agent/src/cornellead_agent/relay/_event_assembler.py
+++ b/packages/agent/src/cornellead_agent/relay/_event_assembler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.decoding import decode_count
+
 SEPARATOR = b"\n\n"
 DONE_LINE = b"data: [DONE]"
 USAGE_KEY = b'"usage"'
@@ -150,4 +152,4 @@
         return None, 0
     end = event.find(b"\n")
     digits = event[4 : end if end >= 0 else len(event)]
-    return (int(digits) if digits.isdigit() else None), (end + 1 if end >= 0 else len(event))
+    return decode_count(digits), (end + 1 if end >= 0 else len(event))
--- a/packages/core/src/cornellead_core/decoding/__init__.py
+++ b/packages/core/src/cornellead_core/decoding/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.decoding._count import MAX_DIGITS
+from cornellead_core.decoding._count import decode_count
 from cornellead_core.decoding._errors import UNREADABLE
 
-__all__ = ["UNREADABLE"]
+__all__ = ["MAX_DIGITS", "UNREADABLE", "decode_count"]
--- a/packages/router/src/cornellead/dispatch/_agent_client.py
+++ b/packages/router/src/cornellead/dispatch/_agent_client.py
@@ -15,6 +15,7 @@
 from cornellead.dispatch._attempt_result import AttemptResult
 from cornellead_core import headers as header_names
 from cornellead_core.config import Priority
+from cornellead_core.decoding import decode_count
 from cornellead_core.facts import CONFIG
 from cornellead_core.load import decode_digest
 from cornellead_core.load import encode_digest
@@ -164,8 +165,8 @@
             digest = decode_digest(load)
             if not isinstance(digest, Failure):
                 self._view.merge(digest.unwrap(), now=now)
-        offset = response_head.headers.get(header_names.CONFIG, "")
-        if offset.isdecimal() and int(offset) > self._board.read(CONFIG).offset:
+        offset = decode_count(response_head.headers.get(header_names.CONFIG, "").encode())
+        if offset is not None and offset > self._board.read(CONFIG).offset:
             self._on_newer_config(host.control)
 
 
--- a/packages/router/src/cornellead/relay/_event_stream_filter.py
+++ b/packages/router/src/cornellead/relay/_event_stream_filter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cornellead_core.decoding import decode_count
+
 EVENT_BOUNDARY = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 ID_PREFIX = b"id: "
@@ -111,10 +113,10 @@
         words = comment[1:].split()
         if not words or words[0] not in (b"end", b"moved"):
             return
-        if len(words) != 3 or words[1] != self._request_id or not words[2].isdigit():
+        events = decode_count(words[2]) if len(words) == 3 else None
+        if events is None or words[1] != self._request_id:
             self.fault = "comment of another request"
             return
-        events = int(words[2])
         if words[0] == b"moved":
             self.moved = True
             return
@@ -132,6 +134,7 @@
 
 def _event_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
-        if line.startswith(ID_PREFIX) and line[4:].isdigit():
-            return int(line[4:])
+        number = decode_count(line[4:]) if line.startswith(ID_PREFIX) else None
+        if number is not None:
+            return number
     return None
--- a/tests/agent/relay/test_endless_responses.py
+++ b/tests/agent/relay/test_endless_responses.py
@@ -119,3 +119,10 @@
         server.stop()
     assert bodies == [None] * 8
     assert peak_bytes < MAX_MEMORY_BYTES
+
+
+def test_id_of_too_many_digits_is_no_number() -> None:
+    """Guards against an event id that raises out of the parser of an engine's stream (issue 35)."""
+    assembler = EventAssembler(delivered=0)
+    assert assembler.feed(b"id: " + b"1" * 5000 + b"\ndata: x\n\n") == b""
+    assert assembler.feed(b"id: 1\ndata: a\n\n") == b"id: 1\ndata: a\n\n"
--- a/tests/guarantees/test_g4_complete_answers.py
+++ b/tests/guarantees/test_g4_complete_answers.py
@@ -72,6 +72,14 @@
         assert end_count in (stream_filter.delivered, stream_filter.delivered + 1)
 
 
+@pytest.mark.parametrize("data", [b"id: %b\ndata: x\n\n", b": end mine %b\n\n"])
+def test_number_of_too_many_digits_is_a_fault_of_the_stream(data: bytes) -> None:
+    """Guards against digits of an agent that raise out of the parser of its stream (issue 35)."""
+    stream_filter = EventStreamFilter(request_id="mine")
+    assert stream_filter.feed(data % (b"1" * 5000)) == b""
+    assert stream_filter.fault and not stream_filter.ended
+
+
 def make_faulty_stream(fault: str, fault_at: int) -> Script:
     """Return a script that sends a stream with a fault at one of its parts.
 
