Pass no entry on that the store executed late

Cause: entries are relayed without their counts, and the log that routers relay from took the entry that came last for the newest.

Change: ChangeLog compares the counts of entries of the same start and passes no earlier one on.

--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -48,9 +48,17 @@
     notice: Notice
 
 
+class _Count(NamedTuple):
+    started_ms: int
+    sequence: int
+
+
 class ChangeLog:
     """Keeps the newest notice of each writer and discards renewals that change nothing.
 
+    The store may execute a write late, after a later one of the same server. Routers that read here
+    see no counts, so an entry with a lower count than one before is not passed on.
+
     Offsets are those of the store, so a client can continue at any other router.
 
     >>> log = ChangeLog()
@@ -64,6 +72,8 @@
 
     def __init__(self) -> None:
         self._changes: dict[str, _Change] = {}
+        self._counts: dict[str, _Count] = {}
+        """Count of the newest entry of each server, which is not passed on."""
         self._oldest_offset = 0
         self._next: Position | None = None
         self._confirmed_at = 0.0
@@ -83,10 +93,16 @@
         :param position: Position after the last notice.
         :param now: Seconds.
         """
-        self._changes = {}
+        previous, self._changes = self._changes, {}
         self._oldest_offset = position.offset
-        for notice in map(_without_sequence, notices):
-            self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
+        for notice in notices:
+            writer = _writer(notice)
+            if not self._is_late(notice):
+                self._changes[writer] = _Change(position.offset - 1, now, self._count(notice))
+            elif writer in previous and not _is_removal(previous[writer].notice):
+                self._changes[writer] = _Change(position.offset - 1, now, previous[writer].notice)
+        servers = {notice.server for notice in notices if isinstance(notice, ServerNotice)}
+        self._counts = {name: count for name, count in self._counts.items() if name in servers}
         self._record_confirmation(position, now=now)
 
     def add(
@@ -98,10 +114,13 @@
         :param now: Seconds.
         :param complete: Whether the store had no further notices.
         """
-        for notice in map(_without_sequence, notices):
+        for notice in notices:
+            if self._is_late(notice):
+                continue
+            counted = self._count(notice)
             previous = self._changes.get(_writer(notice))
-            if previous is None or previous.notice != notice:
-                self._changes[_writer(notice)] = _Change(position.offset - 1, now, notice)
+            if previous is None or previous.notice != counted:
+                self._changes[_writer(notice)] = _Change(position.offset - 1, now, counted)
         self._evict_removals(now)
         self._record_confirmation(position, now=now if complete else self._confirmed_at)
 
@@ -154,6 +173,26 @@
         except TimeoutError:
             return
 
+    def _is_late(self, notice: Notice) -> bool:
+        """Return whether a later entry of the same start of the server was recorded."""
+        if not isinstance(notice, ServerNotice) or notice.entry is None:
+            return False
+        known, entry = self._counts.get(notice.server), notice.entry
+        return (
+            known is not None
+            and known.started_ms == entry.started_ms
+            and (0 < entry.sequence < known.sequence)
+        )
+
+    def _count(self, notice: Notice) -> Notice:
+        """Record the count of an entry, and return the notice without it: each renewal differs."""
+        if not isinstance(notice, ServerNotice) or notice.entry is None:
+            return notice
+        entry = notice.entry
+        if entry.sequence and entry.started_ms > 0:
+            self._counts[notice.server] = _Count(entry.started_ms, entry.sequence)
+        return notice._replace(entry=entry._replace(sequence=0))
+
     def _record_confirmation(self, position: Position, *, now: float) -> None:
         advanced = (
             self._next is None
@@ -177,16 +216,10 @@
         ]
         for writer, offset in expired:
             del self._changes[writer]
+            self._counts.pop(writer, None)
             self._oldest_offset = max(self._oldest_offset, offset + 1)
 
 
-def _without_sequence(notice: Notice) -> Notice:
-    """Return a notice without the count that differs at each renewal of an entry."""
-    if isinstance(notice, ServerNotice) and notice.entry is not None:
-        return notice._replace(entry=notice.entry._replace(sequence=0))
-    return notice
-
-
 def _writer(notice: Notice) -> str:
     if isinstance(notice, ServerNotice):
         return notice.server
--- a/tests/router/gateway/relay/test_change_log.py
+++ b/tests/router/gateway/relay/test_change_log.py
@@ -83,6 +83,40 @@
     assert page is not None and page.notices == []
 
 
+def _counted(sequence: int, *, draining: bool = False, started_ms: int = 5) -> ServerNotice:
+    entry = make_entry("s1", draining=draining, sequence=sequence, started_ms=started_ms)
+    return ServerNotice("s1", entry, removed=False)
+
+
+@pytest.mark.parametrize("snapshot", [False, True])
+@pytest.mark.parametrize("removed", [False, True])
+def test_write_that_the_store_executes_late_is_not_passed_on(snapshot: bool, removed: bool) -> None:
+    """Guards against a draining server that is ready again at the routers which read here
+    (review/3)."""
+    log = ChangeLog()
+    log.replace([_counted(7)], Position(1), now=0.0)
+    log.add([_counted(9, draining=True)], Position(2), now=1.0)
+    if removed:
+        log.add([ServerNotice("s1", None, removed=True)], Position(3), now=2.0)
+    if snapshot:
+        log.replace([_counted(8)], Position(4), now=3.0)
+    else:
+        log.add([_counted(8)], Position(4), now=3.0)
+    page = log.read(None, now=3.5)
+    assert page is not None
+    expected = [] if removed else [_counted(0, draining=True)]
+    assert page.notices == expected
+
+
+def test_entry_of_a_restarted_server_is_passed_on() -> None:
+    """Guards against a server that stays out because its counts start anew."""
+    log = ChangeLog()
+    log.replace([_counted(9, draining=True)], Position(1), now=0.0)
+    log.add([_counted(1, started_ms=6)], Position(2), now=1.0)
+    page = log.read(Position(1), now=1.5)
+    assert page is not None and page.notices == [_counted(0, started_ms=6)]
+
+
 def test_age_grows_during_a_store_outage() -> None:
     """Guards against old notices that are relayed as current ones."""
     log = ChangeLog()
