Count an end inside an event as broken off by the server

Change: the attempt counts as broken by its server. A response that the router itself ended, since all responses held too much, does not.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -74,6 +74,8 @@
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
         self.answered = False
         """Whether the server began to answer the request and survived that."""
+        self.ended_inside_event = False
+        """Whether the connection ended inside an event, in a response that has no other end."""
         self.on_answered: Callable[[], None] = lambda: None
         """Called once when `answered` becomes true."""
         self.on_stalled: Callable[[], None] = lambda: None
@@ -134,7 +136,8 @@
     @property
     def broken_by_server(self) -> bool:
         """Whether the server broke off the connection before it had begun to answer."""
-        return self.exchange.broken and self.stall is None and not self.answered
+        broken = (self.exchange.broken and not self.exchange.dropped) or self.ended_inside_event
+        return broken and self.stall is None and not self.answered
 
     def close(self) -> None:
         """Remove the request from the server's in-flight requests, and close the connection if the
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -158,6 +158,7 @@
                     attempt.record_progress(buffered_bytes=len(events.tail), now=now)
                 attempt.record_buffered(len(events.tail), now=now)
             elif events.tail:
+                attempt.ended_inside_event = True
                 return BrokenResponse("ended_inside_event")
             else:
                 complete = b""
--- a/tests/router/gateway/forwarding/test_crashing_prompt.py
+++ b/tests/router/gateway/forwarding/test_crashing_prompt.py
@@ -26,6 +26,7 @@
     from tests.router.gateway.scripted_server import ScriptedExchange
 
     StartServer = Callable[[Script], Awaitable[ScriptedServer]]
+    Crash = Callable[[ScriptedExchange, ScriptedServer], Awaitable[None]]
 
 DEADLY = "dead"
 BETWEEN_REQUESTS_S = 0.3
@@ -58,15 +59,30 @@
     return f"X-Prompt-Prefix: {','.join(listed)}"
 
 
-async def make_server(start_server: StartServer, *, also_crash: str = "none") -> ScriptedServer:
+async def _crash_in_an_event(exchange: ScriptedExchange, server: ScriptedServer) -> None:
+    await exchange.begin_stream()
+    await exchange.send(b"6\r\nid: 1\n\r\n")
+    server.crash()
+
+
+async def _end_with_the_connection(exchange: ScriptedExchange, server: ScriptedServer) -> None:
+    head = exchange.stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+    await exchange.send(head + b"id: 1\nda")
+    await asyncio.sleep(0.01)
+    server.stop()
+    exchange.writer.close()
+
+
+async def make_server(
+    start_server: StartServer, *, also_crash: str = "none", crash: Crash = _crash_in_an_event
+) -> ScriptedServer:
     """Start a server that crashes when it begins to answer a deadly part."""
 
     async def answer(exchange: ScriptedExchange) -> None:
-        await exchange.begin_stream()
         if DEADLY in exchange.header("x-prompt-prefix") or also_crash in exchange.head.decode():
-            await exchange.send(b"6\r\nid: 1\n\r\n")
-            server.crash()
+            await crash(exchange, server)
             return
+        await exchange.begin_stream()
         await exchange.send_events(1, 3)
         await exchange.end_stream()
 
@@ -123,6 +139,28 @@
     assert statuses[-3:] == [503, 503, 503]
 
 
+async def _count_servers_until_refusal(gateway: Gateway, servers: list[ScriptedServer]) -> int:
+    """Return the number of servers that got the deadly part before it is refused."""
+    gateway.configure(*servers, max_attempts=5)
+    for _ in range(2 * MAX_CRASHES):
+        assert (await call(gateway, "shared", "thing")).status == 200
+        response = await call(gateway, "shared", "thing", DEADLY)
+    assert response.status == 503
+    return Fleet([gateway], servers).crashes
+
+
+async def test_part_is_refused_if_answers_end_with_their_connection(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against crashes that leave no evidence, as the connection ends inside an event
+    (review/1)."""
+    servers = [
+        await make_server(start_server, crash=_end_with_the_connection)
+        for _ in range(3 * MAX_CRASHES)
+    ]
+    assert await _count_servers_until_refusal(gateway, servers) <= MAX_CRASHES
+
+
 async def test_refusal_of_a_crashing_part_says_when_to_return(fleet: Fleet) -> None:
     """Guards against callers that repeat at once what will be refused for minutes."""
     for _ in range(MAX_CRASHES):
