Let only time after the first event prove that a server survived

Cause: any event 0.5 s after the head counted as proof that the server survived the beginning of its answer, which dropped the evidence against the part. Servers may send the head as soon as they take a request.

Change: the time runs from the first event. Short answers still count when they are complete.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -25,8 +25,8 @@
 """Growth of an incomplete event or body that counts as progress."""
 
 ANSWER_PROOF_S = 0.5
-"""Time from the head to an event after which the answer counts as begun: a server that crashes on a
-request may have sent a first event."""
+"""Time from the first event to another one after which the answer counts as begun: a server that
+crashes on a request may have sent a first event, and the head long before."""
 
 _attempt_ids = count(1)
 
@@ -82,7 +82,9 @@
         """Called at each check while the server is stalled and the request may be repeated."""
         self.search: asyncio.Task[None] | None = None
         """Search for a server that takes the request if this one has stalled."""
-        self._head_at: float | None = None
+        self.has_head = False
+        """Whether the head of a successful response arrived."""
+        self._first_event_at: float | None = None
         self._attempt_id = next(_attempt_ids)
         self._first_byte_timeout_s = first_byte_timeout_s
         self._can_fail_over = can_fail_over
@@ -113,13 +115,11 @@
         if size - self._buffered_bytes >= MIN_PROGRESS_BYTES:
             self.record_progress(buffered_bytes=size, now=now)
 
-    def record_head(self, *, now: float) -> None:
-        """Record that the head of a successful response arrived."""
-        self._head_at = now
-
     def record_event(self, *, now: float) -> None:
         """Record an event of the response, which counts as answered once it has lasted."""
-        if self._head_at is not None and now - self._head_at >= ANSWER_PROOF_S:
+        if self._first_event_at is None:
+            self._first_event_at = now
+        elif now - self._first_event_at >= ANSWER_PROOF_S:
             self.record_answered()
 
     def record_answered(self) -> None:
@@ -128,11 +128,6 @@
             self.answered = True
             self.on_answered()
 
-    @property
-    def has_head(self) -> bool:
-        """Whether the head of a successful response arrived."""
-        return self._head_at is not None
-
     @property
     def broken_by_server(self) -> bool:
         """Whether the server broke off the connection before it had begun to answer."""
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -121,7 +121,7 @@
         if not _is_answer(admitted, head, reply):
             return BrokenResponse("not_the_servers_response")
         if head.status == OK:
-            attempt.record_head(now=self._clock())
+            attempt.has_head = True
         return _AcceptedHead(head, reply)
 
     async def _read_body(self, attempt: Attempt) -> bytes | None:
--- a/tests/router/gateway/forwarding/test_crashing_prompt.py
+++ b/tests/router/gateway/forwarding/test_crashing_prompt.py
@@ -73,6 +73,14 @@
     exchange.writer.close()
 
 
+async def _crash_after_a_late_event(exchange: ScriptedExchange, server: ScriptedServer) -> None:
+    await exchange.begin_stream()
+    await asyncio.sleep(0.6)
+    await exchange.send_events(1, 1)
+    await asyncio.sleep(0.01)
+    server.crash()
+
+
 async def make_server(
     start_server: StartServer, *, also_crash: str = "none", crash: Crash = _crash_in_an_event
 ) -> ScriptedServer:
@@ -161,6 +169,18 @@
     assert await _count_servers_until_refusal(gateway, servers) <= MAX_CRASHES
 
 
+async def test_part_is_refused_if_its_first_event_comes_late(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a first event that counts as proof because the head came long before
+    (review/4)."""
+    servers = [
+        await make_server(start_server, crash=_crash_after_a_late_event)
+        for _ in range(3 * MAX_CRASHES)
+    ]
+    assert await _count_servers_until_refusal(gateway, servers) <= MAX_CRASHES
+
+
 async def test_refusal_of_a_crashing_part_says_when_to_return(fleet: Fleet) -> None:
     """Guards against callers that repeat at once what will be refused for minutes."""
     for _ in range(MAX_CRASHES):
