Cut a caller off if events that count as delivered have to be given up

Found when reading the diff: a stream whose response was given up as all responses held too much, in the moment before its events were written to the caller, wrote them uncounted. They cannot be dropped instead, since they count as delivered and the next server is asked to go on after them.

Change: the caller's connection is reset in that case, too. An aborted exchange counts nothing any more.

No test shows the moment itself.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -75,7 +75,7 @@
         self.answered = False
         """Whether the server began to answer the request and survived that."""
         self.ended_inside_event = False
-        """Whether the connection ended inside an event, in a response that has no other end."""
+        """Whether the response ended inside an event."""
         self.on_answered: Callable[[], None] = lambda: None
         """Called once when `answered` becomes true."""
         self.on_stalled: Callable[[], None] = lambda: None
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -181,11 +181,15 @@
                 return DeliveredResponse(status)
 
     async def _write(self, attempt: Attempt, data: bytes, out: ResponseWriter) -> None:
-        """Write events; what a slow caller does not read is held in its connection."""
+        """Write events; what a slow caller does not read is held in its connection.
+
+        Events that count as delivered cannot be asked for again, so the caller is cut off if they
+        have to be given up.
+        """
         exchange = attempt.exchange
         attempt.blocked_on_caller = True
-        exchange.hold(len(data))
         exchange.on_dropped = out.abort
+        exchange.hold(len(data))
         await out.write(data)
         exchange.on_dropped = lambda: None
         attempt.blocked_on_caller = False
--- a/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
@@ -22,6 +22,7 @@
 """Crashes of a part since its latest answer up to which its requests are sent to a further server
 after one broke them off."""
 NO_RETRY_BUDGET = "no_retry_budget"
+"""Obstacle that passes with time."""
 STOPPING = "stopping"
 """Obstacle of a request that another router serves before this one exits."""
 
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -203,6 +203,7 @@
             self._abort()
             self._release_buffer()
             self.wake()
+        self.hold(0)
 
     def receive_head_bytes(self, size: int) -> None:
         """Count the bytes of a head or trailer; called by the connection."""
