Measure the memory of a gateway process before endless bytes

The bound on what all responses hold was tested on the allocations of one test process only. The new test in test_gateway.py has a gateway process serve 370 requests at once whose servers send one long event or one long head each, and reads its peak of resident memory.

--- a/tests/agent/relay/test_endless_responses.py
+++ b/tests/agent/relay/test_endless_responses.py
@@ -27,11 +27,7 @@
 """First bytes of a response, and the bytes that follow without end."""
 
 
-@pytest.mark.parametrize("kind", ENDLESS)
-async def test_endless_response_of_an_engine_ends_early(kind: str) -> None:
-    """Guards against an agent that runs out of memory because of its engine."""
-    first, repeated = ENDLESS[kind]
-
+async def _start_endless(first: bytes, repeated: bytes) -> ScriptedServer:
     async def script(exchange: ScriptedExchange) -> None:
         await exchange.send(first)
         while not exchange.disconnected.is_set():
@@ -40,6 +36,13 @@
 
     server = ScriptedServer(script)
     await server.start()
+    return server
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+async def test_endless_response_of_an_engine_ends_early(kind: str) -> None:
+    """Guards against an agent that runs out of memory because of its engine."""
+    server = await _start_endless(*ENDLESS[kind])
     client = EngineClient(url=f"http://{server.address}")
     tracemalloc.start()
     started_at = time.monotonic()
@@ -96,16 +99,7 @@
 @pytest.mark.parametrize("kind", ENDLESS_IN_CHAT)
 async def test_endless_answer_to_a_chat_ends_early(kind: str) -> None:
     """Guards against an agent that keeps all bytes of an answer which is not streamed."""
-    first, repeated = ENDLESS_IN_CHAT[kind]
-
-    async def script(exchange: ScriptedExchange) -> None:
-        await exchange.send(first)
-        while not exchange.disconnected.is_set():
-            await exchange.send(repeated)
-            await asyncio.sleep(0)
-
-    server = ScriptedServer(script)
-    await server.start()
+    server = await _start_endless(*ENDLESS_IN_CHAT[kind])
     client = EngineClient(url=f"http://{server.address}")
     tracemalloc.start()
     try:
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -6,7 +6,9 @@
 import os
 import signal
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 import pytest
@@ -20,14 +22,17 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Callable
-    from pathlib import Path
 
     from tests.router.gateway.gateway_harness import CallerResponse
+    from tests.router.gateway.scripted_server import Script
     from tests.router.gateway.scripted_server import ScriptedExchange
 
 pytestmark = pytest.mark.processes
 
 READY_TIMEOUT_S = 10.0
+ENDLESS_REQUESTS = 370
+HOST_MEMORY_BYTES = 200 << 20
+"""Memory of the smallest hosts."""
 APPLY_LIMIT_S = 2.0
 """Longest time from a change in the store until the gateway applies it."""
 
@@ -115,7 +120,7 @@
 
     def config(
         self, version: int, *, keys: tuple[str, ...] = ("k1",), timeout_ms: int = 1500
-    ) -> dict[str, object]:
+    ) -> dict[str, Any]:
         config = payloads.operator_config(version, keys=keys)
         for route in config["routes"]:
             route["timeout_ms"] = timeout_ms
@@ -310,3 +315,45 @@
     fleet.process.send_signal(signal.SIGTERM)
     await asyncio.wait_for(fleet.process.wait(), 8.0)
     assert fleet.process.returncode in (0, -signal.SIGTERM)
+
+
+async def _send_long_event(exchange: ScriptedExchange) -> None:
+    await exchange.begin_stream()
+    await exchange.send_chunk(b"id: 1\ndata: ")
+    for _ in range(15):
+        await exchange.send_chunk(b"a" * 60_000)
+        await asyncio.sleep(0.05)
+
+
+async def _send_long_head(exchange: ScriptedExchange) -> None:
+    await exchange.send(b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 12_000)
+
+
+@pytest.mark.parametrize("send", [_send_long_event, _send_long_head])
+async def test_bytes_without_end_leave_room_in_memory(fleet: GatewayFleet, send: Script) -> None:
+    """Guards against a process that is killed at the limit of its host's memory (issue 35)."""
+
+    async def send_and_wait(exchange: ScriptedExchange) -> None:
+        await send(exchange)
+        await exchange.disconnected.wait()
+
+    for server in fleet.servers:
+        server.script = send_and_wait
+    config = fleet.config(9, timeout_ms=4000)
+    for route in config["routes"]:
+        route["kind"] = "streaming"
+    await fleet.wait_readiness()
+    fleet.store.put("keyed.op", "config", config)
+    await asyncio.sleep(APPLY_LIMIT_S)
+    logs = asyncio.create_task(fleet.read_logs_until_exit())
+    calls = [fleet.send_payment() for _ in range(ENDLESS_REQUESTS)]
+    responses = await asyncio.gather(*calls)
+    assert not any(response.complete and response.status == 200 for response in responses)
+    assert sum(len(server.received) for server in fleet.servers) >= ENDLESS_REQUESTS
+    assert fleet.process is not None and fleet.process.returncode is None
+    status = Path(f"/proc/{fleet.process.pid}/status").read_text()
+    peak_kb = int(status.partition("VmHWM:")[2].split()[0])
+    assert peak_kb << 10 < HOST_MEMORY_BYTES
+    fleet.process.kill()
+    events = [line["event"] for line in await logs]
+    assert events.count("request") == ENDLESS_REQUESTS
--- a/tests/router/gateway/forwarding/test_crashing_prompt.py
+++ b/tests/router/gateway/forwarding/test_crashing_prompt.py
@@ -147,8 +147,11 @@
     assert statuses[-3:] == [503, 503, 503]
 
 
-async def _count_servers_until_refusal(gateway: Gateway, servers: list[ScriptedServer]) -> int:
+async def _count_servers_until_refusal(
+    gateway: Gateway, start_server: StartServer, crash: Crash
+) -> int:
     """Return the number of servers that got the deadly part before it is refused."""
+    servers = [await make_server(start_server, crash=crash) for _ in range(3 * MAX_CRASHES)]
     gateway.configure(*servers, max_attempts=5)
     for _ in range(2 * MAX_CRASHES):
         assert (await call(gateway, "shared", "thing")).status == 200
@@ -162,11 +165,8 @@
 ) -> None:
     """Guards against crashes that leave no evidence, as the connection ends inside an event
     (review/1)."""
-    servers = [
-        await make_server(start_server, crash=_end_with_the_connection)
-        for _ in range(3 * MAX_CRASHES)
-    ]
-    assert await _count_servers_until_refusal(gateway, servers) <= MAX_CRASHES
+    crashes = await _count_servers_until_refusal(gateway, start_server, _end_with_the_connection)
+    assert crashes <= MAX_CRASHES
 
 
 async def test_part_is_refused_if_its_first_event_comes_late(
@@ -174,11 +174,8 @@
 ) -> None:
     """Guards against a first event that counts as proof because the head came long before
     (review/4)."""
-    servers = [
-        await make_server(start_server, crash=_crash_after_a_late_event)
-        for _ in range(3 * MAX_CRASHES)
-    ]
-    assert await _count_servers_until_refusal(gateway, servers) <= MAX_CRASHES
+    crashes = await _count_servers_until_refusal(gateway, start_server, _crash_after_a_late_event)
+    assert crashes <= MAX_CRASHES
 
 
 async def test_refusal_of_a_crashing_part_says_when_to_return(fleet: Fleet) -> None:
--- a/tests/router/gateway/view/test_server_registry.py
+++ b/tests/router/gateway/view/test_server_registry.py
@@ -211,13 +211,19 @@
         assert [state.entry.server for state in registry.usable("llm")] == ["s1"]
 
 
-def _record_responses(state: ServerState) -> None:
+def _list_server_that_responded() -> tuple[ServerRegistry, ServerState]:
+    registry = ServerRegistry()
+    registry.set_services(["llm"])
+    registry.put(make_entry(started_ms=5, sequence=7), now=0.0)
+    state = registry.get("s1")
+    assert state is not None
     state.record_leaving(now=1.0)
     state.record_pause(30.0, now=1.0)
     state.record_rate_limit(ServerRateLimit(4.0, 1.0, "r1"))
     state.record_reported_load(ReportedLoad(running=5, waiting=2, slots=8), now=1.0)
     state.health.start_request(1, now=1.0)
     state.health.record_connect_failure(now=1.0)
+    return registry, state
 
 
 def _remove(registry: ServerRegistry) -> None:
@@ -262,12 +268,7 @@
 ) -> None:
     """Guards against requests to a leaving or pausing server after a late write of its entry
     (issue 35, review/5)."""
-    registry = ServerRegistry()
-    registry.set_services(["llm"])
-    registry.put(make_entry(started_ms=5, sequence=7), now=0.0)
-    state = registry.get("s1")
-    assert state is not None
-    _record_responses(state)
+    registry, state = _list_server_that_responded()
     lose_entry(registry)
     assert registry.get("s1") is not state
     registry.put(make_entry(started_ms=5, sequence=8), now=6.0)
@@ -279,12 +280,7 @@
 @pytest.mark.parametrize("lose_entry", LOSSES)
 def test_restarted_server_is_used_at_once(lose_entry: Callable[[ServerRegistry], None]) -> None:
     """Guards against a leaving or a pause that outlasts the incarnation that told it."""
-    registry = ServerRegistry()
-    registry.set_services(["llm"])
-    registry.put(make_entry(started_ms=5, sequence=7), now=0.0)
-    state = registry.get("s1")
-    assert state is not None
-    _record_responses(state)
+    registry, _ = _list_server_that_responded()
     lose_entry(registry)
     registry.put(make_entry(started_ms=6, sequence=1), now=6.0)
     restarted = registry.get("s1")
