Let the soak's leaving servers lose their entry and get it back late

Every second server that leaves without reporting it now loses its entry after 0.3 s, and a late write of an earlier heartbeat brings it back after 2.2 s. Entries carry counts, as those of real servers do. No draws of the random numbers were added.

--- a/tests/soak/leaving_servers.py
+++ b/tests/soak/leaving_servers.py
@@ -23,6 +23,9 @@
 SLOTS = 6
 MIN_LEAVE_S, MAX_LEAVE_S = 2.5, 4.0
 MIN_PAUSE_S, MAX_PAUSE_S = 0.8, 3.0
+LAPSE_AFTER_S = 0.3
+LATE_WRITE_AFTER_S = 2.2
+"""Time from the leaving to a late write of the entry: gateways know of the leaving by then."""
 RESTART_MS = 1000
 """Difference between the start times of a server's processes."""
 
@@ -60,6 +63,8 @@
         self._hurry = asyncio.Event()
         """Ends the time for which a server is leaving."""
         self._started_ms: dict[str, int] = {}
+        self._sequences: dict[str, int] = {}
+        self._leaves = 0
         for name, server, _ in servers:
             server.name = name
             server.on_arrival = partial(notices.check_arrival, name)
@@ -93,19 +98,33 @@
     async def _leave(self, chosen: SoakServer) -> None:
         name, server, proxy = chosen
         server.leaving = True
+        self._leaves += 1
+        late_write: asyncio.Task[None] | None = None
         if self._rng.random() < 0.5:
             self._register(name, state="draining")
+        elif self._leaves % 2:
+            late_write = asyncio.create_task(self._lapse_and_write_late(name))
         try:
             async with asyncio.timeout(self._rng.uniform(MIN_LEAVE_S, MAX_LEAVE_S)):
                 await self._hurry.wait()
         except TimeoutError:
             pass
+        if late_write is not None:
+            late_write.cancel()
         self._store.put(TOPIC, name, None)
         await self._trouble.stop_for_a_while(proxy)
         self._notices.forget(name)
         server.leaving = False
         server.paused_until = 0.0
         self._started_ms[name] += RESTART_MS
+        self._sequences[name] = 0
+        self._register(name)
+
+    async def _lapse_and_write_late(self, name: str) -> None:
+        """Remove the entry of a server that is leaving, and let an earlier heartbeat come late."""
+        await asyncio.sleep(LAPSE_AFTER_S)
+        self._store.put(TOPIC, name, None)
+        await asyncio.sleep(LATE_WRITE_AFTER_S - LAPSE_AFTER_S)
         self._register(name)
 
     def _register(self, name: str, **changes: object) -> None:
@@ -115,4 +134,6 @@
             slots=SLOTS,
         )
         started_ms = self._started_ms.setdefault(name, entry["born"])
-        self._store.put(TOPIC, name, entry | {"born": started_ms} | changes)
+        self._sequences[name] = self._sequences.get(name, 0) + 1
+        counts = {"born": started_ms, "sequence": self._sequences[name]}
+        self._store.put(TOPIC, name, entry | counts | changes)
