Tell a busy event loop from a suspended host in logs and metrics

A request that ends as timed_out or no_connection did not tell whether the server or this process was late: 'process was paused' needs a second, and shows no cause.

--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -24,6 +24,7 @@
 from cornellead.gateway.process._admin_handler import AdminHandler
 from cornellead.gateway.process._clock import read_clock
 from cornellead.gateway.process._graceful_shutdown import GracefulShutdown
+from cornellead.gateway.process._loop_watch import LoopWatch
 from cornellead.gateway.process._server_cleanup import ServerCleanup
 from cornellead.gateway.process._settings_watcher import SettingsWatcher
 from cornellead.gateway.process._ticker import Ticker
@@ -265,6 +266,7 @@
             self._announcer,
             self._exchange,
             self._watcher,
+            LoopWatch(stats=stats, clock=read_clock),
             Ticker(
                 name="watch-attempts",
                 interval_s=STALL_CHECK_INTERVAL_S,
--- a/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -34,11 +34,14 @@
             "gateway_task_failures", "Failures of background tasks", ["task"]
         )
         self._latency = LatencyHistogram()
-        gauge = metrics.gauge(
-            "gateway_request_seconds", "Time to the end of requests", ["quantile"]
-        )
-        for quantile in QUANTILES:
-            gauge.labels(str(quantile)).set_function(partial(self._latency.quantile, quantile))
+        self._loop_delay = LatencyHistogram()
+        for name, description, histogram in (
+            ("gateway_request_seconds", "Time to the end of requests", self._latency),
+            ("gateway_loop_delay_seconds", "Delay of the event loop", self._loop_delay),
+        ):
+            gauge = metrics.gauge(name, description, ["quantile"])
+            for quantile in QUANTILES:
+                gauge.labels(str(quantile)).set_function(partial(histogram.quantile, quantile))
 
     def count_request(self, status: int, cause: str, seconds: float) -> None:
         """Count a finished request and record its duration.
@@ -48,6 +51,10 @@
         self._requests.labels(str(status), cause).inc()
         self._latency.record(seconds)
 
+    def count_loop_delay(self, seconds: float) -> None:
+        """Record how late the event loop ran what was due."""
+        self._loop_delay.record(seconds)
+
     def count_decision(self, decision: str) -> None:
         """Count a decision on a request, such as a retry."""
         self._decisions.labels(decision).inc()
