Bound what is read of a peer in one turn of the event loop

Callers of a sound service got 504 or 503 after 4.5 to 6.7 s of a 3 s deadline while 20 streams of another service arrived in tiny pieces.

Cause: each read took up to 64 KB (256 KB of callers), and a chunk of one byte cost as much as a long one: pieces were passed on one by one, and the ids of comments searched event by event. A turn of the loop took 0.53 s (chunks of one byte) or 0.93 to 1.15 s (comments), all of it processor time ('event loop delayed', busy_ms), so connections to idle servers ran into their time-out of 0.4 s ('no_connection').

Change: ReadPacer shares the reads of all connections of the process. A read has 8 KB at most, 512 bytes once the turn has used 64 KB; a peer that used its share of the turn waits, and the waiting peers take turns. What they send stays in the socket. Pieces are joined once for each read, and events searched without a loop for each.

--- /dev/null
+++ b/packages/core/src/cornellead_core/pacing/__init__.py
@@ -0,0 +1,10 @@
+"""Fair sharing of an event loop among the peers that send to a process."""
+
+from __future__ import annotations
+
+from cornellead_core.pacing._paced_protocol import PacedProtocol
+from cornellead_core.pacing._read_pacer import SLICE_BYTES
+from cornellead_core.pacing._read_pacer import PacedReader
+from cornellead_core.pacing._read_pacer import ReadPacer
+
+__all__ = ["SLICE_BYTES", "PacedProtocol", "PacedReader", "ReadPacer"]
--- /dev/null
+++ b/packages/core/src/cornellead_core/pacing/_paced_protocol.py
@@ -0,0 +1,81 @@
+"""Protocol whose reads are paced."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cornellead_core.pacing._read_pacer import SLICE_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+    from cornellead_core.pacing._read_pacer import ReadPacer
+
+_read_buffer = memoryview(bytearray(SLICE_BYTES))
+"""Receive buffer of all connections; sharing is safe because each read is consumed before the next
+one starts. Without it, asyncio allocates 256 KiB for each read and shrinks them to the bytes that
+arrived, which fragments the heap.
+"""
+
+
+class PacedProtocol(asyncio.BufferedProtocol):
+    """Reads small slices, and waits when its peer has had its share of a turn.
+
+    :param pacer: Shares the turns of the event loop.
+    :param peer: Whom the connection leads to; the connection itself if it is ``None``.
+    """
+
+    def __init__(self, *, pacer: ReadPacer, peer: Hashable | None = None) -> None:
+        self._pacer = pacer
+        self._peer: Hashable = id(self) if peer is None else peer
+        self._transport: asyncio.Transport | None = None
+        self._paused = False
+        self._throttled = False
+
+    def consume(self, data: memoryview) -> None:
+        """Handle received bytes, which are valid during the call only."""
+        raise NotImplementedError
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport; called by asyncio."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wait for no turn any more; called by asyncio."""
+        del exc
+        self._pacer.forget(self, self._peer)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read; called by asyncio."""
+        del sizehint
+        return _read_buffer[: self._pacer.read_size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Consume and count what was read; called by asyncio."""
+        self.consume(_read_buffer[:nbytes])
+        self._pacer.charge(self, self._peer, nbytes)
+
+    def pause_reading(self) -> None:
+        """Read nothing more until `resume_reading`."""
+        self._paused = True
+        self._update_reading()
+
+    def resume_reading(self) -> None:
+        """Read on, once the peer has its turn."""
+        self._paused = False
+        self._update_reading()
+
+    def set_throttled(self, throttled: bool) -> None:
+        """Wait for a turn, or read on; called by the pacer."""
+        self._throttled = throttled
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._transport is None:
+            return
+        if self._paused or self._throttled:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
--- a/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_event_splitter.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import re
+
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 COMMENT = b":"
+ID_LINE = b"\n" + ID_FIELD
+_FIELD_LINE = re.compile(rb"\n[^:\n]")
 MAX_ID_DIGITS = 18
 """Maximum number of digits of an id that counts as a number, which keeps it below 2**63."""
 MAX_ID_LENGTH = 1024
@@ -79,6 +83,8 @@
     def _drop_delivered(self, complete: bytes) -> list[bytes]:
         new_events = []
         for event in complete.split(SEPARATOR)[:-1]:
+            if event.startswith(COMMENT) and _is_comment(event):
+                continue
             event_id = _event_id(event)
             if not event_id and _is_comment(event):
                 continue
@@ -108,17 +114,19 @@
 
 
 def _is_comment(event: bytes) -> bool:
-    return all(line.startswith(COMMENT) for line in event.split(b"\n") if line)
+    return event[:1] in (COMMENT, b"\n", b"") and _FIELD_LINE.search(event) is None
 
 
 def _last_event_id(events: bytes) -> str:
-    end = len(events) - len(SEPARATOR)
-    while end >= 0:
-        start = events.rfind(SEPARATOR, 0, end)
-        event_id = _event_id(events[max(0, start) : end])
+    end = len(events)
+    while end > 0:
+        # The only line without a line feed before it is the first one.
+        line = max(0, events.rfind(ID_LINE, 0, end))
+        start = events.rfind(SEPARATOR, 0, line + 1)
+        event_id = _event_id(events[max(0, start) : events.find(b"\n", line + 1)])
         if event_id:
             return event_id
-        end = start
+        end = min(start, line)
     return ""
 
 
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -14,6 +14,7 @@
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +23,7 @@
     from cornellead.gateway.ingress._caller_request import CallerRequest
     from cornellead.gateway.ingress._response_writer import ResponseWriter
     from cornellead.gateway.ingress._serving_state import ServingState
+    from cornellead_core.pacing import ReadPacer
     from cornellead_core.routing import CallerLimits
 
 IDLE_TIMEOUT_MARGIN_S = 1.0
@@ -43,12 +45,13 @@
         ...
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(PacedProtocol):
     """Parses requests, passes them to the handler one at a time, and writes the responses.
 
     :param limits: Returns the limits in force; called again for each request on an idle connection.
     :param clock: Returns seconds, including the time for which the host was suspended.
     :param on_closed: Called once the connection is closed.
+    :param pacer: Shares the reads of the process among peers.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         limits: Callable[[], CallerLimits],
         clock: Callable[[], float],
         on_closed: Callable[[CallerConnection], None],
+        pacer: ReadPacer,
     ) -> None:
+        super().__init__(pacer=pacer)
         self._handler = handler
         self._serving = serving
         self._get_limits = limits
@@ -67,7 +72,6 @@
         self._clock = clock
         self._on_closed = on_closed
         self._parser = RequestParser(limits=self._limits)
-        self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
@@ -97,17 +101,21 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timeout for the first request."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        super().connection_made(transport)
+        assert self._transport is not None
         if self._closing:
             # Evicted, or finished by a stop, between its accept and this call.
-            transport.close()
+            self._transport.close()
             return
-        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._start_timer(
             self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
         )
 
+    def consume(self, data: memoryview) -> None:
+        """Parse received bytes."""
+        self.data_received(bytes(data))
+
     def data_received(self, data: bytes) -> None:
         """Parse requests, and start the first unless one is in progress."""
         if self._closing:
@@ -131,12 +139,12 @@
                 and not self._parser.reading_headers
             ):
                 self._start_timer(self._limits.idle_timeout_s, self._on_request_timeout)
-        if len(self._parser.requests) > MAX_PIPELINED_REQUESTS and self._transport is not None:
-            self._transport.pause_reading()
+        if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
+            self.pause_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since nobody can receive its response."""
-        del exc
+        super().connection_lost(exc)
         self._closing = True
         if self._dropped_bytes:
             structlog.get_logger().warning(
@@ -257,8 +265,7 @@
             self._drop_requests()
             self._close_after_linger()
             return
-        if self._transport is not None:
-            self._transport.resume_reading()
+        self.resume_reading()
         self._start_next_request()
         if self._task is None:
             if self._parser.rejection is not None:
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -9,6 +9,7 @@
 
 from cornellead.gateway import BACKLOG
 from cornellead.gateway.ingress._caller_connection import CallerConnection
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     import socket
@@ -28,6 +29,7 @@
     :param limits: Returns the limits in force.
     :param max_connections: Number of connections at which a new one evicts the oldest idle one.
     :param sock: Socket that already listens on the address, if any.
+    :param pacer: Shares the reads of the process among peers; ``None`` for callers alone.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         clock: Callable[[], float],
         max_connections: int = DEFAULT_MAX_CONNECTIONS,
         sock: socket.socket | None = None,
+        pacer: ReadPacer | None = None,
     ) -> None:
         self._address = address
         self._handler = handler
@@ -48,6 +51,7 @@
         self._clock = clock
         self._max_connections = max_connections
         self._sock = sock
+        self._pacer = pacer
         self._conns: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
 
@@ -94,12 +98,15 @@
         return len(self._conns)
 
     def _accept(self) -> CallerConnection:
+        if self._pacer is None:
+            self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
         conn = CallerConnection(
             handler=self._handler,
             serving=self._serving,
             limits=self._limits,
             clock=self._clock,
             on_closed=self._on_connection_closed,
+            pacer=self._pacer,
         )
         if len(self._conns) >= self._max_connections:
             self._evict_idle_connection()
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -44,6 +44,7 @@
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.blackboard import supervise_controllers
 from cornellead_core.metrics import Metrics
+from cornellead_core.pacing import ReadPacer
 from cornellead_core.routing import CallerLimits
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import Topic
@@ -113,6 +114,7 @@
     ) -> None:
         self._settings = settings
         self._serving = ServingState()
+        self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
         self._view = FleetView(router=settings.node)
         self._cold_limiter = ColdStartLimiter(
             router=settings.node, burst=settings.bounds.cold_slack
@@ -122,7 +124,9 @@
         self._stats = GatewayStats(metrics=metrics)
         self._register_gauges(metrics)
         self._pool = ConnectionPool(
-            loop=asyncio.get_running_loop(), connect_timeout_s=CONNECT_TIMEOUT_S
+            loop=asyncio.get_running_loop(),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            pacer=self._pacer,
         )
         self._cleanup = ServerCleanup(
             view=self._view, pool=self._pool, limiters=[self._cold_limiter, rate_limiter]
@@ -309,6 +313,7 @@
             clock=read_clock,
             max_connections=int(CALLER_DESCRIPTOR_SHARE * self._settings.max_descriptors),
             sock=sock,
+            pacer=self._pacer,
         )
 
     def _register_gauges(self, metrics: Metrics) -> None:
@@ -330,6 +335,10 @@
                 lambda: view.config_age_s(now=now()),
             ),
             "relayed_reads": ("Reads answered by other routers", lambda: self._store.relayed),
+            "throttled_reads": (
+                "Times that a connection waited since its peer had used its share of a turn",
+                lambda: self._pacer.throttled,
+            ),
             "load_report_bytes": ("Bytes of load reports", lambda: self._exchange.bytes_sent),
         }
         for name, (description, read_value) in gauges.items():
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -12,19 +11,14 @@
 from cornellead.upstream._exchange import HIGH_WATER_BYTES
 from cornellead.upstream._exchange import Exchange
 from cornellead.upstream._exchange import ResponseHead
+from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from cornellead_core.buffers import BufferBudget
-
-READ_BUFFER_BYTES = 64 << 10
-_read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
-"""Receive buffer of all connections; sharing is safe because each read is parsed before the next
-one starts. Without it, asyncio allocates 256 KiB for each read and shrinks them to the bytes that
-arrived, which fragments the heap.
-"""
-
+    from cornellead_core.pacing import ReadPacer
 
 MAX_OVERHEAD_BYTES = 64 << 10
 """Maximum number of bytes without a complete head or body data: long headers, interim responses,
@@ -50,10 +44,12 @@
     value: str
 
 
-class Connection(asyncio.BufferedProtocol):
+class Connection(PacedProtocol):
     """Sends one request at a time and passes the parsed response on to an `Exchange`.
 
     :param release: Called when a response is complete and the connection can be reused.
+    :param pacer: Shares the reads of a process among peers.
+    :param address: ``ip:port``, the peer whose share the responses use.
     :param budget: Bounds what all responses hold together.
     """
 
@@ -62,12 +58,14 @@
         *,
         loop: asyncio.AbstractEventLoop,
         release: Callable[[Connection], None],
+        pacer: ReadPacer,
+        address: str,
         budget: BufferBudget | None = None,
     ) -> None:
+        super().__init__(pacer=pacer, peer=address)
         self._loop = loop
         self._release = release
         self._budget = budget
-        self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._exchange: Exchange | None = None
         self._headers: dict[str, str] = {}
@@ -80,7 +78,8 @@
         self._ends_at_eof = False
         self._head_only = False
         """Whether the response ends with its head, as one to HEAD does."""
-        self._paused = False
+        self._body: list[bytes] = []
+        """Pieces of the body in the read that is being parsed."""
         self._reused = False
         self._unsuccessful_ids: set[str] = set()
         self.idle_since = 0.0
@@ -128,7 +127,7 @@
         self._exchange = Exchange(
             loop=self._loop,
             abort=self.close,
-            resume_reading=self._resume,
+            resume_reading=self.resume_reading,
             budget=None if essential else self._budget,
         )
         self._transport.write(head + body)
@@ -152,40 +151,30 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport; called by asyncio."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read; called by asyncio."""
-        del sizehint
-        return _read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Parse received bytes and pause reading above the high-water mark; called by asyncio."""
+    def consume(self, data: memoryview) -> None:
+        """Parse received bytes and pause reading above the high-water mark."""
         exchange = self._exchange
         if exchange is None or self._parser is None:
             # No request is in progress. A late or duplicate response could be mistaken for the
             # response to the next request, so the connection is not reused.
             self.close()
             return
-        self._overhead_bytes += nbytes
+        self._overhead_bytes += len(data)
         try:
-            self._parser.feed_data(_read_buffer[:nbytes])
+            self._parser.feed_data(data)
         except httptools.HttpParserError:
+            self._pass_body_on()
             self._fail()
             return
+        self._pass_body_on()
         if self._overhead_bytes > MAX_OVERHEAD_BYTES or self._discarded_bytes > MAX_DISCARDED_BYTES:
             self._fail()
             return
         if self._overhead_bytes > self._largest_head_bytes:
             self._largest_head_bytes = self._overhead_bytes
             exchange.receive_head_bytes(self._largest_head_bytes)
-        if exchange.pending_bytes > HIGH_WATER_BYTES and not self._paused and not self.closed:
-            self._paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        if exchange.pending_bytes > HIGH_WATER_BYTES and not self.closed:
+            self.pause_reading()
 
     def eof_received(self) -> bool:
         """Complete a response that has no length, and close the connection."""
@@ -196,7 +185,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark an incomplete response as broken."""
-        del exc
+        super().connection_lost(exc)
         self.closed = True
         self._fail()
         # Breaks the reference cycle between the parser and this object.
@@ -247,12 +236,12 @@
             self.close()
 
     def on_body(self, data: bytes) -> None:
-        """Pass body bytes on to the exchange."""
+        """Collect body bytes; a server may send each byte in a chunk of its own."""
         self._overhead_bytes = 0
         if self._discarding:
             self._discarded_bytes += len(data)
-        elif self._exchange is not None and not self.closed:
-            self._exchange.receive_body(data)
+        else:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Finish the exchange and release the connection for the next request."""
@@ -263,6 +252,7 @@
             self._discarding = False
             self._reset_headers()
             return
+        self._pass_body_on()
         exchange.finish(complete=True)
         self._exchange = None
         # The rest of this read may contain another response. The exchange keeps the old header
@@ -274,7 +264,7 @@
         if self.closed:
             return
         self._reused = True
-        self._resume()
+        self.resume_reading()
         # The connection is released in the next iteration of the event loop, because the rest of
         # this read may contain unexpected bytes. They close the connection instead.
         self._loop.call_soon(self.release)
@@ -297,10 +287,10 @@
                 seconds = text.removeprefix(KEEP_ALIVE_TIMEOUT_PARAM)
                 self.keep_alive_timeout_s = float(seconds) if seconds.isdecimal() else None
 
-    def _resume(self) -> None:
-        if self._paused and self._transport is not None and not self.closed:
-            self._paused = False
-            self._transport.resume_reading()
+    def _pass_body_on(self) -> None:
+        body, self._body = self._body, []
+        if body and self._exchange is not None and not self.closed:
+            self._exchange.receive_body(body[0] if len(body) == 1 else b"".join(body))
 
     def _fail(self) -> None:
         exchange, self._exchange = self._exchange, None
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -12,6 +12,7 @@
 
 from cornellead.upstream._connection import Connection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from cornellead.upstream._connection import EchoedHeader
@@ -39,6 +40,7 @@
 
     :param connect_timeout_s: Maximum time for opening a connection.
     :param budget: Bounds what all responses hold together.
+    :param pacer: Shares the reads of the process among peers.
     """
 
     def __init__(
@@ -47,10 +49,12 @@
         loop: asyncio.AbstractEventLoop,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         budget: BufferBudget | None = None,
+        pacer: ReadPacer | None = None,
     ) -> None:
         self._loop = loop
         self._connect_timeout_s = connect_timeout_s
         self.budget = BufferBudget() if budget is None else budget
+        self._pacer = ReadPacer(call_soon=loop.call_soon) if pacer is None else pacer
         self._idle: dict[str, list[Connection]] = {}
         self.opened = 0
         self.reused = 0
@@ -137,6 +141,8 @@
                     lambda: Connection(
                         loop=self._loop,
                         release=lambda conn: self._add_idle(address, conn),
+                        pacer=self._pacer,
+                        address=address,
                         budget=self.budget,
                     ),
                     host,
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -30,6 +30,7 @@
 from cornellead.gateway.view import FleetView
 from cornellead.upstream import ConnectionPool
 from cornellead_core.metrics import Metrics
+from cornellead_core.pacing import ReadPacer
 from cornellead_platform import PlatformHeaders
 
 if TYPE_CHECKING:
@@ -57,7 +58,8 @@
         self.view = FleetView(router=router)
         self.serving = ServingState()
         self.limits = LIMITS
-        self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3)
+        pacer = ReadPacer(call_soon=loop.call_soon)
+        self.pool = ConnectionPool(loop=loop, connect_timeout_s=0.3, pacer=pacer)
         self.sender = AttemptSender(pool=self.pool, wire=wire, clock=clock)
         self.picker = ServerPicker(
             view=self.view,
@@ -95,6 +97,7 @@
             limits=lambda: self.limits,
             clock=clock,
             max_connections=max_connections,
+            pacer=pacer,
         )
 
     def configure(
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -16,6 +16,7 @@
 from cornellead.gateway.ingress import CallerConnection
 from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.ingress import ServingState
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -244,6 +245,7 @@
         limits=lambda: LIMITS,
         clock=lambda: 0.0,
         on_closed=lambda _: None,
+        pacer=ReadPacer(call_soon=asyncio.get_running_loop().call_soon),
     )
     conn.finish()
     transport = FakeTransport()
@@ -269,6 +271,7 @@
         limits=lambda: LIMITS,
         clock=lambda: 0.0,
         on_closed=lambda _: None,
+        pacer=ReadPacer(call_soon=asyncio.get_running_loop().call_soon),
     )
     transport = FakeTransport()
     conn.connection_made(transport)
--- a/tests/router/gateway/ingress/test_caller_connection_model.py
+++ b/tests/router/gateway/ingress/test_caller_connection_model.py
@@ -19,6 +19,7 @@
 from cornellead.gateway.ingress import CallerConnection
 from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.ingress import ServingState
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,6 +133,7 @@
             limits=lambda: LIMITS,
             clock=lambda: 0.0,
             on_closed=lambda conn: None,
+            pacer=ReadPacer(call_soon=self.loop.call_soon),
         )
         self.conn.connection_made(self.transport)
 
--- a/tests/router/upstream/test_connection_model.py
+++ b/tests/router/upstream/test_connection_model.py
@@ -15,6 +15,7 @@
 from cornellead.upstream import EchoedHeader
 from cornellead.upstream import Exchange
 from cornellead.upstream._connection import Connection
+from cornellead_core.pacing import ReadPacer
 
 REQUEST_IDS = ("a", "b", "c")
 HEADER = "x-request-id"
@@ -67,7 +68,12 @@
         self.answered = False
         self.earlier: list[Answer] = []
         self.succeeded: set[str] = set()
-        self.conn = Connection(loop=self.loop, release=self.release)
+        self.conn = Connection(
+            loop=self.loop,
+            release=self.release,
+            pacer=ReadPacer(call_soon=self.loop.call_soon),
+            address="server",
+        )
         self.conn.connection_made(FakeTransport())
 
     def release(self, conn: Connection) -> None:
