Add timers that act behind what has arrived

An event loop runs due timers before it reads what arrived while it was busy or the process was suspended, so an open connection or an answer that is there counts as late. Not used yet.

--- a/packages/core/src/cornellead_core/pacing/__init__.py
+++ b/packages/core/src/cornellead_core/pacing/__init__.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+from cornellead_core.pacing._arrival_timer import ArrivalTimeout
+from cornellead_core.pacing._arrival_timer import ArrivalTimer
 from cornellead_core.pacing._paced_protocol import PacedProtocol
 from cornellead_core.pacing._read_pacer import SLICE_BYTES
 from cornellead_core.pacing._read_pacer import PacedReader
 from cornellead_core.pacing._read_pacer import ReadPacer
 
-__all__ = ["SLICE_BYTES", "PacedProtocol", "PacedReader", "ReadPacer"]
+__all__ = [
+    "SLICE_BYTES",
+    "ArrivalTimeout",
+    "ArrivalTimer",
+    "PacedProtocol",
+    "PacedReader",
+    "ReadPacer",
+]
