Let time-outs act behind what has arrived in time

Callers of a busy process got neither an answer nor a refusal to a whole request: it had arrived before the idle time-out of its connection, which was closed with the request unread. Others got 408 for a head, or 504 for an answer, that had arrived in time, and connections to idle servers counted as failed.

Cause: the loop runs due timers before it reads what arrived during a long turn or a suspension. Change: connections of callers, connects, deadlines, and calls of the store and of other routers use ArrivalTimer and ArrivalTimeout, which wait a few turns in which arrivals are read.

--- a/packages/core/src/cornellead_core/pacing/_arrival_timer.py
+++ b/packages/core/src/cornellead_core/pacing/_arrival_timer.py
@@ -58,6 +58,12 @@
         """Return whether the block was ended."""
         return self._timeout.expired()
 
+    def reschedule(self, delay_s: float) -> None:
+        """Start anew with another delay, in seconds from now."""
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = ArrivalTimer(loop=loop, delay_s=delay_s, action=self.expire)
+
     def expire(self) -> None:
         """End the block now, unless it has ended."""
         if not self.expired():
@@ -66,8 +72,7 @@
     async def __aenter__(self) -> ArrivalTimeout:
         """Start the timer."""
         await self._timeout.__aenter__()
-        loop = asyncio.get_running_loop()
-        self._timer = ArrivalTimer(loop=loop, delay_s=self._delay_s, action=self.expire)
+        self.reschedule(self._delay_s)
         return self
 
     async def __aexit__(
@@ -77,6 +82,9 @@
 
         :raises TimeoutError: The block was ended.
         """
+        self._stop_timer()
+        await self._timeout.__aexit__(kind, exc, tb)
+
+    def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        await self._timeout.__aexit__(kind, exc, tb)
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -12,6 +11,7 @@
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._reply_recorder import ReplyRecorder
 from cornellead.upstream import ResponseHead
+from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.routing import RequestKind
 from cornellead_core.routing import ServerReply
 
@@ -231,7 +231,7 @@
 
 async def _skip_refusal_body(exchange: Exchange) -> None:
     try:
-        async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+        async with ArrivalTimeout(delay_s=REFUSAL_BODY_TIMEOUT_S):
             await exchange.read_all(limit=MAX_REFUSAL_BYTES)
     except TimeoutError:
         # The cancelled read has closed the connection.
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -14,6 +14,7 @@
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead_core.pacing import ArrivalTimer
 from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
@@ -73,7 +74,7 @@
         self._on_closed = on_closed
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: ArrivalTimer | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._caller_closes = False
@@ -331,7 +332,8 @@
 
     def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._cancel_timer()
-        self._timer = asyncio.get_running_loop().call_later(delay_s, action)
+        loop = asyncio.get_running_loop()
+        self._timer = ArrivalTimer(loop=loop, delay_s=delay_s, action=action)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -31,7 +32,7 @@
         """Time of the event loop by which every request has its final answer; set by a stop."""
         self.expired = False
         """Whether the requests that were in progress at `answer_by` were ended."""
-        self._limits: set[asyncio.Timeout] = set()
+        self._limits: set[ArrivalTimeout] = set()
 
     @property
     def admitted(self) -> int:
@@ -46,9 +47,11 @@
     async def limit(self, timeout_s: float) -> AsyncIterator[None]:
         """Limit the time of a request, which `expire` may end earlier.
 
+        An answer that arrived in time is delivered, also if the process read it later.
+
         :raises TimeoutError: The time is over.
         """
-        async with asyncio.timeout(timeout_s) as limit:
+        async with ArrivalTimeout(delay_s=timeout_s) as limit:
             self._limits.add(limit)
             try:
                 yield
@@ -58,10 +61,8 @@
     def expire(self) -> None:
         """End the requests in progress, so that each writes its final answer now."""
         self.expired = True
-        now = asyncio.get_running_loop().time()
         for limit in self._limits:
-            if not limit.expired():
-                limit.reschedule(now)
+            limit.expire()
 
     def advance(self, phase: ServingPhase) -> None:
         """Enter a phase; ignored if a later one was entered before."""
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -12,9 +11,12 @@
 
 from cornellead.upstream._connection import Connection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
+    import asyncio
+
     from cornellead.upstream._connection import EchoedHeader
     from cornellead.upstream._exchange import Exchange
 
@@ -136,7 +138,7 @@
     async def _open(self, address: str) -> Result[Connection, ConnectError]:
         host, _, port = address.rpartition(":")
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with ArrivalTimeout(delay_s=self._connect_timeout_s):
                 _, conn = await self._loop.create_connection(
                     lambda: Connection(
                         loop=self._loop,
--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.routing import HttpResponse
 
 if TYPE_CHECKING:
@@ -61,12 +62,12 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
 
-        def deadline_of_size(size: int) -> float:
+        def time_left_s(size: int) -> float:
             extension_s = min(MAX_EXTENSION_S, size / MIN_BODY_BYTES_PER_S)
-            return started_at + timeout_s + extension_s
+            return started_at + timeout_s + extension_s - loop.time()
 
         try:
-            async with asyncio.timeout(timeout_s) as deadline:
+            async with ArrivalTimeout(delay_s=timeout_s) as limit:
                 sent = await self._pool.send(address, head, body, essential=True)
                 if isinstance(sent, Failure):
                     return Failure(sent.failure().message)
@@ -77,8 +78,8 @@
                 response_at = loop.time()
                 response_body = await exchange.read_all(
                     limit=MAX_BODY_BYTES,
-                    on_progress=lambda size: deadline.reschedule(
-                        min(loop.time() + STALL_TIMEOUT_S, deadline_of_size(size))
+                    on_progress=lambda size: limit.reschedule(
+                        min(STALL_TIMEOUT_S, time_left_s(size))
                     ),
                 )
         except TimeoutError:
