Let changed idle limits hold for connections that are open

A change of the configuration that lengthens idle_timeout_ms lets callers reuse their connections for longer, but the timer of an idle connection ran by the limit that was in force when it became idle. A request that crossed such a close got neither an answer nor a refusal beside a change of the configuration.

The timer now asks for the limits in force before it closes. Test: test_longer_idle_timeout_holds_for_connections_that_are_open, failed before.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -75,6 +75,7 @@
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
         self._timer: ArrivalTimer | None = None
+        self._idle_since = 0.0
         self._writable = asyncio.Event()
         self._writable.set()
         self._caller_closes = False
@@ -109,9 +110,7 @@
             self._transport.close()
             return
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self._start_timer(
-            self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
-        )
+        self._start_idle_timer()
 
     def consume(self, data: memoryview) -> None:
         """Parse received bytes."""
@@ -275,9 +274,7 @@
                 self._send_continue()
                 self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
             else:
-                self._start_timer(
-                    self._limits.idle_timeout_s + IDLE_TIMEOUT_MARGIN_S, self._close_transport
-                )
+                self._start_idle_timer()
 
     def _send_continue(self) -> None:
         """Ask for the body of a partial request, once all requests before it are answered."""
@@ -335,6 +332,22 @@
         loop = asyncio.get_running_loop()
         self._timer = ArrivalTimer(loop=loop, delay_s=delay_s, action=action)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = asyncio.get_running_loop().time()
+        self._start_timer(self._idle_time_left_s(), self._on_idle)
+
+    def _on_idle(self) -> None:
+        # Callers follow the limits in force, which may have changed since the timer was started.
+        left_s = self._idle_time_left_s()
+        if left_s > 0:
+            self._start_timer(left_s, self._on_idle)
+        else:
+            self._close_transport()
+
+    def _idle_time_left_s(self) -> float:
+        timeout_s = self._get_limits().idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
+        return self._idle_since + timeout_s - asyncio.get_running_loop().time()
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/router/gateway/ingress/test_arrivals.py
+++ b/tests/router/gateway/ingress/test_arrivals.py
@@ -86,3 +86,20 @@
     gateway.configure(await start_server(answer_late))
     response = await gateway.call("/unsafe/1", "X-Deadline-Ms: 400")
     assert (response.status, response.body) == (200, b"late")
+
+
+async def test_longer_idle_timeout_holds_for_connections_that_are_open(
+    gateway: Gateway, start_server: StartServer
+) -> None:
+    """Guards against a request that crosses a close which the limits in force rule out."""
+    gateway.configure(await start_server(_echo))
+    gateway.limits = LIMITS._replace(idle_timeout_s=0.2)
+    reader, writer = await gateway.connect()
+    writer.write(encode_request("/unsafe/1", body=b"a"))
+    assert (await read_response(reader)).status == 200
+    gateway.limits = LIMITS._replace(idle_timeout_s=5.0)
+    await asyncio.sleep(0.2 + IDLE_TIMEOUT_MARGIN_S + 0.3)
+    writer.write(encode_request("/unsafe/2", body=b"b"))
+    response = await read_response(reader)
+    assert (response.status, response.body) == (200, b"b")
+    writer.close()
