Answer 503 if the deadline passes before a connection is open

Callers got 504, which promises nothing, for requests that no server had got: a send counted from the start of its connect, and a connect that the deadline cancelled was not taken back.

Test: forwarding/test_unsent_requests.py, failed before with 504.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -60,13 +61,19 @@
         if source is not None:
             trace.add_note(f"fetch_from_{source.entry.server}")
         admitted.attempts.count_send()
-        attempt = await self._sender.send(
-            admitted,
-            state,
-            source=source,
-            last_event_id=context.events.last_event_id,
-            reserved=reserved,
-        )
+        try:
+            attempt = await self._sender.send(
+                admitted,
+                state,
+                source=source,
+                last_event_id=context.events.last_event_id,
+                reserved=reserved,
+            )
+        except asyncio.CancelledError:
+            # The sender waits for a connection only; it sends without a pause afterwards.
+            admitted.attempts.count_unsent()
+            trace.add_attempt(state.entry.server, "no_connection")
+            raise
         if attempt is None:
             admitted.attempts.count_unsent()
             trace.add_attempt(state.entry.server, "no_connection")
