Count turns of the loop only once 8 KB are read

A callback in each turn with a read would make the loop poll once more for each small message. Reads below 8 KB add up over turns instead, which only makes shares smaller.

--- a/packages/core/src/cornellead_core/pacing/_read_pacer.py
+++ b/packages/core/src/cornellead_core/pacing/_read_pacer.py
@@ -70,10 +70,11 @@
         :param peer: Whose bytes they are; all connections to a peer share its part.
         :param size: Bytes.
         """
-        if not self._turn_ends:
+        self._turn_bytes += size
+        if not self._turn_ends and self._turn_bytes >= SLICE_BYTES:
+            # Reads of earlier turns count as well until then, which spares small ones a callback.
             self._turn_ends = True
             self._call_soon(self._begin_turn)
-        self._turn_bytes += size
         self._used_bytes[peer] += size
         share = PEER_BYTES if self._turn_bytes < TURN_BYTES else 2 * SMALL_READ_BYTES
         if self._used_bytes[peer] <= share:
