Write the log of a gateway under test to a file

The log now goes to a file, which takes all lines, and the process is stopped instead of killed, so the check counts what the process wrote.

--- a/tests/processes/gateway_fleet.py
+++ b/tests/processes/gateway_fleet.py
@@ -32,6 +32,7 @@
     def __init__(self, find_address: Callable[[], str], directory: Path) -> None:
         self._find_address = find_address
         self._settings_path = directory / "boot.json"
+        self._log_path = directory / "gateway.log"
         self.store_address = find_address()
         self.store = FakeStore(address=self.store_address)
         self.servers = [ScriptedServer(self._respond) for _ in range(2)]
@@ -56,12 +57,14 @@
         settings["bounds"].update(bounds)
         self._settings_path.write_bytes(msgspec.json.encode(settings))
         metrics = self._find_address().rpartition(":")[2]
-        self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "cornellead.cli", "gateway"),
-            *(f"--settings={self._settings_path}", f"--metrics_port={metrics}"),
-            stdout=asyncio.subprocess.PIPE,
-            env=os.environ | {"PYTHONUNBUFFERED": "1"},
-        )
+        # The process drops lines that a full pipe does not take.
+        with self._log_path.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "cornellead.cli", "gateway"),
+                *(f"--settings={self._settings_path}", f"--metrics_port={metrics}"),
+                stdout=log,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
 
     async def restart_gateway(self, **bounds: float) -> None:
         """Kill the gateway, start it with other bounds and wait until it is ready."""
@@ -91,10 +94,13 @@
 
     async def read_logs_until_exit(self) -> list[dict[str, object]]:
         """Wait for the process to exit and return its log lines."""
-        assert self.process is not None and self.process.stdout is not None
-        data = await self.process.stdout.read()
+        assert self.process is not None
         await self.process.wait()
-        return [msgspec.json.decode(line) for line in data.splitlines()]
+        return self.read_logs()
+
+    def read_logs(self) -> list[dict[str, object]]:
+        """Return the log lines of the gateway so far."""
+        return [msgspec.json.decode(line) for line in self._log_path.read_bytes().splitlines()]
 
     def set_draining(self, number: int) -> None:
         self.store.put("keyed.servers", f"s{number}", self._server_entry(number, state="draining"))
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -158,7 +158,12 @@
     await asyncio.sleep(0.2)
     fleet.store.silent = True
     fleet.process.send_signal(signal.SIGTERM)
-    lines = await asyncio.wait_for(fleet.read_logs_until_exit(), grace_s)
+    try:
+        lines = await asyncio.wait_for(fleet.read_logs_until_exit(), grace_s)
+    except TimeoutError:
+        # A process that has ended, and whose end this test has not noticed, has the state Z.
+        state = Path(f"/proc/{fleet.process.pid}/stat").read_text().split()[2]
+        pytest.fail(f"state {state} at the end of the grace time, log: {fleet.read_logs()[-3:]}")
     assert fleet.process.returncode == 0
     assert lines[-1]["event"] == "stopped"
     assert (await payment).status == 504
@@ -225,7 +230,6 @@
     await fleet.wait_readiness()
     fleet.store.put("keyed.op", "config", config)
     await asyncio.sleep(APPLY_LIMIT_S)
-    logs = asyncio.create_task(fleet.read_logs_until_exit())
     calls = [fleet.send_payment() for _ in range(ENDLESS_REQUESTS)]
     responses = await asyncio.gather(*calls)
     assert not any(response.complete and response.status == 200 for response in responses)
@@ -234,6 +238,6 @@
     status = Path(f"/proc/{fleet.process.pid}/status").read_text()
     peak_kb = int(status.partition("VmHWM:")[2].split()[0])
     assert peak_kb << 10 < HOST_MEMORY_BYTES
-    fleet.process.kill()
-    events = [line["event"] for line in await logs]
+    fleet.process.terminate()
+    events = [line["event"] for line in await fleet.read_logs_until_exit()]
     assert events.count("request") == ENDLESS_REQUESTS
