--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -270,12 +270,12 @@
             self._announcer,
             self._exchange,
             self._watcher,
-            LoopWatch(stats=stats, clock=read_clock),
             Ticker(
                 name="watch-attempts",
                 interval_s=STALL_CHECK_INTERVAL_S,
                 action=self._sender.check_stalled_attempts,
                 clock=read_clock,
+                on_delay=LoopWatch(stats=stats).record,
             ),
             Ticker(
                 name="remove-idle",
--- a/packages/router/src/cornellead/gateway/process/_loop_watch.py
+++ b/packages/router/src/cornellead/gateway/process/_loop_watch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,6 @@
 
     from cornellead.gateway.stats import GatewayStats
 
-INTERVAL_S = 0.05
 REPORTED_DELAY_S = 0.1
 """Delay above which a line is logged: a sixth of the time allowed to a first token."""
 
@@ -24,37 +22,26 @@
     The processor time of the process tells a busy loop from a host that was suspended or had no
     processor for it.
 
-    :param clock: Returns seconds, including the time for which the host was suspended.
     :param processor_clock: Returns the seconds of processor time that the process has used.
     """
 
-    name = "watch-loop"
-
     def __init__(
         self,
         *,
         stats: GatewayStats,
-        clock: Callable[[], float],
         processor_clock: Callable[[], float] = time.process_time,
     ) -> None:
         self._stats = stats
-        self._clock = clock
         self._processor_clock = processor_clock
+        self._used_s = processor_clock()
 
-    async def run(self) -> None:
-        """Measure until cancelled."""
-        while True:
-            due_at = self._clock() + INTERVAL_S
-            used_s = self._processor_clock()
-            await asyncio.sleep(INTERVAL_S)
-            self.record(self._clock() - due_at, busy_s=self._processor_clock() - used_s)
-
-    def record(self, delay_s: float, *, busy_s: float) -> None:
-        """Count one delay.
+    def record(self, delay_s: float) -> None:
+        """Count the delay of one call, which is made at a fixed interval.
 
         :param delay_s: How late the loop was, in seconds.
-        :param busy_s: Processor time that the process used meanwhile, in seconds.
         """
+        used_s = self._processor_clock()
+        busy_s, self._used_s = used_s - self._used_s, used_s
         self._stats.count_loop_delay(max(0.0, delay_s))
         if delay_s <= REPORTED_DELAY_S:
             return
--- a/tests/router/gateway/process/test_loop_watch.py
+++ b/tests/router/gateway/process/test_loop_watch.py
@@ -8,6 +8,7 @@
 from structlog.testing import capture_logs
 
 from cornellead.gateway.process._loop_watch import LoopWatch
+from cornellead.gateway.process._ticker import Ticker
 from cornellead.gateway.stats import GatewayStats
 from cornellead_core.metrics import Metrics
 
@@ -17,9 +18,15 @@
 async def test_busy_loop_is_told_from_a_suspended_host() -> None:
     """Guards against late answers whose cause no log tells."""
     metrics = Metrics()
-    watch = LoopWatch(stats=GatewayStats(metrics=metrics), clock=time.monotonic)
+    ticker = Ticker(
+        name="test",
+        interval_s=0.05,
+        action=lambda: None,
+        clock=time.monotonic,
+        on_delay=LoopWatch(stats=GatewayStats(metrics=metrics)).record,
+    )
     with capture_logs() as logs:
-        task = asyncio.create_task(watch.run())
+        task = asyncio.create_task(ticker.run())
         await asyncio.sleep(0.01)
         until = time.process_time() + BLOCKED_S
         while time.process_time() < until:
@@ -36,7 +43,7 @@
 
 def test_short_delays_are_not_logged() -> None:
     """Guards against a log that is full of lines about usual work."""
-    watch = LoopWatch(stats=GatewayStats(metrics=Metrics()), clock=time.monotonic)
+    watch = LoopWatch(stats=GatewayStats(metrics=Metrics()))
     with capture_logs() as logs:
-        watch.record(0.02, busy_s=0.02)
+        watch.record(0.02)
     assert not logs
