--- a/packages/core/src/cornellead_core/pacing/_paced_protocol.py
+++ b/packages/core/src/cornellead_core/pacing/_paced_protocol.py
@@ -50,7 +50,8 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read; called by asyncio."""
         del sizehint
-        return _read_buffer[: self._pacer.read_size]
+        size = self._pacer.read_size
+        return _read_buffer if size == SLICE_BYTES else _read_buffer[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Consume and count what was read; called by asyncio."""
--- a/packages/core/src/cornellead_core/pacing/_read_pacer.py
+++ b/packages/core/src/cornellead_core/pacing/_read_pacer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -47,18 +46,15 @@
 
     def __init__(self, *, call_soon: Callable[[Callable[[], None]], object]) -> None:
         self._call_soon = call_soon
-        self._used_bytes: Counter[Hashable] = Counter()
+        self._used_bytes: dict[Hashable, int] = {}
         self._turn_bytes = 0
         self._turn_ends = False
         self._waiting: dict[Hashable, deque[PacedReader]] = {}
+        self.read_size = SLICE_BYTES
+        """Maximum size of the next read, in bytes."""
         self.throttled = 0
         """Number of times a connection had to wait."""
 
-    @property
-    def read_size(self) -> int:
-        """Maximum size of the next read, in bytes."""
-        return SMALL_READ_BYTES if self._turn_bytes >= TURN_BYTES else SLICE_BYTES
-
     @property
     def waiting(self) -> int:
         """Number of connections that wait for a turn."""
@@ -71,13 +67,18 @@
         :param size: Bytes.
         """
         self._turn_bytes += size
-        if not self._turn_ends and self._turn_bytes >= SLICE_BYTES:
-            # Reads of earlier turns count as well until then, which spares small ones a callback.
+        if self._turn_bytes < SLICE_BYTES:
+            # Small reads of some turns count together, which spares them any further work.
+            return
+        if not self._turn_ends:
             self._turn_ends = True
             self._call_soon(self._begin_turn)
-        self._used_bytes[peer] += size
-        share = PEER_BYTES if self._turn_bytes < TURN_BYTES else 2 * SMALL_READ_BYTES
-        if self._used_bytes[peer] <= share:
+        used_bytes = self._used_bytes[peer] = self._used_bytes.get(peer, 0) + size
+        share = PEER_BYTES
+        if self._turn_bytes >= TURN_BYTES:
+            self.read_size = SMALL_READ_BYTES
+            share = 2 * SMALL_READ_BYTES
+        if used_bytes <= share:
             return
         self.throttled += 1
         self._waiting.setdefault(peer, deque()).append(reader)
@@ -95,6 +96,7 @@
     def _begin_turn(self) -> None:
         self._turn_bytes = 0
         self._used_bytes.clear()
+        self.read_size = SLICE_BYTES
         self._turn_ends = bool(self._waiting)
         if self._turn_ends:
             self._call_soon(self._begin_turn)
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -288,8 +288,10 @@
                 self.keep_alive_timeout_s = float(seconds) if seconds.isdecimal() else None
 
     def _pass_body_on(self) -> None:
+        if not self._body:
+            return
         body, self._body = self._body, []
-        if body and self._exchange is not None and not self.closed:
+        if self._exchange is not None and not self.closed:
             self._exchange.receive_body(body[0] if len(body) == 1 else b"".join(body))
 
     def _fail(self) -> None:
