Do not pause a connection whose response is complete

A request that a sound server had got and answered ended without that answer (504 at its deadline): reading pauses above 64 KB of unread response, also if the read that exceeds them ends the response. The connection goes back to the pool then, and reads on only when somebody reads the earlier response. If its caller has left, nobody does, and the answer to the next request on the connection stays in the socket.

Only a response that is in progress pauses its connection now.

Test: upstream/test_connection.py, failed before (no answer within 1 s), and on.

--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -173,7 +173,7 @@
         if self._overhead_bytes > self._largest_head_bytes:
             self._largest_head_bytes = self._overhead_bytes
             exchange.receive_head_bytes(self._largest_head_bytes)
-        if exchange.pending_bytes > HIGH_WATER_BYTES and not self.closed:
+        if self._exchange is exchange and exchange.pending_bytes > HIGH_WATER_BYTES:
             self.pause_reading()
 
     def eof_received(self) -> bool:
--- /dev/null
+++ b/tests/router/upstream/test_connection.py
@@ -0,0 +1,57 @@
+"""Connections that go back to the pool while their reads are paused."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from tests.router.gateway.scripted_server import ScriptedServer
+
+from cornellead.upstream import ConnectionPool
+from cornellead.upstream._exchange import HIGH_WATER_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tests.router.gateway.scripted_server import ScriptedExchange
+
+    from cornellead.upstream import Exchange
+
+BODY = b"a" * (HIGH_WATER_BYTES + 1)
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[ScriptedServer]:
+    """Yield a server whose answers are longer than what a connection holds unread."""
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(BODY), BODY))
+
+    server = ScriptedServer(script)
+    await server.start()
+    yield server
+    server.stop()
+
+
+async def _send(pool: ConnectionPool, server: ScriptedServer) -> Exchange:
+    return (await pool.send(server.address, REQUEST, b"")).unwrap()
+
+
+async def test_answer_that_nobody_read_does_not_silence_the_connection(
+    server: ScriptedServer,
+) -> None:
+    """Guards against a request whose answer is never read, behind one that its caller left."""
+    pool = ConnectionPool(loop=asyncio.get_running_loop())
+    left = await _send(pool, server)
+    async with asyncio.timeout(1.0):
+        while not left.complete:
+            await asyncio.sleep(0.001)
+    left.abort()
+    await asyncio.sleep(0)
+    following = await _send(pool, server)
+    async with asyncio.timeout(1.0):
+        assert await following.read_all(limit=len(BODY)) == BODY
+    assert pool.reused == 1
+    pool.close()
