Read pipelined requests only as earlier ones are answered

Reading was resumed after each answer, however many requests were waiting, and one read holds hundreds of tiny ones. Taking the first from such a list also took longer with each read.

Reading now goes on once at most MAX_PIPELINED_REQUESTS wait.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -265,8 +265,9 @@
             self._drop_requests()
             self._close_after_linger()
             return
-        self.resume_reading()
         self._start_next_request()
+        if len(self._parser.requests) <= MAX_PIPELINED_REQUESTS:
+            self.resume_reading()
         if self._task is None:
             if self._parser.rejection is not None:
                 self._reject(self._parser.rejection)
--- a/tests/router/gateway/ingress/test_caller_connection.py
+++ b/tests/router/gateway/ingress/test_caller_connection.py
@@ -16,6 +16,8 @@
 from cornellead.gateway.ingress import CallerConnection
 from cornellead.gateway.ingress import ServingPhase
 from cornellead.gateway.ingress import ServingState
+from cornellead.gateway.ingress._caller_connection import MAX_PIPELINED_REQUESTS
+from cornellead_core.pacing import SLICE_BYTES
 from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
@@ -118,6 +120,22 @@
     writer.close()
 
 
+async def test_requests_behind_others_are_read_only_as_these_are_answered(
+    gateway: Gateway,
+) -> None:
+    """Guards against a caller that fills the memory with requests it sends without end."""
+    gateway.configure()
+    reader, writer = await gateway.connect()
+    request = encode_request("/safe/1", key="")
+    writer.write(request * 2000)
+    per_read = -(-SLICE_BYTES // len(request))
+    for _ in range(200):
+        assert (await read_response(reader)).status == 401
+        (conn,) = gateway.listener._conns
+        assert len(conn._parser.requests) <= MAX_PIPELINED_REQUESTS + per_read
+    writer.close()
+
+
 async def test_expect_continue_gets_an_interim_response(
     gateway: Gateway, start_server: Callable[[Script], Awaitable[ScriptedServer]]
 ) -> None:
