Let the time limit of a call end also while bytes arrive

Since time-outs act a few turns of the event loop after they are due, each read of a body that exceeded its limit started the timer anew, and the limit held only once the reads paused. A store or router that sends tiny chunks without end kept a reader of notices waiting for 4.1 s instead of 0.4 s, and kept the loop busy meanwhile.

The timer starts anew only while time is left.

Test: test_body_in_tiny_chunks_does_not_outlast_the_time_limit, 0.41 s on, failed before with 4.08 s, 0.40 s now.

--- a/packages/router/src/cornellead/upstream/_pooled_http_client.py
+++ b/packages/router/src/cornellead/upstream/_pooled_http_client.py
@@ -62,9 +62,12 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
 
-        def time_left_s(size: int) -> float:
+        def extend_limit(size: int) -> None:
             extension_s = min(MAX_EXTENSION_S, size / MIN_BODY_BYTES_PER_S)
-            return started_at + timeout_s + extension_s - loop.time()
+            time_left_s = started_at + timeout_s + extension_s - loop.time()
+            # A timer that is due would start anew with each read.
+            if time_left_s > 0:
+                limit.reschedule(min(STALL_TIMEOUT_S, time_left_s))
 
         try:
             async with ArrivalTimeout(delay_s=timeout_s) as limit:
@@ -77,10 +80,7 @@
                     return Failure("the connection closed before the response")
                 response_at = loop.time()
                 response_body = await exchange.read_all(
-                    limit=MAX_BODY_BYTES,
-                    on_progress=lambda size: limit.reschedule(
-                        min(STALL_TIMEOUT_S, time_left_s(size))
-                    ),
+                    limit=MAX_BODY_BYTES, on_progress=extend_limit
                 )
         except TimeoutError:
             return Failure(f"no complete response within {loop.time() - started_at:.2f} s")
--- a/tests/router/upstream/test_pooled_http_client.py
+++ b/tests/router/upstream/test_pooled_http_client.py
@@ -9,10 +9,13 @@
 import pytest
 from returns.result import Failure
 from returns.result import Success
+from tests.processes.flood import repeat
+from tests.processes.flood import single_byte_chunks
 from tests.router.gateway.scripted_server import ScriptedServer
 
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
+from cornellead.upstream import _pooled_http_client
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -96,6 +99,23 @@
     assert duration_s < 7.0
 
 
+async def test_body_in_tiny_chunks_does_not_outlast_the_time_limit(
+    call: CallServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a time limit that each read of a busy process puts off."""
+    monkeypatch.setattr(_pooled_http_client, "MAX_EXTENSION_S", 0.2)
+    chunks = repeat(single_byte_chunks(b"a"))
+
+    async def script(exchange: ScriptedExchange) -> None:
+        await exchange.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while not exchange.disconnected.is_set():
+            await exchange.send(chunks)
+
+    response, duration_s = await call(script)
+    assert response is None
+    assert duration_s < TIMEOUT_S + 0.2 + 0.5
+
+
 @pytest.mark.parametrize("port", ["0", "65536", "-1", "9" * 30, "9" * 5000, "x", ""])
 async def test_address_that_cannot_be_dialled_is_a_failed_call(port: str) -> None:
     """Guards against a request that ends without an answer because of its server's address."""
