Send no request on a connection whose server has closed it

A pooled connection was reused although its end, or bytes that answer no request, lay unread in its socket: the loop was busy, or, since reads are paced, the connection waited for a turn when its response ended. The request got 502 or was repeated, although its server was sound, or the bytes behind an earlier response broke it.

The pool asks the socket before it reuses a connection.

Test: test_connection_on_which_something_arrived_meanwhile_is_not_reused, failed before.

--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -133,6 +134,16 @@
         self._transport.write(head + body)
         return self._exchange
 
+    def has_unread_input(self) -> bool:
+        """Return whether the server has sent something, or closed, and this was not read yet."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        return bool(poll.poll(0))
+
     def may_carry(self, expect: EchoedHeader | None) -> bool:
         """Return whether a response to this request can be told from late copies of earlier ones.
 
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -165,7 +165,9 @@
             # The last one has the shortest idle time; if it is too old, so are the others.
             conn = conns.pop()
             idle_s = self._loop.time() - conn.idle_since
-            if conn.closed or idle_s >= _idle_timeout_s(conn, IDLE_TIMEOUT_S):
+            expired = conn.closed or idle_s >= _idle_timeout_s(conn, IDLE_TIMEOUT_S)
+            # No response is due, and a busy process reads late that the server has closed.
+            if expired or conn.has_unread_input():
                 conn.close()
             elif idle_s < max_idle_s and conn.may_carry(expect):
                 found = conn
--- a/tests/router/upstream/test_connection.py
+++ b/tests/router/upstream/test_connection.py
@@ -1,8 +1,9 @@
-"""Connections that go back to the pool while their reads are paused."""
+"""Connections that are reused before all that their server did was read."""
 
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
@@ -55,3 +56,22 @@
         assert await following.read_all(limit=len(BODY)) == BODY
     assert pool.reused == 1
     pool.close()
+
+
+@pytest.mark.parametrize("late", [b"", b"HTTP/1.1 200 OK\r\n\r\n"], ids=["end", "bytes"])
+async def test_connection_on_which_something_arrived_meanwhile_is_not_reused(
+    server: ScriptedServer, late: bytes
+) -> None:
+    """Guards against a request that is sent on a connection its server has closed already."""
+    pool = ConnectionPool(loop=asyncio.get_running_loop())
+    assert await (await _send(pool, server)).read_all(limit=len(BODY)) == BODY
+    await asyncio.sleep(0.01)
+    transport = server.received[0].writer.transport
+    if late:
+        transport.write(late)
+    else:
+        transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+    async with asyncio.timeout(1.0):
+        assert await (await _send(pool, server)).read_all(limit=len(BODY)) == BODY
+    assert pool.opened == 2
+    pool.close()
