End responses of the service that holds the most

In an agent, a chat answer of 200 KB beside 40 that stand still at 30 KB was lost.

Cause: BufferBudget ended the largest response. A faulty one need not be large; a sound one beside many small ones is.

Change: bytes are accounted by service and by server. The service that holds the most gives way, within it the server that does, and of that server's responses the largest among the first that hold half of its bytes, in the order in which they began to hold or last passed something on. A service that holds no more than an equal share loses nothing (Hypothesis test). Reading a whole body, or a part of an event, no longer looks like passing it on. The sum is bounded as before.

--- a/packages/core/src/cornellead_core/buffers/__init__.py
+++ b/packages/core/src/cornellead_core/buffers/__init__.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from cornellead_core.buffers._buffer_budget import MAX_BUFFERED_BYTES
+from cornellead_core.buffers._buffer_budget import UNKNOWN_OWNER
 from cornellead_core.buffers._buffer_budget import BufferBudget
 from cornellead_core.buffers._buffer_budget import BufferHolder
+from cornellead_core.buffers._buffer_budget import BufferOwner
 
-__all__ = ["MAX_BUFFERED_BYTES", "BufferBudget", "BufferHolder"]
+__all__ = ["MAX_BUFFERED_BYTES", "UNKNOWN_OWNER", "BufferBudget", "BufferHolder", "BufferOwner"]
--- a/packages/core/src/cornellead_core/buffers/_buffer_budget.py
+++ b/packages/core/src/cornellead_core/buffers/_buffer_budget.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import weakref
+from collections import Counter
+from collections import defaultdict
 from typing import NamedTuple
 from typing import Protocol
 
@@ -21,60 +23,123 @@
         ...
 
 
-class _Held(NamedTuple):
-    holder: weakref.ref[BufferHolder]
-    size: int
+class BufferOwner(NamedTuple):
+    """Sender of the bytes that a holder holds."""
+
+    service: str = ""
+    """Empty if the sender is a server whose service is unknown."""
+    server: str = ""
+    """Address; empty if all bytes come from the same server."""
+
+
+UNKNOWN_OWNER = BufferOwner()
 
 
 class BufferBudget:
-    """Lets the largest holders give up while all of them hold more than a limit.
+    """Lets holders give up while all of them hold more than a limit.
 
-    A limit on each response does not bound their sum. A server that sends bytes without end holds
-    more than a sound response does, so the largest goes first.
+    A limit on each response does not bound their sum. The service that holds the most gives way
+    first, so one that holds no more than an equal share loses nothing, however small the responses
+    of the others are. Within it the server that holds the most gives way, and within that one the
+    largest response of those that have stood still for longest.
 
     :param limit_bytes: Maximum of the sum.
     """
 
     def __init__(self, *, limit_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self._limit_bytes = limit_bytes
-        self._held: dict[int, _Held] = {}
+        self._shares: defaultdict[BufferOwner, _Share] = defaultdict(_Share)
         self.used_bytes = 0
         """Sum of what the holders hold."""
         self.dropped = 0
         """Number of holders that had to give up."""
 
-    def record(self, holder: BufferHolder, size: int) -> None:
+    def record(
+        self, holder: BufferHolder, size: int, *, owner: BufferOwner = UNKNOWN_OWNER
+    ) -> None:
         """Record how much a holder holds now.
 
         :param size: Bytes.
+        :param owner: The same in all calls for a holder.
         """
         key = id(holder)
-        known = self._held.get(key)
-        if known is None:
-            if size < MIN_RECORDED_BYTES:
-                return
-            # A holder that nobody uses any more is not counted either.
-            ref = weakref.ref(holder, lambda _: self._remove(key))
-        else:
-            ref = known.holder
-            self.used_bytes -= known.size
+        share = self._shares.get(owner)
+        known = None if share is None else share.held.get(key)
+        if known is not None and size < known.size:
+            # It has passed something on, so it is as young as one that has just begun.
+            self._remove(owner, key)
+        elif known is None and size < MIN_RECORDED_BYTES:
+            return
         if size < MIN_RECORDED_BYTES:
-            del self._held[key]
             return
-        self._held[key] = _Held(ref, size)
-        self.used_bytes += size
+        # A holder that nobody uses any more is not counted either.
+        ref = known.holder if known else weakref.ref(holder, lambda _: self._remove(owner, key))
+        held = _Held(ref, size)
+        # From here on nothing is allocated that could start a collection, which removes others.
+        share = self._shares[owner]
+        grown = size - share.size_of(key)
+        share.held[key] = held
+        share.size += grown
+        self.used_bytes += grown
         while self.used_bytes > self._limit_bytes:
-            self._drop_largest()
-
-    def _drop_largest(self) -> None:
-        key = max(self._held, key=lambda key: self._held[key].size)
-        holder = self._held[key].holder()
-        self._remove(key)
+            self._drop_one()
+
+    def _drop_one(self) -> None:
+        shares = list(self._shares.items())
+        services: Counter[str] = Counter()
+        for owner, share in shares:
+            services[owner.service] += share.size
+        ((service, _),) = services.most_common(1)
+        owner, share = max(
+            (item for item in shares if item[0].service == service), key=lambda item: item[1].size
+        )
+        holder = self._remove(owner, share.find_largest_of_older_half())
         self.dropped += 1
         if holder is not None:
             holder.drop_buffer()
 
-    def _remove(self, key: int) -> None:
-        held = self._held.pop(key, None)
-        if held is not None:
-            self.used_bytes -= held.size
+    def _remove(self, owner: BufferOwner, key: int) -> BufferHolder | None:
+        share = self._shares.get(owner)
+        held = None if share is None else share.held.pop(key, None)
+        if share is None or held is None:
+            return None
+        self.used_bytes -= held.size
+        share.size -= held.size
+        if not share.held:
+            del self._shares[owner]
+        return held.holder()
+
+
+class _Held(NamedTuple):
+    holder: weakref.ref[BufferHolder]
+    size: int
+
+
+class _Share:
+    """What the holders of one owner hold."""
+
+    def __init__(self) -> None:
+        self.size = 0
+        self.held: dict[int, _Held] = {}
+        """In the order in which they began to hold, or last passed something on."""
+
+    def size_of(self, key: int) -> int:
+        """Return what a holder holds, in bytes."""
+        held = self.held.get(key)
+        return 0 if held is None else held.size
+
+    def find_largest_of_older_half(self) -> int:
+        """Return the largest of the first holders that have half of the bytes together.
+
+        A sound response is short-lived, so it is rarely among them beside some without end.
+        """
+        largest, largest_size, total = 0, -1, 0
+        # A copy, since a collection may remove holders at any time.
+        for key in list(self.held):
+            size = self.size_of(key)
+            total += size
+            if size > largest_size:
+                largest, largest_size = key, size
+            if 2 * total >= self.size:
+                break
+        return largest
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_sender.py
@@ -83,6 +83,7 @@
             reserved=reserved,
             max_idle_s=REPEATABLE_MAX_IDLE_S if repeatable else NON_REPEATABLE_MAX_IDLE_S,
             expect=EchoedHeader(self._wire.request_id_header, admitted.caller.request_id),
+            service=state.entry.service,
         )
         if isinstance(result, Failure):
             state.health.record_connect_failure(now=self._clock())
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -146,7 +146,7 @@
     ) -> AttemptOutcome:
         first_data_at: float | None = None
         while True:
-            data = await attempt.exchange.read()
+            data = await attempt.exchange.read(keep=True)
             if data is None:
                 return _broken(attempt, "stream_broken")
             if data:
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -11,6 +11,7 @@
 from cornellead.upstream._exchange import HIGH_WATER_BYTES
 from cornellead.upstream._exchange import Exchange
 from cornellead.upstream._exchange import ResponseHead
+from cornellead_core.buffers import BufferOwner
 from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
         super().__init__(pacer=pacer, peer=address)
         self._loop = loop
         self._release = release
+        self._address = address
         self._budget = budget
         self._parser: httptools.HttpResponseParser | None = None
         self._exchange: Exchange | None = None
@@ -104,6 +106,7 @@
         *,
         expect: EchoedHeader | None = None,
         essential: bool = False,
+        service: str = "",
     ) -> Exchange:
         """Send a request.
 
@@ -111,6 +114,7 @@
         :param expect: Responses in which this header has another value are discarded. On a reused
             connection, so are responses without it, since they may belong to an earlier request.
         :param essential: Whether the response is kept even if all responses hold too much.
+        :param service: Service of the server, which shares what all responses may hold.
         """
         assert self._transport is not None and self._exchange is None
         # With a new parser for each response, no state of an earlier response can leak into it.
@@ -129,6 +133,7 @@
             abort=self.close,
             resume_reading=self.resume_reading,
             budget=None if essential else self._budget,
+            owner=BufferOwner(service, self._address),
         )
         self._transport.write(head + body)
         return self._exchange
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -72,6 +73,7 @@
         max_idle_s: float = IDLE_TIMEOUT_S,
         expect: EchoedHeader | None = None,
         essential: bool = False,
+        service: str = "",
     ) -> Result[Exchange, ConnectError]:
         """Send a request on an idle connection, or on a new one if there is none.
 
@@ -85,15 +87,24 @@
             requests on the connection. A connection on which a request with the same value was
             unsuccessful is not reused for it.
         :param essential: Whether the response is kept even if all responses hold too much.
+        :param service: Service of the server, which shares what all responses may hold.
         """
+        send = partial(
+            Connection.send,
+            head=head,
+            body=body,
+            expect=expect,
+            essential=essential,
+            service=service,
+        )
         if reserved is not None and not reserved.closed:
-            return Success(reserved.send(head, body, expect=expect, essential=essential))
+            return Success(send(reserved))
         conn = None if fresh else self._pop_idle(address, max_idle_s, expect)
         if conn is not None:
             self.reused += 1
-            return Success(conn.send(head, body, expect=expect, essential=essential))
+            return Success(send(conn))
         opened = await self._open(address)
-        return opened.map(lambda conn: conn.send(head, body, expect=expect, essential=essential))
+        return opened.map(send)
 
     async def reserve(self, address: str) -> Result[Connection, ConnectError]:
         """Open a connection for one request; the holder passes it to `send` or releases it."""
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -7,10 +7,13 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead_core.buffers import UNKNOWN_OWNER
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cornellead_core.buffers import BufferBudget
+    from cornellead_core.buffers import BufferOwner
 
 HIGH_WATER_BYTES = 64 << 10
 """Number of unread response bytes above which the connection stops reading from its socket."""
@@ -35,6 +38,7 @@
     :param resume_reading: Makes the connection read again after it paused for back-pressure.
     :param budget: Bounds what all responses hold together; ``None`` for a response that others must
         not end.
+    :param owner: Sender of the response.
     """
 
     def __init__(
@@ -44,11 +48,13 @@
         abort: Callable[[], None],
         resume_reading: Callable[[], None],
         budget: BufferBudget | None = None,
+        owner: BufferOwner = UNKNOWN_OWNER,
     ) -> None:
         self._loop = loop
         self._abort = abort
         self._resume_reading = resume_reading
         self._budget = budget
+        self._owner = owner
         self._head_bytes = 0
         self._held_bytes = 0
         self._head: ResponseHead | None = None
@@ -101,9 +107,10 @@
             if self._waiter is waiter:
                 self._waiter = None
 
-    async def read(self) -> bytes | None:
+    async def read(self, *, keep: bool = False) -> bytes | None:
         """Wait for body bytes.
 
+        :param keep: Whether the reader keeps the bytes for now; `hold` tells what becomes of them.
         :returns: All bytes received since the last call, ``b""`` at the end of a complete response,
             or ``None`` if the connection broke.
         """
@@ -113,10 +120,13 @@
             if self.broken:
                 return None
             await self._wait()
-        return self.read_available()
+        return self.read_available(keep=keep)
+
+    def read_available(self, *, keep: bool = False) -> bytes:
+        """Return the body bytes received since the last call without waiting; may be empty.
 
-    def read_available(self) -> bytes:
-        """Return the body bytes received since the last call without waiting; may be empty."""
+        :param keep: As for `read`.
+        """
         chunks = self._chunks
         if not chunks:
             return b""
@@ -125,6 +135,8 @@
         if self.pending_bytes > HIGH_WATER_BYTES:
             self._resume_reading()
         self.pending_bytes = 0
+        if keep:
+            self._held_bytes += len(data)
         self._record_size()
         return data
 
@@ -163,7 +175,7 @@
         body = bytearray()
         try:
             while True:
-                data = await self.read()
+                data = await self.read(keep=True)
                 if data is None:
                     return None
                 if not data:
@@ -172,7 +184,6 @@
                     self.abort()
                     return None
                 body += data
-                self.hold(len(body))
                 if on_progress is not None:
                     on_progress(len(body))
         finally:
@@ -248,7 +259,8 @@
 
     def _record_size(self) -> None:
         if self._budget is not None:
-            self._budget.record(self, self._head_bytes + self.pending_bytes + self._held_bytes)
+            size = self._head_bytes + self.pending_bytes + self._held_bytes
+            self._budget.record(self, size, owner=self._owner)
 
     async def _wait(self) -> None:
         self._waiter = self._loop.create_future()
--- a/tests/core/buffers/test_buffer_budget.py
+++ b/tests/core/buffers/test_buffer_budget.py
@@ -4,21 +4,25 @@
 
 import gc
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cornellead_core.buffers import UNKNOWN_OWNER
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.buffers import BufferOwner
 
 LIMIT_BYTES = 100_000
 
 
 class _Holder:
-    def __init__(self, budget: BufferBudget) -> None:
+    def __init__(self, budget: BufferBudget, owner: BufferOwner = UNKNOWN_OWNER) -> None:
         self.budget = budget
+        self.owner = owner
         self.dropped = False
 
     def hold(self, size: int) -> None:
-        self.budget.record(self, size)
+        self.budget.record(self, size, owner=self.owner)
 
     def drop_buffer(self) -> None:
         self.dropped = True
@@ -46,11 +50,82 @@
     assert budget.used_bytes == 0 and budget.dropped == 0
 
 
+@pytest.mark.parametrize(
+    ("sound", "faulty", "later"),
+    [
+        (BufferOwner("a", "a1"), [BufferOwner("b", "b1")], 20),
+        (BufferOwner("a", "a1"), [BufferOwner("b", f"b{number}") for number in range(20)], 20),
+        (BufferOwner("a", "a1"), [BufferOwner("a", "a2")], 20),
+        (BufferOwner("", "a1"), [BufferOwner("", "a2")], 20),
+        (UNKNOWN_OWNER, [UNKNOWN_OWNER], 6),
+    ],
+    ids=["two services", "service of many servers", "two servers", "no service", "one server"],
+)
+def test_many_small_holders_do_not_end_a_sound_one(
+    sound: BufferOwner, faulty: list[BufferOwner], later: int
+) -> None:
+    """Guards against a sound response that ends as the largest beside small ones without end
+    (issue 38)."""
+    budget = BufferBudget(limit_bytes=LIMIT_BYTES)
+    endless = [_Holder(budget, faulty[number % len(faulty)]) for number in range(20 + later)]
+    for holder in endless[:20]:
+        holder.hold(LIMIT_BYTES // 20)
+    large = _Holder(budget, sound)
+    for number, holder in enumerate(endless[20:], start=1):
+        large.hold(number * LIMIT_BYTES // 60)
+        holder.hold(LIMIT_BYTES // 20)
+    assert not large.dropped and budget.used_bytes <= LIMIT_BYTES
+
+
+def test_services_with_as_many_servers_lose_nothing_to_a_faulty_one() -> None:
+    """Guards against a share by server, which a faulty service with many of them fills (issue
+    38)."""
+    budget = BufferBudget(limit_bytes=LIMIT_BYTES)
+    sound = [_Holder(budget, BufferOwner(f"a{number}", f"a{number}")) for number in range(4)]
+    for holder in sound:
+        holder.hold(LIMIT_BYTES // 10)
+    endless = [_Holder(budget, BufferOwner("b", f"b{number % 4}")) for number in range(60)]
+    for holder in endless:
+        holder.hold(LIMIT_BYTES // 20)
+    assert not any(holder.dropped for holder in sound)
+    assert sum(holder.dropped for holder in endless) == 48
+
+
+def test_holder_that_passes_bytes_on_outlasts_those_that_stand_still() -> None:
+    """Guards against a long stream that ends as the oldest although its caller reads it."""
+    budget = BufferBudget(limit_bytes=LIMIT_BYTES)
+    stream = _Holder(budget)
+    endless = [_Holder(budget) for _ in range(60)]
+    for holder in endless:
+        stream.hold(LIMIT_BYTES // 5)
+        stream.hold(LIMIT_BYTES // 6)
+        holder.hold(LIMIT_BYTES // 20)
+    assert not stream.dropped and budget.dropped > 0
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.integers(0, LIMIT_BYTES // 2), st.booleans()), max_size=60
+    )
+)
+def test_service_within_its_equal_share_loses_nothing(steps: list[tuple[int, int, bool]]) -> None:
+    """Guards against a service that pays for what others hold (issue 38)."""
+    budget = BufferBudget(limit_bytes=LIMIT_BYTES)
+    sound = [_Holder(budget, BufferOwner("a", f"a{number}")) for number in range(10)]
+    others = [_Holder(budget, BufferOwner("b", "b1")) for _ in range(10)]
+    for position, size, is_sound in steps:
+        if is_sound:
+            sound[position].hold(size // 10)
+        else:
+            others[position].hold(size)
+    assert not any(holder.dropped for holder in sound)
+
+
 @given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, LIMIT_BYTES * 2)), max_size=60))
 def test_sum_stays_below_the_limit(steps: list[tuple[int, int]]) -> None:
     """Guards against memory that grows with the number of responses."""
     budget = BufferBudget(limit_bytes=LIMIT_BYTES)
-    holders = [_Holder(budget) for _ in range(10)]
+    holders = [_Holder(budget, BufferOwner("a", f"a{number % 3}")) for number in range(10)]
     for position, size in steps:
         holders[position].hold(size)
         assert 0 <= budget.used_bytes <= LIMIT_BYTES
