Read no further behind a rejected request

Callers can make a router keep bytes without end: a body above the limit that is sent behind a request in progress was rejected, but read on and kept until that request had its answer.

Test: test_rejected_body_is_not_kept, failed before.

--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -66,12 +66,12 @@
         return self._started_at is not None and not self._headers_complete
 
     def feed(self, data: bytes, *, now: float) -> None:
-        """Parse bytes; complete requests are appended to `requests`.
+        """Parse bytes, unless a request was rejected; complete ones are appended to `requests`.
 
         :param now: Seconds of the process clock.
         """
         self._now = now
-        while data:
+        while data and self.rejection is None:
             data = self._feed_until_upgrade(data)
 
     def on_message_begin(self) -> None:
--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from typing import TYPE_CHECKING
 
 import pytest
@@ -9,6 +10,7 @@
 from tests.router.gateway.gateway_harness import encode_request
 from tests.router.gateway.gateway_harness import read_response
 
+from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
 
 if TYPE_CHECKING:
@@ -73,3 +75,19 @@
     request = encode_request("/safe/1", "Connection: Upgrade", "Upgrade: h2c")
     parser.feed(request * 1000, now=0.0)
     assert (len(parser.requests), parser.rejection) == (1000, None)
+
+
+def test_rejected_body_is_not_kept() -> None:
+    """Guards against a caller that runs a router out of memory with a body without end, which it
+    sends behind a request in progress."""
+    parser = RequestParser(limits=LIMITS)
+    head = encode_request("/unsafe/1").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    chunk = b"4000\r\n" + b"a" * 0x4000 + b"\r\n"
+    tracemalloc.start()
+    parser.feed(head, now=0.0)
+    for _ in range(100):
+        parser.feed(chunk, now=0.0)
+    held_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert parser.rejection is RejectionStatus.BODY_TOO_LARGE
+    assert held_bytes < 4 * len(chunk)
