--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tracemalloc
 from typing import TYPE_CHECKING
 
 import pytest
@@ -87,3 +88,19 @@
     assert parser.rejection is None
     parser.feed(b"a" * 200, now=0.0)
     assert parser.rejection is RejectionStatus.HEADERS_TOO_LARGE
+
+
+def test_rejected_body_is_not_kept() -> None:
+    """Guards against a caller that runs a router out of memory with a body without end, which it
+    sends behind a request in progress."""
+    parser = RequestParser(limits=LIMITS)
+    head = encode_request("/unsafe/1").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    chunk = b"4000\r\n" + b"a" * 0x4000 + b"\r\n"
+    tracemalloc.start()
+    parser.feed(head, now=0.0)
+    for _ in range(100):
+        parser.feed(chunk, now=0.0)
+    held_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert parser.rejection is RejectionStatus.BODY_TOO_LARGE
+    assert held_bytes < 4 * len(chunk)
