Let the soak flood gateways and check kept connections

None of its peers sent tiny pieces, its callers reused connections after 0.03 s or at the end of the shortest idle timeout, and a request without any answer was a violation only if it had run.

Change: floods of answers, bodies, header lines and pipelined requests hit gateways for 0.5 to 3 s, two at a time at most, beside all other troubles; their sockets are served by threads. Changes of the configuration now set header_timeout_ms and the timeouts of routes, too. Callers reuse connections after idle times of up to four fifths of the shortest idle timeout that may be in force: whole requests must get an answer or a refusal within their deadline + 0.5 s, no 408, and connections stay open for that timeout. Only processes that were told to end are excused, and suspended ones for late answers. Beside floods of answers at all gateways and no other trouble each request of the sound service must get 200. SOAK_GATEWAYS sets the number of gateways.

--- a/tests/processes/test_starving_peers.py
+++ b/tests/processes/test_starving_peers.py
@@ -9,9 +9,9 @@
 
 import pytest
 from tests.platform_adapter import payloads
+from tests.processes.flood import BODY_BLOCK
+from tests.processes.flood import EVENT_BLOCKS
 from tests.processes.flood import Flood
-from tests.processes.flood import repeat
-from tests.processes.flood import single_byte_chunks
 from tests.processes.gateway_fleet import APPLY_LIMIT_S
 from tests.processes.gateway_fleet import GatewayFleet
 
@@ -30,13 +30,6 @@
 """Target for each change of the configuration."""
 WARM_UP_S = 1.0
 
-COMMENTS = repeat(b": a\n\n")
-EVENT_BLOCKS = {
-    "single_byte_chunks": repeat(single_byte_chunks(b": a\n\n")),
-    "comments": b"%x\r\n%b\r\n" % (len(COMMENTS), COMMENTS),
-    "comment_chunks": repeat(b"5\r\n: a\n\n\r\n"),
-}
-
 
 class Call(NamedTuple):
     """A request of another service and its answer."""
@@ -120,12 +113,11 @@
 async def test_tiny_pieces_of_callers_do_not_delay_others(fleet: GatewayFleet) -> None:
     """Guards against callers whose bodies take the event loop from all other peers (issue 38)."""
     await _start(fleet)
-    block = repeat(single_byte_chunks(b"a"))
     head = b"POST /pay/1 HTTP/1.1\r\nHost: box.example\r\nX-Request-Id: f%d\r\n"
     tail = b"X-Api-Key: k1\r\nTransfer-Encoding: chunked\r\n\r\n"
     with Flood() as flood:
         for number in range(FLOODS):
-            flood.call(fleet.caller_address, head % number + tail, block)
+            flood.call(fleet.caller_address, head % number + tail, BODY_BLOCK)
         calls = await _call_beside_floods(fleet)
-        assert flood.sent_bytes > len(block) * FLOODS
+        assert flood.sent_bytes > len(BODY_BLOCK) * FLOODS
     _assert_served(calls)
--- a/tests/soak/config_series.py
+++ b/tests/soak/config_series.py
@@ -18,6 +18,9 @@
 end of the last fault of this gateway."""
 LARGE_ROUTE_COUNT = 2000
 IDLE_TIMEOUTS_MS = (500, 2_000, 15_000)
+HEADER_TIMEOUTS_MS = (1_000, 3_000, 10_000)
+ROUTE_TIMEOUTS_MS = (2_500, 5_000, 10_000)
+"""No shorter than the deadlines of the callers."""
 NOT_FOUND = 404
 
 
@@ -45,12 +48,15 @@
         self._store = store
         self._rng = rng
         self._routes = routes
+        self._kept_routes = len(routes)
         self._added: list[AddedRoute] = []
         self._served: dict[int, int] = {}
         """Highest version whose route each gateway process knew, by process id."""
         self._disturbed_at: dict[int, float] = {}
         self._version = 7
-        self._idle_timeout_ms = IDLE_TIMEOUTS_MS[-1]
+        self._limits = {"idle_timeout_ms": IDLE_TIMEOUTS_MS[-1]}
+        self._idle_timeouts_s: dict[int, float] = {}
+        """Idle timeout of each version."""
         self._publish()
 
     @property
@@ -65,7 +71,12 @@
     def publish_series(self) -> int:
         """Publish a few versions at once, some of them large, and return their number."""
         count = self._rng.randint(1, 6)
-        self._idle_timeout_ms = self._rng.choice(IDLE_TIMEOUTS_MS)
+        self._limits = {
+            "idle_timeout_ms": self._rng.choice(IDLE_TIMEOUTS_MS),
+            "header_timeout_ms": self._rng.choice(HEADER_TIMEOUTS_MS),
+        }
+        for route in self._routes[: self._kept_routes]:
+            route["timeout_ms"] = self._rng.choice(ROUTE_TIMEOUTS_MS)
         if self._rng.random() < 0.5:
             self._add_plain_routes()
         for _ in range(count):
@@ -78,6 +89,16 @@
             self._publish()
         return count
 
+    def idle_timeout_s(self, process_id: int) -> float:
+        """Return the shortest idle timeout that may be in force in a gateway process, in seconds.
+
+        A process that has served a route of a version never goes back to an earlier one.
+        """
+        served = self._served.get(process_id, 0)
+        return min(
+            timeout_s for version, timeout_s in self._idle_timeouts_s.items() if version >= served
+        )
+
     def record_disturbance(self, gateway: int) -> None:
         """Record that a fault hits a gateway now, or has just ended there."""
         self._disturbed_at[gateway] = time.monotonic()
@@ -112,5 +133,6 @@
 
     def _publish(self) -> None:
         config = payloads.operator_config(self._version, keys=(), routes=self._routes)
-        config["limits"]["idle_timeout_ms"] = self._idle_timeout_ms
+        config["limits"] |= self._limits
+        self._idle_timeouts_s[self._version] = self._limits["idle_timeout_ms"] / 1000
         self._store.put("keyed.op", "config", config)
--- a/tests/soak/gateway_processes.py
+++ b/tests/soak/gateway_processes.py
@@ -20,7 +20,7 @@
 
     from tests.soak.fault_log import FaultLog
 
-GATEWAY_COUNT = 3
+GATEWAY_COUNT = int(os.environ.get("SOAK_GATEWAYS", "3"))
 GRACE_S = 8.0
 """Time after SIGTERM at which the platform kills a process."""
 POLL_S = 0.05
@@ -114,6 +114,14 @@
         """Whether no SIGSTOP holds a gateway, whether it runs or has ended."""
         return number not in self._stopped
 
+    def is_ending(self, process: asyncio.subprocess.Process) -> bool:
+        """Whether a process has ended or got a signal to end."""
+        return process.returncode is not None or bool(self._signals[process.pid] & ENDING_SIGNALS)
+
+    def was_suspended(self, number: int, since: float) -> bool:
+        """Whether a gateway is paused, or was killed, paused or resumed since a time."""
+        return number in self._stopped or self._faults.latest_of_gateway(number) >= since
+
     def choose(self) -> int:
         """Return the number of a gateway."""
         return self._rng.randrange(GATEWAY_COUNT)
--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -5,9 +5,11 @@
 import asyncio
 import time
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from tests.soak.callers import REQUEST_TIMEOUT_S
 from tests.soak.config_series import IDLE_TIMEOUTS_MS
+from tests.soak.requests import Streams
 from tests.soak.requests import Violation
 from tests.soak.requests import connect
 
@@ -18,7 +20,8 @@
 
     from tests.router.gateway.gateway_harness import CallerResponse
     from tests.soak.callers import Callers
-    from tests.soak.requests import Streams
+    from tests.soak.config_series import ConfigSeries
+    from tests.soak.gateway_processes import GatewayProcesses
 
 KINDS = ("once", "many", "stream")
 MAX_ELAPSED_S = 2.0
@@ -26,16 +29,40 @@
 RECONNECT_S = 0.1
 IDLE_SHARE = 0.05
 """Share of the requests that are sent when the shortest idle timeout ends."""
+REUSE_FRACTION = 0.8
+"""Part of the idle timeout up to which callers may reuse a connection."""
+MAX_IDLE_S = 3.0
+POLL_S = 0.05
+REQUEST_TIMEOUT_STATUS = 408
+
+
+class KeptConnection(NamedTuple):
+    """Connection to a gateway process."""
+
+    streams: Streams
+    number: int
+    process: asyncio.subprocess.Process
+
+    @property
+    def ended(self) -> bool:
+        """Whether the gateway has closed or reset it."""
+        reader = self.streams[0]
+        return reader.at_eof() or reader.exception() is not None
+
+    def close(self) -> None:
+        """Close it."""
+        self.streams[1].close()
 
 
 class KeptCallers:
-    """Sends requests on kept connections and checks that those that ran are answered whole.
+    """Sends whole requests on kept connections and checks that each one is answered.
 
-    Planned stops, reloads, configuration changes, faults of the store and silent servers excuse
-    nothing here.
+    Planned stops excuse connections that close without an answer only, suspended gateways late
+    answers only. Reloads, configuration changes, floods, faults of the store and silent servers
+    excuse nothing here.
 
     :param runs: Executions by request id, as the servers count them.
-    :param addresses: Addresses of the gateways.
+    :param configs: Knows the idle timeouts that may be in force.
     :param was_calm: Tells whether no fault has hit a gateway and the servers since a time.
     :param violations: Receives what was violated.
     """
@@ -46,49 +73,107 @@
         rng: random.Random,
         runs: Counter[str],
         callers: Callers,
-        addresses: list[str],
+        gateways: GatewayProcesses,
+        configs: ConfigSeries,
         was_calm: Callable[[int, float], bool],
         violations: list[Violation],
     ) -> None:
         self._rng = rng
         self._runs = runs
         self._callers = callers
-        self._addresses = addresses
+        self._gateways = gateways
+        self._configs = configs
         self._was_calm = was_calm
         self._violations = violations
         self.checked = 0
         """Requests without a fault on their path."""
+        self.reused = 0
+        """Requests sent within the idle timeout, on connections to processes that went on."""
 
     async def send_requests(self, number: int) -> None:
-        """Send requests to a gateway until cancelled."""
-        streams: Streams | None = None
+        """Send requests to a gateway until cancelled, most of them close to each other."""
+        conn: KeptConnection | None = None
         while True:
             await asyncio.sleep(self._choose_pause())
-            if streams is None:
-                streams = await self._connect(number)
-                continue
-            kind = self._rng.choice(KINDS)
-            request_id = self._callers.new_request_id(kind)
-            sent_at = time.monotonic()
-            response = await self._exchange(streams, kind, request_id)
-            if response is not None:
-                self._callers.check_response(kind, request_id, response)
-                self._check_answer(number, request_id, response, sent_at)
-            if response is None or not response.complete or "close" in response.head.lower():
-                streams[1].close()
-                streams = None
+            if conn is None:
+                conn = await self._connect(number)
+            elif not await self._send_request(conn, may_cross_close=True):
+                conn.close()
+                conn = None
+
+    async def send_after_idle_times(self, number: int) -> None:
+        """Send requests to a gateway until cancelled, each after an idle time that is allowed."""
+        while True:
+            conn = await self._connect(number)
+            while conn is not None and await self._rest(conn):
+                if not await self._send_request(conn, may_cross_close=False):
+                    break
+            if conn is not None:
+                conn.close()
 
     def _choose_pause(self) -> float:
         if self._rng.random() < IDLE_SHARE:
             return min(IDLE_TIMEOUTS_MS) / 1000 + self._rng.uniform(-0.02, 0.02)
         return self._rng.uniform(0.0, 0.03)
 
-    async def _connect(self, number: int) -> Streams | None:
+    async def _connect(self, number: int) -> KeptConnection | None:
+        process = self._gateways.processes[number]
         try:
-            return await connect(self._addresses[number])
+            streams = await connect(self._gateways.caller_addresses[number])
         except OSError:
             await asyncio.sleep(RECONNECT_S)
             return None
+        if process is None or self._gateways.processes[number] is not process:
+            streams[1].close()
+            return None
+        return KeptConnection(streams, number, process)
+
+    async def _rest(self, conn: KeptConnection) -> bool:
+        """Leave a connection idle; return whether it may be used then.
+
+        Checks that it stays open for the idle timeout in force.
+        """
+        since = time.monotonic()
+        pause_s = self._rng.uniform(0.0, MAX_IDLE_S)
+        timeout_s = self._idle_timeout_s(conn)
+        while True:
+            idle_s = time.monotonic() - since
+            earlier_s, timeout_s = timeout_s, self._idle_timeout_s(conn)
+            if conn.ended:
+                if idle_s < min(earlier_s, timeout_s) and not self._gateways.is_ending(
+                    conn.process
+                ):
+                    detail = f"closed after {idle_s:.2f} s of {timeout_s:.1f} s"
+                    self._report("kept open", conn, "idle", detail)
+                return False
+            if idle_s >= pause_s:
+                return idle_s <= REUSE_FRACTION * min(earlier_s, timeout_s)
+            await asyncio.sleep(min(POLL_S, pause_s - idle_s))
+
+    def _idle_timeout_s(self, conn: KeptConnection) -> float:
+        return self._configs.idle_timeout_s(conn.process.pid)
+
+    async def _send_request(self, conn: KeptConnection, *, may_cross_close: bool) -> bool:
+        """Send a request and check the answer; return whether the connection may be kept."""
+        kind = self._rng.choice(KINDS)
+        request_id = self._callers.new_request_id(kind)
+        sent_at = time.monotonic()
+        response = await self._exchange(conn.streams, kind, request_id)
+        detail = f"{kind}, {time.monotonic() - sent_at:.2f} s, {response}"
+        if response is None:
+            if not self._gateways.was_suspended(conn.number, sent_at):
+                self._report_unanswered(conn, request_id, detail)
+        elif response.status == REQUEST_TIMEOUT_STATUS:
+            self._report("whole request", conn, request_id, detail)
+        elif response.status == 0 and not may_cross_close:
+            self._report_unanswered(conn, request_id, detail)
+        if not may_cross_close:
+            self.reused += 1
+        if response is None:
+            return False
+        self._callers.check_response(kind, request_id, response)
+        self._check_answer(conn.number, request_id, response, sent_at)
+        return response.complete and "close" not in response.head.lower()
 
     async def _exchange(
         self, streams: Streams, kind: str, request_id: str
@@ -99,6 +184,15 @@
         except (OSError, TimeoutError):
             return None
 
+    def _report_unanswered(self, conn: KeptConnection, request_id: str, detail: str) -> None:
+        if not self._gateways.is_ending(conn.process):
+            self._report("neither answer nor refusal", conn, request_id, detail)
+
+    def _report(self, guarantee: str, conn: KeptConnection, subject: str, detail: str) -> None:
+        port = conn.streams[1].get_extra_info("sockname")[1]
+        where = f"gateway-{conn.number}, process {conn.process.pid}, port {port}"
+        self._violations.append(Violation(guarantee, subject, f"{where}, {detail}"))
+
     def _check_answer(
         self, number: int, request_id: str, response: CallerResponse, sent_at: float
     ) -> None:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,9 @@
 from tests.soak.fault_log import FaultLog
 from tests.soak.fault_proxy import Fault
 from tests.soak.fault_proxy import FaultProxy
+from tests.soak.flooding_peers import ROUTE as FLOOD_ROUTE
+from tests.soak.flooding_peers import SERVICE as FLOOD_SERVICE
+from tests.soak.flooding_peers import FloodingPeers
 from tests.soak.gateway_processes import GATEWAY_COUNT
 from tests.soak.gateway_processes import START_S
 from tests.soak.gateway_processes import GatewayProcesses
@@ -40,6 +43,8 @@
 
 SERVER_COUNT = 3
 CALLER_COUNT = 6
+IDLE_CALLERS = 4
+"""Callers of each gateway that reuse connections after long idle times."""
 PLANNED_ROUNDS = 2
 """Rounds of planned stops after the last fault."""
 CATCH_UP_S = MAX_CONFIG_DELAY_S + 1.0
@@ -95,14 +100,6 @@
             notices=self.notices,
             violations=self.violations,
         )
-        self._kept_callers = KeptCallers(
-            rng=self._rng,
-            runs=self._runs,
-            callers=self._callers,
-            addresses=addresses,
-            was_calm=self._was_calm,
-            violations=self.violations,
-        )
         self._recovery = RecoveryCheck(
             callers=self._callers, addresses=addresses, violations=self.violations
         )
@@ -112,8 +109,25 @@
             make_route("many", "safe", max_attempts=3),
             make_route("once", "unsafe", max_attempts=1),
             make_route("stream", "streaming", max_attempts=3, stream_resume=True),
+            make_route(FLOOD_ROUTE, "streaming", max_attempts=1, service=FLOOD_SERVICE),
         ]
         self._configs = ConfigSeries(store=self._store, rng=self._rng, routes=routes)
+        self._kept_callers = KeptCallers(
+            rng=self._rng,
+            runs=self._runs,
+            callers=self._callers,
+            gateways=self._gateways,
+            configs=self._configs,
+            was_calm=self._was_calm,
+            violations=self.violations,
+        )
+        self._floods = FloodingPeers(
+            rng=self._rng,
+            store=self._store,
+            callers=self._callers,
+            addresses=addresses,
+            violations=self.violations,
+        )
         self._odd_entries = OddEntries(store=self._store, rng=self._rng)
         self._restored_store = RestoredStore(
             store=self._store, rng=self._rng, on_disturbance=self._disturb_all
@@ -135,6 +149,11 @@
         """Requests on kept connections without a fault on their path."""
         return self._kept_callers.checked
 
+    @property
+    def reused_connections(self) -> int:
+        """Requests on kept connections after idle times within the idle timeout."""
+        return self._kept_callers.reused
+
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
         await self._store.start()
@@ -175,6 +194,7 @@
         self._silence = SilentServers(
             rng=self._rng, proxies=proxies, callers=self._callers, violations=self.violations
         )
+        self._floods.start()
         for number in range(GATEWAY_COUNT):
             proxy = await self._start_proxy(f"store-{number}", self._store_address)
             proxy.bytes_per_s = STORE_BYTES_PER_S
@@ -205,6 +225,9 @@
         for number in range(GATEWAY_COUNT):
             tasks.append(asyncio.create_task(config_callers.check_configs(number)))
             tasks.append(asyncio.create_task(self._kept_callers.send_requests(number)))
+            for _ in range(IDLE_CALLERS):
+                send = self._kept_callers.send_after_idle_times(number)
+                tasks.append(asyncio.create_task(send))
         return tasks
 
     async def _inject_faults(self) -> None:
@@ -217,6 +240,7 @@
             self._planned_work.inject,
             self._leaving.let_leave,
             self._leaving.ask_for_pause,
+            self._floods.inject,
         ]
         rare: list[Callable[[], Awaitable[str]]] = [
             self._toggle_store,
@@ -269,6 +293,7 @@
         return self._trouble.toggle_limit()
 
     async def _clear_faults(self) -> None:
+        await self._floods.finish()
         self._store.down = False
         for proxy in self._proxies.values():
             proxy.set_fault(Fault.NONE)
@@ -300,6 +325,7 @@
         """Check silent servers, planned stops and odd entries while there is no other fault."""
         for address in self._gateways.caller_addresses:
             await self._silence.check(address)
+        await self._floods.check()
         for _ in range(PLANNED_ROUNDS):
             numbers = self._rng.sample(range(GATEWAY_COUNT), self._rng.randint(1, GATEWAY_COUNT))
             await self._silence.inject()
@@ -355,6 +381,7 @@
         )
 
     async def _stop_all(self) -> None:
+        await self._floods.stop()
         self._gateways.resume()
         for number in range(GATEWAY_COUNT):
             await self._gateways.kill(number)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """Random faults on real processes.
 
-To run further seeds: ``SOAK_SEEDS=100-150 SOAK_SECONDS=20 pytest tests/soak``.
+To run further seeds: ``SOAK_SEEDS=100-150 SOAK_SECONDS=20 pytest tests/soak``; ``SOAK_GATEWAYS``
+sets the number of gateway processes.
 """
 
 from __future__ import annotations
@@ -39,9 +40,9 @@
     """Guards against broken guarantees when network, processes, store and servers fail together.
 
     Checks that unsafe requests run at most once and not at all when refused, that responses are
-    not mixed up, that requests on kept connections are answered beside planned work, that nothing
-    reaches servers that are leaving or asked for a pause, that no gateway ends by itself, and that
-    all gateways serve again after the faults.
+    not mixed up, that requests on kept connections are answered beside planned work and floods,
+    that nothing reaches servers that are leaving or asked for a pause, that no gateway ends by
+    itself, and that all gateways serve again after the faults.
     """
     duration_s = float(os.environ.get("SOAK_SECONDS", CI_DURATION_S))
     # Ports below the ephemeral range: otherwise an outgoing connection may be given the port of a
@@ -55,8 +56,10 @@
     finally:
         ports.release()
     counts = f"leaving passed on: {soak.notices.passed_on}, pauses: {soak.notices.pauses}"
+    counts += f", reused connections: {soak.reused_connections}"
     record_property("notices", counts)
     report = [*map(str, violations), counts, f"faults: {soak.faults}", str(dict(soak.responses))]
     assert violations == [], "\n".join(report)
     assert soak.responses[200] > 0
     assert soak.calm_requests > 0
+    assert soak.reused_connections > 0
