Bound what the agent reads of its server in one turn

Routers got late refusals, load reports and tokens from an agent whose server sent some streams in tiny pieces: a turn of its event loop took up to a second.

Cause: a read had up to 256 KB, each chunk cost a call and a join of what was unread, and each comment was parsed as an event. Change: EngineConnection is a PacedProtocol, all clients of the process share a pacer, pieces are joined once for each read, at most 64 KB are unread, and comments are skipped without a call for each.

--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -44,6 +44,7 @@
 from cornellead_core.distribution import HostDistributor
 from cornellead_core.load import LoadTable
 from cornellead_core.metrics import Metrics
+from cornellead_core.pacing import ReadPacer
 from cornellead_core.platform import HttpHostList
 from cornellead_core.platform import HttpLogClient
 from cornellead_core.wire import Ack
@@ -61,7 +62,10 @@
 
 
 class Agent:
-    """One agent: its state, its controllers, its HTTP listener and its control listener."""
+    """One agent: its state, its controllers, its HTTP listener and its control listener.
+
+    Must be created inside a running event loop.
+    """
 
     def __init__(self, *, settings: AgentSettings) -> None:
         self._settings = settings
@@ -76,7 +80,8 @@
         # The platform and the server speak plain HTTP: verify=False avoids a TLS context, which
         # takes megabytes.
         self._http_client = httpx.AsyncClient(verify=False, trust_env=False)
-        self._engine_client = EngineClient(url=settings.server.url)
+        self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
+        self._engine_client = EngineClient(url=settings.server.url, pacer=self._pacer)
         self._upstream = Upstream(client=self._engine_client)
         self._control_client = ControlClient(key=key, traffic=self._traffic)
         self._cold_limit = ColdLimit(
@@ -133,6 +138,7 @@
             board=self._board,
             chats=self._chats,
             engine=self._engine_client,
+            pacer=self._pacer,
             key=key,
             clock=clock,
         )
--- a/packages/agent/src/cornellead_agent/process/_cache_handoff.py
+++ b/packages/agent/src/cornellead_agent/process/_cache_handoff.py
@@ -24,6 +24,7 @@
     from cornellead_agent.chats import ChatIndex
     from cornellead_core.auth import FleetKey
     from cornellead_core.blackboard import Blackboard
+    from cornellead_core.pacing import ReadPacer
     from cornellead_core.platform import HostEntry
     from cornellead_core.settings import AgentSettings
 
@@ -43,6 +44,7 @@
         board: Blackboard,
         chats: ChatIndex,
         engine: EngineClient,
+        pacer: ReadPacer,
         key: FleetKey,
         clock: Clock,
     ) -> None:
@@ -50,6 +52,7 @@
         self._board = board
         self._chats = chats
         self._engine = engine
+        self._pacer = pacer
         self._key = key
         self._clock = clock
         self._clients: dict[str, EngineClient] = {}
@@ -90,7 +93,9 @@
         auth = self._key.sign_request(
             now_ms=self._clock.unix_ms(), method="PUT", path=path, request_id=request_id
         )
-        client = self._clients.setdefault(target.http, EngineClient(url=f"http://{target.http}"))
+        client = self._clients.setdefault(
+            target.http, EngineClient(url=f"http://{target.http}", pacer=self._pacer)
+        )
         stored = await client.fetch(
             "PUT",
             path,
--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -13,6 +13,7 @@
 
 from cornellead_agent.relay._engine_connection import EngineConnection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -49,10 +50,16 @@
 
     :param url: Base URL with a numeric address, such as ``http://127.0.0.1:8000``.
     :param budget: Bounds what all responses hold together, those of periodic reads excepted.
+    :param pacer: Shares the reads of the process among peers; by default, it has no others.
     """
 
-    def __init__(self, *, url: str, budget: BufferBudget | None = None) -> None:
+    def __init__(
+        self, *, url: str, budget: BufferBudget | None = None, pacer: ReadPacer | None = None
+    ) -> None:
         self._budget = BufferBudget() if budget is None else budget
+        self._pacer = (
+            ReadPacer(call_soon=asyncio.get_running_loop().call_soon) if pacer is None else pacer
+        )
         parts = urlsplit(url)
         self._host = parts.hostname or "127.0.0.1"
         self._port = parts.port or 80
@@ -80,7 +87,9 @@
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, conn = await asyncio.get_running_loop().create_connection(
-                        lambda: EngineConnection(budget=None if shared else self._budget),
+                        lambda: EngineConnection(
+                            pacer=self._pacer, budget=None if shared else self._budget
+                        ),
                         self._host,
                         self._port,
                     )
--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -8,12 +8,15 @@
 
 import httptools
 
+from cornellead_core.pacing import PacedProtocol
+
 if TYPE_CHECKING:
     from cornellead_core.buffers import BufferBudget
+    from cornellead_core.pacing import ReadPacer
 
-HIGH_WATER_BYTES = 256 * 1024
-"""Unread response bytes above which reading from the socket is paused."""
-LOW_WATER_BYTES = 64 * 1024
+HIGH_WATER_BYTES = 64 * 1024
+"""Unread response bytes above which reading from the socket is paused. The reader parses them in
+one turn of the event loop."""
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Maximum number of bytes without a complete head or body data; the parser stores a header until
 its end."""
@@ -36,27 +39,31 @@
     headers: dict[str, str]
 
 
-class EngineConnection(asyncio.Protocol):
+class EngineConnection(PacedProtocol):
     """Sends one request at a time and returns the raw bytes of the response body.
 
-    An `asyncio.Protocol` with the `httptools` parser instead of `httpx`, which needs 3 ms of CPU
+    An asyncio protocol with the `httptools` parser instead of `httpx`, which needs 3 ms of CPU
     for a stream of 50 chunks. The ``on_`` methods are callbacks of the parser.
 
+    Each connection has its own share of a turn, since all lead to the same server.
+
+    :param pacer: Shares the reads of a process among peers.
     :param budget: Bounds what all responses hold together; ``None`` for one that others must not
         end.
     """
 
-    def __init__(self, *, budget: BufferBudget | None = None) -> None:
+    def __init__(self, *, pacer: ReadPacer, budget: BufferBudget | None = None) -> None:
+        super().__init__(pacer=pacer)
         self._budget = budget
         self._held_bytes = 0
         self._field_count = 0
-        self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[str, str] = {}
+        self._read_parts: list[bytes] = []
+        """Pieces of the body in the read that is being parsed."""
         self._body_parts: list[bytes] = []
         self._unread_bytes = 0
         self._overhead_bytes = 0
-        self._paused = False
         self._response_head: ResponseHead | None = None
         self._complete = False
         self._ends_at_eof = False
@@ -67,17 +74,13 @@
         """Whether other requests may use the connection."""
         self.closed = False
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the reader, which finds an incomplete response unless its end was received."""
+        super().connection_lost(exc)
         self.closed = True
         self._wake_reader()
 
-    def data_received(self, data: bytes) -> None:
+    def consume(self, data: memoryview) -> None:
         """Feed the parser; pause reading while too much of the body is unread."""
         if self._complete:
             # Belongs to no request. More may follow that a later request could take for its own.
@@ -88,15 +91,11 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self.abort()
+        self._join_read_parts()
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self.abort()
-        if (
-            self._unread_bytes > HIGH_WATER_BYTES
-            and not self._paused
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
-            self._paused = True
+        if self._unread_bytes > HIGH_WATER_BYTES:
+            self.pause_reading()
         self._record_size()
         self._wake_reader()
 
@@ -132,12 +131,9 @@
         self._response_head = ResponseHead(status, self._headers)
 
     def on_body(self, body: bytes) -> None:
-        """Queue a part of the response body for `read`."""
+        """Collect a part of the response body; a server may send each byte in its own chunk."""
         self._overhead_bytes = 0
-        self._body_parts.append(body)
-        if len(self._body_parts) > MAX_PARTS:
-            self._body_parts = [b"".join(self._body_parts)]
-        self._unread_bytes += len(body)
+        self._read_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the response complete: its content length or its last chunk was received."""
@@ -179,9 +175,8 @@
         )
         self._body_parts.clear()
         self._unread_bytes = 0
-        if self._paused and self._transport is not None:
-            self._transport.resume_reading()
-            self._paused = False
+        if self._paused:
+            self.resume_reading()
         self._record_size()
         return data
 
@@ -241,6 +236,17 @@
             self._transport.abort()
         self._wake_reader()
 
+    def _join_read_parts(self) -> None:
+        """Queue what the read had of the body for `read`."""
+        parts, self._read_parts = self._read_parts, []
+        if not parts:
+            return
+        body = parts[0] if len(parts) == 1 else b"".join(parts)
+        self._body_parts.append(body)
+        if len(self._body_parts) > MAX_PARTS:
+            self._body_parts = [b"".join(self._body_parts)]
+        self._unread_bytes += len(body)
+
     def _record_size(self) -> None:
         if self._budget is not None:
             size = self._overhead_bytes + self._unread_bytes + self._held_bytes
--- a/packages/agent/src/cornellead_agent/relay/_event_assembler.py
+++ b/packages/agent/src/cornellead_agent/relay/_event_assembler.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import re
+
 from cornellead_core.decoding import decode_count
 
 SEPARATOR = b"\n\n"
 DONE_LINE = b"data: [DONE]"
 USAGE_KEY = b'"usage"'
 NULL_USAGE = (b'"usage":null', b'"usage": null')
+ID_PREFIX = b"id: "
+_RELEVANT = re.compile(ID_PREFIX + b"|" + re.escape(DONE_LINE))
+"""Start of the events that are not comments; a server may send thousands of those at once."""
 MAX_BUFFERED_EVENTS = 256
 """Events buffered behind a missing one; above this number the stream is resumed instead."""
 MAX_BUFFERED_BYTES = 1 << 20
@@ -93,8 +98,10 @@
             return b""
         events = bytes(self._partial_event[:end])
         del self._partial_event[: end + 2]
+        if ID_PREFIX not in events and DONE_LINE not in events:
+            return b""
         ready: list[bytes] = []
-        for event in events.split(SEPARATOR):
+        for event in filter(_RELEVANT.match, events.split(SEPARATOR)):
             self._process_event(event, ready)
         if self._done_received:
             self._complete_if_done(ready)
@@ -148,7 +155,7 @@
 
 def _parse_event_id(event: bytes) -> tuple[int | None, int]:
     """Return the id of an event and the offset of the line after its ``id`` line."""
-    if not event.startswith(b"id: "):
+    if not event.startswith(ID_PREFIX):
         return None, 0
     end = event.find(b"\n")
     digits = event[4 : end if end >= 0 else len(event)]
