Skip comments of agents without a call for each

Callers of the own interface got tokens late while streams of an agent consisted of tiny comments: those that wait to be read are parsed in one turn, a call and more for each.

Change: EventStreamFilter recognizes a block of comments by searches, splits other blocks at once, and finds an event's number with one search instead of a loop over its lines.

--- a/packages/router/src/cornellead/relay/_event_stream_filter.py
+++ b/packages/router/src/cornellead/relay/_event_stream_filter.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import re
+from itertools import filterfalse
+
+from cornellead_core.decoding import MAX_DIGITS
 from cornellead_core.decoding import decode_count
 
 EVENT_BOUNDARY = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 ID_PREFIX = b"id: "
+_ID_LINE = re.compile(rb"^id: ([0-9]{1,%d})$" % MAX_DIGITS, re.MULTILINE)
+_FIELD_LINE = re.compile(rb"\n[^:\n]")
+_IRRELEVANT = re.compile(rb":(?!\s*(?:end|moved)(?:\s|\Z))")
+"""Start of a comment that is not the agent's; thousands of them may arrive at once."""
 MAX_EVENT_BYTES = 1 << 20
 """Maximum size of an event; a longer one is a fault. This limits the memory for each stream."""
 
@@ -78,23 +86,25 @@
         searched_bytes = max(0, len(self._buffer) - 1)
         self._buffer += data
         out: list[bytes] = []
-        start = 0
-        while not self.stopped:
-            end = self._buffer.find(EVENT_BOUNDARY, max(start, searched_bytes))
-            if end < 0:
-                break
-            event = bytes(self._buffer[start : end + 2])
-            start = end + 2
-            if event.startswith(b":"):
-                self._handle_comment(event, out)
-            else:
-                self._handle_event(event, out)
-        del self._buffer[:start]
+        if self._buffer.find(EVENT_BOUNDARY, searched_bytes) >= 0:
+            received = bytes(self._buffer)
+            if _has_comments_only(received):
+                self._buffer = bytearray(received[received.rfind(EVENT_BOUNDARY) + 2 :])
+                return b""
+            *events, rest = received.split(EVENT_BOUNDARY)
+            self._buffer = bytearray(rest)
+            for event in filterfalse(_IRRELEVANT.match, events):
+                if self.stopped:
+                    break
+                self._handle_event(event + EVENT_BOUNDARY, out)
         if len(self._buffer) > MAX_EVENT_BYTES:
             self.fault = f"event {self.delivered + 1} is longer than {MAX_EVENT_BYTES} bytes"
         return b"".join(out)
 
     def _handle_event(self, event: bytes, out: list[bytes]) -> None:
+        if event.startswith(b":"):
+            self._handle_comment(event, out)
+            return
         number = _event_number(event)
         if event.endswith(DONE_EVENT) and event[: -len(DONE_EVENT)] in (
             b"",
@@ -111,8 +121,6 @@
 
     def _handle_comment(self, comment: bytes, out: list[bytes]) -> None:
         words = comment[1:].split()
-        if not words or words[0] not in (b"end", b"moved"):
-            return
         events = decode_count(words[2]) if len(words) == 3 else None
         if events is None or words[1] != self._request_id:
             self.fault = "comment of another request"
@@ -132,9 +140,17 @@
         self._next_event_prefix = b"id: %d\n" % (self.delivered + 1)
 
 
+def _has_comments_only(events: bytes) -> bool:
+    """Return whether there are only comments that are not the agent's; false if it is unclear."""
+    return (
+        events.startswith(b":")
+        and b"end" not in events
+        and b"moved" not in events
+        and b"\n\n\n" not in events
+        and _FIELD_LINE.search(events) is None
+    )
+
+
 def _event_number(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        number = decode_count(line[4:]) if line.startswith(ID_PREFIX) else None
-        if number is not None:
-            return number
-    return None
+    found = _ID_LINE.search(event)
+    return None if found is None else decode_count(found[1])
--- a/tests/agent/relay/test_tiny_pieces.py
+++ b/tests/agent/relay/test_tiny_pieces.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import pytest
 from tests.processes.flood import Flood
 from tests.processes.flood import repeat
 from tests.processes.flood import single_byte_chunks
+from tests.turns import MAX_TURN_S
+from tests.turns import fill_sockets
 from tests.turns import longest_turn_s
 
 from cornellead_agent.relay import EngineClient
@@ -16,11 +17,6 @@
 from cornellead_agent.relay import EventAssembler
 
 STREAMS = 20
-FILL_S = 0.3
-"""Time in which the sockets fill, as they do while the loop is busy."""
-OBSERVED_S = 1.0
-MAX_TURN_S = 0.1
-"""A first token takes several turns, and has 0.63 s in all."""
 COMMENTS = repeat(b":\n\n")
 BLOCKS = {
     "single_byte_chunks": repeat(single_byte_chunks(b": a\n\n")),
@@ -43,8 +39,8 @@
         opened = [await client.open("POST", "/v1/chat/completions") for _ in range(STREAMS)]
         conns = [result.unwrap() for result in opened]
         readers = [asyncio.create_task(_assemble(conn)) for conn in conns]
-        time.sleep(FILL_S)
-        longest = await longest_turn_s(OBSERVED_S)
+        fill_sockets()
+        longest = await longest_turn_s()
         assert flood.sent_bytes > len(block) * STREAMS
         assert not any(reader.done() for reader in readers)
         for conn in conns:
