Let what a peer used in earlier turns count while the loop is overloaded

The shares of peers began anew with each turn of the event loop. Beside many callers that send bodies in tiny chunks, none of these exceeded its share of a turn and had to wait: the eight that are polled first read 8 KB each, and all others 512 bytes, in turns of 26 ms. The body of a sound caller, polled last, took too long, and its request was answered 503 at its deadline.

Use now falls by 2 KB a turn while peers wait or a turn has used up its bytes, so that greedy peers take turns, and a peer that has read little reads at once.

--- a/packages/core/src/cornellead_core/pacing/_read_pacer.py
+++ b/packages/core/src/cornellead_core/pacing/_read_pacer.py
@@ -19,6 +19,8 @@
 """Bytes read from one peer in a turn above which its connections wait for later turns."""
 SMALL_READ_BYTES = 512
 """Maximum size of a read in a turn that has used up its bytes: most heads and events fit."""
+REGAINED_BYTES = 4 * SMALL_READ_BYTES
+"""Bytes by which the use of a peer falls in each turn while the loop is overloaded."""
 RESUMED_READERS = 4
 """Waiting connections that read again in the next turn: half of the bytes of a turn, which leaves
 the rest to peers that do not wait."""
@@ -93,8 +95,8 @@
             del self._waiting[peer]
 
     def _begin_turn(self) -> None:
+        self._settle_use()
         self._turn_bytes = 0
-        self._used_bytes.clear()
         self._turn_ends = bool(self._waiting)
         if self._turn_ends:
             self._call_soon(self._begin_turn)
@@ -103,6 +105,20 @@
                 break
             self._resume_next()
 
+    def _settle_use(self) -> None:
+        """Forget what the peers used, or a part of it if the loop is overloaded: those whose
+        connections are polled first would use up each turn."""
+        if self._turn_bytes < TURN_BYTES and not self._waiting:
+            self._used_bytes.clear()
+            return
+        self._used_bytes = Counter(
+            {
+                peer: used - REGAINED_BYTES
+                for peer, used in self._used_bytes.items()
+                if used > REGAINED_BYTES
+            }
+        )
+
     def _resume_next(self) -> None:
         """Let the peer that has waited longest read on one of its connections."""
         peer = next(iter(self._waiting))
@@ -111,4 +127,6 @@
         if readers:
             # Behind all others that wait.
             self._waiting[peer] = readers
+        # Enough for one read.
+        self._used_bytes[peer] = PEER_BYTES
         reader.set_throttled(False)
--- a/tests/core/pacing/test_read_pacer.py
+++ b/tests/core/pacing/test_read_pacer.py
@@ -9,6 +9,7 @@
 
 from cornellead_core.pacing import SLICE_BYTES
 from cornellead_core.pacing import ReadPacer
+from cornellead_core.pacing._read_pacer import PEER_BYTES
 from cornellead_core.pacing._read_pacer import SMALL_READ_BYTES
 from cornellead_core.pacing._read_pacer import TURN_BYTES
 
@@ -90,6 +91,18 @@
     assert sound.read_bytes >= undisturbed.read_bytes / 2
 
 
+def test_peer_that_is_polled_last_gets_its_share() -> None:
+    """Guards against greedy callers, polled first, that leave the others 512 bytes of each turn."""
+    turns = _Turns()
+    greedy = [_Reader(turns.pacer, f"greedy-{number}") for number in range(100)]
+    turns.run(greedy, turns=200)
+    sound = _Reader(turns.pacer, "sound")
+    sizes = turns.run([*greedy, sound], turns=3)
+    assert sound.read_bytes >= PEER_BYTES
+    assert max(sizes) <= TURN_BYTES
+    assert min(reader.read_bytes for reader in greedy) >= max(r.read_bytes for r in greedy) / 2
+
+
 def test_closed_connection_does_not_wait() -> None:
     """Guards against turns that are spent on connections that have closed."""
     turns = _Turns()
