Bound what unfinished requests hold together

Seen: 100 callers who send a body of 4 MB but for its last byte took a gateway process to 451,698,688 bytes resident, on hosts of 200 MB. 30 of them in one process of the tests held 140 MB of Python objects.

Cause: each body was bounded, by max_body_bytes, their sum was not.

Change: a listener has a BufferBudget of 32 MB for requests that were received in part, shared by the addresses of callers. The one to give way gets 503, which promises that it did not run, once the requests before it on its connection are answered, and the connection closes behind it.

--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -14,6 +14,9 @@
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead_core.buffers import UNKNOWN_OWNER
+from cornellead_core.buffers import BufferBudget
+from cornellead_core.buffers import BufferOwner
 from cornellead_core.pacing import ArrivalTimer
 from cornellead_core.pacing import PacedProtocol
 
@@ -53,6 +56,7 @@
     :param clock: Returns seconds, including the time for which the host was suspended.
     :param on_closed: Called once the connection is closed.
     :param pacer: Shares the reads of the process among peers.
+    :param budget: Bounds what the unfinished requests of all callers hold together.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         clock: Callable[[], float],
         on_closed: Callable[[CallerConnection], None],
         pacer: ReadPacer,
+        budget: BufferBudget | None = None,
     ) -> None:
         super().__init__(pacer=pacer)
         self._handler = handler
@@ -72,6 +77,8 @@
         self._limits = limits()
         self._clock = clock
         self._on_closed = on_closed
+        self._budget = BufferBudget() if budget is None else budget
+        self._owner = UNKNOWN_OWNER
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
         self._timer: ArrivalTimer | None = None
@@ -109,6 +116,9 @@
             # Evicted, or finished by a stop, between its accept and this call.
             self._transport.close()
             return
+        peer = self._transport.get_extra_info("peername")
+        if peer:
+            self._owner = BufferOwner(server=str(peer[0]))
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._start_idle_timer()
 
@@ -141,6 +151,7 @@
                 self._start_timer(self._limits.idle_timeout_s, self._on_request_timeout)
         if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
             self.pause_reading()
+        self._budget.record(self, self._parser.partial_bytes, owner=self._owner)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since nobody can receive its response."""
@@ -157,6 +168,7 @@
         if self._task is not None:
             self._task.cancel()
         self._parser.close()
+        self._budget.record(self, 0, owner=self._owner)
         self._on_closed(self)
 
     def pause_writing(self) -> None:
@@ -213,6 +225,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def drop_buffer(self) -> None:
+        """Reject the request that was received in part; called by the budget."""
+        structlog.get_logger().warning(
+            "unfinished requests hold too much", rejected_bytes=self._parser.partial_bytes
+        )
+        self._parser.drop_partial_request()
+        if self._task is None and not self._closing:
+            self._reject(RejectionStatus.NO_ROOM)
+
     def _close_if_stopping(self) -> None:
         # Requests that were read behind this one are answered before the connection closes.
         if self._serving.phase >= ServingPhase.LEAVING and not self._parser.has_input:
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -9,6 +9,7 @@
 
 from cornellead.gateway import BACKLOG
 from cornellead.gateway.ingress._caller_connection import CallerConnection
+from cornellead_core.buffers import BufferBudget
 from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
@@ -52,6 +53,8 @@
         self._max_connections = max_connections
         self._sock = sock
         self._pacer = pacer
+        self._budget = BufferBudget()
+        """Bounds what the unfinished requests of all callers hold together."""
         self._conns: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
 
@@ -107,6 +110,7 @@
             clock=self._clock,
             on_closed=self._on_connection_closed,
             pacer=self._pacer,
+            budget=self._budget,
         )
         if len(self._conns) >= self._max_connections:
             self._evict_idle_connection()
--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -21,6 +21,8 @@
     REQUEST_TIMEOUT = 408
     BODY_TOO_LARGE = 413
     HEADERS_TOO_LARGE = 431
+    NO_ROOM = 503
+    """The unfinished requests of all callers hold too much."""
 
 
 class RequestParser:
@@ -65,6 +67,19 @@
         """Whether the headers of a request are incomplete."""
         return self._started_at is not None and not self._headers_complete
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of what is held of a request that was received in part."""
+        if not self._headers_complete:
+            return self._received_header_bytes
+        return self._parsed_header_bytes + len(self._body)
+
+    def drop_partial_request(self) -> None:
+        """Reject the request that was received in part, and give up what is held of it."""
+        self._reject(RejectionStatus.NO_ROOM)
+        self._headers = []
+        self._body = bytearray()
+
     def feed(self, data: bytes, *, now: float) -> None:
         """Parse bytes, unless a request was rejected; complete ones are appended to `requests`.
 
--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -23,6 +24,7 @@
 pytestmark = pytest.mark.processes
 
 ENDLESS_REQUESTS = 370
+SLOW_CALLERS = 100
 HOST_MEMORY_BYTES = 200 << 20
 """Memory of the smallest hosts."""
 
@@ -205,6 +207,11 @@
         await asyncio.sleep(0.05)
 
 
+def _read_peak_bytes(pid: int) -> int:
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) << 10
+
+
 async def _send_long_head(exchange: ScriptedExchange) -> None:
     await exchange.send(b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 12_000)
 
@@ -231,9 +238,28 @@
     assert not any(response.complete and response.status == 200 for response in responses)
     assert sum(len(server.received) for server in fleet.servers) >= ENDLESS_REQUESTS
     assert fleet.process is not None and fleet.process.returncode is None
-    status = Path(f"/proc/{fleet.process.pid}/status").read_text()
-    peak_kb = int(status.partition("VmHWM:")[2].split()[0])
-    assert peak_kb << 10 < HOST_MEMORY_BYTES
+    assert _read_peak_bytes(fleet.process.pid) < HOST_MEMORY_BYTES
     fleet.process.kill()
     events = [line["event"] for line in await logs]
     assert events.count("request") == ENDLESS_REQUESTS
+
+
+async def test_slow_bodies_leave_room_in_memory(fleet: GatewayFleet) -> None:
+    """Guards against a process that many slow callers run out of memory (issue 38)."""
+    await fleet.wait_readiness()
+    body = b"a" * (4_194_304 - 1)
+    head = b"POST /pay/1 HTTP/1.1\r\nHost: keyed\r\nContent-Length: 4194304\r\n\r\n"
+    host, _, port = fleet.caller_address.rpartition(":")
+    writers = []
+    for _ in range(SLOW_CALLERS):
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + body)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+        writers.append(writer)
+    await asyncio.sleep(1.0)
+    assert fleet.process is not None and fleet.process.returncode is None
+    assert _read_peak_bytes(fleet.process.pid) < HOST_MEMORY_BYTES
+    assert (await fleet.send_payment()).status == 200
+    for writer in writers:
+        writer.transport.abort()
