Pace what callers send to the own interface

Bodies of some callers in chunks of one byte delayed the others' requests and tokens, of the router as of the agent: uvicorn reads up to 256 KB at once, with calls for each chunk.

Change: both servers use PacedHttpProtocol, uvicorn's protocol as a PacedProtocol; its pauses go through the same switch, so that neither side resumes what the other paused. The router's pacer is shared with its connections to agents, the agent's with those to its server.

--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -47,6 +47,7 @@
 from cornellead_core.pacing import ReadPacer
 from cornellead_core.platform import HttpHostList
 from cornellead_core.platform import HttpLogClient
+from cornellead_core.serving import PacedHttpProtocol
 from cornellead_core.wire import Ack
 from cornellead_core.wire import CacheHint
 from cornellead_core.wire import ControlClient
@@ -277,7 +278,7 @@
             host=host,
             port=int(port),
             loop="asyncio",
-            http="httptools",
+            http=PacedHttpProtocol.paced_by(self._pacer),
             ws="none",
             lifespan="off",
             access_log=False,
--- a/packages/router/src/cornellead/process/_data_path.py
+++ b/packages/router/src/cornellead/process/_data_path.py
@@ -34,6 +34,7 @@
     from cornellead_core.blackboard import Blackboard
     from cornellead_core.blackboard import Controller
     from cornellead_core.distribution import ControlRequester
+    from cornellead_core.pacing import ReadPacer
     from cornellead_core.settings import RouterSettings
     from cornellead_core.wire import Traffic
 
@@ -44,6 +45,7 @@
     Must be created inside a running event loop.
 
     :param on_newer_config: Called with the control address of a peer with a newer configuration.
+    :param pacer: Shares the reads of the process among peers; by default, it has no others.
     """
 
     def __init__(
@@ -55,11 +57,12 @@
         traffic: Traffic,
         control: ControlRequester,
         on_newer_config: Callable[[str], None],
+        pacer: ReadPacer | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
         metrics = Metrics()
         self.view = view = ServerView()
-        self.pool = ConnectionPool(loop=loop)
+        self.pool = ConnectionPool(loop=loop, pacer=pacer)
         self.wait_queues = WaitQueues(max_waiting=settings.max_waiting)
         self.hints = HintSender(client=control)
         self.stats = RouterStats(metrics=metrics)
--- a/packages/router/src/cornellead/process/_http_protocol.py
+++ b/packages/router/src/cornellead/process/_http_protocol.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from cornellead_core.serving import PacedHttpProtocol
 
 BODY_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
-class HttpProtocol(HttpToolsProtocol):
+class HttpProtocol(PacedHttpProtocol):
     """Uvicorn's protocol that rejects what its parser cannot read in full."""
 
     def on_headers_complete(self) -> None:
--- a/packages/router/src/cornellead/process/_http_server.py
+++ b/packages/router/src/cornellead/process/_http_server.py
@@ -14,6 +14,8 @@
 
     from litestar.types import ASGIApp
 
+    from cornellead_core.pacing import ReadPacer
+
 KEEP_ALIVE_TIMEOUT_S = 75
 """Exceeds the idle timeouts of common load balancers, so that the load balancer closes a connection
 first and never sends a request on one that is being closed here."""
@@ -23,9 +25,10 @@
     """Runs the application on uvicorn, without uvicorn's signal handlers.
 
     :param address: ``ip:port`` to listen on.
+    :param pacer: Shares the reads of the process among peers.
     """
 
-    def __init__(self, *, app: ASGIApp, address: str) -> None:
+    def __init__(self, *, app: ASGIApp, address: str, pacer: ReadPacer) -> None:
         host, _, port = address.rpartition(":")
         super().__init__(
             uvicorn.Config(
@@ -33,7 +36,7 @@
                 host=host,
                 port=int(port),
                 loop="asyncio",
-                http=HttpProtocol,
+                http=HttpProtocol.paced_by(pacer),
                 ws="none",
                 lifespan="off",
                 access_log=False,
--- a/packages/router/src/cornellead/process/_router_process.py
+++ b/packages/router/src/cornellead/process/_router_process.py
@@ -20,6 +20,7 @@
 from cornellead_core.blackboard import run_controllers
 from cornellead_core.distribution import ConfigDistributor
 from cornellead_core.distribution import HostDistributor
+from cornellead_core.pacing import ReadPacer
 from cornellead_core.platform import HttpHostList
 from cornellead_core.platform import HttpLogClient
 from cornellead_core.wire import ControlClient
@@ -52,9 +53,11 @@
             settings=process,
         )
         puller = ConfigPuller(distributor=distributor)
+        pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
         self._data_path = DataPath(
             settings=settings,
             board=board,
+            pacer=pacer,
             key=key,
             traffic=traffic,
             control=self._control,
@@ -83,7 +86,7 @@
             shares,
             *self._data_path.controllers(),
         ]
-        self._server = HttpServer(app=self._data_path.app, address=process.http)
+        self._server = HttpServer(app=self._data_path.app, address=process.http, pacer=pacer)
         self._drain = Drainer(
             board=board,
             tracker=self._data_path.request_tracker,
--- a/tests/router/process/test_http_server.py
+++ b/tests/router/process/test_http_server.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cornellead.process._http_server import HttpServer
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,7 +44,9 @@
 ) -> None:
     """Guards against a call that runs without its body since it offers another protocol."""
     app, address = _EchoApp(), free_address()
-    server = HttpServer(app=app, address=address)
+    server = HttpServer(
+        app=app, address=address, pacer=ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
+    )
     serving = asyncio.create_task(server.serve())
     while not server.started:
         await asyncio.sleep(0.01)
