--- a/packages/agent/src/cornellead_agent/cli/_main.py
+++ b/packages/agent/src/cornellead_agent/cli/_main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sys
+from typing import TYPE_CHECKING
 
 from absl import flags
 from returns.result import Success
@@ -12,6 +13,9 @@
 from cornellead_core.logs import configure_logs
 from cornellead_core.settings import load_agent_settings
 
+if TYPE_CHECKING:
+    from cornellead_core.settings import AgentSettings
+
 USAGE_ERROR_STATUS = 2
 
 
@@ -34,7 +38,11 @@
         return _report_error("\n".join(str(error) for error in loaded.failure()))
     settings = loaded.unwrap()
     configure_logs(process=settings.process.name, as_json=settings.process.log_format == "json")
-    return asyncio.run(Agent(settings=settings).run())
+    return asyncio.run(_run(settings))
+
+
+async def _run(settings: AgentSettings) -> int:
+    return await Agent(settings=settings).run()
 
 
 def _report_error(message: str) -> int:
