--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -72,8 +72,8 @@
     def partial_bytes(self) -> int:
         """Size of what is held of a request that was received in part."""
         if not self._headers_complete:
-            return self._received_header_bytes
-        return self._parsed_header_bytes + len(self._body)
+            return self._overhead_bytes
+        return self._parsed_header_bytes + self._overhead_bytes + len(self._body)
 
     def drop_partial_request(self) -> None:
         """Reject the request that was received in part, and give up what is held of it."""
