Let the router's time-outs act behind what has arrived

Callers of the own interface got 504, or a stream that broke, for answers that had arrived before their deadline, 408 for bodies that had, and neither an answer nor a refusal to a request that arrived before its idle connection was due to close.

Cause: due timers run before what arrived during a long turn is read in full. Change: deadlines of answers use Exchange.abort_at, bodies ArrivalTimeout, and uvicorn's timer of idle connections (those of the agent as well) closes behind arrivals.

--- a/packages/core/src/cornellead_core/serving/_paced_http_protocol.py
+++ b/packages/core/src/cornellead_core/serving/_paced_http_protocol.py
@@ -10,6 +10,7 @@
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from cornellead_core.pacing import ArrivalTimer
 from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
@@ -50,6 +51,12 @@
         """Let asyncio close the connection; called by asyncio."""
         HttpToolsProtocol.eof_received(self)
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the idle connection, unless a request has arrived; called by uvicorn."""
+        close = super().timeout_keep_alive_handler
+        timer = ArrivalTimer(loop=self.loop, delay_s=0.0, action=close)
+        self.timeout_keep_alive_task = cast("asyncio.TimerHandle", timer)
+
     def consume(self, data: memoryview) -> None:
         """Parse received bytes."""
         self.data_received(cast("bytes", data))
--- a/packages/router/src/cornellead/api/_caller_connection.py
+++ b/packages/router/src/cornellead/api/_caller_connection.py
@@ -7,6 +7,7 @@
 
 from cornellead.errors import ApiError
 from cornellead.errors import invalid_request_error
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -55,7 +56,7 @@
         parts: list[bytes] = []
         size = 0
         try:
-            async with asyncio.timeout(timeout_s):
+            async with ArrivalTimeout(delay_s=timeout_s):
                 while True:
                     message = await self._receive()
                     if message["type"] == "http.disconnect":
--- a/packages/router/src/cornellead/api/_chat_handler.py
+++ b/packages/router/src/cornellead/api/_chat_handler.py
@@ -171,7 +171,7 @@
         :returns: ``None``, or the error if the response was truncated; nothing was sent then.
         """
         loop = asyncio.get_running_loop()
-        deadline_timer = loop.call_at(job.request.deadline, placed.exchange.abort)
+        deadline_timer = placed.exchange.abort_at(job.request.deadline)
         try:
             body = await placed.exchange.read_all(limit=MAX_RESPONSE_BYTES)
         finally:
@@ -216,7 +216,7 @@
         moves = 0
         first_placed = placed
         while True:
-            deadline_timer = loop.call_at(job.request.deadline, placed.exchange.abort)
+            deadline_timer = placed.exchange.abort_at(job.request.deadline)
             try:
                 await relay.run(placed.exchange)
                 if stream_filter.ended:
--- a/packages/router/src/cornellead/dispatch/_agent_client.py
+++ b/packages/router/src/cornellead/dispatch/_agent_client.py
@@ -91,7 +91,7 @@
             self._view.record_failure(host.name, now=loop.time())
             return AttemptFailure(sent.failure().message, may_have_run=False)
         exchange = sent.unwrap()
-        timer = loop.call_at(req.deadline + REFUSAL_GRACE_S, exchange.abort)
+        timer = exchange.abort_at(req.deadline + REFUSAL_GRACE_S)
         try:
             response_head = await exchange.head()
         finally:
@@ -110,7 +110,7 @@
             self._view.record_response(host.name)
             return AgentResponse(response_head, exchange)
         # The connection can only be reused after the whole body was read.
-        timer = loop.call_at(req.deadline, exchange.abort)
+        timer = exchange.abort_at(req.deadline)
         try:
             await exchange.read_all(limit=MAX_REFUSAL_BODY_BYTES)
         finally:
--- a/packages/router/src/cornellead/dispatch/_service_dispatcher.py
+++ b/packages/router/src/cornellead/dispatch/_service_dispatcher.py
@@ -127,7 +127,7 @@
         if not isinstance(result, AgentResponse):
             return upstream_error(result.message, may_have_run=result.may_have_run)
         loop = asyncio.get_running_loop()
-        timer = loop.call_at(job.request.deadline, result.exchange.abort)
+        timer = result.exchange.abort_at(job.request.deadline)
         try:
             body = await result.exchange.read_all(limit=MAX_RESPONSE_BYTES)
         finally:
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead_core.pacing import ArrivalTimer
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -205,6 +207,15 @@
             self.wake()
         self.hold(0)
 
+    def abort_at(self, deadline: float) -> ArrivalTimer:
+        """Abort at a deadline, behind what has arrived until then.
+
+        :param deadline: Event loop time in seconds.
+        :returns: Timer that the caller cancels.
+        """
+        delay_s = deadline - self._loop.time()
+        return ArrivalTimer(loop=self._loop, delay_s=delay_s, action=self.abort)
+
     def receive_head_bytes(self, size: int) -> None:
         """Count the bytes of a head or trailer; called by the connection."""
         self._head_bytes = size
