Let the agent's time-outs act behind what has arrived

Callers got an unknown outcome for a service's answer that had arrived before the deadline, and 408 for bodies that had; answers of an engine counted as late, and its streams as stalled, while the agent was busy.

Change: ArrivalTimeout for connects, heads, whole answers, events, bodies and calls of a service. Those that wait for no bytes stay.

--- a/packages/agent/src/cornellead_agent/api/_body.py
+++ b/packages/agent/src/cornellead_agent/api/_body.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 from typing import NamedTuple
 
@@ -10,6 +9,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from cornellead_core.pacing import ArrivalTimeout
+
 MAX_BODY_BYTES = 4 << 20
 BODY_TIMEOUT_S = 10.0
 
@@ -29,7 +30,7 @@
     chunks: list[bytes] = []
     size = 0
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with ArrivalTimeout(delay_s=BODY_TIMEOUT_S):
             while True:
                 message = await receive()
                 if message["type"] == "http.disconnect":
--- a/packages/agent/src/cornellead_agent/api/_chat_relay.py
+++ b/packages/agent/src/cornellead_agent/api/_chat_relay.py
@@ -16,6 +16,7 @@
 from cornellead_agent.relay import EventAssembler
 from cornellead_core import headers
 from cornellead_core.outcomes import Outcome
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from cornellead_agent.admission import ColdLimit
@@ -192,8 +193,11 @@
     async def _read_until_stalled(self) -> bytes:
         """Return data of the engine, or nothing if the connection ended or the stream stalled."""
         assert self._conn is not None
+        if self._event_deadline is None:
+            return await self._conn.read()
+        delay_s = self._event_deadline - asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout_at(self._event_deadline):
+            async with ArrivalTimeout(delay_s=delay_s):
                 return await self._conn.read()
         except TimeoutError:
             self._conn.abort()
--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -13,6 +13,7 @@
 
 from cornellead_agent.relay._engine_connection import EngineConnection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
         conn = self._pop_idle_connection() if shared else None
         if conn is None:
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                async with ArrivalTimeout(delay_s=CONNECT_TIMEOUT_S):
                     _, conn = await asyncio.get_running_loop().create_connection(
                         lambda: EngineConnection(
                             pacer=self._pacer, budget=None if shared else self._budget
@@ -118,7 +119,7 @@
         """
         conn: EngineConnection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with ArrivalTimeout(delay_s=timeout_s):
                 open_result = await self.open(
                     method, target, headers=headers, body=body, shared=shared
                 )
--- a/packages/agent/src/cornellead_agent/relay/_upstream.py
+++ b/packages/agent/src/cornellead_agent/relay/_upstream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -12,6 +11,7 @@
 
 from cornellead_agent.relay._active_connections import ActiveConnections
 from cornellead_agent.relay._engine_client import EngineRequestError
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from cornellead_agent.relay._engine_client import EngineClient
@@ -78,7 +78,7 @@
     async def read_status(self, conn: EngineConnection) -> Result[int, EngineRequestError]:
         """Wait for the response headers and return the status."""
         try:
-            async with asyncio.timeout(HEAD_TIMEOUT_S):
+            async with ArrivalTimeout(delay_s=HEAD_TIMEOUT_S):
                 head = await conn.read_head()
         except TimeoutError:
             return Failure(EngineRequestError("the engine did not answer in time", sent=True))
--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from urllib.parse import quote
@@ -14,6 +13,7 @@
 
 from cornellead_agent.services._service_response import ServiceResponse
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from cornellead_agent.services._service_request import ServiceRequest
@@ -69,7 +69,7 @@
         try:
             # The timeouts of httpx apply to each read, not to the whole response.
             async with (
-                asyncio.timeout(timeout_s),
+                ArrivalTimeout(delay_s=timeout_s),
                 self._client.stream(
                     "POST", url, content=request.body, headers=fields, timeout=timeout
                 ) as resp,
--- a/packages/agent/src/cornellead_agent/services/_service_handler.py
+++ b/packages/agent/src/cornellead_agent/services/_service_handler.py
@@ -28,6 +28,7 @@
 from cornellead_core.outcomes import Outcome
 from cornellead_core.outcomes import Refusal
 from cornellead_core.outcomes import RefusalReason
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     import httpx
@@ -163,7 +164,7 @@
         if request.deadline_s <= 0:
             return _refuse(RefusalReason.DEADLINE, "the deadline has passed")
         try:
-            async with asyncio.timeout(request.deadline_s):
+            async with ArrivalTimeout(delay_s=request.deadline_s):
                 result = await self._server.send(request, timeout_s=request.deadline_s)
         except TimeoutError:
             message = "the server did not answer in time; the operation may be repeated"
--- a/tests/agent/api/test_body.py
+++ b/tests/agent/api/test_body.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from typing import Any
 
 import pytest
 from returns.result import Success
+from tests.turns import arrive_while_busy
 
+from cornellead_agent.api import _body
 from cornellead_agent.api._body import MAX_BODY_BYTES
 from cornellead_agent.api._body import read_body
 
@@ -44,3 +48,21 @@
 ) -> None:
     """Guards against unbounded memory for large bodies and against running a partial request."""
     assert await read(*messages) == expected
+
+
+async def test_body_that_arrives_before_its_timeout_is_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against status 408 for a body that came in time (issue 38)."""
+    monkeypatch.setattr(_body, "BODY_TIMEOUT_S", 0.3)
+    ours, peer = socket.socketpair()
+    reader, writer = await asyncio.open_connection(sock=ours)
+
+    async def receive() -> dict[str, Any]:
+        return body_message(await reader.readexactly(2), more=False)
+
+    arrive_while_busy(lambda: peer.send(b"{}"), due_s=0.3)
+    result = await read_body(receive)
+    writer.close()
+    peer.close()
+    assert isinstance(result, Success) and result.unwrap() == b"{}"
