Read answers of a service in bounded turns

Calls of other routers waited for seconds, and so did the agent's answers to them, while a service sent answers in chunks of one byte: httpx parses a read of 64 KB in Python, and all of its chunks were read in one turn of the event loop.

Change: ServerClient lets the loop turn after every 32 chunks. What counts as not sent, as lost or as too large is as before; the client stays httpx, since its transport is what the tests of claims replace.

Measured, longest turn in processor time beside 20 answers, three runs each (tests/agent/services/test_tiny_pieces.py): 3.81 to 4.04 s before, 0.021 to 0.023 s after.

--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from urllib.parse import quote
@@ -20,6 +21,8 @@
 
 MAX_RESPONSE_BYTES = 4 << 20
 CONNECT_TIMEOUT_S = 2.0
+TURN_CHUNKS = 32
+"""Chunks of a response that are read in one turn of the event loop: `httpx` parses in Python."""
 
 
 class SendError(StrEnum):
@@ -98,7 +101,11 @@
     resp: httpx.Response, budget: BufferBudget
 ) -> Result[ServiceResponse, SendError]:
     body = _Body()
+    chunks = 0
     async for chunk in resp.aiter_bytes():
+        chunks += 1
+        if chunks % TURN_CHUNKS == 0:
+            await asyncio.sleep(0)
         body.data += chunk
         budget.record(body, len(body.data))
         if body.dropped or len(body.data) > MAX_RESPONSE_BYTES:
