--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -14,12 +14,15 @@
 
 from cornellead_agent.services._service_response import ServiceResponse
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
     from cornellead_agent.services._service_request import ServiceRequest
 
 MAX_RESPONSE_BYTES = 4 << 20
 CONNECT_TIMEOUT_S = 2.0
+TURN_CHUNKS = 32
+"""Chunks of a response that are read in one turn of the event loop: `httpx` parses in Python."""
 
 
 class SendError(StrEnum):
@@ -69,7 +72,7 @@
         try:
             # The timeouts of httpx apply to each read, not to the whole response.
             async with (
-                asyncio.timeout(timeout_s),
+                ArrivalTimeout(delay_s=timeout_s),
                 self._client.stream(
                     "POST", url, content=request.body, headers=fields, timeout=timeout
                 ) as resp,
@@ -98,7 +101,11 @@
     resp: httpx.Response, budget: BufferBudget
 ) -> Result[ServiceResponse, SendError]:
     body = _Body()
+    chunks = 0
     async for chunk in resp.aiter_bytes():
+        chunks += 1
+        if chunks % TURN_CHUNKS == 0:
+            await asyncio.sleep(0)
         body.data += chunk
         budget.record(body, len(body.data))
         if body.dropped or len(body.data) > MAX_RESPONSE_BYTES:
