Put a retry aside for the way back before a begun stream leaves

Callers whose server was silent for 2.3 s and sound got cut streams: the router moved as many streams as it had retries, the other servers refused late, and a stream that had left then waited in vain for a retry, behind streams that were only about to leave.

A begun stream now leaves a silent server only if two retries are left. The second one is put aside, within the bucket's capacity, until the other server begins to answer. If that one refuses, the stream returns to its own server once that was heard again, else tries others while the budget has room, else returns.

--- a/packages/core/src/cornellead_core/retries/_retry_budget.py
+++ b/packages/core/src/cornellead_core/retries/_retry_budget.py
@@ -25,6 +25,16 @@
     >>> budget.count_request(now=0.0)
     >>> budget.try_spend(now=0.0), budget.try_spend(now=0.0)
     (True, False)
+
+    A retry that may be needed later can be put aside. It counts against the bucket's capacity until
+    it is released or spent:
+
+    >>> budget = RetryBudget(ratio=0.0, min_per_s=1.0)
+    >>> budget.try_reserve(now=0.0), budget.has_room(now=9.0)
+    (True, False)
+    >>> budget.release()
+    >>> budget.has_room(now=9.0)
+    True
     """
 
     def __init__(
@@ -34,6 +44,7 @@
         self.min_per_s = min_per_s
         self._capacity = max(1.0, min_per_s * BURST_S + ratio * saved_requests)
         self._tokens = min_per_s * BURST_S
+        self._reserved = 0
         self._refilled_at: float | None = None
         self.spent = 0
         self.refused = 0
@@ -44,7 +55,7 @@
         :param now: Monotonic seconds.
         """
         self._refill(now)
-        self._tokens = min(self._capacity, self._tokens + self._ratio)
+        self._add(self._ratio)
 
     def try_spend(self, *, now: float) -> bool:
         """Consume a token for one retry; return whether one was available."""
@@ -56,13 +67,33 @@
         self.spent += 1
         return True
 
-    def has_room(self, *, now: float) -> bool:
-        """Return whether a token is available, without consuming it."""
+    def has_room(self, *, now: float, retries: int = 1) -> bool:
+        """Return whether tokens for so many retries are available, without consuming them."""
         self._refill(now)
-        return self._tokens >= 1.0
+        return self._tokens >= retries
+
+    def try_reserve(self, *, now: float) -> bool:
+        """Put a token aside for a retry that may be needed; return whether one was available."""
+        if not self.has_room(now=now):
+            return False
+        self._tokens -= 1.0
+        self._reserved += 1
+        return True
+
+    def release(self) -> None:
+        """Return a token that was put aside to the bucket."""
+        self._reserved -= 1
+        self._add(1.0)
+
+    def spend_reserved(self) -> None:
+        """Consume a token that was put aside."""
+        self._reserved -= 1
+        self.spent += 1
 
     def _refill(self, now: float) -> None:
         if self._refilled_at is not None:
-            added = (now - self._refilled_at) * self.min_per_s
-            self._tokens = min(self._capacity, self._tokens + max(0.0, added))
+            self._add(max(0.0, (now - self._refilled_at) * self.min_per_s))
         self._refilled_at = now
+
+    def _add(self, tokens: float) -> None:
+        self._tokens = min(self._capacity - self._reserved, self._tokens + tokens)
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -78,6 +78,8 @@
         """Whether the response ended inside an event."""
         self.on_answered: Callable[[], None] = lambda: None
         """Called once when `answered` becomes true."""
+        self.on_head: Callable[[], None] = lambda: None
+        """Called once when `has_head` becomes true."""
         self.on_stalled: Callable[[], None] = lambda: None
         """Called at each check while the server is stalled and the request may be repeated."""
         self.search: asyncio.Task[None] | None = None
@@ -122,6 +124,11 @@
         elif now - self._first_event_at >= ANSWER_PROOF_S:
             self.record_answered()
 
+    def record_head(self) -> None:
+        """Record that the head of a successful response arrived."""
+        self.has_head = True
+        self.on_head()
+
     def record_answered(self) -> None:
         """Record that the server began to answer the request and survived that."""
         if not self.answered:
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -87,7 +87,7 @@
         Only one attempt of a request is relayed at a time. Its successor is kept if it can go on
         where this attempt ended, and aborted otherwise.
         """
-        admitted, _, events, out = context
+        admitted, _, events, out, _ = context
         response = self._relay.relay(admitted, attempt, events, out)
         return await self._end(context, attempt, response)
 
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -110,7 +110,7 @@
 
         :param refusals: Servers that refused the request, and when.
         """
-        obstacle = self._find_obstacle(context)
+        obstacle = self._find_obstacle(context, attempt)
         if obstacle is not None:
             return obstacle
         unreachable: set[str] = set()
@@ -125,7 +125,7 @@
             # Meanwhile others may have spent the budget and the server's rate, and the own server
             # may have gone on.
             now = self._clock()
-            obstacle = self._find_obstacle(context)
+            obstacle = self._find_obstacle(context, attempt)
             if obstacle is None and not self._picker.may_send(context.admitted, state, now=now):
                 obstacle = "no_other_server"
             if obstacle is not None or not attempt.waits_in_vain(now=now):
@@ -152,6 +152,8 @@
         attempt.successor = successor
         self._picker.count_send(context.admitted, state, now=self._clock())
         self._gate.try_pass(context.admitted, context.trace)
+        way_back = context.way_back
+        reserved = way_back.reserve(attempt.find_stall(now=self._clock()))
         streaming = context.admitted.route.kind is RequestKind.STREAMING
         exchange = successor.exchange
         await exchange.wait_for_head(timeout_s=MAX_STREAM_OVERLAP_S if streaming else MAX_OVERLAP_S)
@@ -159,18 +161,25 @@
         answers = head is None or self._relay.is_answer(context.admitted, head)
         if exchange.broken or not answers:
             attempt.successor = None
+            if reserved:
+                way_back.release()
             await self._runner.end_failed(context, successor)
             return "refused"
         if attempt.give_up(now=self._clock()):
+            assert attempt.stall is not None
+            way_back.record_leave(attempt.state, attempt.stall)
             self._log(context, attempt, state)
         elif not attempt.exchange.broken:
             self._runner.drop_successor(context, attempt)
+            if reserved:
+                way_back.release()
         return None
 
-    def _find_obstacle(self, context: RequestContext) -> str | None:
+    def _find_obstacle(self, context: RequestContext, attempt: Attempt) -> str | None:
         if not context.events.resumable:
             return "events_without_id"
-        return self._gate.find_obstacle(context.admitted, context.trace)
+        retries = 2 if context.way_back.needed(attempt.find_stall(now=self._clock())) else 1
+        return self._gate.find_obstacle(context.admitted, context.trace, retries=retries)
 
     def _pick(
         self,
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -25,6 +25,7 @@
 from cornellead.gateway.forwarding._retry_gate import STOPPING
 from cornellead.gateway.forwarding._retry_gate import RetryGate
 from cornellead.gateway.forwarding._server_picker import NoServer
+from cornellead.gateway.forwarding._way_back import WayBack
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import ServerState
 
@@ -144,7 +145,16 @@
         self, admitted: AdmittedRequest, trace: RequestTrace, out: ResponseWriter
     ) -> None:
         events = EventSplitter(last_event_id=admitted.caller.last_event)
-        context = RequestContext(admitted, trace, events, out)
+        way_back = WayBack(
+            admitted=admitted, trace=trace, out=out, gate=self._gate, clock=self._clock
+        )
+        try:
+            await self._try_servers(RequestContext(admitted, trace, events, out, way_back))
+        finally:
+            way_back.release()
+
+    async def _try_servers(self, context: RequestContext) -> None:
+        admitted, trace, events, out, way_back = context
         refused = RefusedStream(context=context, clock=self._clock)
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
@@ -157,7 +167,7 @@
                     trace.add_note(STOPPING)
                     break
                 if admitted.attempts.sends and not retry_paid:
-                    if not self._may_retry(admitted, trace, fallback):
+                    if not self._may_retry(context, fallback):
                         obstacle = self._gate.find_obstacle(admitted, trace)
                         if obstacle == NO_RETRY_BUDGET and await refused.wait():
                             continue
@@ -166,7 +176,9 @@
                 if not events.resumable:
                     trace.add_note("events_without_id")
                     break
-                picked = await self._pick_server(admitted, trace, excluded=refused.excluded())
+                picked = self._pick_home(context) or await self._pick_server(
+                    admitted, trace, excluded=refused.excluded()
+                )
                 if isinstance(picked, NoServer):
                     self._record_no_server(trace, picked)
                     if await refused.wait():
@@ -177,6 +189,8 @@
                     # The stop began to refuse requests while this one waited for its server.
                     break
                 attempt = await self._runner.start(context, picked)
+                if attempt is None:
+                    way_back.forget_home(picked.entry.server)
             if attempt is None:
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
@@ -184,7 +198,9 @@
                 # Nothing was sent, so a retry that was paid covers the next server.
                 continue
             retry_paid = False
+            way_back.record_send()
             self._failover.watch(context, attempt)
+            attempt.on_head = way_back.release
             outcome = await self._runner.run(context, attempt)
             if isinstance(outcome, DeliveredResponse):
                 trace.set_result(outcome.status, "delivered")
@@ -208,12 +224,23 @@
             trace.add_note_once("rate_limited")
             self._stats.count_decision("rate_limited")
 
-    def _may_retry(
-        self, admitted: AdmittedRequest, trace: RequestTrace, fallback: ErrorResponse | None
-    ) -> bool:
+    def _may_retry(self, context: RequestContext, fallback: ErrorResponse | None) -> bool:
+        admitted, way_back = context.admitted, context.way_back
         if fallback is not None and not admitted.route.repeatable:
             return False
-        return self._gate.try_pass(admitted, trace)
+        if way_back.home_recovered and way_back.try_return():
+            return True
+        return self._gate.try_pass(admitted, context.trace) or way_back.try_return()
+
+    def _pick_home(self, context: RequestContext) -> ServerState | None:
+        """Return the server that the stream left, if it returns there and may be sent."""
+        admitted, home = context.admitted, context.way_back.home
+        if home is None:
+            return None
+        listed = self._view.servers.listed(admitted.service.name)
+        others = {state.entry.server for state in listed} - {home}
+        picked = self._picker.pick(admitted, tried=(), excluded=others, now=self._clock())
+        return picked if isinstance(picked, ServerState) else None
 
     async def _pick_server(
         self, admitted: AdmittedRequest, trace: RequestTrace, *, excluded: set[str]
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -121,7 +121,7 @@
         if not _is_answer(admitted, head, reply):
             return BrokenResponse("not_the_servers_response")
         if head.status == OK:
-            attempt.has_head = True
+            attempt.record_head()
         return _AcceptedHead(head, reply)
 
     async def _read_body(self, attempt: Attempt) -> bytes | None:
--- a/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
@@ -60,8 +60,13 @@
         needed_s = min(admitted.route.target_latency_s, attempts.time_left_s(now=self._clock()))
         return self._serving.time_left_s() >= needed_s
 
-    def find_obstacle(self, admitted: AdmittedRequest, trace: RequestTrace) -> str | None:
-        """Return why the request may not be sent again; ``None`` if it may be."""
+    def find_obstacle(
+        self, admitted: AdmittedRequest, trace: RequestTrace, *, retries: int = 1
+    ) -> str | None:
+        """Return why the request may not be sent again; ``None`` if it may be.
+
+        :param retries: Retries that must be left; 0 if the next one was put aside.
+        """
         now = self._clock()
         if not self.allows_send(admitted):
             return STOPPING
@@ -70,23 +75,40 @@
         if trace.unanswered_breaks and not self._may_retry_after_break(admitted, trace):
             return "may_crash_servers"
         service, routers = admitted.service.name, len(self._view.routers(now=now))
-        if not self._retries.has_room(service, routers=routers, now=now):
+        if not self._retries.has_room(service, routers=routers, now=now, retries=retries):
             return NO_RETRY_BUDGET
         return None
 
-    def try_pass(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
-        """Spend a retry if nothing prevents it, else note the reason in the trace."""
-        obstacle = self.find_obstacle(admitted, trace)
-        if obstacle is None:
+    def try_pass(
+        self, admitted: AdmittedRequest, trace: RequestTrace, *, reserved: bool = False
+    ) -> bool:
+        """Spend a retry if nothing prevents it, else note the reason in the trace.
+
+        :param reserved: Whether the retry was put aside by `try_reserve`.
+        """
+        service = admitted.service.name
+        obstacle = self.find_obstacle(admitted, trace, retries=0 if reserved else 1)
+        if obstacle is None and reserved:
+            self._retries.spend_reserved(service)
+        elif obstacle is None:
             now = self._clock()
-            routers = len(self._view.routers(now=now))
-            self._retries.try_spend(admitted.service.name, routers=routers, now=now)
+            self._retries.try_spend(service, routers=len(self._view.routers(now=now)), now=now)
         else:
             trace.add_note_once(obstacle)
         if obstacle in _DECISIONS:
             self._stats.count_decision(_DECISIONS[obstacle])
         return obstacle is None
 
+    def try_reserve(self, admitted: AdmittedRequest) -> bool:
+        """Put a retry of the request's service aside; ``False`` if none is left."""
+        now = self._clock()
+        routers = len(self._view.routers(now=now))
+        return self._retries.try_reserve(admitted.service.name, routers=routers, now=now)
+
+    def release(self, admitted: AdmittedRequest) -> None:
+        """Give back a retry that was put aside."""
+        self._retries.release(admitted.service.name)
+
     def _may_retry_after_break(self, admitted: AdmittedRequest, trace: RequestTrace) -> bool:
         if trace.unanswered_breaks >= MAX_UNANSWERED_BREAKS:
             return False
--- a/packages/router/src/cornellead/gateway/policy/_retry_budgets.py
+++ b/packages/router/src/cornellead/gateway/policy/_retry_budgets.py
@@ -40,9 +40,21 @@
         """Consume one retry from the budget of a service; ``False`` if the budget is exhausted."""
         return self._budget(service, routers).try_spend(now=now)
 
-    def has_room(self, service: str, *, routers: int, now: float) -> bool:
-        """Return whether a retry is available, without consuming it."""
-        return self._budget(service, routers).has_room(now=now)
+    def has_room(self, service: str, *, routers: int, now: float, retries: int = 1) -> bool:
+        """Return whether so many retries are available, without consuming them."""
+        return self._budget(service, routers).has_room(now=now, retries=retries)
+
+    def try_reserve(self, service: str, *, routers: int, now: float) -> bool:
+        """Put a retry aside for later; ``False`` if the budget is exhausted."""
+        return self._budget(service, routers).try_reserve(now=now)
+
+    def release(self, service: str) -> None:
+        """Return a retry that was put aside."""
+        self._budgets[service].release()
+
+    def spend_reserved(self, service: str) -> None:
+        """Consume a retry that was put aside."""
+        self._budgets[service].spend_reserved()
 
     def _budget(self, service: str, routers: int) -> RetryBudget:
         bounds = self.bounds
--- a/packages/router/src/cornellead/gateway/view/_server_health.py
+++ b/packages/router/src/cornellead/gateway/view/_server_health.py
@@ -75,6 +75,10 @@
         """Record that the server sent data."""
         self._last_byte_at = now
 
+    def received_data_since(self, at: float) -> bool:
+        """Return whether the server sent data after a moment, in seconds."""
+        return self._last_byte_at > at
+
     def record_latency(self, seconds: float) -> None:
         """Add a time to first byte to the moving average."""
         if self.latency_s <= 0:
--- a/tests/router/gateway/forwarding/test_late_refusals.py
+++ b/tests/router/gateway/forwarding/test_late_refusals.py
@@ -28,6 +28,8 @@
 LAST = 6
 SILENCE_S = 2.3
 """Time after which the first server goes on, and takes requests again."""
+CALLER_PATIENCE_S = 4.0
+"""Gap after the last event at which callers disconnect."""
 
 
 def _make_refusing_script(refused_after_s: float) -> Script:
@@ -38,7 +40,7 @@
     return script
 
 
-def _make_silent_script() -> Script:
+def _make_silent_script(silence_s: float = SILENCE_S) -> Script:
     """Return a script of a server that is silent on all requests for a while."""
     started_at = time.monotonic()
 
@@ -46,7 +48,7 @@
         if not exchange.header("last-event-id"):
             await exchange.begin_stream()
             await exchange.send_events(1, 3)
-        await asyncio.sleep(started_at + SILENCE_S - time.monotonic())
+        await asyncio.sleep(started_at + silence_s - time.monotonic())
         if exchange.header("last-event-id"):
             await exchange.resume_stream(LAST)
         else:
@@ -86,6 +88,27 @@
     assert whole == [True] * streams
 
 
+@pytest.mark.parametrize("silence_s", [1.3, SILENCE_S])
+@pytest.mark.parametrize("refused_after_s", [0.1, 0.5, 1.0])
+@pytest.mark.parametrize("streams", [4, 12, 40])
+async def test_streams_beyond_the_retry_budget_outlast_late_refusals(
+    gateway: Gateway,
+    start_server: StartServer,
+    streams: int,
+    refused_after_s: float,
+    silence_s: float,
+) -> None:
+    """Guards against streams that leave a sound server without a retry for their way back."""
+    silent = await start_server(_make_silent_script(silence_s))
+    full = [await start_server(_make_refusing_script(refused_after_s)) for _ in range(2)]
+    gateway.configure(silent, max_attempts=3)
+    calls = [_call(gateway, *full, number=number) for number in range(streams)]
+    async with asyncio.timeout(CALLER_PATIENCE_S):
+        responses = await asyncio.gather(*calls)
+    whole = [r.complete and r.body == encode_events(1, LAST) for r in responses]
+    assert whole == [True] * streams
+
+
 async def test_stream_waits_for_a_server_that_takes_it(
     gateway: Gateway, start_server: StartServer
 ) -> None:
--- a/tests/router/gateway/policy/test_retry_budgets.py
+++ b/tests/router/gateway/policy/test_retry_budgets.py
@@ -35,3 +35,29 @@
     allowed = BOUNDS.retry_ratio * requests_per_s * 10 + BOUNDS.retry_minimum
     peak = max(sum(1 for at in retries if start <= at < start + 10.0) for start in retries)
     assert peak <= allowed
+
+
+@pytest.mark.parametrize("routers", [1, 5, 27])
+def test_retries_put_aside_stay_within_budget(routers: int) -> None:
+    """Guards against retries that are put aside in a quiet period, refilled, and spent in one
+    burst."""
+    budgets = [RetryBudgets(bounds=BOUNDS) for _ in range(routers)]
+    reserved = [0] * routers
+    retries: list[float] = []
+    for number in range(30 * 60):
+        now = number / 60
+        router = number % routers
+        budget = budgets[router]
+        budget.count_request("app", routers=routers, now=now)
+        if now <= QUIET_S:
+            reserved[router] += budget.try_reserve("app", routers=routers, now=now)
+            continue
+        while reserved[router]:
+            budget.spend_reserved("app")
+            reserved[router] -= 1
+            retries.append(now)
+        while budget.try_spend("app", routers=routers, now=now):
+            retries.append(now)
+    allowed = BOUNDS.retry_ratio * 600 + BOUNDS.retry_minimum
+    peak = max(sum(1 for at in retries if start <= at < start + 10.0) for start in retries)
+    assert peak <= allowed
