Pay for moves that use the last attempt of a request

Services could get far more arrivals beyond the first of each request than their retry budget: on routes with two attempts a move from a silent server was not paid. The retry was spent after the send had been counted, by a check that also asks whether an attempt is left; with none left it spent nothing.

The move now spends its retry without that check, which was made before the send.

--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -151,7 +151,7 @@
             return "no_connection"
         attempt.successor = successor
         self._picker.count_send(context.admitted, state, now=self._clock())
-        self._gate.try_pass(context.admitted, context.trace)
+        self._gate.spend(context.admitted)
         way_back = context.way_back
         reserved = way_back.reserve(attempt.find_stall(now=self._clock()))
         streaming = context.admitted.route.kind is RequestKind.STREAMING
--- a/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
@@ -27,7 +27,6 @@
 """Obstacle of a request that another router serves before this one exits."""
 
 _DECISIONS = {
-    None: "retry",
     "may_crash_servers": "no_retry_after_crash",
     NO_RETRY_BUDGET: "retry_budget_empty",
 }
@@ -86,18 +85,26 @@
 
         :param reserved: Whether the retry was put aside by `try_reserve`.
         """
-        service = admitted.service.name
         obstacle = self.find_obstacle(admitted, trace, retries=0 if reserved else 1)
-        if obstacle is None and reserved:
-            self._retries.spend_reserved(service)
-        elif obstacle is None:
-            now = self._clock()
-            self._retries.try_spend(service, routers=len(self._view.routers(now=now)), now=now)
-        else:
-            trace.add_note_once(obstacle)
+        if obstacle is None:
+            self.spend(admitted, reserved=reserved)
+            return True
+        trace.add_note_once(obstacle)
         if obstacle in _DECISIONS:
             self._stats.count_decision(_DECISIONS[obstacle])
-        return obstacle is None
+        return False
+
+    def spend(self, admitted: AdmittedRequest, *, reserved: bool = False) -> None:
+        """Spend a retry on a send that happens or has happened.
+
+        :param reserved: Whether the retry was put aside by `try_reserve`.
+        """
+        service, now = admitted.service.name, self._clock()
+        if reserved:
+            self._retries.spend_reserved(service)
+        else:
+            self._retries.try_spend(service, routers=len(self._view.routers(now=now)), now=now)
+        self._stats.count_decision("retry")
 
     def try_reserve(self, admitted: AdmittedRequest) -> bool:
         """Put a retry of the request's service aside; ``False`` if none is left."""
--- a/tests/router/gateway/forwarding/test_failover.py
+++ b/tests/router/gateway/forwarding/test_failover.py
@@ -164,6 +164,24 @@
     assert (response.status, len(spent), len(silent.received)) == (200, 0, 1)
 
 
+@pytest.mark.parametrize("path", ["/safe/1", "/resumable/1"])
+async def test_moves_that_use_the_last_attempt_are_paid(
+    gateway: Gateway, start_server: StartServer, path: str
+) -> None:
+    """Guards against moves beyond the retry budget on routes with two attempts (BUDGET)."""
+    silent, other = await start_server(_stay_silent), await start_server(_stay_silent)
+    gateway.configure(silent)
+    calls = [asyncio.create_task(_call(gateway, path, number)) for number in range(40)]
+    while len(silent.received) < len(calls):
+        await asyncio.sleep(0.01)
+    _list(gateway, other)
+    await asyncio.sleep(1.8)
+    for call in calls:
+        call.cancel()
+    spent = gateway.retries._budgets["llm"].spent
+    assert 0 < len(other.received) == spent < len(calls)
+
+
 async def test_connection_of_a_move_is_not_taken_by_another_request(
     gateway: Gateway, start_server: StartServer
 ) -> None:
