Test that accepted requests are answered when others refuse late

Unsafe requests stay with their silent server and get its answer (6 cases). Safe ones get a whole answer, which may be 502 or 504 if they left for a server that refused after the overlap: no connection ends without one.

--- a/tests/router/gateway/forwarding/test_silent_servers.py
+++ b/tests/router/gateway/forwarding/test_silent_servers.py
@@ -207,3 +207,39 @@
     gateway.view.servers.put(entry, now=time.monotonic())
     response = await call
     assert (response.status, response.complete) == (200, True)
+
+
+@pytest.mark.parametrize(("path", "statuses"), [("/unsafe/1", {200}), ("/safe/1", {200, 502, 504})])
+@pytest.mark.parametrize("requests", [4, 40])
+@pytest.mark.parametrize("refused_after_s", [0.1, 0.5, 1.0])
+async def test_accepted_requests_are_answered_though_others_refuse_late(
+    gateway: Gateway,
+    start_server: StartServer,
+    path: str,
+    statuses: set[int],
+    requests: int,
+    refused_after_s: float,
+) -> None:
+    """Guards against accepted requests without an answer, and unsafe ones that leave (LOST)."""
+    started_at = time.monotonic()
+
+    async def answer_late(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(started_at + 1.3 - time.monotonic())
+        await exchange.send(exchange.sealed_response(200, b"body"))
+
+    async def refuse_late(exchange: ScriptedExchange) -> None:
+        await asyncio.sleep(refused_after_s)
+        await exchange.send(exchange.response(503, "X-Not-Executed: full"))
+
+    silent = await start_server(answer_late)
+    full = [await start_server(refuse_late) for _ in range(2)]
+    gateway.configure(silent)
+    calls = [asyncio.create_task(_call(gateway, path, number)) for number in range(requests)]
+    while len(silent.received) < requests:
+        await asyncio.sleep(0.01)
+    for position, server in enumerate(full, start=1):
+        entry = make_entry(f"s{position}", address=server.address)
+        gateway.view.servers.put(entry, now=time.monotonic())
+    responses = await asyncio.gather(*calls)
+    assert all(response.complete for response in responses)
+    assert {response.status for response in responses} <= statuses
