--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -152,8 +152,8 @@
         attempt.successor = successor
         self._picker.count_send(context.admitted, state, now=self._clock())
         self._gate.spend(context.admitted)
-        way_back = context.way_back
-        reserved = way_back.reserve(attempt.find_stall(now=self._clock()))
+        return_retry = context.return_retry
+        reserved = return_retry.reserve(attempt.find_stall(now=self._clock()))
         streaming = context.admitted.route.kind is RequestKind.STREAMING
         exchange = successor.exchange
         await exchange.wait_for_head(timeout_s=MAX_STREAM_OVERLAP_S if streaming else MAX_OVERLAP_S)
@@ -162,23 +162,23 @@
         if exchange.broken or not answers:
             attempt.successor = None
             if reserved:
-                way_back.release()
+                return_retry.release()
             await self._runner.end_failed(context, successor)
             return "refused"
         if attempt.give_up(now=self._clock()):
             assert attempt.stall is not None
-            way_back.record_leave(attempt.state, attempt.stall)
+            return_retry.record_leave(attempt.state, attempt.stall)
             self._log(context, attempt, state)
         elif not attempt.exchange.broken:
             self._runner.drop_successor(context, attempt)
             if reserved:
-                way_back.release()
+                return_retry.release()
         return None
 
     def _find_obstacle(self, context: RequestContext, attempt: Attempt) -> str | None:
         if not context.events.resumable:
             return "events_without_id"
-        retries = 2 if context.way_back.needed(attempt.find_stall(now=self._clock())) else 1
+        retries = 2 if context.return_retry.needed(attempt.find_stall(now=self._clock())) else 1
         return self._gate.find_obstacle(context.admitted, context.trace, retries=retries)
 
     def _pick(
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -24,8 +24,8 @@
 from cornellead.gateway.forwarding._retry_gate import NO_RETRY_BUDGET
 from cornellead.gateway.forwarding._retry_gate import STOPPING
 from cornellead.gateway.forwarding._retry_gate import RetryGate
+from cornellead.gateway.forwarding._return_retry import ReturnRetry
 from cornellead.gateway.forwarding._server_picker import NoServer
-from cornellead.gateway.forwarding._way_back import WayBack
 from cornellead.gateway.policy import retry_after_s
 from cornellead.gateway.view import ServerState
 
@@ -145,16 +145,16 @@
         self, admitted: AdmittedRequest, trace: RequestTrace, out: ResponseWriter
     ) -> None:
         events = EventSplitter(last_event_id=admitted.caller.last_event)
-        way_back = WayBack(
+        return_retry = ReturnRetry(
             admitted=admitted, trace=trace, out=out, gate=self._gate, clock=self._clock
         )
         try:
-            await self._try_servers(RequestContext(admitted, trace, events, out, way_back))
+            await self._try_servers(RequestContext(admitted, trace, events, out, return_retry))
         finally:
-            way_back.release()
+            return_retry.release()
 
     async def _try_servers(self, context: RequestContext) -> None:
-        admitted, trace, events, out, way_back = context
+        admitted, trace, events, out, return_retry = context
         refused = RefusedStream(context=context, clock=self._clock)
         fallback: ErrorResponse | None = None
         wait_s: float | None = None
@@ -176,7 +176,7 @@
                 if not events.resumable:
                     trace.add_note("events_without_id")
                     break
-                picked = self._pick_home(context) or await self._pick_server(
+                picked = self._pick_origin(context) or await self._pick_server(
                     admitted, trace, excluded=refused.excluded()
                 )
                 if isinstance(picked, NoServer):
@@ -190,7 +190,7 @@
                     break
                 attempt = await self._runner.start(context, picked)
                 if attempt is None:
-                    way_back.forget_home(picked.entry.server)
+                    return_retry.forget_origin(picked.entry.server)
             if attempt is None:
                 connect_failures += 1
                 if connect_failures >= MAX_CONNECT_FAILURES:
@@ -198,9 +198,9 @@
                 # Nothing was sent, so a retry that was paid covers the next server.
                 continue
             retry_paid = False
-            way_back.record_send()
+            return_retry.record_send()
             self._failover.watch(context, attempt)
-            attempt.on_head = way_back.release
+            attempt.on_head = return_retry.release
             outcome = await self._runner.run(context, attempt)
             if isinstance(outcome, DeliveredResponse):
                 trace.set_result(outcome.status, "delivered")
@@ -225,20 +225,20 @@
             self._stats.count_decision("rate_limited")
 
     def _may_retry(self, context: RequestContext, fallback: ErrorResponse | None) -> bool:
-        admitted, way_back = context.admitted, context.way_back
+        admitted, return_retry = context.admitted, context.return_retry
         if fallback is not None and not admitted.route.repeatable:
             return False
-        if way_back.home_recovered and way_back.try_return():
+        if return_retry.origin_recovered and return_retry.try_return():
             return True
-        return self._gate.try_pass(admitted, context.trace) or way_back.try_return()
+        return self._gate.try_pass(admitted, context.trace) or return_retry.try_return()
 
-    def _pick_home(self, context: RequestContext) -> ServerState | None:
+    def _pick_origin(self, context: RequestContext) -> ServerState | None:
         """Return the server that the stream left, if it returns there and may be sent."""
-        admitted, home = context.admitted, context.way_back.home
-        if home is None:
+        admitted, origin = context.admitted, context.return_retry.origin
+        if origin is None:
             return None
         listed = self._view.servers.listed(admitted.service.name)
-        others = {state.entry.server for state in listed} - {home}
+        others = {state.entry.server for state in listed} - {origin}
         picked = self._picker.pick(admitted, tried=(), excluded=others, now=self._clock())
         return picked if isinstance(picked, ServerState) else None
 
--- a/packages/router/src/cornellead/gateway/forwarding/_way_back.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_return_retry.py
@@ -1,4 +1,4 @@
-"""Way back of a begun stream to the silent server that it left."""
+"""Retry with which a begun stream returns to the silent server that it left."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     from cornellead.gateway.view import ServerState
 
 
-class WayBack:
+class ReturnRetry:
     """Holds a retry for a begun stream until the server that it moved to has begun to answer.
 
     That server may refuse the stream when the silent one, which may be sound, has been left. The
@@ -39,14 +39,14 @@
         self._out = out
         self._gate = gate
         self._clock = clock
-        self._home: ServerState | None = None
+        self._origin: ServerState | None = None
         self._left_at = 0.0
         self._silent_since = 0.0
         self._reserved = False
         self._returning = False
 
     def needed(self, stall: Stall | None) -> bool:
-        """Return whether a move needs a further retry for the way back.
+        """Return whether a move needs a further retry for the return.
 
         :param stall: Stall of the server that would be left; after a long one there is nothing to
             return to.
@@ -59,13 +59,13 @@
         """Put a retry aside before a move, if that is needed and one is left."""
         if not self.needed(stall) or not self._gate.try_reserve(self._admitted):
             return False
-        self._reserved, self._home = True, None
+        self._reserved, self._origin = True, None
         return True
 
-    def record_leave(self, home: ServerState, stall: Stall) -> None:
+    def record_leave(self, origin: ServerState, stall: Stall) -> None:
         """Record the server that was given up while it was silent; one that broke off is none."""
-        if self._reserved and self._home is None:
-            self._home, self._left_at = home, self._clock()
+        if self._reserved and self._origin is None:
+            self._origin, self._left_at = origin, self._clock()
             self._silent_since = self._left_at - stall.seconds
 
     def release(self) -> None:
@@ -81,29 +81,31 @@
         ):
             return False
         self._reserved, self._returning = False, True
-        self._trace.add_note("way_back")
+        self._trace.add_note("returned")
         return True
 
-    def forget_home(self, server: str) -> None:
+    def forget_origin(self, server: str) -> None:
         """Record that a server accepts no connection, so that no return leads there."""
-        if self._home is not None and self._home.entry.server == server:
-            self._home = None
+        if self._origin is not None and self._origin.entry.server == server:
+            self._origin = None
 
     def record_send(self) -> None:
         """Record that the send happened for which the retry was spent."""
         self._returning = False
 
     @property
-    def home_recovered(self) -> bool:
+    def origin_recovered(self) -> bool:
         """Whether the server that was left has sent data on other requests since then."""
-        return self._home is not None and self._home.health.received_data_since(self._left_at)
+        return self._origin is not None and self._origin.health.received_data_since(self._left_at)
 
     @property
-    def home(self) -> str | None:
+    def origin(self) -> str | None:
         """Server to which the stream returns, if that is what the next send is for."""
-        if self._home is None or not self._returning:
+        if self._origin is None or not self._returning:
             return None
         now = self._clock()
-        if now - self._silent_since >= LONG_SILENCE_S and not self._home.health.responsive(now=now):
+        if now - self._silent_since >= LONG_SILENCE_S and not self._origin.health.responsive(
+            now=now
+        ):
             return None
-        return self._home.entry.server
+        return self._origin.entry.server
--- a/tests/router/gateway/forwarding/test_late_refusals.py
+++ b/tests/router/gateway/forwarding/test_late_refusals.py
@@ -98,7 +98,7 @@
     refused_after_s: float,
     silence_s: float,
 ) -> None:
-    """Guards against streams that leave a sound server without a retry for their way back."""
+    """Guards against streams that leave a sound server without a retry for their return."""
     silent = await start_server(_make_silent_script(silence_s))
     full = [await start_server(_make_refusing_script(refused_after_s)) for _ in range(2)]
     gateway.configure(silent, max_attempts=3)
--- a/tests/router/gateway/forwarding/test_way_back.py
+++ b/tests/router/gateway/forwarding/test_return_retry.py
@@ -1,4 +1,4 @@
-"""Retry that a begun stream keeps for its way back to the silent server that it left."""
+"""Retry that a begun stream keeps for its return to the silent server that it left."""
 
 from __future__ import annotations
 
@@ -133,7 +133,7 @@
 async def test_stream_leaves_a_dead_server_if_the_budget_holds_one_retry(
     gateway: Gateway, start_server: StartServer
 ) -> None:
-    """Guards against streams that stay with a dead server for want of a retry for the way back."""
+    """Guards against streams that stay with a dead server for want of a retry for the return."""
     dead, sound = await start_server(_begin_and_die), await start_server(_resume)
     gateway.retries.bounds = ONE_RETRY
     gateway.configure(dead, max_attempts=3)
@@ -144,7 +144,7 @@
 async def test_stream_stays_with_a_sound_server_if_the_budget_holds_one_retry(
     gateway: Gateway, start_server: StartServer
 ) -> None:
-    """Guards against a stream that leaves a sound server and cannot pay for its way back."""
+    """Guards against a stream that leaves a sound server and cannot pay for its return."""
     silent, full = await start_server(_begin_and_pause), await start_server(_refuse_late)
     gateway.retries.bounds = ONE_RETRY
     gateway.configure(silent, max_attempts=3)
