Let a read be under way when a test cuts the store off

Trace: the gateway was ready at 43.736 and the store went down before the next read began (43.7388, 503), so the configuration had last been confirmed 2.53 s before the unknown key came, and 503 stale_configuration is right. In four plays that passed a read was under way and confirmed it a second later (age 1.55 s). The test now lets it begin; its checks stay as they are.

--- a/tests/processes/test_gateway.py
+++ b/tests/processes/test_gateway.py
@@ -60,6 +60,8 @@
     older configuration is written.
     """
     await fleet.wait_readiness()
+    # The next read confirms the configuration; it is under way when the outage begins.
+    await asyncio.sleep(0.1)
     fleet.store.down = True
     await asyncio.sleep(1.5)
     assert (await fleet.send_payment()).status == 200
