--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -104,3 +104,13 @@
     tracemalloc.stop()
     assert parser.rejection is RejectionStatus.BODY_TOO_LARGE
     assert held_bytes < 4 * len(chunk)
+
+
+def test_trailers_count_as_held_bytes_of_an_unfinished_request() -> None:
+    """Guards against trailers that the sum of unfinished requests leaves out."""
+    parser = RequestParser(limits=LIMITS)
+    head = encode_request("/unsafe/1").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    parser.feed(head, now=0.0)
+    held_bytes = parser.partial_bytes
+    parser.feed(b"0\r\nX-Trailer: " + b"a" * 1000, now=0.0)
+    assert parser.partial_bytes >= held_bytes + 1000
