--- a/tests/router/gateway/ingress/test_arrivals.py
+++ b/tests/router/gateway/ingress/test_arrivals.py
@@ -1,4 +1,4 @@
-"""Requests and answers that have arrived when a timer is due, while the event loop was busy."""
+"""Requests and answers that have arrived when a late timer acts, since the event loop was busy."""
 
 from __future__ import annotations
 
@@ -32,8 +32,8 @@
     await exchange.send(exchange.sealed_response(200, exchange.body))
 
 
-async def _send_just_before(due_s: float, writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Let data arrive just before a timer is due, in the same turn of a busy loop.
+async def _send_before_late_timer(due_s: float, writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Let data arrive just before a timer acts that a busy loop has delayed, in the same turn.
 
     :param due_s: Seconds until the timer is due.
     """
@@ -43,7 +43,7 @@
     await asyncio.sleep(due_s)
 
 
-async def test_request_that_arrives_before_the_idle_timeout_is_answered(
+async def test_request_that_arrives_before_a_late_idle_close_is_answered(
     gateway: Gateway, start_server: StartServer
 ) -> None:
     """Guards against a whole request that gets neither an answer nor a refusal (issue 38)."""
@@ -53,13 +53,13 @@
     writer.write(encode_request("/unsafe/1", body=b"a"))
     assert (await read_response(reader)).status == 200
     request = encode_request("/unsafe/2", body=b"b")
-    await _send_just_before(0.5 + IDLE_TIMEOUT_MARGIN_S, writer, request)
+    await _send_before_late_timer(0.5 + IDLE_TIMEOUT_MARGIN_S, writer, request)
     response = await read_response(reader)
     assert (response.status, response.body) == (200, b"b")
     writer.close()
 
 
-async def test_request_whose_head_arrives_in_time_is_not_answered_408(
+async def test_request_whose_head_arrives_before_a_late_timeout_is_not_answered_408(
     gateway: Gateway, start_server: StartServer
 ) -> None:
     """Guards against a time limit for slow callers that hits those of a busy process."""
@@ -68,7 +68,7 @@
     reader, writer = await gateway.connect()
     writer.write(HEAD)
     rest = b"X-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
-    await _send_just_before(1.0, writer, rest)
+    await _send_before_late_timer(1.0, writer, rest)
     assert (await read_response(reader)).status == 200
     writer.close()
 
