Tell in the soak how late its own event loop was

Cause: two failures of the soak ('neither answer nor refusal' after 3.00 s, 'kept open') could not be told from a soak that read late, since callers, servers and proxies share one loop and their process with the floods. Change: the delays of that loop are measured, and stand in each such violation and in the report of a run.

--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -22,6 +22,7 @@
     from tests.soak.callers import Callers
     from tests.soak.config_series import ConfigSeries
     from tests.soak.gateway_processes import GatewayProcesses
+    from tests.soak.loop_delays import LoopDelays
 
 KINDS = ("once", "many", "stream")
 MAX_ELAPSED_S = 2.0
@@ -62,6 +63,7 @@
     excuse nothing here.
 
     :param runs: Executions by request id, as the servers count them.
+    :param delays: Delays of the loop in which the callers run.
     :param configs: Knows the idle timeouts that may be in force.
     :param was_calm: Tells whether no fault has hit a gateway and the servers since a time.
     :param violations: Receives what was violated.
@@ -73,6 +75,7 @@
         rng: random.Random,
         runs: Counter[str],
         callers: Callers,
+        delays: LoopDelays,
         gateways: GatewayProcesses,
         configs: ConfigSeries,
         was_calm: Callable[[int, float], bool],
@@ -81,6 +84,7 @@
         self._rng = rng
         self._runs = runs
         self._callers = callers
+        self._delays = delays
         self._gateways = gateways
         self._configs = configs
         self._was_calm = was_calm
@@ -144,6 +148,8 @@
                     conn.process
                 ):
                     detail = f"closed after {idle_s:.2f} s of {timeout_s:.1f} s"
+                    delay_s = self._delays.longest_since(since - MAX_IDLE_S)
+                    detail += f", loop late by {delay_s:.2f} s before or meanwhile"
                     self._report("kept open", conn, "idle", detail)
                 return False
             if idle_s >= pause_s:
@@ -159,7 +165,9 @@
         request_id = self._callers.new_request_id(kind)
         sent_at = time.monotonic()
         response = await self._exchange(conn.streams, kind, request_id)
-        detail = f"{kind}, {time.monotonic() - sent_at:.2f} s, {response}"
+        delay_s = self._delays.longest_since(sent_at)
+        detail = f"{kind}, {time.monotonic() - sent_at:.2f} s, loop late by {delay_s:.2f} s, "
+        detail += str(response)
         if response is None:
             if not self._gateways.was_suspended(conn.number, sent_at):
                 self._report_unanswered(conn, request_id, detail)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,6 +24,7 @@
 from tests.soak.kept_callers import KeptCallers
 from tests.soak.leaving_servers import LeavingServers
 from tests.soak.leaving_servers import SoakServer
+from tests.soak.loop_delays import LoopDelays
 from tests.soak.odd_entries import OddEntries
 from tests.soak.planned_work import PlannedWork
 from tests.soak.recovery_check import RecoveryCheck
@@ -112,10 +113,12 @@
             make_route(FLOOD_ROUTE, "streaming", max_attempts=1, service=FLOOD_SERVICE),
         ]
         self._configs = ConfigSeries(store=self._store, rng=self._rng, routes=routes)
+        self.delays = LoopDelays()
         self._kept_callers = KeptCallers(
             rng=self._rng,
             runs=self._runs,
             callers=self._callers,
+            delays=self.delays,
             gateways=self._gateways,
             configs=self._configs,
             was_calm=self._was_calm,
@@ -157,6 +160,7 @@
     async def run(self) -> list[Violation]:
         """Run the soak and return the violations."""
         await self._store.start()
+        measuring = asyncio.create_task(self.delays.run())
         try:
             await self._start_fleet()
             callers = self._start_callers()
@@ -170,6 +174,7 @@
             await self._recovery.check_quarantine()
             self._callers.check_runs()
         finally:
+            measuring.cancel()
             await self._stop_all()
         return self.violations
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -57,6 +57,7 @@
         ports.release()
     counts = f"leaving passed on: {soak.notices.passed_on}, pauses: {soak.notices.pauses}"
     counts += f", reused connections: {soak.reused_connections}"
+    counts += f", loop late by {soak.delays.longest_s:.2f} s at most"
     record_property("notices", counts)
     report = [*map(str, violations), counts, f"faults: {soak.faults}", str(dict(soak.responses))]
     assert violations == [], "\n".join(report)
