Hold nothing of an unfinished request that was given up

Behind an earlier request in progress its connection could be chosen again, though nothing was left to free. Change: the counts fall with what they count.

--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -80,6 +80,8 @@
         self._reject(RejectionStatus.NO_ROOM)
         self._headers = []
         self._body = bytearray()
+        self._target = bytearray()
+        self._overhead_bytes = self._parsed_header_bytes = 0
 
     def feed(self, data: bytes, *, now: float) -> None:
         """Parse bytes, unless a request was rejected; complete ones are appended to `requests`.
--- a/tests/router/gateway/ingress/test_request_parser.py
+++ b/tests/router/gateway/ingress/test_request_parser.py
@@ -114,3 +114,13 @@
     held_bytes = parser.partial_bytes
     parser.feed(b"0\r\nX-Trailer: " + b"a" * 1000, now=0.0)
     assert parser.partial_bytes >= held_bytes + 1000
+
+
+def test_request_that_was_given_up_holds_nothing() -> None:
+    """Guards against a caller that is chosen again and again for what it no longer holds."""
+    parser = RequestParser(limits=LIMITS)
+    parser.feed(encode_request("/unsafe/1", body=b"a" * 1000)[:-1], now=0.0)
+    assert parser.partial_bytes > 1000
+    parser.drop_partial_request()
+    parser.feed(b"a", now=0.0)
+    assert parser.partial_bytes == 0 and not parser.requests
