--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -22,7 +22,8 @@
 MAX_RESPONSE_BYTES = 4 << 20
 CONNECT_TIMEOUT_S = 2.0
 TURN_CHUNKS = 32
-"""Chunks of a response that are read in one turn of the event loop: `httpx` parses in Python."""
+"""Chunks of a response that are read in one turn of the event loop, since `httpx` parses each in
+Python."""
 
 
 class SendError(StrEnum):
--- a/packages/core/src/cornellead_core/buffers/_buffer_budget.py
+++ b/packages/core/src/cornellead_core/buffers/_buffer_budget.py
@@ -9,8 +9,8 @@
 from typing import Protocol
 
 MAX_BUFFERED_BYTES = 32 << 20
-"""Bytes that all responses in progress may hold together: a sixth of the memory of the smallest
-hosts, which have 200 MB."""
+"""Bytes that the holders of one budget may hold together: a sixth of the memory of the smallest
+hosts, which have 200 MB. A gateway has one for responses and one for unfinished requests."""
 MIN_RECORDED_BYTES = 4096
 """Size below which a holder is not counted, which spares the work for most streams."""
 
@@ -19,7 +19,7 @@
     """Holds bytes that it received and nobody has consumed yet."""
 
     def drop_buffer(self) -> None:
-        """Give up the response and what is held of it."""
+        """Give up the response or unfinished request, and what is held of it."""
         ...
 
 
@@ -27,9 +27,9 @@
     """Sender of the bytes that a holder holds."""
 
     service: str = ""
-    """Empty if the sender is a server whose service is unknown."""
+    """Service of the server; empty for a caller, and if it is unknown."""
     server: str = ""
-    """Address; empty if all bytes come from the same server."""
+    """Address of the server or of the caller; empty if all bytes have the same sender."""
 
 
 UNKNOWN_OWNER = BufferOwner()
--- a/packages/core/src/cornellead_core/pacing/_arrival_timer.py
+++ b/packages/core/src/cornellead_core/pacing/_arrival_timer.py
@@ -10,15 +10,16 @@
     from types import TracebackType
 
 READING_TURNS = 6
-"""Turns of the event loop from an arrival to the task that awaits it; opening a connection takes
-most, since the transport is set up in turns of its own."""
+"""Turns of the event loop from an arrival to the task that awaits it. Opening a connection takes
+most: the socket is writable, the task wakes, the transport is made, and its set-up and the waiter
+take a turn each. A connection that waits in `ReadPacer` may take longer."""
 
 
 class ArrivalTimer:
     """Calls a function after a delay, behind what has arrived until then.
 
-    An event loop runs due timers before it reads what arrived while it was busy, or while the
-    process was suspended.
+    A timer that is late, since the loop was busy or the process suspended, would cancel a task
+    before it can use what was read in the same turn.
 
     :param delay_s: Seconds.
     """
--- a/packages/core/src/cornellead_core/pacing/_paced_protocol.py
+++ b/packages/core/src/cornellead_core/pacing/_paced_protocol.py
@@ -23,7 +23,8 @@
     """Reads small slices, and waits when its peer has had its share of a turn.
 
     :param pacer: Shares the turns of the event loop.
-    :param peer: Whom the connection leads to; the connection itself if it is ``None``.
+    :param peer: Whose share the reads use, such as the address of a server, whose connections then
+        share it; ``None`` for a connection with a share of its own, such as one of a caller.
     """
 
     def __init__(self, *, pacer: ReadPacer, peer: Hashable | None = None) -> None:
--- a/packages/core/src/cornellead_core/pacing/_read_pacer.py
+++ b/packages/core/src/cornellead_core/pacing/_read_pacer.py
@@ -11,9 +11,11 @@
     from collections.abc import Hashable
 
 SLICE_BYTES = 8 << 10
-"""Maximum size of one read: parsing it takes up to a millisecond if each byte is a chunk."""
+"""Maximum size of one read. Parsing it takes half a millisecond if each byte is a chunk, and some
+milliseconds if it holds tiny header fields."""
 TURN_BYTES = 8 * SLICE_BYTES
-"""Bytes read in a turn above which further reads are small, so that a turn takes milliseconds."""
+"""Bytes read in a turn above which further reads are small: a request takes about ten turns, and
+has 0.63 s to its first token."""
 PEER_BYTES = 2 * SLICE_BYTES
 """Bytes read from one peer in a turn above which its connections wait for later turns."""
 SMALL_READ_BYTES = 512
@@ -70,7 +72,7 @@
         """
         self._turn_bytes += size
         if self._turn_bytes < SLICE_BYTES:
-            # Small reads of some turns count together, which spares them any further work.
+            # Nothing is charged and no callback is due yet: the reads of calm turns add up.
             return
         if not self._turn_ends:
             self._turn_ends = True
--- a/packages/core/src/cornellead_core/retries/_retry_budget.py
+++ b/packages/core/src/cornellead_core/retries/_retry_budget.py
@@ -26,8 +26,8 @@
     >>> budget.try_spend(now=0.0), budget.try_spend(now=0.0)
     (True, False)
 
-    A retry that may be needed later can be put aside. It counts against the bucket's capacity until
-    it is released or spent:
+    A retry that may be needed later can be put aside. Until it is released or spent, the bucket
+    holds one token less:
 
     >>> budget = RetryBudget(ratio=0.0, min_per_s=1.0)
     >>> budget.try_reserve(now=0.0), budget.has_room(now=9.0)
--- a/packages/core/src/cornellead_core/serving/__init__.py
+++ b/packages/core/src/cornellead_core/serving/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP server of the processes with an own interface."""
+"""Protocol of the HTTP servers of router and agent."""
 
 from __future__ import annotations
 
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -70,7 +70,7 @@
                 reserved=reserved,
             )
         except asyncio.CancelledError:
-            # The sender waits for a connection only; it sends without a pause afterwards.
+            # Nothing was written: the sender awaits the connection only, and then writes.
             admitted.attempts.count_unsent()
             trace.add_attempt(state.entry.server, "no_connection")
             raise
@@ -87,8 +87,7 @@
         Only one attempt of a request is relayed at a time. Its successor is kept if it can go on
         where this attempt ended, and aborted otherwise.
         """
-        admitted, _, events, out, _ = context
-        response = self._relay.relay(admitted, attempt, events, out)
+        response = self._relay.relay(context.admitted, attempt, context.events, context.out)
         return await self._end(context, attempt, response)
 
     async def end_failed(self, context: RequestContext, attempt: Attempt) -> None:
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -178,6 +178,7 @@
     def _find_obstacle(self, context: RequestContext, attempt: Attempt) -> str | None:
         if not context.events.resumable:
             return "events_without_id"
+        # One for the move, and one for the return if the other server refuses late.
         retries = 2 if context.return_retry.needed(attempt.find_stall(now=self._clock())) else 1
         return self._gate.find_obstacle(context.admitted, context.trace, retries=retries)
 
--- a/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_retry_gate.py
@@ -95,7 +95,7 @@
         return False
 
     def spend(self, admitted: AdmittedRequest, *, reserved: bool = False) -> None:
-        """Spend a retry on a send that happens or has happened.
+        """Spend a retry on a send for which `find_obstacle` has just found none.
 
         :param reserved: Whether the retry was put aside by `try_reserve`.
         """
--- a/packages/router/src/cornellead/gateway/forwarding/_return_retry.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_return_retry.py
@@ -23,6 +23,9 @@
     That server may refuse the stream when the silent one, which may be sound, has been left. The
     stream cannot be refused any more, only cut, so the retry that takes it back is put aside before
     it leaves.
+
+    In order: `reserve` before the move, `record_leave` when the silent server is given up, then
+    either `release` once the other one answers, or `try_return` and `record_send`.
     """
 
     def __init__(
@@ -63,7 +66,7 @@
         return True
 
     def record_leave(self, origin: ServerState, stall: Stall) -> None:
-        """Record the server that was given up while it was silent; one that broke off is none."""
+        """Record the silent server that was given up; never called for one that broke off."""
         if self._reserved and self._origin is None:
             self._origin, self._left_at = origin, self._clock()
             self._silent_since = self._left_at - stall.seconds
--- a/packages/router/src/cornellead/gateway/process/_loop_watch.py
+++ b/packages/router/src/cornellead/gateway/process/_loop_watch.py
@@ -13,7 +13,8 @@
     from cornellead.gateway.stats import GatewayStats
 
 REPORTED_DELAY_S = 0.1
-"""Delay above which a line is logged: a sixth of the time allowed to a first token."""
+"""Delay above which a line is logged: a sixth of the 0.63 s that the target allows for a first
+token."""
 
 
 class LoopWatch:
