--- a/packages/router/src/cornellead/gateway/exchange/__init__.py
+++ b/packages/router/src/cornellead/gateway/exchange/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from cornellead.gateway.exchange._load_exchange import LoadExchange
+from cornellead.gateway.exchange._report_channel import ReportChannel
 
-__all__ = ["LoadExchange"]
+__all__ = ["LoadExchange", "ReportChannel"]
--- a/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
+++ b/packages/router/src/cornellead/gateway/exchange/_load_exchange.py
@@ -11,8 +11,8 @@
 import msgspec
 import structlog
 
-from cornellead.gateway.quarantine import Evidence
-from cornellead.gateway.view import RateLimitReport
+from cornellead.gateway.exchange._report_channel import EvidenceChannel
+from cornellead.gateway.exchange._report_channel import RateLimitChannel
 from cornellead.gateway.view import RouterLoad
 from cornellead_core.decoding import UNREADABLE
 from cornellead_core.routing import RouterLocation
@@ -22,6 +22,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from cornellead.gateway.exchange._report_channel import ReportChannel
     from cornellead.gateway.view import FleetView
 
 MIN_INTERVAL_S = 0.2
@@ -35,29 +36,37 @@
 DATAGRAM_OVERHEAD_BYTES = 28
 """Size of the IP and UDP headers."""
 
-EVIDENCE_PREFIX = b"\xc1"
-"""First byte of datagrams with evidence on crashes; no MessagePack value begins with it."""
-RATE_LIMIT_PREFIX = b"\xc1\xc1"
-"""First bytes of datagrams with rate limits of servers."""
-
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(RouterLoad)
-_evidence_decoder = msgspec.msgpack.Decoder(Evidence)
-_rate_limit_decoder = msgspec.msgpack.Decoder(RateLimitReport)
 
 
 class LoadExchange(asyncio.DatagramProtocol):
-    """Sends and receives load reports, evidence on crashes, and rate limits.
+    """Sends and receives load reports, evidence on crashes, rate limits and other reports.
 
     A lost load report is superseded by the next one; all else is sent several times.
 
     :param address: ``ip:port`` to listen on.
+    :param channels: Further kinds of reports, each with a prefix of its own.
     """
 
     name = "exchange-load"
 
-    def __init__(self, *, view: FleetView, address: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        address: str,
+        clock: Callable[[], float],
+        channels: Sequence[ReportChannel] = (),
+    ) -> None:
         self._view = view
+        known: tuple[ReportChannel, ...] = (
+            EvidenceChannel(guard=view.guard),
+            RateLimitChannel(limits=view.rate_limits),
+            *channels,
+        )
+        # One prefix may begin another, so the longest is compared first.
+        self._channels = sorted(known, key=lambda channel: len(channel.prefix), reverse=True)
         self._address = address
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
@@ -92,14 +101,10 @@
         """
         now = self._clock()
         try:
-            if data.startswith(RATE_LIMIT_PREFIX):
-                report = _rate_limit_decoder.decode(data[len(RATE_LIMIT_PREFIX) :])
-                self._view.rate_limits.apply_report(report, now=now)
-                return
-            if data.startswith(EVIDENCE_PREFIX):
-                evidence = _evidence_decoder.decode(data[len(EVIDENCE_PREFIX) :])
-                self._view.guard.apply_evidence(evidence, now=now)
-                return
+            for channel in self._channels:
+                if data.startswith(channel.prefix):
+                    channel.apply(data[len(channel.prefix) :], now=now)
+                    return
             load = _decoder.decode(data)
         except UNREADABLE:
             self.invalid_datagrams += 1
@@ -120,7 +125,7 @@
             next_report_at = self._clock() + max(MIN_INTERVAL_S, sent_bytes / MAX_BYTES_PER_S)
             while (wait_s := next_report_at - self._clock()) > 0:
                 await asyncio.sleep(min(MIN_INTERVAL_S, wait_s))
-                if self._view.guard.has_new_evidence or self._view.rate_limits.has_news:
+                if any(channel.has_news for channel in self._channels):
                     next_report_at += self._send(self._encode_news()) / MAX_BYTES_PER_S
 
     def _log_reception(self, receiving: bool) -> None:
@@ -137,12 +142,8 @@
 
     def _encode_news(self) -> list[bytes]:
         now = self._clock()
-        datagrams = []
-        if (evidence := self._view.guard.make_evidence(now=now)) is not None:
-            datagrams.append(EVIDENCE_PREFIX + _encoder.encode(evidence))
-        if (limits := self._view.rate_limits.make_report(now=now)) is not None:
-            datagrams.append(RATE_LIMIT_PREFIX + _encoder.encode(limits))
-        return datagrams
+        reports = ((channel.prefix, channel.encode(now=now)) for channel in self._channels)
+        return [prefix + report for prefix, report in reports if report is not None]
 
     def _send(self, datagrams: Sequence[bytes]) -> int:
         """Send datagrams to some routers and return the bytes on the wire."""
--- a/tests/router/gateway/exchange/test_load_exchange.py
+++ b/tests/router/gateway/exchange/test_load_exchange.py
@@ -14,8 +14,8 @@
 from tests.router.gateway.builders import make_entry
 
 from cornellead.gateway.exchange import LoadExchange
-from cornellead.gateway.exchange._load_exchange import EVIDENCE_PREFIX
-from cornellead.gateway.exchange._load_exchange import RATE_LIMIT_PREFIX
+from cornellead.gateway.exchange._report_channel import EVIDENCE_PREFIX
+from cornellead.gateway.exchange._report_channel import RATE_LIMIT_PREFIX
 from cornellead.gateway.quarantine import Evidence
 from cornellead.gateway.quarantine._evidence import QuarantineItem
 from cornellead.gateway.view import FleetView
