--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from cornellead_core.decoding import is_interim_status
 from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
 MAX_PARTS = 64
 """Number of unread pieces of a body that are kept apart: an object takes more than a short one."""
 
-FIRST_FINAL_STATUS = 200
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 
@@ -100,8 +100,11 @@
         self._wake_reader()
 
     def eof_received(self) -> bool:
-        """Complete a response that has neither a length nor chunks, and close the connection."""
-        if self._ends_at_eof and not self.closed:
+        """Complete a response that has neither a length nor chunks, and close the connection.
+
+        If the request was not sent as a whole, the server may have given up while it answered.
+        """
+        if self._ends_at_eof and not self.closed and not self.unacknowledged_bytes():
             self._complete = True
         return False
 
@@ -116,8 +119,11 @@
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Store status and headers for `read_head`, except those of an interim response."""
-        if self._parser.get_status_code() < FIRST_FINAL_STATUS:
+        """Store status and headers for `read_head`, except those of an interim response.
+
+        :raises ValueError: The status is not valid; the parser reports that as an error of its own.
+        """
+        if is_interim_status(self._parser.get_status_code()):
             self._headers = {}
             self._field_count = 0
             return
@@ -227,6 +233,7 @@
             and self._transport is not None
             and not self._transport.is_closing()
             and self._parser.should_keep_alive()
+            and not self.unacknowledged_bytes()
         )
 
     def abort(self) -> None:
--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -14,6 +14,7 @@
 
 from cornellead_agent.services._service_response import ServiceResponse
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.decoding import is_interim_status
 from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
@@ -98,9 +99,18 @@
         self.dropped = True
 
 
+def _has_final_status(resp: httpx.Response) -> bool:
+    try:
+        return not is_interim_status(resp.status_code)
+    except ValueError:
+        return False
+
+
 async def _read_response(
     resp: httpx.Response, budget: BufferBudget
 ) -> Result[ServiceResponse, SendError]:
+    if not _has_final_status(resp):
+        return Failure(SendError.LOST)
     body = _Body()
     chunks = 0
     async for chunk in resp.aiter_bytes():
--- a/packages/core/src/cornellead_core/pacing/_paced_protocol.py
+++ b/packages/core/src/cornellead_core/pacing/_paced_protocol.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 from cornellead_core.pacing._read_pacer import SLICE_BYTES
@@ -69,6 +72,21 @@
         self._paused = False
         self._update_reading()
 
+    def unacknowledged_bytes(self) -> int:
+        """Return how much of what was written the peer's host has not confirmed.
+
+        A peer that has received a whole request has confirmed it at the latest with its response,
+        since each segment carries an acknowledgement.
+        """
+        if self._transport is None:
+            return 0
+        size: int = self._transport.get_write_buffer_size()
+        sock = self._transport.get_extra_info("socket")
+        if size or sock is None or sock.fileno() < 0:
+            return size
+        queued: int = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
+        return queued
+
     def set_throttled(self, throttled: bool) -> None:
         """Wait for a turn, or read on; called by the pacer."""
         self._throttled = throttled
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -13,6 +13,7 @@
 from cornellead.upstream._exchange import Exchange
 from cornellead.upstream._exchange import ResponseHead
 from cornellead_core.buffers import BufferOwner
+from cornellead_core.decoding import is_interim_status
 from cornellead_core.pacing import PacedProtocol
 
 if TYPE_CHECKING:
@@ -193,9 +194,12 @@
             self.pause_reading()
 
     def eof_received(self) -> bool:
-        """Complete a response that has no length, and close the connection."""
+        """Complete a response that has no length, and close the connection.
+
+        If the request was not sent as a whole, the server may have given up while it answered.
+        """
         if self._ends_at_eof and self._exchange is not None:
-            self._exchange.finish(complete=True)
+            self._exchange.finish(complete=not self.unacknowledged_bytes())
             self._exchange = None
         return False
 
@@ -225,11 +229,14 @@
         self._raw_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Pass status and headers on to the exchange."""
+        """Pass status and headers on to the exchange.
+
+        :raises ValueError: The status is not valid; the parser reports that as an error of its own.
+        """
         if self._exchange is None or self._parser is None:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if is_interim_status(status):
             self._reset_headers()
             return
         head_bytes, self._overhead_bytes = self._overhead_bytes, 0
@@ -263,7 +270,7 @@
     def on_message_complete(self) -> None:
         """Finish the exchange and release the connection for the next request."""
         exchange, parser = self._exchange, self._parser
-        if exchange is None or parser is None or parser.get_status_code() < 200:
+        if exchange is None or parser is None or is_interim_status(parser.get_status_code()):
             return
         if self._discarding:
             self._discarding = False
@@ -278,6 +285,10 @@
         if not parser.should_keep_alive() or len(self._unsuccessful_ids) > MAX_UNSUCCESSFUL_IDS:
             self.close()
             return
+        if self.unacknowledged_bytes():
+            # The next request would wait behind the rest of this one.
+            self.close()
+            return
         if self.closed:
             return
         self._reused = True
