--- a/packages/core/src/cornellead_core/config/__init__.py
+++ b/packages/core/src/cornellead_core/config/__init__.py
@@ -11,6 +11,11 @@
 from cornellead_core.config._documents import Document
 from cornellead_core.config._documents import check_documents
 from cornellead_core.config._documents import load_documents
+from cornellead_core.config._documents import read_files
+from cornellead_core.config._file_check import check_files
+from cornellead_core.config._finding import CheckReport
+from cornellead_core.config._finding import Finding
+from cornellead_core.config._finding import FindingKind
 from cornellead_core.config._fleet_config import EMPTY_CONFIG
 from cornellead_core.config._fleet_config import FleetConfig
 from cornellead_core.config._fleet_config import Priority
@@ -47,9 +52,12 @@
     "AuditRecord",
     "ChangeDecision",
     "ChangeRecord",
+    "CheckReport",
     "ConfigObject",
     "ConfigState",
     "Document",
+    "Finding",
+    "FindingKind",
     "FleetConfig",
     "ObjectKind",
     "Priority",
@@ -60,6 +68,7 @@
     "TeamPolicy",
     "apply_change",
     "check_documents",
+    "check_files",
     "check_state",
     "decode_state",
     "digest_state",
@@ -70,6 +79,7 @@
     "make_snapshot",
     "parse_change",
     "parse_snapshot",
+    "read_files",
     "reduce_record",
     "resolve_spec",
     "split_name",
--- a/packages/core/src/cornellead_core/config/_documents.py
+++ b/packages/core/src/cornellead_core/config/_documents.py
@@ -28,6 +28,8 @@
     from cornellead_core.config._problem import Problem
 
 YAML_SUFFIXES = (".yaml", ".yml")
+MAX_FILE_BYTES = 16 << 20
+"""Above the 100,000 values of a document at 160 bytes each; also ends reading of a device."""
 
 
 class Document(NamedTuple):
@@ -40,36 +42,68 @@
     value: dict[str, Any]
 
 
+class FileNode(NamedTuple):
+    """Root of one YAML document, and its file."""
+
+    file: str
+    node: YamlNode
+
+
+class ConfigFiles(NamedTuple):
+    """Contents of configuration files."""
+
+    nodes: list[FileNode]
+    errors: list[SettingsError]
+    """What is not valid YAML."""
+    unreadable: list[SettingsError]
+    """Files that are missing, or cannot be read as text."""
+
+
 def load_documents(paths: Sequence[str]) -> Result[list[Document], list[SettingsError]]:
     """Load all objects from files and, recursively, from the YAML files in directories.
 
     :returns: The documents, or all errors in reading, parsing and naming them.
     """
-    documents: list[Document] = []
-    errors: list[SettingsError] = []
-    for file in _list_files(paths, errors):
+    files = read_files(paths)
+    documents, errors = bind_documents(files.nodes)
+    errors = [*files.unreadable, *files.errors, *errors]
+    return Failure(errors) if errors else Success(documents)
+
+
+def read_files(paths: Sequence[str]) -> ConfigFiles:
+    """Parse files and, recursively, the YAML files in directories."""
+    files = ConfigFiles([], [], [])
+    for file in _list_files(paths, files.unreadable):
         try:
-            text = Path(file).read_text(encoding="utf-8")
-        except (OSError, UnicodeDecodeError) as exc:
-            errors.append(SettingsError(file, 1, "", f"cannot read the file: {exc}"))
+            text = _read_text(file)
+        except (OSError, ValueError) as exc:
+            files.unreadable.append(SettingsError(file, 1, "", f"cannot read the file: {exc}"))
             continue
         parsed = parse_yaml(text, file=file)
-        if not isinstance(parsed, Success):
-            errors += parsed.failure()
-            continue
-        for node in parsed.unwrap():
-            loaded = _load_document(node, file)
-            if isinstance(loaded, Success):
-                documents.append(loaded.unwrap())
-            else:
-                errors.append(loaded.failure())
+        if isinstance(parsed, Success):
+            files.nodes.extend(FileNode(file, node) for node in parsed.unwrap())
+        else:
+            files.errors.extend(parsed.failure())
+    return files
+
+
+def bind_documents(nodes: Iterable[FileNode]) -> tuple[list[Document], list[SettingsError]]:
+    """Return the objects of YAML documents, and the errors in naming them."""
+    documents: list[Document] = []
+    errors: list[SettingsError] = []
+    for file, node in nodes:
+        loaded = _load_document(node, file)
+        if isinstance(loaded, Success):
+            documents.append(loaded.unwrap())
+        else:
+            errors.append(loaded.failure())
     first_by_name: dict[str, Document] = {}
     for document in documents:
         first = first_by_name.setdefault(document.name, document)
         if first is not document:
             message = f"{document.name} is also in {first.file}:{first.node.line}"
             errors.append(SettingsError(document.file, document.node.line, "name", message))
-    return Failure(errors) if errors else Success(documents)
+    return documents, errors
 
 
 def check_documents(
@@ -103,6 +137,14 @@
         yield from files
 
 
+def _read_text(file: str) -> str:
+    with Path(file).open("rb") as source:
+        data = source.read(MAX_FILE_BYTES + 1)
+    if len(data) > MAX_FILE_BYTES:
+        raise ValueError(f"longer than {MAX_FILE_BYTES >> 20} MiB")
+    return data.decode("utf-8")
+
+
 def _load_document(node: YamlNode, file: str) -> Result[Document, SettingsError]:
     accepted_kinds = ", ".join(ObjectKind)
     if not isinstance(node.value, dict):
--- a/packages/core/src/cornellead_core/settings/_yaml_tree.py
+++ b/packages/core/src/cornellead_core/settings/_yaml_tree.py
@@ -20,6 +20,8 @@
 Scalar: TypeAlias = str | int | float | bool | None
 
 MAX_DEPTH = 32
+MAX_INTEGER_BITS = 64
+"""Longer integers are in no setting, and Python cannot print those of over 4,300 digits."""
 MAX_NODES = 100_000
 """Maximum number of values in a document after alias expansion.
 
@@ -56,6 +58,10 @@
         return self.line if child is None else child.line_at(path[1:])
 
 
+_CONSTRUCTION_ERRORS = (yaml.YAMLError, ValueError, ArithmeticError, LookupError, AttributeError)
+"""What the parser raises for a scalar that does not fit its tag, such as an empty ``!!int``."""
+
+
 class _UnsupportedYamlError(Exception):
     """The YAML is valid, but the document has an unsupported construct or is too large."""
 
@@ -81,22 +87,30 @@
     >>> print(parse_yaml("a: 1\\na: 2", file="x").failure()[0])
     x:2: a: duplicate key
     """
-    loader = yaml.SafeLoader(text)
     try:
-        nodes = []
-        while loader.check_node():
-            root = loader.get_node()
-            if root is not None:
-                nodes.append(_TreeBuilder(loader).build(root, ()))
-        return Success(nodes)
+        return Success(_read_documents(text))
     except yaml.MarkedYAMLError as exc:
         mark = exc.problem_mark or exc.context_mark
         line = 1 if mark is None else mark.line + 1
         return Failure([SettingsError(file, line, "", f"not valid YAML: {exc.problem}")])
     except yaml.YAMLError as exc:
         return Failure([SettingsError(file, 1, "", f"not valid YAML: {exc}")])
+    except RecursionError:
+        return Failure([SettingsError(file, 1, "", "document is nested too deeply")])
     except _UnsupportedYamlError as exc:
         return Failure([SettingsError(file, exc.line, exc.path, exc.message, exc.accepted)])
+
+
+def _read_documents(text: str) -> list[YamlNode]:
+    # The loader rejects characters that are not printable when it is made.
+    loader = yaml.SafeLoader(text)
+    try:
+        nodes = []
+        while loader.check_node():
+            root = loader.get_node()
+            if root is not None:
+                nodes.append(_TreeBuilder(loader).build(root, ()))
+        return nodes
     finally:
         loader.dispose()
 
@@ -139,10 +153,14 @@
     def _scalar(self, node: yaml.Node, path: tuple[str, ...]) -> Scalar:
         try:
             value = self._loader.construct_object(node)
-        except (yaml.YAMLError, ValueError) as exc:
+        except _CONSTRUCTION_ERRORS as exc:
             raise _UnsupportedYamlError(
                 node.start_mark.line + 1, ".".join(path), f"cannot read the value: {exc}"
             ) from exc
+        if isinstance(value, int) and value.bit_length() > MAX_INTEGER_BITS:
+            raise _UnsupportedYamlError(
+                node.start_mark.line + 1, ".".join(path), "number is too large"
+            )
         if value is None or isinstance(value, str | int | float | bool):
             return value
         raise _UnsupportedYamlError(
--- a/packages/router/src/cornellead/cli/_diff.py
+++ b/packages/router/src/cornellead/cli/_diff.py
@@ -71,14 +71,19 @@
     if values.output == "json":
         print_json({"base": state.offset, "differences": [item._asdict() for item in differences]})
     else:
-        for item in differences:
-            location = f"{item.object}: {item.path}" if item.path else item.object
-            print(f"{location}: {_format(item.fleet)} -> {_format(item.files)}")
+        print_differences(differences)
         prefix = "" if differences else "no differences; "
         print(f"{prefix}compared with offset {state.offset} (publish with --base={state.offset})")
     return ExitCode.DIFFERENT if differences else ExitCode.OK
 
 
+def print_differences(differences: Iterable[Difference]) -> None:
+    """Print differences, one per line."""
+    for item in differences:
+        location = f"{item.object}: {item.path}" if item.path else item.object
+        print(f"{location}: {_format(item.fleet)} -> {_format(item.files)}")
+
+
 def find_differences(
     state: ConfigState, documents: list[Document], *, show_all: bool
 ) -> list[Difference]:
--- a/packages/router/src/cornellead/cli/_main.py
+++ b/packages/router/src/cornellead/cli/_main.py
@@ -11,6 +11,7 @@
 VERBS = {
     "serve": "run a router",
     "gateway": "route requests on a host of the platform",
+    "check": "find errors and entries without effect in files before they are sent",
     "validate": "check configuration files without publishing them",
     "publish": "publish configuration files to the fleet",
     "diff": "compare configuration files with the fleet",
