--- a/packages/core/src/cornellead_core/settings/_yaml_tree.py
+++ b/packages/core/src/cornellead_core/settings/_yaml_tree.py
@@ -145,12 +145,18 @@
                     key_line, ".".join(path), "key is not a string", "a plain string"
                 )
             key = key_node.value
+            if not _is_unicode(key):
+                raise _UnsupportedYamlError(key_line, ".".join(path), "key is not valid Unicode")
             if key in mapping:
                 raise _UnsupportedYamlError(key_line, ".".join((*path, key)), "duplicate key")
             mapping[key] = self.build(value_node, (*path, key))
         return mapping
 
     def _scalar(self, node: yaml.Node, path: tuple[str, ...]) -> Scalar:
+        if isinstance(node.value, str) and not _is_unicode(node.value):
+            raise _UnsupportedYamlError(
+                node.start_mark.line + 1, ".".join(path), "string is not valid Unicode"
+            )
         try:
             value = self._loader.construct_object(node)
         except _CONSTRUCTION_ERRORS as exc:
@@ -169,3 +175,12 @@
             f"{type(value).__name__} values are not supported",
             "a string (in quotes), number, true, false or null",
         )
+
+
+def _is_unicode(text: str) -> bool:
+    """Return whether a text can be encoded; an escape may stand for half of a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
