--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -233,7 +233,7 @@
             and self._transport is not None
             and not self._transport.is_closing()
             and self._parser.should_keep_alive()
-            and not self.unacknowledged_bytes()
+            and not self.unwritten_bytes()
         )
 
     def abort(self) -> None:
--- a/packages/core/src/cornellead_core/pacing/_paced_protocol.py
+++ b/packages/core/src/cornellead_core/pacing/_paced_protocol.py
@@ -80,12 +80,20 @@
         """
         if self._transport is None:
             return 0
-        size: int = self._transport.get_write_buffer_size()
+        unwritten = self.unwritten_bytes()
         sock = self._transport.get_extra_info("socket")
-        if size or sock is None or sock.fileno() < 0:
-            return size
-        queued: int = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))[0]
-        return queued
+        if unwritten or sock is None or sock.fileno() < 0:
+            return unwritten
+        try:
+            (queued,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+        except OSError:
+            # Sockets that are not TCP may not support the call.
+            return 0
+        return int(queued)
+
+    def unwritten_bytes(self) -> int:
+        """Return how much of what was written the kernel has not taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     def set_throttled(self, throttled: bool) -> None:
         """Wait for a turn, or read on; called by the pacer."""
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -285,7 +285,7 @@
         if not parser.should_keep_alive() or len(self._unsuccessful_ids) > MAX_UNSUCCESSFUL_IDS:
             self.close()
             return
-        if self.unacknowledged_bytes():
+        if self.unwritten_bytes():
             # The next request would wait behind the rest of this one.
             self.close()
             return
