--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -13,6 +13,11 @@
 from cornellead_core.routing._position import Position
 from cornellead_core.routing._position import are_different
 from cornellead_core.routing._position import parse_era
+from cornellead_core.routing._rollout import RolloutNotice
+from cornellead_core.routing._rollout import RolloutOrder
+from cornellead_core.routing._rollout import RolloutOrderNotice
+from cornellead_core.routing._rollout import RolloutPhase
+from cornellead_core.routing._rollout import RolloutRecord
 from cornellead_core.routing._route import CallerLimits
 from cornellead_core.routing._route import RequestKind
 from cornellead_core.routing._route import Route
@@ -27,12 +32,14 @@
 from cornellead_core.routing._store import STORE_SOURCE
 from cornellead_core.routing._store import DataCentreNotice
 from cornellead_core.routing._store import FleetStore
+from cornellead_core.routing._store import GatewayStore
 from cornellead_core.routing._store import Notice
 from cornellead_core.routing._store import NoticeBatch
 from cornellead_core.routing._store import OffsetExpired
 from cornellead_core.routing._store import QuarantineMark
 from cornellead_core.routing._store import QuarantineNotice
 from cornellead_core.routing._store import ReadStats
+from cornellead_core.routing._store import RolloutStore
 from cornellead_core.routing._store import RouterLocation
 from cornellead_core.routing._store import RouterNotice
 from cornellead_core.routing._store import RoutingNotice
@@ -57,6 +64,7 @@
     "DataCentreNotice",
     "FleetStore",
     "ForwardTarget",
+    "GatewayStore",
     "HeaderList",
     "HttpClient",
     "HttpResponse",
@@ -71,6 +79,12 @@
     "ReadStats",
     "ReportedLoad",
     "RequestKind",
+    "RolloutNotice",
+    "RolloutOrder",
+    "RolloutOrderNotice",
+    "RolloutPhase",
+    "RolloutRecord",
+    "RolloutStore",
     "Route",
     "RouterLocation",
     "RouterNotice",
--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -22,6 +22,13 @@
     """Maximum load of a server as a multiple of the mean load of its service."""
     config_delay_s: float
     """Time after its acknowledgement within which a configuration has to be in force."""
+    exposure_share: float = 0.1
+    """Maximum share of the requests of a service, from the order of a rollout to its deadline, that
+    may reach the new version before it has proved itself."""
+    exposure_slack: float = 50.0
+    """Requests that may reach the new version in addition to `exposure_share`."""
+    rollback_s: float = 5.0
+    """Time after the 50th bad response of a version within which it gets its last request."""
 
 
 class StoreSettings(NamedTuple):
--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -24,6 +24,8 @@
     sequence: int = 0
     """Number of the entry among those of the same start; 0 if not announced. Not relayed between
     routers, since each renewal has another one."""
+    version: str = ""
+    """Version of the software that the server runs; empty if not announced."""
 
 
 class ReportedLoad(NamedTuple):
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -9,6 +9,9 @@
 
 from cornellead_core.routing._position import UNKNOWN_ERA
 from cornellead_core.routing._position import Position
+from cornellead_core.routing._rollout import RolloutNotice
+from cornellead_core.routing._rollout import RolloutOrderNotice
+from cornellead_core.routing._rollout import RolloutRecord
 from cornellead_core.routing._routing_config import RoutingData
 from cornellead_core.routing._server_entry import ServerEntry
 
@@ -25,6 +28,8 @@
     """Registry entries of the servers."""
     ROUTERS = "routers"
     """Addresses of the running routers, and the prompt parts that they quarantined."""
+    ROLLOUTS = "rollouts"
+    """State of the rollouts of services; read only while there is an order."""
 
 
 class RoutingNotice(NamedTuple):
@@ -90,7 +95,15 @@
     """``None`` if the quarantine was lifted."""
 
 
-Notice = RoutingNotice | DataCentreNotice | ServerNotice | RouterNotice | QuarantineNotice
+Notice = (
+    RoutingNotice
+    | DataCentreNotice
+    | ServerNotice
+    | RouterNotice
+    | QuarantineNotice
+    | RolloutOrderNotice
+    | RolloutNotice
+)
 
 
 CURRENT_AGE_S = 2.0
@@ -200,3 +213,32 @@
     ) -> Result[None, StoreError]:
         """Publish the quarantine of a prompt part; ``None`` publishes its end."""
         ...
+
+
+class RolloutStore(Protocol):
+    """Client of the store for the router that decides on a rollout."""
+
+    async def read_newest(self, topic: Topic) -> Result[NoticeBatch, StoreError]:
+        """Return the newest notice of each writer to a topic."""
+        ...
+
+    async def append_rollout(
+        self, service: str, record: RolloutRecord, *, at: int
+    ) -> Result[bool, StoreError]:
+        """Append the state of a rollout if the topic still ends at an offset.
+
+        :param at: End of the topic that the decision is based on.
+        :returns: Whether the record was appended; false if the topic had a later record. After an
+            error it may have been appended, or may be as long as the topic ends there.
+        """
+        ...
+
+    async def publish_rollout_status(
+        self, service: str, record: RolloutRecord
+    ) -> Result[None, StoreError]:
+        """Write the status that operators read."""
+        ...
+
+
+class GatewayStore(FleetStore, RolloutStore, Protocol):
+    """Client of the store with all calls that a gateway makes."""
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -11,6 +11,8 @@
 from cornellead_core.routing import Notice
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineNotice
+from cornellead_core.routing import RolloutNotice
+from cornellead_core.routing import RolloutOrderNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import ServerNotice
 from cornellead_core.routing import are_different
@@ -229,6 +231,8 @@
         return f"part/{notice.part}"
     if isinstance(notice, DataCentreNotice):
         return f"data_centre/{notice.data_centre}"
+    if isinstance(notice, RolloutOrderNotice | RolloutNotice):
+        return f"rollout/{notice.service}"
     return "configuration"
 
 
@@ -239,4 +243,6 @@
         return notice.location is None
     if isinstance(notice, QuarantineNotice):
         return notice.mark is None
+    if isinstance(notice, RolloutOrderNotice):
+        return notice.order is None
     return isinstance(notice, DataCentreNotice) and not notice.out
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -14,6 +14,8 @@
 from cornellead_core.routing import DataCentreNotice
 from cornellead_core.routing import Notice
 from cornellead_core.routing import QuarantineNotice
+from cornellead_core.routing import RolloutNotice
+from cornellead_core.routing import RolloutOrderNotice
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerEntry
@@ -31,10 +33,14 @@
     routing: list[RoutingNotice]
     data_centres: list[DataCentreNotice]
     servers: list[ServerNotice]
-    """Encoded without the counts of their entries, which routers of earlier builds reject."""
+    """Encoded without the counts of their entries, which routers of earlier builds reject; they
+    have a version only if their server announced one."""
     routers: list[RouterNotice]
     quarantines: list[QuarantineNotice] = []
     """Encoded only if there are some: routers of earlier builds reject longer pages."""
+    orders: list[RolloutOrderNotice] = []
+    """Encoded, with `rollouts`, only if there are some: see `quarantines`."""
+    rollouts: list[RolloutNotice] = []
 
 
 MAX_PAGE_BYTES = 64 << 20
@@ -64,9 +70,15 @@
         [n for n in page.notices if isinstance(n, DataCentreNotice)],
         [_encode_server(n) for n in page.notices if isinstance(n, ServerNotice)],
         [n for n in page.notices if isinstance(n, RouterNotice)],
-        [n for n in page.notices if isinstance(n, QuarantineNotice)],
     )
-    data = _encoder.encode(encoded if encoded[-1] else encoded[:-1])
+    optional: list[list[Notice]] = [
+        [n for n in page.notices if isinstance(n, QuarantineNotice)],
+        [n for n in page.notices if isinstance(n, RolloutOrderNotice)],
+        [n for n in page.notices if isinstance(n, RolloutNotice)],
+    ]
+    while optional and not optional[-1]:
+        optional.pop()
+    data = _encoder.encode((*encoded, *optional))
     return (
         UNCOMPRESSED + data
         if len(data) < MIN_COMPRESSED_BYTES
@@ -86,13 +98,19 @@
         *encoded.servers,
         *encoded.routers,
         *encoded.quarantines,
+        *encoded.orders,
+        *encoded.rollouts,
     ]
     return RelayPage(notices, encoded.next_offset, encoded.snapshot, encoded.age_s)
 
 
 def _encode_server(notice: ServerNotice) -> tuple[object, ...]:
     entry = notice.entry
-    return (notice.server, None if entry is None else entry[:SEQUENCE_FIELD], notice.removed)
+    if entry is None:
+        return (notice.server, None, notice.removed)
+    # Routers of earlier builds reject entries with a version, and read the store instead.
+    fields = entry._replace(sequence=0) if entry.version else entry[:SEQUENCE_FIELD]
+    return (notice.server, fields, notice.removed)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -37,7 +37,12 @@
 MAX_READERS_QUERIED = 2
 """Routers queried before a router reads the store itself: the reader of the data centre and, when
 it fails, the next in rank, which has become the reader once it has noticed."""
-MAX_PAGE_AGE_S = {Topic.OPERATOR: 1.2, Topic.SERVERS: 1.2, Topic.ROUTERS: 10.0}
+MAX_PAGE_AGE_S = {
+    Topic.OPERATOR: 1.2,
+    Topic.SERVERS: 1.2,
+    Topic.ROUTERS: 10.0,
+    Topic.ROLLOUTS: 3.0,
+}
 """Maximum age of a page that is used: longer than the interval at which readers confirm the topic.
 For operators' changes and servers, this age plus the time to detect an unresponsive reader is below
 2 s, within which a change must take effect."""
@@ -113,7 +118,7 @@
         fetched = await self._query_reader(topic, position=None, wait_s=0.0)
         if fetched is not None:
             return Success(self._apply_snapshot(topic, fetched))
-        if self.logs[topic].loaded or topic is Topic.ROUTERS:
+        if self.logs[topic].loaded or topic in (Topic.ROUTERS, Topic.ROLLOUTS):
             result = await self._read_store_newest(topic)
         else:
             first = await self._read_first(topic)
