--- a/packages/router/src/cornellead/gateway/exchange/__init__.py
+++ b/packages/router/src/cornellead/gateway/exchange/__init__.py
@@ -4,5 +4,6 @@
 
 from cornellead.gateway.exchange._load_exchange import LoadExchange
 from cornellead.gateway.exchange._report_channel import ReportChannel
+from cornellead.gateway.exchange._rollout_channel import RolloutChannel
 
-__all__ = ["LoadExchange", "ReportChannel"]
+__all__ = ["LoadExchange", "ReportChannel", "RolloutChannel"]
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -65,6 +65,8 @@
         self.exchange = exchange
         self.sent_at = now
         self.last_event_id = last_event_id
+        self.first_byte_s: float | None = None
+        """Time to the first byte of the response; ``None`` before it."""
         self.stall: Stall | None = None
         """Why the router gave the attempt up; ``None`` if it did not."""
         self.successor: Attempt | None = None
@@ -99,7 +101,8 @@
     def record_data(self, *, now: float) -> None:
         """Restart the timeout for silence, and record the latency if this is the first data."""
         if self._last_byte_at is None:
-            self.state.health.record_latency(now - self.sent_at)
+            self.first_byte_s = now - self.sent_at
+            self.state.health.record_latency(self.first_byte_s)
             self._last_progress_at = now
         self._last_byte_at = now
         self.state.health.record_data_received(now=now)
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -78,6 +78,7 @@
             admitted.attempts.count_unsent()
             trace.add_attempt(state.entry.server, "no_connection")
             return None
+        self._picker.rollouts.record_sent(admitted)
         attempt.on_answered = partial(self._crashes.record_answer, admitted)
         return attempt
 
@@ -112,10 +113,12 @@
                 attempt.record_answered()
         except BaseException:
             trace.add_attempt(name, "cancelled")
+            self._picker.rollouts.record_outcome(admitted, attempt, None, now=self._clock())
             self.drop_successor(context, attempt)
             raise
         finally:
             self._sender.finish(attempt)
+        self._picker.rollouts.record_outcome(admitted, attempt, outcome, now=self._clock())
         if isinstance(outcome, NotRunResponse):
             admitted.attempts.count_not_run()
         ok = isinstance(outcome, DeliveredResponse)
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead.gateway.forwarding._rollout_gate import RolloutGate
 from cornellead.gateway.policy import PlacementContext
 from cornellead.gateway.policy import exclude
 from cornellead.gateway.policy import expected_wait_s
@@ -78,6 +79,7 @@
         self._regions = regions
         self.load_factor = load_factor
         self._order = order
+        self.rollouts = RolloutGate(view=view)
 
     def pick(
         self,
@@ -113,10 +115,26 @@
         :param excluded: As for `pick`.
         :param now: Seconds.
         """
-        routers = self._view.routers(now=now)
         servers = self._view.servers.usable(
             admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
         )
+        picked: ServerState | NoServer = NoServer(None, 0)
+        for group in self.rollouts.groups(admitted, servers):
+            picked = self._find_among(group, admitted, tried=tried, excluded=excluded, now=now)
+            if isinstance(picked, ServerState):
+                break
+        return picked
+
+    def _find_among(
+        self,
+        servers: Sequence[ServerState],
+        admitted: AdmittedRequest,
+        *,
+        tried: Collection[str],
+        excluded: Collection[str],
+        now: float,
+    ) -> ServerState | NoServer:
+        routers = self._view.routers(now=now)
         jitter = request_jitter(admitted.caller.request_id)
         awake = _exclude_paused(servers, jitter=jitter, now=now)
         if servers and not awake:
@@ -181,7 +199,8 @@
         return self._next_send_at(state, rate_per_s, routers, now=now) == now
 
     def count_send(self, admitted: AdmittedRequest, state: ServerState, *, now: float) -> None:
-        """Count a request against the rate limits of the server that gets it."""
+        """Count a request against the limits of the server that gets it and of its version."""
+        self.rollouts.count_send(admitted, state)
         limit_per_s = self._limit_per_s(state)
         cold_rate_per_s = admitted.service.cold_rate_per_s if state.cold(now=now) else 0.0
         if limit_per_s is None and cold_rate_per_s <= 0:
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -6,6 +6,7 @@
 from cornellead.gateway.policy._chat_order import PlacementContext
 from cornellead.gateway.policy._cold_start_limiter import ColdStartLimiter
 from cornellead.gateway.policy._expected_wait import expected_wait_s
+from cornellead.gateway.policy._exposure_limiter import ExposureLimiter
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_attempts import RequestAttempts
 from cornellead.gateway.policy._request_attempts import RunState
@@ -13,6 +14,8 @@
 from cornellead.gateway.policy._retry_after import request_jitter
 from cornellead.gateway.policy._retry_after import retry_after_s
 from cornellead.gateway.policy._retry_budgets import RetryBudgets
+from cornellead.gateway.policy._rollout_plan import RolloutFacts
+from cornellead.gateway.policy._rollout_plan import next_record
 from cornellead.gateway.policy._server_order import exclude
 from cornellead.gateway.policy._server_order import order_by_cost
 from cornellead.gateway.policy._server_order import order_for_chat
@@ -21,25 +24,36 @@
 from cornellead.gateway.policy._server_pause import MAX_PAUSE_S
 from cornellead.gateway.policy._server_pause import return_at
 from cornellead.gateway.policy._server_rate_limiter import ServerRateLimiter
+from cornellead.gateway.policy._version_verdict import VersionCounts
+from cornellead.gateway.policy._version_verdict import VersionJudge
+from cornellead.gateway.policy._version_verdict import is_worse
+from cornellead.gateway.policy._version_verdict import slow_limit_s
 
 __all__ = [
     "MAX_PAUSE_S",
     "ChatOrder",
     "ColdStartLimiter",
+    "ExposureLimiter",
     "PlacementContext",
     "RequestAttempts",
     "RetryBudgets",
+    "RolloutFacts",
     "RunState",
     "ServerRateLimiter",
+    "VersionCounts",
+    "VersionJudge",
     "exclude",
     "expected_outage_s",
     "expected_wait_s",
     "find_prompt_source",
+    "is_worse",
+    "next_record",
     "order_by_cost",
     "order_for_chat",
     "rank_homes",
     "request_jitter",
     "retry_after_s",
     "return_at",
+    "slow_limit_s",
     "split_service",
 ]
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -9,6 +9,7 @@
 import structlog
 
 from cornellead.gateway.exchange import LoadExchange
+from cornellead.gateway.exchange import RolloutChannel
 from cornellead.gateway.forwarding import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
@@ -36,6 +37,7 @@
 from cornellead.gateway.sync import OperatorSink
 from cornellead.gateway.sync import QuarantinePublisher
 from cornellead.gateway.sync import ReportingSink
+from cornellead.gateway.sync import RolloutController
 from cornellead.gateway.sync import RouterSink
 from cornellead.gateway.sync import ServerSink
 from cornellead.gateway.sync import TopicReader
@@ -58,7 +60,7 @@
     from cornellead.gateway.ingress import RequestHandler
     from cornellead.gateway.sync import NoticeSink
     from cornellead_core.blackboard import Controller
-    from cornellead_core.routing import FleetStore
+    from cornellead_core.routing import GatewayStore
     from cornellead_core.routing import HttpClient
     from cornellead_core.routing import NodeSettings
     from cornellead_core.routing import WireFormat
@@ -71,6 +73,9 @@
 configuration change."""
 SERVERS_READ_INTERVAL_S = 0.5
 """Interval between reads of the server list: a leaving server has to be detected within 2 s."""
+ROLLOUTS_READ_INTERVAL_S = 1.0
+"""Minimum interval between reads of the state of rollouts while one is open, unless a quarter of
+the time to react to a bad version is shorter."""
 ROUTERS_INTERVAL_S = 4.0
 """Minimum interval between announcements of this router, and between reads of the router list."""
 TOPIC_READ_SHARE = 0.3
@@ -106,7 +111,7 @@
         settings: NodeSettings,
         settings_path: str,
         load: Callable[[str], Result[NodeSettings, str]],
-        open_store: Callable[[HttpClient], FleetStore],
+        open_store: Callable[[HttpClient], GatewayStore],
         wire: WireFormat,
         ready_path: str,
         metrics_port: int,
@@ -179,7 +184,23 @@
         self._store = RelayedStore(
             store=store, view=self._view, http=http, location=location, clock=read_clock
         )
-        self._exchange = LoadExchange(view=self._view, address=location.address, clock=read_clock)
+        self._exchange = LoadExchange(
+            view=self._view,
+            address=location.address,
+            clock=read_clock,
+            channels=[RolloutChannel(rollouts=self._view.rollouts)],
+        )
+        self._rollouts = RolloutController(
+            reader=self._store,
+            store=store,
+            view=self._view,
+            stats=self._stats,
+            clock=read_clock,
+            exposure_share=lambda: self._settings.bounds.exposure_share,
+            read_interval_s=lambda: self._read_interval_s(
+                min(ROLLOUTS_READ_INTERVAL_S, self._settings.bounds.rollback_s / 4)
+            ),
+        )
         relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
             settings.caller_address, forwarder, sock=caller_socket
@@ -267,6 +288,7 @@
                 interval_s=lambda: self._read_interval_s(ROUTERS_INTERVAL_S),
             ),
             QuarantinePublisher(store=self._store, view=view, sink=router_sink, clock=read_clock),
+            self._rollouts,
             self._announcer,
             self._exchange,
             self._watcher,
--- a/packages/router/src/cornellead/gateway/sync/_operator_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_operator_sink.py
@@ -11,6 +11,7 @@
 from cornellead.gateway.view import SETTLE_S
 from cornellead_core.routing import STORE_SOURCE
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import RolloutOrderNotice
 from cornellead_core.routing import RoutingConfig
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import Topic
@@ -49,6 +50,10 @@
         has_config = any(isinstance(n, RoutingNotice) for n in batch.notices)
         self._behind = self._view.config is not None and not has_config
         self.apply_changes(batch._replace(not_stored=()))
+        if not self._may_lack_removals():
+            self._view.rollouts.withdraw_all_but(
+                {n.service for n in batch.notices if isinstance(n, RolloutOrderNotice)}
+            )
 
     def apply_changes(self, batch: NoticeBatch) -> None:
         """Apply later notices; an empty batch confirms that nothing changed."""
@@ -65,6 +70,8 @@
                     notice.data_centre
                 )
                 self._set_out_of_service(notice.data_centre, out=notice.out)
+            elif isinstance(notice, RolloutOrderNotice):
+                self._apply_order(notice)
         if not self._may_lack_removals():
             for data_centre in self._view.servers.data_centres_out_of_service - self._listed_out:
                 self._set_out_of_service(data_centre, out=False)
@@ -104,6 +111,12 @@
             elif isinstance(notice, DataCentreNotice) and self._may_lack_removals():
                 self._set_out_of_service(notice.data_centre, out=True)
 
+    def _apply_order(self, notice: RolloutOrderNotice) -> None:
+        if notice.order is None:
+            self._view.rollouts.withdraw(notice.service)
+        else:
+            self._view.rollouts.apply_order(notice.order, now=self._clock())
+
     def _report_read(self, batch: NoticeBatch) -> None:
         read = batch.read
         if read is None or not batch.notices:
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -8,6 +8,9 @@
 from cornellead.gateway.view._prompt_directory import PromptDirectory
 from cornellead.gateway.view._rate_limits import RateLimitReport
 from cornellead.gateway.view._rate_limits import RateLimits
+from cornellead.gateway.view._rollout import Rollout
+from cornellead.gateway.view._rollouts import RolloutReport
+from cornellead.gateway.view._rollouts import Rollouts
 from cornellead.gateway.view._server_health import SILENCE_TIMEOUT_S
 from cornellead.gateway.view._server_health import ServerHealth
 from cornellead.gateway.view._server_rate_limit import ServerRateLimit
@@ -26,6 +29,9 @@
     "PromptDirectory",
     "RateLimitReport",
     "RateLimits",
+    "Rollout",
+    "RolloutReport",
+    "Rollouts",
     "RouterLoad",
     "ServerHealth",
     "ServerRateLimit",
--- a/packages/router/src/cornellead/gateway/view/_fleet_view.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_view.py
@@ -8,6 +8,7 @@
 from cornellead.gateway.view._fleet_load import FleetLoad
 from cornellead.gateway.view._prompt_directory import PromptDirectory
 from cornellead.gateway.view._rate_limits import RateLimits
+from cornellead.gateway.view._rollouts import Rollouts
 from cornellead.gateway.view._server_registry import ServerRegistry
 from cornellead.gateway.view._store_history import StoreHistory
 
@@ -33,6 +34,7 @@
         self.load = FleetLoad()
         self.guard = PromptGuard(router=router)
         self.rate_limits = RateLimits(router=router, servers=self.servers)
+        self.rollouts = Rollouts(router=router)
         self.history = StoreHistory()
         self.servers_loaded = False
         """Whether the list of servers has been read at least once."""
