--- a/packages/router/src/cornellead/gateway/policy/_rollout_plan.py
+++ b/packages/router/src/cornellead/gateway/policy/_rollout_plan.py
@@ -15,8 +15,8 @@
 """Time before the deadline at which all requests move: the time for the move itself, and four
 seconds for the next router in rank and a slow store."""
 MOVE_S = 6.0
-"""Time for which the old servers finish their requests before operators are told that the rollout is
-completed: the old servers end at once then."""
+"""Time for which the old servers finish their requests before operators are told that the rollout
+is completed: the old servers end at once then."""
 MAX_LEAD_SHARE = 0.3
 """Maximum part of a short rollout that `MOVE_LEAD_S` may take."""
 MIN_OLD_RESPONSES = 200
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -86,7 +86,9 @@
 
         :param as_reader: Whether to rely on the other router to read the store.
         """
-        query: dict[str, str] = {"reader": "1"} if as_reader else {}
+        query = {"versions": "1"}
+        if as_reader:
+            query["reader"] = "1"
         if position is not None:
             query["after"] = str(position.offset)
         era = self._view.history.latest(topic)
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -33,13 +33,13 @@
     routing: list[RoutingNotice]
     data_centres: list[DataCentreNotice]
     servers: list[ServerNotice]
-    """Encoded without the counts of their entries, which routers of earlier builds reject; they
-    have a version only if their server announced one."""
+    """Encoded without the counts of their entries, which routers of earlier builds reject, and
+    with their versions only if asked for."""
     routers: list[RouterNotice]
     quarantines: list[QuarantineNotice] = []
     """Encoded only if there are some: routers of earlier builds reject longer pages."""
     orders: list[RolloutOrderNotice] = []
-    """Encoded, with `rollouts`, only if there are some: see `quarantines`."""
+    """Encoded, with `rollouts`, only if asked for and if there are some."""
     rollouts: list[RolloutNotice] = []
 
 
@@ -55,9 +55,12 @@
 _decoder = msgspec.msgpack.Decoder(_EncodedPage)
 
 
-def encode_page(page: RelayPage) -> bytes:
+def encode_page(page: RelayPage, *, versions: bool = False) -> bytes:
     """Encode a page as MessagePack, compressed if it is large.
 
+    :param versions: Whether to include the versions of servers, and the rollouts. Routers of
+        earlier builds, which do not ask for them, reject pages that include them.
+
     Notices are grouped by kind. The order among different kinds is not preserved, as no notice
     depends on one of another kind. Compression reduces the traffic of configurations, which are
     repetitive with many teams and are sent to every router after each change.
@@ -68,13 +71,13 @@
         page.age_s,
         [n for n in page.notices if isinstance(n, RoutingNotice)],
         [n for n in page.notices if isinstance(n, DataCentreNotice)],
-        [_encode_server(n) for n in page.notices if isinstance(n, ServerNotice)],
+        [_encode_server(n, versions=versions) for n in page.notices if isinstance(n, ServerNotice)],
         [n for n in page.notices if isinstance(n, RouterNotice)],
     )
     optional: list[list[Notice]] = [
         [n for n in page.notices if isinstance(n, QuarantineNotice)],
-        [n for n in page.notices if isinstance(n, RolloutOrderNotice)],
-        [n for n in page.notices if isinstance(n, RolloutNotice)],
+        [n for n in page.notices if versions and isinstance(n, RolloutOrderNotice)],
+        [n for n in page.notices if versions and isinstance(n, RolloutNotice)],
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -104,12 +107,12 @@
     return RelayPage(notices, encoded.next_offset, encoded.snapshot, encoded.age_s)
 
 
-def _encode_server(notice: ServerNotice) -> tuple[object, ...]:
+def _encode_server(notice: ServerNotice, *, versions: bool) -> tuple[object, ...]:
     entry = notice.entry
     if entry is None:
         return (notice.server, None, notice.removed)
-    # Routers of earlier builds reject entries with a version, and read the store instead.
-    fields = entry._replace(sequence=0) if entry.version else entry[:SEQUENCE_FIELD]
+    named = versions and entry.version
+    fields = entry._replace(sequence=0) if named else entry[:SEQUENCE_FIELD]
     return (notice.server, fields, notice.removed)
 
 
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -34,7 +34,8 @@
     """Handles ``GET /notices/<topic>?after=<offset>&era=<era>&wait=<seconds>&reader=1``.
 
     With ``reader``, the other router relies on this one to read the store. ``era`` is the latest
-    one of the store that the other router has met in the topic. ``/in-force`` is passed on.
+    one of the store that the other router has met in the topic. With ``versions=1``, the page
+    includes the versions of servers and the rollouts. ``/in-force`` is passed on.
     """
 
     def __init__(
@@ -76,4 +77,4 @@
             out.respond(503, (), b"")
             return
         headers = () if page.era == UNKNOWN_ERA else ((ERA_HEADER.encode(), b"%d" % page.era),)
-        out.respond(200, headers, encode_page(page))
+        out.respond(200, headers, encode_page(page, versions="versions" in query))
--- a/tests/platform_adapter/fake_store.py
+++ b/tests/platform_adapter/fake_store.py
@@ -110,6 +110,9 @@
             self._respond_newest(params, out)
         elif path == "/v1/log-read":
             await self._respond_read(params, out)
+        elif "at" in params and int(params["at"]) != len(self._records.get(params["topic"], [])):
+            end_offset = len(self._records.get(params["topic"], []))
+            out.respond(412, self._headers, msgspec.json.encode({"end_offset": end_offset}))
         else:
             for record in decode_records(req.body):
                 self._append(params["topic"], record)
@@ -131,11 +134,13 @@
 
     def _respond_newest(self, params: dict[str, str], out: ResponseWriter) -> None:
         newest = sorted(self.newest(params["topic"]).items())
+        records = self._records.get(params["topic"], [])
+        offsets = {record.key: offset for offset, record in enumerate(records)}
         remaining = [item for item in newest if item[0] > params.get("after", "")]
         page = remaining[:2]
         body = {
             "items": [
-                {"key": key, "value": base64.b64encode(value).decode(), "offset": 0}
+                {"key": key, "value": base64.b64encode(value).decode(), "offset": offsets[key]}
                 for key, value in page
             ],
             "has_more": len(remaining) > len(page),
