--- a/packages/core/src/cornellead_core/routing/_rollout.py
+++ b/packages/core/src/cornellead_core/routing/_rollout.py
@@ -24,7 +24,8 @@
     RUNNING = "running"
     """The new version gets a small share of the requests."""
     MOVING = "moving"
-    """The new version gets all requests; the old servers still run and finish theirs."""
+    """The new version gets the requests, as far as its share of all since the order allows it; the
+    old servers still run and finish theirs."""
     COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
 
@@ -46,7 +47,8 @@
     to: str
     phase: RolloutPhase
     share: float
-    """Share of the requests that the new version gets while the rollout is running."""
+    """Share of the requests that the new version gets while the rollout is running; while it is
+    moving, the limit of its share of all requests since the order."""
     elapsed_s: float
     """Time from the order to this record. The clocks of routers differ, so no time is stored."""
     announced: bool
--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -46,7 +46,8 @@
     ) -> list[Sequence[ServerState]]:
         """Return the servers that may receive the request, in groups by preference.
 
-        Only the first send of a request may go to a version that has not proved itself.
+        Only the first send of a request may go to a version that has not proved itself, until all
+        requests move to it.
         """
         rollout = self._view.rollouts.get(admitted.service.name)
         if rollout is None:
@@ -58,13 +59,19 @@
             return [old]
         if share >= 1.0:
             return [new, old] if new else [old]
-        if share > 0.0 and new and not admitted.attempts.sends and self._limiter(rollout).allows():
+        if share > 0.0 and new and self._may_expose(rollout, admitted):
             return [new, old]
         usable = self._view.servers.usable(admitted.service.name)
         if old or any(state.entry.version != to for state in usable):
             return [old]
         return [new]
 
+    def _may_expose(self, rollout: Rollout, admitted: AdmittedRequest) -> bool:
+        limiter = self._limiter(rollout)
+        if rollout.moving:
+            return limiter.allows_total(rollout.share)
+        return not admitted.attempts.sends and limiter.allows()
+
     def count_send(self, admitted: AdmittedRequest, state: ServerState) -> None:
         """Count a request that is about to be sent, if it goes to the new version."""
         rollout = self._view.rollouts.get(admitted.service.name)
--- a/packages/router/src/cornellead/gateway/policy/_exposure_limiter.py
+++ b/packages/router/src/cornellead/gateway/policy/_exposure_limiter.py
@@ -35,6 +35,10 @@
         # The sum of many shares is inexact.
         return self._credit >= 1.0 - 1e-9
 
+    def allows_total(self, share: float) -> bool:
+        """Return whether one more request keeps the new version within a share of all requests."""
+        return self.exposed + 1 <= share * self.requests
+
     def count_request(self, *, share: float) -> None:
         """Count a request that was sent to the service for the first time.
 
--- a/packages/router/src/cornellead/gateway/policy/_rollout_plan.py
+++ b/packages/router/src/cornellead/gateway/policy/_rollout_plan.py
@@ -8,15 +8,20 @@
 from cornellead_core.routing import RolloutPhase
 from cornellead_core.routing import RolloutRecord
 
-STEPS = ((0.15, 0.8), (0.05, 0.5), (0.0, 0.25))
-"""Steps as the part of the duration from which they apply, and the part of the exposure share. A
-fifth of the exposure share is left for routers that stop or restart between count and send."""
+STEPS = ((0.05, 0.5), (0.0, 0.25))
+"""Steps as the part of the duration from which they apply, and the part of the exposure share. The
+other half is left for the move, in which the old servers finish their requests."""
+MOVE_LIMIT = 0.95
+"""Part of the exposure share that a router may have used in all when the move ends."""
 MOVE_LEAD_S = 10.0
 """Time before the deadline at which all requests move: the time for the move itself, and four
 seconds for the next router in rank and a slow store."""
 MOVE_S = 6.0
-"""Time for which the old servers finish their requests before operators are told that the rollout
-is completed: the old servers end at once then."""
+"""Maximum time for which the old servers finish their requests before operators are told that the
+rollout is completed: the old servers end at once then."""
+MOVE_SHARE = 0.45
+"""The same as a part of the duration times the exposure share: after it, a router has used up what
+the steps have left."""
 MAX_LEAD_SHARE = 0.3
 """Maximum part of a short rollout that `MOVE_LEAD_S` may take."""
 MIN_OLD_RESPONSES = 200
@@ -69,7 +74,7 @@
     if not record.announced:
         return None
     if record.phase is RolloutPhase.MOVING:
-        moved = facts.elapsed_s - record.elapsed_s >= _move_s(order)
+        moved = facts.elapsed_s - record.elapsed_s >= _move_s(order, facts)
         return _end(record, RolloutPhase.COMPLETED, facts, "") if moved else None
     if facts.elapsed_s >= order.duration_s - _lead_s(order):
         return _conclude(record, order, facts)
@@ -110,7 +115,11 @@
     elif not facts.new_responses and facts.old_responses >= MIN_OLD_RESPONSES:
         reason = NO_RESPONSE
     if not reason:
-        return record._replace(phase=RolloutPhase.MOVING, share=1.0, elapsed_s=facts.elapsed_s)
+        return record._replace(
+            phase=RolloutPhase.MOVING,
+            share=MOVE_LIMIT * facts.exposure_share,
+            elapsed_s=facts.elapsed_s,
+        )
     if facts.elapsed_s < order.duration_s - _lead_s(order) / 4:
         return None
     return _end(record, RolloutPhase.ROLLED_BACK, facts, reason)
@@ -135,5 +144,5 @@
     return min(MOVE_LEAD_S, MAX_LEAD_SHARE * order.duration_s)
 
 
-def _move_s(order: RolloutOrder) -> float:
-    return _lead_s(order) * MOVE_S / MOVE_LEAD_S
+def _move_s(order: RolloutOrder, facts: RolloutFacts) -> float:
+    return min(MOVE_S, MOVE_SHARE * facts.exposure_share * order.duration_s, _lead_s(order) / 2)
--- a/packages/router/src/cornellead/gateway/view/_rollout.py
+++ b/packages/router/src/cornellead/gateway/view/_rollout.py
@@ -75,9 +75,16 @@
         record = self.current
         return record is not None and record.phase is RolloutPhase.COMPLETED
 
+    @property
+    def moving(self) -> bool:
+        """Whether all requests move to the new version, as far as `share` allows it."""
+        record = self.current
+        return record is not None and record.phase is RolloutPhase.MOVING
+
     @property
     def share(self) -> float:
-        """Share of the requests that the new version gets at present; 0 without a state."""
+        """Share of the requests that the new version gets at present, or of all since the order
+        while they move; 0 without a state."""
         record = self.current
         if self.fault or record is None or record.phase is RolloutPhase.ROLLED_BACK:
             return 0.0
--- a/tests/router/gateway/rollout_fleet.py
+++ b/tests/router/gateway/rollout_fleet.py
@@ -226,7 +226,7 @@
             if not outcome.ok or outcome.seconds > 2 * USUAL_S:
                 self.bad_new.append(self.now)
         attempt = cast("Attempt", _Attempt(state, self.now - outcome.seconds, outcome.seconds))
-        response = DeliveredResponse(200) if outcome.ok else ErrorResponse(500, (), b"")
+        response = DeliveredResponse(200) if outcome.ok else ErrorResponse(500, [], b"")
         router.gate.record_outcome(req, attempt, response, now=self.now)
 
     def _exchange(self, running: list[SimulatedRouter]) -> None:
--- a/tests/router/gateway/sync/test_rollout_controller.py
+++ b/tests/router/gateway/sync/test_rollout_controller.py
@@ -60,9 +60,14 @@
     fleet = RolloutFleet(good)
     fleet.order(duration_s=DURATION_S)
     await fleet.run(0.7 * DURATION_S)
-    assert_bounds_held(fleet)
     assert len(fleet.sent_new) > 0.03 * fleet.requests
-    await fleet.run(0.3 * DURATION_S)
+    while len(fleet.store.statuses) < 2:
+        assert_bounds_held(fleet)
+        await fleet.run(0.1)
+    assert 0.8 * DURATION_S < fleet.now < DURATION_S
+    last_second = [at for at in fleet.sent_new if at > fleet.now - 1.0]
+    assert len(last_second) > 0.5 * fleet.rate_per_s, "most requests left the old servers before"
+    await fleet.run(DURATION_S - fleet.now)
     assert fleet.store.statuses == [("running", "v2"), ("completed", "v2")]
     calls = fleet.store.calls
     await fleet.run(10.0)
