--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -18,9 +18,15 @@
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
 from cornellead.gateway.view import FleetView
+from cornellead_core.routing import Notice
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
 from cornellead_core.routing import QuarantineNotice
+from cornellead_core.routing import RolloutNotice
+from cornellead_core.routing import RolloutOrder
+from cornellead_core.routing import RolloutOrderNotice
+from cornellead_core.routing import RolloutPhase
+from cornellead_core.routing import RolloutRecord
 from cornellead_core.routing import RouterNotice
 from cornellead_core.routing import RoutingNotice
 from cornellead_core.routing import ServerNotice
@@ -102,3 +108,18 @@
 
     def respond(self, status: int, headers: object, body: bytes) -> None:
         self.statuses.append(status)
+
+
+def test_versions_and_rollouts_are_sent_only_to_routers_that_ask() -> None:
+    """Guards against routers of an earlier build that reject each page, and against later ones that
+    do not learn of versions."""
+    record = RolloutRecord(4, "v2", RolloutPhase.RUNNING, 0.05, 3.0, announced=True)
+    notices: list[Notice] = [
+        ServerNotice("s1", make_entry("s1", version="v2"), removed=False),
+        RolloutOrderNotice("llm", RolloutOrder("llm", "v2", 60.0, 4)),
+        RolloutNotice("llm", record),
+    ]
+    page = RelayPage(notices, 9, False, 0.5)
+    assert decode_page(encode_page(page, versions=True)) == page
+    earlier = msgspec.msgpack.decode(encode_page(page)[1:])
+    assert len(earlier) == 7 and [len(entry) for _, entry, _ in earlier[5]] == [8]
