--- a/packages/router/src/cornellead/cli/_gateway_status.py
+++ b/packages/router/src/cornellead/cli/_gateway_status.py
@@ -23,6 +23,7 @@
 )
 """Metrics without labels whose value is shown unchanged, without the prefix of their name."""
 P95_QUANTILE = "0.95"
+ROLLOUT_GAUGE = "rollout_share"
 
 
 class GatewayStatus(NamedTuple):
@@ -33,6 +34,8 @@
     """Why the metrics could not be read; empty on success."""
     values: dict[str, float]
     """Values by short name; metrics that the gateway does not report are missing."""
+    rollouts: tuple[str, ...] = ()
+    """Service, version, phase and share of each rollout."""
 
     def to_row(self) -> dict[str, Any]:
         """Return the row of the table; values that are not reported are ``None``."""
@@ -43,6 +46,7 @@
             "requests": self.values.get("requests"),
             "refused": self.values.get("refused"),
             "request_seconds_p95": self.values.get("request_seconds"),
+            **({"rollouts": ", ".join(self.rollouts)} if self.rollouts else {}),
         }
 
 
@@ -59,7 +63,8 @@
         try:
             resp = await client.get(f"http://{address}/metrics", timeout=timeout_s)
             resp.raise_for_status()
-            return GatewayStatus(address, "", parse_metrics(resp.text))
+            values, rollouts = parse_metrics(resp.text), parse_rollouts(resp.text)
+            return GatewayStatus(address, "", values, rollouts)
         except (httpx.HTTPError, ValueError) as exc:
             return GatewayStatus(address, f"{address}: {exc!r}", {})
 
@@ -87,3 +92,21 @@
             elif name == "request_seconds" and sample.labels.get("quantile") == P95_QUANTILE:
                 values[name] = sample.value
     return values
+
+
+def parse_rollouts(text: str) -> tuple[str, ...]:
+    """Return the state of each rollout of which the gateway knows.
+
+    :raises ValueError: The text is not in the Prometheus text format.
+
+    >>> name = "cornellead_gateway_rollout_share"
+    >>> parse_rollouts(name + '{service="llm",version="v2",phase="running"} 0.05\\n')
+    ('llm to v2: running 0.05',)
+    """
+    return tuple(
+        f"{labels['service']} to {labels['version']}: {labels['phase']} {sample.value:g}"
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name.removeprefix(PREFIX) == ROLLOUT_GAUGE and sample.value >= 0.0
+        for labels in [sample.labels]
+    )
--- a/packages/router/src/cornellead/cli/_status.py
+++ b/packages/router/src/cornellead/cli/_status.py
@@ -199,8 +199,9 @@
 
 
 def _print_rows(rows: list[dict[str, Any]]) -> None:
-    header = [key.upper().replace("_", " ") for key in rows[0]]
-    print(format_table(header, [[_format_cell(*cell) for cell in row.items()] for row in rows]))
+    keys = max(rows, key=len)
+    header = [key.upper().replace("_", " ") for key in keys]
+    print(format_table(header, [[_format_cell(key, row.get(key)) for key in keys] for row in rows]))
 
 
 def _format_cell(key: str, value: Any) -> str:
--- a/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
+++ b/packages/router/src/cornellead/gateway/stats/_gateway_stats.py
@@ -11,6 +11,8 @@
     from cornellead_core.metrics import Metrics
 
 QUANTILES = (0.5, 0.95, 0.99)
+REPLACED = -1.0
+"""Share of a rollout in a phase that another one has followed."""
 
 
 class GatewayStats:
@@ -33,6 +35,12 @@
         self._task_failures = metrics.counter(
             "gateway_task_failures", "Failures of background tasks", ["task"]
         )
+        self._rollouts = metrics.gauge(
+            "gateway_rollout_share",
+            "Share of the requests that the version of a rollout gets, by phase",
+            ["service", "version", "phase"],
+        )
+        self._rollout_phases: dict[str, tuple[str, str, str]] = {}
         self._latency = LatencyHistogram()
         self._loop_delay = LatencyHistogram()
         for name, description, histogram in (
@@ -51,6 +59,15 @@
         self._requests.labels(str(status), cause).inc()
         self._latency.record(seconds)
 
+    def set_rollout(self, service: str, version: str, phase: str, share: float) -> None:
+        """Record the state of the rollout of a service; the one before is shown as -1."""
+        labels = (service, version, phase)
+        before = self._rollout_phases.get(service)
+        if before is not None and before != labels:
+            self._rollouts.labels(*before).set(REPLACED)
+        self._rollout_phases[service] = labels
+        self._rollouts.labels(*labels).set(share)
+
     def count_loop_delay(self, seconds: float) -> None:
         """Record how late the event loop ran what was due."""
         self._loop_delay.record(seconds)
--- a/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
+++ b/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
@@ -95,6 +95,14 @@
             await self._read()
         for rollout in rollouts:
             await self._decide(rollout)
+            self._show(rollout)
+
+    def _show(self, rollout: Rollout) -> None:
+        record, order = rollout.current, rollout.order
+        phase = "ordered" if record is None else record.phase.value
+        if rollout.fault and record is not None and not record.phase.ended:
+            phase = "bad"
+        self._stats.set_rollout(order.service, order.to, phase, rollout.share)
 
     def _is_known(self, rollout: Rollout) -> bool:
         """Return whether the service is configured; an order for another one is ignored."""
