--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
@@ -14,7 +15,6 @@
     from collections.abc import Sequence
 
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
-    from cornellead.gateway.forwarding._attempt import Attempt
     from cornellead.gateway.forwarding._outcome import AttemptOutcome
     from cornellead.gateway.view import FleetView
     from cornellead.gateway.view import Rollout
@@ -29,6 +29,25 @@
 BUFFERS_FULL = "buffers_full"
 
 
+class TimedAttempt(Protocol):
+    """What is counted of an attempt at a server."""
+
+    @property
+    def state(self) -> ServerState:
+        """The server."""
+        ...
+
+    @property
+    def sent_at(self) -> float:
+        """Time of the send in seconds."""
+        ...
+
+    @property
+    def first_byte_s(self) -> float | None:
+        """Time to the first byte of the response; ``None`` before it."""
+        ...
+
+
 class RolloutGate:
     """Limits the requests that go to a version which has not proved itself.
 
@@ -87,7 +106,7 @@
     def record_outcome(
         self,
         admitted: AdmittedRequest,
-        attempt: Attempt,
+        attempt: TimedAttempt,
         outcome: AttemptOutcome | None,
         *,
         now: float,
@@ -119,7 +138,7 @@
             rollout.record_usual(route, first_s=attempt.first_byte_s, total_s=total_s)
 
     def _is_slow(
-        self, rollout: Rollout, admitted: AdmittedRequest, attempt: Attempt, total_s: float
+        self, rollout: Rollout, admitted: AdmittedRequest, attempt: TimedAttempt, total_s: float
     ) -> bool:
         route = admitted.route.name
         limit_s = slow_limit_s(rollout.usual_total_s(route))
@@ -130,7 +149,7 @@
         tolerated_s = MIN_SLOW_SHARE * admitted.route.target_latency_s
         return limit_s is not None and first_s > max(limit_s, tolerated_s)
 
-    def _broke_before(self, attempt: Attempt, *, now: float) -> bool:
+    def _broke_before(self, attempt: TimedAttempt, *, now: float) -> bool:
         self._broke_at = {name: at for name, at in self._broke_at.items() if now - at < ONE_BREAK_S}
         return self._broke_at.setdefault(attempt.state.entry.server, now) != now
 
--- a/packages/router/src/cornellead/gateway/policy/_version_verdict.py
+++ b/packages/router/src/cornellead/gateway/policy/_version_verdict.py
@@ -26,8 +26,9 @@
 """Latest periods in seconds that are judged beside the whole rollout: the good responses before a
 version turned bad would otherwise hide the bad ones after it."""
 SNAPSHOT_INTERVAL_S = 1.0
-SLOW_FACTOR = 2.5
-"""Multiple of the usual duration from which a response counts as slow."""
+SLOW_FACTOR = 3.0
+"""Multiple of the usual duration from which a response counts as slow: machines of one fleet differ
+by factors of up to 2.5."""
 SLOW_TAIL_FACTOR = 1.5
 """The same for the duration that a tenth of the responses exceed: durations that vary as much
 without a rollout are no sign of a bad version."""
--- a/packages/router/src/cornellead/gateway/view/_rollout.py
+++ b/packages/router/src/cornellead/gateway/view/_rollout.py
@@ -108,6 +108,9 @@
         self.set_elapsed(record.elapsed_s, now=now)
         if record.phase is RolloutPhase.ROLLED_BACK and not self.withdrawn:
             self.fault = self.fault or record.reason
+        elif record.phase is RolloutPhase.COMPLETED:
+            # The old servers end, so a fault that was found too late cannot be avoided.
+            self.fault, self.fault_rounds = "", 0
 
     def count(self, route: str, *, new: bool, bad: bool) -> None:
         """Count a response of this router's requests."""
