--- a/packages/emulator/src/cornellead_emulator/experiments/_loads.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_loads.py
@@ -22,6 +22,10 @@
 RELEASE_INTERVAL_S = 3.0
 """Time between the replacements of two servers during a release."""
 
+ROLLOUT_START_S = 5.0
+"""Time of the order of a rollout: its duration fits into an experiment then."""
+ROLLOUT_DURATION_S = 20.0
+
 
 class LoadScenario(NamedTuple):
     """Behaviour of the callers, servers and operators during an experiment."""
@@ -75,6 +79,18 @@
     )
 
 
+def _schedule_rollout(slowness: float) -> Callable[[Fleet, EventQueue], None]:
+    def schedule(fleet: Fleet, queue: EventQueue) -> None:
+        def begin() -> None:
+            for _ in range(len(fleet.servers)):
+                fleet.start_server(version="v2", slowness=slowness)
+            fleet.order_rollout(to="v2", duration_s=ROLLOUT_DURATION_S)
+
+        queue.schedule_at(ROLLOUT_START_S, begin)
+
+    return schedule
+
+
 HOT_COMPLAINT_CHAT = HotChat("complaint-tag", 0.5, EVENT_START_S, EVENT_START_S + EVENT_DURATION_S)
 
 LOADS: Mapping[str, LoadScenario] = {
@@ -102,6 +118,9 @@
     "return": LoadScenario(
         "a data centre is out of service for 10 s", _steady_rate, _schedule_outage
     ),
+    "bad_version": LoadScenario(
+        "a rollout to servers that are four times slower", _steady_rate, _schedule_rollout(4.0)
+    ),
     "unheard": LoadScenario(
         "hot_chat without load reports between the routers",
         _surge_rate(4.0),
--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 from cornellead.gateway.forwarding import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding import SERVICE_FULL_RETRY_AFTER_S
+from cornellead.gateway.forwarding import BrokenResponse
+from cornellead.gateway.forwarding import DeliveredResponse
 from cornellead.gateway.forwarding import NoServer
 from cornellead.gateway.forwarding import ServerPicker
 from cornellead.gateway.policy import ColdStartLimiter
@@ -39,6 +42,14 @@
 """Interval at which routers announce themselves to each other."""
 
 
+class _SimulatedAttempt(NamedTuple):
+    """Attempt whose response has ended."""
+
+    state: ServerState
+    sent_at: float
+    first_byte_s: float | None
+
+
 class EmulatedRouter:
     """Places requests with the gateway's server picker, cold start limit and retry budget.
 
@@ -140,6 +151,8 @@
         now = self._queue.now
         source = self._picker.prompt_source(progress.admitted, state, now=now)
         progress.admitted.attempts.count_send()
+        self._picker.rollouts.record_sent(progress.admitted)
+        progress.sent_at = now
         progress.tried.add(state.entry.server)
         number = progress.number
         state.health.start_request(number, now=now, urgency=progress.admitted.urgency)
@@ -218,6 +231,7 @@
         now = self._queue.now
         state.health.finish_request(progress.number)
         state.health.record_outcome(ok=ok, now=now)
+        self._count_version(progress, state, ok=ok)
         if not ok:
             self._metrics.failed += 1
             return
@@ -227,6 +241,16 @@
         self._metrics.finished += 1
         self._metrics.max_pauses_s.append(gen.longest_pause_s)
 
+    def _count_version(self, progress: RequestProgress, state: ServerState, *, ok: bool) -> None:
+        first_at = progress.first_token_at
+        first_byte_s = None if first_at is None else first_at - progress.sent_at
+        self._picker.rollouts.record_outcome(
+            progress.admitted,
+            _SimulatedAttempt(state, progress.sent_at, first_byte_s),
+            DeliveredResponse(200) if ok else BrokenResponse("no_response"),
+            now=self._queue.now,
+        )
+
     def _expire(self, progress: RequestProgress, state: ServerState) -> None:
         if progress.ended:
             return
--- a/packages/emulator/src/cornellead_emulator/routing/_fleet.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_fleet.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cornellead_core.routing import ServerEntry
+from cornellead_emulator.routing._emulated_rollouts import EmulatedRollouts
 from cornellead_emulator.routing._emulated_router import ANNOUNCEMENT_INTERVAL_S
 from cornellead_emulator.routing._emulated_router import EmulatedRouter
 from cornellead_emulator.routing._gateway_request_factory import SERVICE_NAME
@@ -56,6 +57,7 @@
         self._servers: dict[str, ModelServer] = {}
         self._entries: dict[str, ServerEntry] = {}
         request_factory = GatewayRequestFactory(settings=settings)
+        self._service = request_factory.service
         self.routers = [
             EmulatedRouter(
                 name=f"r{number}",
@@ -71,6 +73,7 @@
             )
             for number in range(settings.routers)
         ]
+        self.rollouts = EmulatedRollouts(routers=self.routers, queue=queue, rng=rng)
         for _ in range(settings.servers):
             self.start_server(cold=False)
         self._announce_routers()
@@ -82,14 +85,22 @@
         """Names of the running servers, the oldest first."""
         return list(self._servers)
 
-    def start_server(self, *, cold: bool = True) -> str:
-        """Start a server and return its name."""
+    def order_rollout(self, *, to: str, duration_s: float) -> None:
+        """Order the routers to move all requests to the servers of a version."""
+        self.rollouts.order(
+            self._service, to=to, duration_s=duration_s, recipients=self.settings.reports_heard
+        )
+
+    def start_server(self, *, cold: bool = True, version: str = "", slowness: float = 1.0) -> str:
+        """Start a server and return its name.
+
+        :param slowness: Factor by which its steps take longer than usual.
+        """
         name = f"s{self._started_count}"
         data_centre = self._data_centre(self._started_count)
         self._started_count += 1
-        self._servers[name] = ModelServer(
-            name=name, settings=self.settings.server, queue=self._queue
-        )
+        settings = self.settings.server.slowed(slowness)
+        self._servers[name] = ModelServer(name=name, settings=settings, queue=self._queue)
         self._publish_entry(
             ServerEntry(
                 server=name,
@@ -100,6 +111,7 @@
                 draining=False,
                 cold_s=self.settings.server.cold_s if cold else 0.0,
                 started_ms=1,
+                version=version,
             )
         )
         return name
--- a/packages/emulator/src/cornellead_emulator/routing/_gateway_request_factory.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_gateway_request_factory.py
@@ -27,7 +27,7 @@
     def __init__(self, *, settings: FleetSettings) -> None:
         self._settings = settings
         server = settings.server
-        self._service = Service(
+        self.service = Service(
             name=SERVICE_NAME,
             max_connections=0,
             cold_start_s=server.cold_s,
@@ -57,7 +57,7 @@
                 ambiguous=False,
             ),
             route=self._route_for(req),
-            service=self._service,
+            service=self.service,
             team="",
             urgency=req.request_class.urgency,
             regions=frozenset(),
--- a/packages/emulator/src/cornellead_emulator/routing/_request_progress.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_request_progress.py
@@ -32,6 +32,8 @@
         self.tried: set[str] = set()
         self.first_token_at: float | None = None
         """Time of the first token, in simulated seconds."""
+        self.sent_at = 0.0
+        """Time of the last send, in simulated seconds."""
         self.ended = False
         self.cancel: Callable[[], None] = _no_op
         """Cancels the request at its server."""
--- a/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
+++ b/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
@@ -32,3 +32,14 @@
     """Time for which a server is cold after its start."""
     cold_rate_per_s: float = 11.0
     """Requests per second that a cold server can handle."""
+
+    def slowed(self, factor: float) -> ModelServerSettings:
+        """Return the settings of a server whose steps take longer by a factor."""
+        if factor == 1.0:
+            return self
+        return msgspec.structs.replace(
+            self,
+            step_ms=self.step_ms * factor,
+            step_ms_per_request=self.step_ms_per_request * factor,
+            prefill_tokens_per_ms=self.prefill_tokens_per_ms / factor,
+        )
--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -11,6 +11,8 @@
 from cornellead.gateway.forwarding._forwarder import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding._forwarder import SERVICE_FULL_RETRY_AFTER_S
 from cornellead.gateway.forwarding._forwarder import Forwarder
+from cornellead.gateway.forwarding._outcome import BrokenResponse
+from cornellead.gateway.forwarding._outcome import DeliveredResponse
 from cornellead.gateway.forwarding._response_relay import ResponseRelay
 from cornellead.gateway.forwarding._server_picker import NoServer
 from cornellead.gateway.forwarding._server_picker import ServerPicker
@@ -22,7 +24,9 @@
     "Admission",
     "AdmittedRequest",
     "AttemptSender",
+    "BrokenResponse",
     "CrashWatch",
+    "DeliveredResponse",
     "EventSplitter",
     "Forwarder",
     "NoServer",
--- a/tests/router/gateway/sync/test_rollout_orders.py
+++ b/tests/router/gateway/sync/test_rollout_orders.py
@@ -47,7 +47,8 @@
         rollout = view.rollouts.get("llm")
         assert rollout is not None
         rollout.count("stream", new=True, bad=False)
-    assert rollout.own["stream"][0] == 2
+    rollout = view.rollouts.get("llm")
+    assert rollout is not None and rollout.own["stream"][0] == 2
 
 
 def test_fault_reaches_other_routers_and_counts_are_merged_once() -> None:
