--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -74,6 +74,8 @@
         to, share = rollout.order.to, rollout.share
         new = [state for state in servers if state.entry.version == to]
         old = [state for state in servers if state.entry.version != to]
+        if rollout.withdrawn and rollout.settled:
+            return [servers]
         if rollout.fault:
             return [old]
         if share >= 1.0:
--- a/packages/router/src/cornellead/gateway/view/_rollouts.py
+++ b/packages/router/src/cornellead/gateway/view/_rollouts.py
@@ -18,8 +18,8 @@
     from cornellead_core.routing import RolloutOrder
     from cornellead_core.routing import RolloutRecord
 
-REPORT_INTERVAL_S = 1.0
-"""Time between reports on a rollout."""
+REPORT_INTERVAL_S = 1.5
+"""Time between reports on a rollout: they share the bytes of the load reports."""
 MAX_ROUTES = 24
 """Maximum number of routes in a report, to keep it within one packet."""
 FAULT_ROUNDS = 6
--- a/tests/router/gateway/forwarding/test_rollout_gate.py
+++ b/tests/router/gateway/forwarding/test_rollout_gate.py
@@ -200,3 +200,10 @@
     gate.record_outcome(admitted, hanging, None, now=5.0)
     rollout = router.view.rollouts.get("llm")
     assert rollout is not None and rollout.own["stream"][:2] == (1, 1)
+
+
+def test_versions_are_alike_after_a_completed_order_was_removed(router: Router) -> None:
+    """Guards against servers of later versions that get nothing for good."""
+    router.order(phase=RolloutPhase.COMPLETED, share=1.0)
+    router.view.rollouts.withdraw("llm")
+    assert router.send() == pytest.approx(50, abs=20)
