--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -8,9 +8,9 @@
 from cornellead.gateway.forwarding._attempt_sender import AttemptSender
 from cornellead.gateway.forwarding._crash_watch import CrashWatch
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
-from cornellead.gateway.forwarding._forwarder import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding._forwarder import SERVICE_FULL_RETRY_AFTER_S
 from cornellead.gateway.forwarding._forwarder import Forwarder
+from cornellead.gateway.forwarding._request_sender import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding._response_relay import ResponseRelay
 from cornellead.gateway.forwarding._server_picker import NoServer
 from cornellead.gateway.forwarding._server_picker import ServerPicker
--- a/packages/router/src/cornellead/gateway/forwarding/_failover.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_failover.py
@@ -7,6 +7,10 @@
 
 import structlog
 
+from cornellead.gateway.forwarding._search_timing import LONG_SILENCE_S
+from cornellead.gateway.forwarding._search_timing import MAX_CONNECT_FAILURES
+from cornellead.gateway.forwarding._search_timing import REFUSAL_MEMORY_S
+from cornellead.gateway.forwarding._search_timing import SEARCH_INTERVAL_S
 from cornellead.gateway.view import ServerState
 from cornellead_core.routing import RequestKind
 
@@ -24,21 +28,11 @@
     from cornellead.gateway.view import FleetView
     from cornellead.upstream import Connection
 
-SEARCH_INTERVAL_S = 0.2
-"""Interval at which a further server is looked for while the attempt's own one stays silent."""
-MAX_CONNECT_FAILURES = 4
-"""Failed connection attempts after which one search ends."""
-LONG_SILENCE_S = 2.5
-"""Silence after which a full server is better than the own one: sound servers are silent for about
-a second, and a full one queues some requests."""
 MAX_OVERLAP_S = 0.3
 """Time after the send to a successor at which the stalled attempt is given up even if the successor
 has not begun to answer. A server that is full refuses within a round trip."""
 MAX_STREAM_OVERLAP_S = 0.02
 """The same for streams, on which two model servers would compute the same tokens."""
-REFUSAL_MEMORY_S = 1.0
-"""Time for which a search does not ask a server again that has refused the request: servers report
-their load about once a second."""
 
 
 class Failover:
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -12,31 +12,22 @@
 from cornellead.gateway.forwarding._admitted_request import RefusalResponse
 from cornellead.gateway.forwarding._attempt_runner import AttemptRunner
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
-from cornellead.gateway.forwarding._failover import MAX_CONNECT_FAILURES
 from cornellead.gateway.forwarding._failover import Failover
-from cornellead.gateway.forwarding._outcome import BrokenResponse
-from cornellead.gateway.forwarding._outcome import DeliveredResponse
-from cornellead.gateway.forwarding._outcome import ErrorResponse
-from cornellead.gateway.forwarding._outcome import NotRunResponse
-from cornellead.gateway.forwarding._refused_stream import RefusedStream
 from cornellead.gateway.forwarding._request_context import RequestContext
+from cornellead.gateway.forwarding._request_sender import RequestSender
 from cornellead.gateway.forwarding._request_trace import RequestTrace
-from cornellead.gateway.forwarding._retry_gate import NO_RETRY_BUDGET
-from cornellead.gateway.forwarding._retry_gate import STOPPING
 from cornellead.gateway.forwarding._retry_gate import RetryGate
 from cornellead.gateway.forwarding._return_retry import ReturnRetry
-from cornellead.gateway.forwarding._server_picker import NoServer
 from cornellead.gateway.policy import retry_after_s
-from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from cornellead.gateway.forwarding._admission import Admission
     from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
-    from cornellead.gateway.forwarding._attempt import Attempt
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._crash_watch import CrashWatch
+    from cornellead.gateway.forwarding._outcome import ErrorResponse
     from cornellead.gateway.forwarding._response_relay import ResponseRelay
     from cornellead.gateway.forwarding._server_picker import ServerPicker
     from cornellead.gateway.ingress import CallerRequest
@@ -47,8 +38,6 @@
     from cornellead.gateway.view import FleetView
     from cornellead_core.routing import WireFormat
 
-COLD_WAIT_SHARE = 0.25
-"""Maximum wait for the rate limit of a cold server, as a fraction of the latency target."""
 SERVICE_FULL_RETRY_AFTER_S = 0.4
 """Retry-After if servers were tried but none ran the request: a full service usually has room by
 then, since a few of its requests have ended."""
@@ -86,21 +75,29 @@
         self._view = view
         self._admission = admission
         self._serving = serving
-        self._picker = picker
-        self._sender = sender
         self._retries = retries
         self._gate = RetryGate(
             view=view, serving=serving, retries=retries, stats=stats, clock=clock
         )
-        self._runner = AttemptRunner(
+        runner = AttemptRunner(
             view=view, picker=picker, sender=sender, relay=relay, crashes=crashes, clock=clock
         )
-        self._failover = Failover(
+        failover = Failover(
             view=view,
             picker=picker,
             sender=sender,
             relay=relay,
-            runner=self._runner,
+            runner=runner,
+            gate=self._gate,
+            stats=stats,
+            clock=clock,
+        )
+        self._requests = RequestSender(
+            view=view,
+            picker=picker,
+            sender=sender,
+            runner=runner,
+            failover=failover,
             gate=self._gate,
             stats=stats,
             clock=clock,
@@ -149,113 +146,16 @@
             admitted=admitted, trace=trace, out=out, gate=self._gate, clock=self._clock
         )
         try:
-            await self._try_servers(RequestContext(admitted, trace, events, out, return_retry))
+            sequence = await self._requests.run(
+                RequestContext(admitted, trace, events, out, return_retry)
+            )
+            if sequence.delivered is None:
+                self._respond_to_failure(
+                    admitted, trace, sequence.fallback, out, wait_s=sequence.wait_s
+                )
         finally:
             return_retry.release()
 
-    async def _try_servers(self, context: RequestContext) -> None:
-        admitted, trace, events, out, return_retry = context
-        refused = RefusedStream(context=context, clock=self._clock)
-        fallback: ErrorResponse | None = None
-        wait_s: float | None = None
-        connect_failures = 0
-        attempt: Attempt | None = None
-        retry_paid = False
-        while admitted.attempts.time_left_s(now=self._clock()) > 0:
-            if attempt is None:
-                if not self._gate.allows_send(admitted):
-                    trace.add_note(STOPPING)
-                    break
-                if admitted.attempts.sends and not retry_paid:
-                    if not self._may_retry(context, fallback):
-                        obstacle = self._gate.find_obstacle(admitted, trace)
-                        if obstacle == NO_RETRY_BUDGET and await refused.wait():
-                            continue
-                        break
-                    retry_paid = True
-                if not events.resumable:
-                    trace.add_note("events_without_id")
-                    break
-                picked = self._pick_origin(context) or await self._pick_server(
-                    admitted, trace, excluded=refused.excluded()
-                )
-                if isinstance(picked, NoServer):
-                    self._record_no_server(trace, picked)
-                    if await refused.wait():
-                        continue
-                    wait_s = picked.wait_s
-                    break
-                if not self._gate.allows_send(admitted):
-                    # The stop began to refuse requests while this one waited for its server.
-                    break
-                attempt = await self._runner.start(context, picked)
-                if attempt is None:
-                    return_retry.forget_origin(picked.entry.server)
-            if attempt is None:
-                connect_failures += 1
-                if connect_failures >= MAX_CONNECT_FAILURES:
-                    break
-                # Nothing was sent, so a retry that was paid covers the next server.
-                continue
-            retry_paid = False
-            return_retry.record_send()
-            self._failover.watch(context, attempt)
-            attempt.on_head = return_retry.release
-            outcome = await self._runner.run(context, attempt)
-            if isinstance(outcome, DeliveredResponse):
-                trace.set_result(outcome.status, "delivered")
-                return
-            if isinstance(outcome, ErrorResponse):
-                fallback = outcome
-            if isinstance(outcome, BrokenResponse):
-                events.restart()
-            if isinstance(outcome, NotRunResponse):
-                refused.record_refusal(attempt.state.entry.server)
-            else:
-                refused.record_taken()
-            attempt = attempt.successor
-        if attempt is not None:
-            self._sender.finish(attempt)
-        self._respond_to_failure(admitted, trace, fallback, out, wait_s=wait_s)
-
-    def _record_no_server(self, trace: RequestTrace, result: NoServer) -> None:
-        trace.add_note_once(f"no_server_of_{result.usable_servers}")
-        if result.rate_limited:
-            trace.add_note_once("rate_limited")
-            self._stats.count_decision("rate_limited")
-
-    def _may_retry(self, context: RequestContext, fallback: ErrorResponse | None) -> bool:
-        admitted, return_retry = context.admitted, context.return_retry
-        if fallback is not None and not admitted.route.repeatable:
-            return False
-        if return_retry.origin_recovered and return_retry.try_return():
-            return True
-        return self._gate.try_pass(admitted, context.trace) or return_retry.try_return()
-
-    def _pick_origin(self, context: RequestContext) -> ServerState | None:
-        """Return the server that the stream left, if it returns there and may be sent."""
-        admitted, origin = context.admitted, context.return_retry.origin
-        if origin is None:
-            return None
-        listed = self._view.servers.listed(admitted.service.name)
-        others = {state.entry.server for state in listed} - {origin}
-        picked = self._picker.pick(admitted, tried=(), excluded=others, now=self._clock())
-        return picked if isinstance(picked, ServerState) else None
-
-    async def _pick_server(
-        self, admitted: AdmittedRequest, trace: RequestTrace, *, excluded: set[str]
-    ) -> ServerState | NoServer:
-        hold_until = self._clock() + COLD_WAIT_SHARE * admitted.route.target_latency_s
-        while True:
-            picked = self._picker.pick(
-                admitted, tried=trace.tried, excluded=excluded, now=self._clock()
-            )
-            if isinstance(picked, ServerState):
-                return picked
-            if picked.next_send_at is None or picked.next_send_at > hold_until:
-                return picked
-            await asyncio.sleep(max(0.001, picked.next_send_at - self._clock()))
-
     def _respond_to_failure(
         self,
         admitted: AdmittedRequest,
--- a/packages/router/src/cornellead/gateway/forwarding/_refused_stream.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_refused_stream.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from cornellead.gateway.forwarding._failover import REFUSAL_MEMORY_S
-from cornellead.gateway.forwarding._failover import SEARCH_INTERVAL_S
+from cornellead.gateway.forwarding._search_timing import REFUSAL_MEMORY_S
+from cornellead.gateway.forwarding._search_timing import SEARCH_INTERVAL_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/router/src/cornellead/gateway/forwarding/_return_retry.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_return_retry.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from cornellead.gateway.forwarding._failover import LONG_SILENCE_S
+from cornellead.gateway.forwarding._search_timing import LONG_SILENCE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
