--- a/packages/router/src/cornellead/gateway/exchange/__init__.py
+++ b/packages/router/src/cornellead/gateway/exchange/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cornellead.gateway.exchange._load_exchange import LoadExchange
+from cornellead.gateway.exchange._queue_channel import QueueChannel
 from cornellead.gateway.exchange._report_channel import ReportChannel
 
-__all__ = ["LoadExchange", "ReportChannel"]
+__all__ = ["LoadExchange", "QueueChannel", "ReportChannel"]
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.forwarding._attempt_runner import AttemptRunner
 from cornellead.gateway.forwarding._event_splitter import EventSplitter
 from cornellead.gateway.forwarding._failover import Failover
+from cornellead.gateway.forwarding._place_waiter import PlaceWaiter
 from cornellead.gateway.forwarding._request_context import RequestContext
 from cornellead.gateway.forwarding._request_sender import RequestSender
 from cornellead.gateway.forwarding._request_trace import RequestTrace
@@ -92,6 +93,9 @@
             stats=stats,
             clock=clock,
         )
+        self.places = PlaceWaiter(
+            view=view, serving=serving, picker=picker, stats=stats, clock=clock
+        )
         self._requests = RequestSender(
             view=view,
             picker=picker,
@@ -99,6 +103,7 @@
             runner=runner,
             failover=failover,
             gate=self._gate,
+            places=self.places,
             stats=stats,
             clock=clock,
         )
--- a/packages/router/src/cornellead/gateway/forwarding/_request_sender.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_request_sender.py
@@ -22,6 +22,7 @@
     from cornellead.gateway.forwarding._attempt_runner import AttemptRunner
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._failover import Failover
+    from cornellead.gateway.forwarding._place_waiter import PlaceWaiter
     from cornellead.gateway.forwarding._request_context import RequestContext
     from cornellead.gateway.forwarding._retry_gate import RetryGate
     from cornellead.gateway.forwarding._server_picker import ServerPicker
@@ -44,6 +45,7 @@
         runner: AttemptRunner,
         failover: Failover,
         gate: RetryGate,
+        places: PlaceWaiter,
         stats: GatewayStats,
         clock: Callable[[], float],
     ) -> None:
@@ -53,6 +55,7 @@
         self._runner = runner
         self._failover = failover
         self._gate = gate
+        self._places = places
         self._stats = stats
         self._clock = clock
 
@@ -60,6 +63,10 @@
         """Send a request until it is answered, or until the deadline, the attempts or the retry
         budget are used up; return how that ended."""
         sequence = SendSequence()
+        # Requests wait before their first send only: a retry or a returning stream has waited.
+        wait_s = await self._places.hold(context)
+        if wait_s is not None:
+            sequence.stop(wait_s=wait_s)
         refused = RefusedStream(context=context, clock=self._clock)
         attempt: Attempt | None = None
         picked: ServerState | None = None
@@ -149,8 +156,15 @@
         """Relay the response of an attempt, and return its successor if there is one."""
         context.return_retry.record_send()
         self._failover.watch(context, attempt)
-        attempt.on_head = context.return_retry.release
+        service = context.admitted.service.name
+
+        def record_head() -> None:
+            context.return_retry.release()
+            self._places.wake(service)
+
+        attempt.on_head = record_head
         outcome = await self._runner.run(context, attempt)
+        self._places.wake(service, ended_at=attempt.state)
         sequence.record_outcome(outcome, has_successor=attempt.successor is not None)
         if sequence.delivered is not None:
             context.trace.set_result(sequence.delivered.status, "delivered")
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -114,9 +114,7 @@
         :param now: Seconds.
         """
         routers = self._view.routers(now=now)
-        servers = self._view.servers.usable(
-            admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
-        )
+        servers = self.usable(admitted)
         jitter = request_jitter(admitted.caller.request_id)
         awake = _exclude_paused(servers, jitter=jitter, now=now)
         if servers and not awake:
@@ -153,6 +151,12 @@
             shortest_wait_s = RATE_LIMIT_WAIT_S if next_send_at is None else next_send_at - now
         return NoServer(next_send_at, len(servers), shortest_wait_s, rate_limited)
 
+    def usable(self, admitted: AdmittedRequest) -> list[ServerState]:
+        """Return the servers that may run a request."""
+        return self._view.servers.usable(
+            admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
+        )
+
     def _next_send_at(
         self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
     ) -> float | None:
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -6,6 +6,11 @@
 from cornellead.gateway.policy._chat_order import PlacementContext
 from cornellead.gateway.policy._cold_start_limiter import ColdStartLimiter
 from cornellead.gateway.policy._expected_wait import expected_wait_s
+from cornellead.gateway.policy._place_queue import HeldRequest
+from cornellead.gateway.policy._place_queue import PlaceQueue
+from cornellead.gateway.policy._place_share import MIN_BACKLOG
+from cornellead.gateway.policy._place_share import ServerLoad
+from cornellead.gateway.policy._place_share import count_places
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_attempts import RequestAttempts
 from cornellead.gateway.policy._request_attempts import RunState
@@ -24,13 +29,18 @@
 
 __all__ = [
     "MAX_PAUSE_S",
+    "MIN_BACKLOG",
     "ChatOrder",
     "ColdStartLimiter",
+    "HeldRequest",
+    "PlaceQueue",
     "PlacementContext",
     "RequestAttempts",
     "RetryBudgets",
     "RunState",
+    "ServerLoad",
     "ServerRateLimiter",
+    "count_places",
     "exclude",
     "expected_outage_s",
     "expected_wait_s",
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -124,13 +124,14 @@
             return own + others
         return float(own * max(1, routers)) if reported is None else reported
 
-    def reported_load(self, *, now: float) -> float | None:
+    def reported_load(
+        self, *, now: float, max_age_s: float = REPORTED_LOAD_MAX_AGE_S
+    ) -> float | None:
         """Return the load in the latest response, adjusted by this router's changes since then.
 
-        :returns: ``None`` if the latest load is older than `REPORTED_LOAD_MAX_AGE_S` or there is
-            none.
+        :returns: ``None`` if the latest load is older than ``max_age_s`` or there is none.
         """
-        if self._reported_load is None or now - self._reported_at > REPORTED_LOAD_MAX_AGE_S:
+        if self._reported_load is None or now - self._reported_at > max_age_s:
             return None
         own = self.health.in_flight
         change = own - self._in_flight_at_report
--- a/tests/router/gateway/forwarding/test_send_sequence.py
+++ b/tests/router/gateway/forwarding/test_send_sequence.py
@@ -53,11 +53,12 @@
     _advance_to_connect(sequence)
     sequence.record_sent()
     sequence.record_outcome(error, has_successor=True)
-    assert sequence.step is SendStep.RELAY
+    steps = [sequence.step]
     sequence.record_outcome(BrokenResponse("broken"), has_successor=False)
-    assert sequence.step is SendStep.CHECK
+    steps.append(sequence.step)
     sequence.stop(wait_s=2.0)
-    assert (sequence.step, sequence.fallback, sequence.wait_s) == (SendStep.DONE, error, 2.0)
+    assert [*steps, sequence.step] == [SendStep.RELAY, SendStep.CHECK, SendStep.DONE]
+    assert (sequence.fallback, sequence.wait_s) == (error, 2.0)
 
 
 def test_steps_out_of_order_are_errors() -> None:
