--- a/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
@@ -248,6 +248,10 @@
         duration_s = health.stream_duration_s or health.latency_s
         max_age_s = min(REPORTED_LOAD_MAX_AGE_S, max(REPORTED_LOAD_FRESH_S, duration_s))
         load = state.reported_load(now=now, max_age_s=max_age_s)
+        if load is None and duration_s < REPORTED_LOAD_MAX_AGE_S / 2:
+            # Reports of other routers are older than such work lasts. The slots are taken to be
+            # in use, and the server is asked with the few requests that it may queue.
+            load = float(slots)
         if load is None:
             routers = len(self._view.routers(now=now))
             load = state.load(self._view.load, routers=routers, now=now)
--- a/tests/router/gateway/forwarding/queue_play.py
+++ b/tests/router/gateway/forwarding/queue_play.py
@@ -37,7 +37,6 @@
 from cornellead_core.routing import Service
 
 NETWORK_S = 0.005
-REPORT_INTERVAL_S = 0.2
 RECIPIENTS = 8
 ORDINARY_TEAMS = 8
 
@@ -73,6 +72,7 @@
     lost_router_at: float | None = None
     seconds: float = 5.0
     seed: int = 1
+    report_interval_s: float = 0.2
 
 
 class PlayResult:
@@ -221,7 +221,7 @@
 
     async def _report(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self.play.report_interval_s)
             self._announce()
             now = self.clock()
             held = sum(router.waiter.held for router in self.routers)
@@ -395,6 +395,8 @@
     "plain-4": PLAIN._replace(factor=4.0),
     "plain-team-8": PLAIN._replace(factor=1.5, large_team=8.0),
     "plain-slow": PLAIN._replace(factor=1.6, slow_servers=1),
+    "plain-3-slow-reports": PLAIN._replace(factor=3.0, report_interval_s=0.9),
+    "plain-slow-slow-reports": PLAIN._replace(factor=1.6, slow_servers=1, report_interval_s=0.9),
     "plain-lost-router": PLAIN._replace(factor=3.0, lost_router_at=2.0),
     "model-3": MODEL._replace(factor=3.0),
     "model-4": MODEL._replace(factor=4.0),
--- a/tests/router/gateway/forwarding/test_queue_plays.py
+++ b/tests/router/gateway/forwarding/test_queue_plays.py
@@ -56,3 +56,11 @@
     assert with_queue.share("urgency", 0) >= without.share("urgency", 0) + 0.1
     assert with_queue.served >= 0.98 * without.served
     assert with_queue.held_at_end == 0
+
+
+def test_reports_every_second_leave_no_slots_idle() -> None:
+    """Guards against places that stay unused while reports of other routers are out of date."""
+    for name in ("plain-3-slow-reports", "plain-slow-slow-reports"):
+        without, with_queue = _run(PLAYS[name])
+        assert with_queue.served >= 0.98 * without.served
+        assert with_queue.share("urgency", 0) >= without.share("urgency", 0) + 0.05
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -71,7 +71,7 @@
         )
         self.retries = RetryBudgets(bounds=BOUNDS)
         stats = GatewayStats(metrics=Metrics())
-        forwarder = Forwarder(
+        self.forwarder = Forwarder(
             view=self.view,
             admission=Admission(
                 view=self.view,
@@ -92,7 +92,7 @@
         )
         self.listener = CallerListener(
             address=address,
-            handler=forwarder,
+            handler=self.forwarder,
             serving=self.serving,
             limits=lambda: self.limits,
             clock=clock,
