--- a/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
@@ -50,6 +50,9 @@
 latency target."""
 LATENCY_MARGIN = 1.5
 """Time from a send to the first byte that is expected, as a multiple of the mean."""
+MIN_WAIT_S = 0.1
+"""Expected wait of a request that made room for others, at least: the rate of places may not be
+known yet, and callers that return at once would be refused again."""
 LOG_INTERVAL_S = 5.0
 """Minimum time between two log lines: queues may form and empty many times a second."""
 MAX_HELD_BYTES = 8 << 20
@@ -170,7 +173,7 @@
         self._stats.count_decision(verdict)
         if verdict in (PLACED, STOPPED):
             return None
-        return max(queue.expected_wait_s(held, now=self._clock()), waited_s)
+        return max(queue.expected_wait_s(held, now=self._clock()), waited_s, MIN_WAIT_S)
 
     def wake(self, service: str, ended_at: ServerState | None = None) -> None:
         """Look for places of a service, after a response or the end of an own request.
@@ -227,6 +230,8 @@
         self, admitted: AdmittedRequest, servers: list[ServerState], *, now: float
     ) -> bool:
         """Return whether more urgent requests of other routers need all places."""
+        if not self.reports:
+            return False
         others = self.reports.others(
             admitted.service.name, heard_share=self._heard_share(now), now=now
         )
@@ -267,7 +272,7 @@
         ]
 
     def _hears_others(self, *, now: float) -> bool:
-        return len(self._view.routers(now=now)) == 1 or len(self._view.load) > 0
+        return len(self._view.load) > 0 or len(self._view.routers(now=now)) == 1
 
     def _advance(self, line: Line, *, now: float) -> None:
         """Give places and refusals to the requests of a queue."""
--- a/packages/router/src/cornellead/gateway/view/_queue_reports.py
+++ b/packages/router/src/cornellead/gateway/view/_queue_reports.py
@@ -42,6 +42,9 @@
         self.read_held: Callable[[], Mapping[str, Mapping[int, int]]] = dict
         """Returns what this router holds by service and urgency."""
 
+    def __len__(self) -> int:
+        return len(self._reports)
+
     def make_report(self) -> QueueReport | None:
         """Return the next message to other routers; ``None`` if there is nothing to tell."""
         held = {hash_service(name): dict(counts) for name, counts in self.read_held().items()}
