--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -115,9 +115,7 @@
         :param excluded: As for `pick`.
         :param now: Seconds.
         """
-        servers = self._view.servers.usable(
-            admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
-        )
+        servers = self.usable(admitted)
         picked: ServerState | NoServer = NoServer(None, 0)
         for group in self.rollouts.groups(admitted, servers):
             picked = self._find_among(group, admitted, tried=tried, excluded=excluded, now=now)
@@ -171,6 +169,12 @@
             shortest_wait_s = RATE_LIMIT_WAIT_S if next_send_at is None else next_send_at - now
         return NoServer(next_send_at, len(servers), shortest_wait_s, rate_limited)
 
+    def usable(self, admitted: AdmittedRequest) -> list[ServerState]:
+        """Return the servers that may run a request."""
+        return self._view.servers.usable(
+            admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
+        )
+
     def _next_send_at(
         self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
     ) -> float | None:
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -9,6 +9,7 @@
 import structlog
 
 from cornellead.gateway.exchange import LoadExchange
+from cornellead.gateway.exchange import QueueChannel
 from cornellead.gateway.exchange import RolloutChannel
 from cornellead.gateway.forwarding import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
@@ -188,7 +189,10 @@
             view=self._view,
             address=location.address,
             clock=read_clock,
-            channels=[RolloutChannel(rollouts=self._view.rollouts)],
+            channels=[
+                RolloutChannel(rollouts=self._view.rollouts),
+                QueueChannel(reports=forwarder.places.reports),
+            ],
         )
         self._rollouts = RolloutController(
             reader=self._store,
@@ -201,6 +205,9 @@
                 min(ROLLOUTS_READ_INTERVAL_S, self._settings.bounds.rollback_s / 4)
             ),
         )
+        metrics.gauge(
+            "gateway_queued_requests", "Requests that wait in the router for a place"
+        ).set_function(lambda: forwarder.places.held)
         relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
             settings.caller_address, forwarder, sock=caller_socket
