--- a/tests/processes/gateway_fleet.py
+++ b/tests/processes/gateway_fleet.py
@@ -38,6 +38,9 @@
         self.servers = [ScriptedServer(self._respond) for _ in range(2)]
         self.caller_address, self.ready_address = find_address(), find_address()
         self.response_delay_s = 0.0
+        self.response_body = b"paid"
+        self.limits: dict[str, float] = {}
+        """Limits in the settings of the next gateway that is started."""
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -55,6 +58,7 @@
             self.store_address, listen=listen, internal_port_range=[port, port + 1]
         )
         settings["bounds"].update(bounds)
+        settings["limits"] = self.limits
         self._settings_path.write_bytes(msgspec.json.encode(settings))
         metrics = self._find_address().rpartition(":")[2]
         # The process drops lines that a full pipe does not take.
@@ -128,7 +132,7 @@
 
     async def _respond(self, exchange: ScriptedExchange) -> None:
         await asyncio.sleep(self.response_delay_s)
-        await exchange.send(exchange.sealed_response(200, b"paid"))
+        await exchange.send(exchange.sealed_response(200, self.response_body))
 
     async def _readiness_status(self) -> int:
         host, _, port = self.ready_address.rpartition(":")
