--- a/packages/core/src/cornellead_core/buffers/__init__.py
+++ b/packages/core/src/cornellead_core/buffers/__init__.py
@@ -1,11 +1,19 @@
-"""Bounds on the bytes that a process holds for the responses it is receiving."""
+"""Bounds on the bytes that a process holds for its peers."""
 
 from __future__ import annotations
 
 from cornellead_core.buffers._buffer_budget import MAX_BUFFERED_BYTES
+from cornellead_core.buffers._buffer_budget import MIN_RECORDED_BYTES
 from cornellead_core.buffers._buffer_budget import UNKNOWN_OWNER
 from cornellead_core.buffers._buffer_budget import BufferBudget
 from cornellead_core.buffers._buffer_budget import BufferHolder
 from cornellead_core.buffers._buffer_budget import BufferOwner
 
-__all__ = ["MAX_BUFFERED_BYTES", "UNKNOWN_OWNER", "BufferBudget", "BufferHolder", "BufferOwner"]
+__all__ = [
+    "MAX_BUFFERED_BYTES",
+    "MIN_RECORDED_BYTES",
+    "UNKNOWN_OWNER",
+    "BufferBudget",
+    "BufferHolder",
+    "BufferOwner",
+]
--- a/packages/core/src/cornellead_core/buffers/_buffer_budget.py
+++ b/packages/core/src/cornellead_core/buffers/_buffer_budget.py
@@ -11,6 +11,10 @@
 MAX_BUFFERED_BYTES = 32 << 20
 """Bytes that the holders of one budget may hold together: a sixth of the memory of the smallest
 hosts, which have 200 MB. A gateway has one for responses and one for unfinished requests."""
+MAX_USUAL_PIN_BYTES = 64 << 10
+"""Size of a pinned request above which `LARGE_PIN_SHARE` applies."""
+LARGE_PIN_SHARE = 0.75
+"""Part of a budget that large pinned requests may take; the rest is left to usual ones."""
 MIN_RECORDED_BYTES = 4096
 """Size below which a holder is not counted, which spares the work for most streams."""
 
@@ -51,8 +55,12 @@
         self._shares: defaultdict[BufferOwner, _Share] = defaultdict(_Share)
         self.used_bytes = 0
         """Sum of what the holders hold."""
+        self.pinned_bytes = 0
+        """What is held beside the holders and cannot be given up, such as requests in progress."""
         self.dropped = 0
         """Number of holders that had to give up."""
+        self.refused = 0
+        """Number of times that `try_pin` found no room."""
 
     def record(
         self, holder: BufferHolder, size: int, *, owner: BufferOwner = UNKNOWN_OWNER
@@ -81,7 +89,30 @@
         share.held[key] = held
         share.size += grown
         self.used_bytes += grown
-        while self.used_bytes > self._limit_bytes:
+        self._make_room()
+
+    def try_pin(self, size: int) -> bool:
+        """Count bytes that cannot be given up until `unpin`; holders give way to them.
+
+        :param size: Bytes.
+        :returns: ``False`` if what is pinned leaves no room; nothing is counted then.
+        """
+        limit = self._limit_bytes
+        if size > MAX_USUAL_PIN_BYTES:
+            limit = int(LARGE_PIN_SHARE * limit)
+        if self.pinned_bytes + size > limit:
+            self.refused += 1
+            return False
+        self.pinned_bytes += size
+        self._make_room()
+        return True
+
+    def unpin(self, size: int) -> None:
+        """Stop counting bytes of `try_pin`."""
+        self.pinned_bytes -= size
+
+    def _make_room(self) -> None:
+        while self._shares and self.used_bytes + self.pinned_bytes > self._limit_bytes:
             self._drop_one()
 
     def _drop_one(self) -> None:
--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -7,6 +7,7 @@
 from cornellead_core.routing._http_client import HttpClient
 from cornellead_core.routing._http_client import HttpResponse
 from cornellead_core.routing._node_settings import Bounds
+from cornellead_core.routing._node_settings import CallerSettings
 from cornellead_core.routing._node_settings import NodeSettings
 from cornellead_core.routing._node_settings import StoreSettings
 from cornellead_core.routing._position import UNKNOWN_ERA
@@ -54,6 +55,7 @@
     "Bounds",
     "CallerHeaders",
     "CallerLimits",
+    "CallerSettings",
     "DataCentreNotice",
     "FleetStore",
     "ForwardTarget",
--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -34,6 +34,17 @@
     """Write requests per second that the store accepts from all processes together."""
 
 
+class CallerSettings(NamedTuple):
+    """Bounds on what callers may use; 0 for a default derived from the host."""
+
+    budget_bytes: int = 0
+    """What is held for all callers together: requests and unread responses."""
+    connections: int = 0
+    connections_per_address: int = 0
+    unread_timeout_s: float = 0.0
+    """Time without a byte being read after which a caller with unread responses is closed."""
+
+
 class NodeSettings(NamedTuple):
     """Settings of one process."""
 
@@ -53,3 +64,6 @@
     """Bandwidth of the host's link in Mbit/s; 0 if unknown."""
     bounds: Bounds
     store: StoreSettings
+    memory_mb: float = 0.0
+    """Memory of the host in MB; 0 if unknown."""
+    callers: CallerSettings = CallerSettings()
--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
+from cornellead.gateway.ingress._caller_connection import FIRST_REFUSAL_STATUS
 from cornellead.gateway.ingress._caller_connection import CallerConnection
 from cornellead.gateway.ingress._caller_connection import RequestHandler
 from cornellead.gateway.ingress._caller_listener import CallerListener
 from cornellead.gateway.ingress._caller_request import CallerRequest
+from cornellead.gateway.ingress._connection_bounds import ConnectionBounds
+from cornellead.gateway.ingress._connection_bounds import make_bounds
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import ResponseWriter
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 from cornellead.gateway.ingress._serving_state import ServingState
+from cornellead.gateway.ingress._unread_watch import UNREAD_TIMEOUT_S
 
 __all__ = [
+    "FIRST_REFUSAL_STATUS",
+    "UNREAD_TIMEOUT_S",
     "CallerConnection",
     "CallerListener",
     "CallerRequest",
+    "ConnectionBounds",
     "RejectionStatus",
     "RequestHandler",
     "RequestParser",
@@ -24,4 +31,5 @@
     "ServingPhase",
     "ServingState",
     "encode_head",
+    "make_bounds",
 ]
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -8,12 +8,16 @@
 
 import structlog
 
+from cornellead.gateway.ingress._held_bytes import HeldBytes
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import LAST_CHUNK
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead.gateway.ingress._unread_watch import UNREAD_TIMEOUT_S
+from cornellead.gateway.ingress._unread_watch import UnreadWatch
+from cornellead_core.buffers import MIN_RECORDED_BYTES
 from cornellead_core.buffers import UNKNOWN_OWNER
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.buffers import BufferOwner
@@ -41,6 +45,11 @@
 """Unsent bytes above which a streamed response waits for the caller to read."""
 
 
+REFUSAL_COST_BYTES = 1024
+"""What a refusal counts in the pacing of reads: as much work as parsing so many bytes."""
+FIRST_REFUSAL_STATUS = 400
+
+
 class RequestHandler(Protocol):
     """Serves the requests of a connection."""
 
@@ -56,7 +65,10 @@
     :param clock: Returns seconds, including the time for which the host was suspended.
     :param on_closed: Called once the connection is closed.
     :param pacer: Shares the reads of the process among peers.
-    :param budget: Bounds what the unfinished requests of all callers hold together.
+    :param budget: Bounds what is held for all callers: requests and unread responses.
+    :param unread_timeout_s: Time without a byte being read after which responses are given up.
+    :param paced_status: Lowest status of responses whose number is paced for each address.
+    :param on_opened: Called once the address of the caller is known.
     """
 
     def __init__(
@@ -69,15 +81,28 @@
         on_closed: Callable[[CallerConnection], None],
         pacer: ReadPacer,
         budget: BufferBudget | None = None,
+        unread_timeout_s: float = UNREAD_TIMEOUT_S,
+        paced_status: int = FIRST_REFUSAL_STATUS,
+        on_opened: Callable[[CallerConnection], None] | None = None,
     ) -> None:
         super().__init__(pacer=pacer)
+        self._paced_status = paced_status
+        self._on_opened = on_opened
+        self._watch = UnreadWatch(
+            timeout_s=unread_timeout_s,
+            read_size=self._unsent_bytes,
+            on_check=self._record_held,
+            on_stalled=self._on_nothing_read,
+        )
+        self._held_back = False
+        """Whether the next request waits since too many of this address were refused."""
         self._handler = handler
         self._serving = serving
         self._get_limits = limits
         self._limits = limits()
         self._clock = clock
         self._on_closed = on_closed
-        self._budget = BufferBudget() if budget is None else budget
+        self._held = HeldBytes(budget=budget or BufferBudget(), holder=self)
         self._owner = UNKNOWN_OWNER
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
@@ -98,7 +123,26 @@
     @property
     def idle(self) -> bool:
         """Whether no request is in progress or partly received."""
-        return self._task is None and not self._parser.has_partial_request
+        return (
+            self._task is None
+            and not self._parser.has_partial_request
+            and not self._parser.requests
+        )
+
+    @property
+    def address(self) -> str:
+        """Address of the caller, empty until it is known."""
+        return self._owner.server
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is being closed."""
+        return self._closing
+
+    @property
+    def unread(self) -> bool:
+        """Whether the caller leaves more unread than `WRITE_HIGH_WATER_BYTES`."""
+        return not self._writable.is_set()
 
     @property
     def settled(self) -> bool:
@@ -121,6 +165,8 @@
             self._owner = BufferOwner(server=str(peer[0]))
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._start_idle_timer()
+        if self._on_opened is not None:
+            self._on_opened(self)
 
     def consume(self, data: memoryview) -> None:
         """Parse received bytes."""
@@ -151,7 +197,7 @@
                 self._start_timer(self._limits.idle_timeout_s, self._on_request_timeout)
         if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
             self.pause_reading()
-        self._budget.record(self, self._parser.partial_bytes, owner=self._owner)
+        self._record_held()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since nobody can receive its response."""
@@ -164,20 +210,35 @@
                 close_announced=self._close_after_response,
             )
         self._cancel_timer()
+        self._watch.stop()
+        self._pacer.forget(self, self._owner)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
         self._parser.close()
-        self._budget.record(self, 0, owner=self._owner)
+        self._held.record(0, owner=self._owner)
         self._on_closed(self)
 
     def pause_writing(self) -> None:
-        """Block streamed responses: the write buffer is above its high-water mark."""
+        """Block streamed responses and further requests: too much is unread."""
         self._writable.clear()
+        self._watch_unread()
 
     def resume_writing(self) -> None:
-        """Unblock streamed responses."""
+        """Unblock streamed responses and further requests."""
         self._writable.set()
+        self._watch.record_progress()
+        self._record_held()
+        if self._task is None and not self._closing:
+            self._go_on()
+
+    def set_throttled(self, throttled: bool) -> None:
+        """Wait for a turn, or go on with requests that wait for one."""
+        super().set_throttled(throttled)
+        if self._held_back and not throttled:
+            self._held_back = False
+            if self._task is None and not self._closing:
+                self._go_on()
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or partly received."""
@@ -199,6 +260,9 @@
         self._response_complete = True
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
         self._write(head if self._head_only else head + body)
+        if status >= self._paced_status and not self._throttled:
+            self._pacer.charge(self, self._owner, REFUSAL_COST_BYTES)
+            self._held_back = self._throttled
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
@@ -226,10 +290,17 @@
             self._transport.abort()
 
     def drop_buffer(self) -> None:
-        """Reject the request that was received in part; called by the budget."""
-        structlog.get_logger().warning(
-            "unfinished requests hold too much", rejected_bytes=self._parser.partial_bytes
-        )
+        """Give up what is held for the caller: unread responses, or requests that have not been
+        started; called by the budget."""
+        log = structlog.get_logger()
+        unsent_bytes = self._unsent_bytes()
+        if self._closing or unsent_bytes > self._parser.held_bytes:
+            log.warning("unread responses hold too much", unread_bytes=unsent_bytes)
+            self.abort()
+            return
+        log.warning("unfinished requests hold too much", rejected_bytes=self._parser.held_bytes)
+        self._serving.dropped += len(self._parser.requests)
+        self._parser.requests.clear()
         self._parser.drop_partial_request()
         if self._task is None and not self._closing:
             self._reject(RejectionStatus.NO_ROOM)
@@ -240,14 +311,23 @@
             self._close_after_response = True
 
     def _start_next_request(self) -> None:
-        if not self._parser.requests:
+        if not self._parser.requests or self._held_back or not self._writable.is_set():
             return
         req = self._parser.requests.pop(0)
         self._cancel_timer()
+        self._head_only = req.method == b"HEAD"
+        if req.held_bytes >= MIN_RECORDED_BYTES:
+            self._record_held()
+            if not self._held.try_begin(req):
+                self._drop_requests()
+                self._reject(RejectionStatus.NO_ROOM)
+            if self._closing:
+                # Also if this connection was the one that had to make room.
+                self._held.end()
+                return
         self.started = False
         self._response_complete = False
         self._continue_sent = False
-        self._head_only = req.method == b"HEAD"
         self._caller_closes = "close" in req.header(b"connection").lower()
         self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
@@ -268,6 +348,7 @@
         finally:
             self._serving.in_progress -= 1
             self._task = None
+            self._held.end()
         self._finish_request()
 
     def _respond_to_error(self) -> None:
@@ -286,10 +367,22 @@
             self._drop_requests()
             self._close_after_linger()
             return
+        if self._unsent_bytes():
+            self._watch_unread()
+        if not self._closing:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Start the next request, or wait for one."""
+        if not self._writable.is_set():
+            self.pause_reading()
+            return
         self._start_next_request()
+        if self._closing:
+            return
         if len(self._parser.requests) <= MAX_PIPELINED_REQUESTS:
             self.resume_reading()
-        if self._task is None:
+        if self._task is None and not self._parser.requests:
             if self._parser.rejection is not None:
                 self._reject(self._parser.rejection)
             elif self._parser.has_partial_request:
@@ -298,6 +391,25 @@
             else:
                 self._start_idle_timer()
 
+    def _unsent_bytes(self) -> int:
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
+    def _record_held(self) -> None:
+        self._held.record(self._parser.held_bytes + self._watch.unread_bytes, owner=self._owner)
+
+    def _watch_unread(self) -> None:
+        self._watch.start()
+        self._record_held()
+
+    def _on_nothing_read(self) -> None:
+        self._serving.unread += 1
+        structlog.get_logger().warning(
+            "caller reads nothing, connection closed",
+            address=self.address,
+            unread_bytes=self._unsent_bytes(),
+        )
+        self.abort()
+
     def _send_continue(self) -> None:
         """Ask for the body of a partial request, once all requests before it are answered."""
         if self._task is None and self._parser.expects_continue and not self._continue_sent:
@@ -331,6 +443,8 @@
         self._closing = True
         if self._transport is not None:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                self._watch_unread()
 
     def _close_after_linger(self) -> None:
         """Half-close the connection, and close it after `LINGER_TIMEOUT_S`.
@@ -343,7 +457,7 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._start_timer(LINGER_TIMEOUT_S, self._transport.close)
+        self._start_timer(LINGER_TIMEOUT_S, self._close_transport)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/packages/router/src/cornellead/gateway/ingress/_caller_request.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_request.py
@@ -17,6 +17,13 @@
     body: bytes
     received_at: float
     """When the first byte arrived, in seconds of the process clock."""
+    head_bytes: int = 0
+    """Memory that the headers take, in bytes."""
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, in bytes."""
+        return self.head_bytes + len(self.body)
 
     @property
     def path(self) -> str:
--- a/packages/router/src/cornellead/gateway/ingress/_request_parser.py
+++ b/packages/router/src/cornellead/gateway/ingress/_request_parser.py
@@ -14,6 +14,11 @@
     from cornellead_core.routing import HeaderList
 
 
+FIELD_OVERHEAD_BYTES = 160
+"""Memory that a header field takes besides its text: a tuple and two byte strings. Fields of a few
+bytes take up to 40 times their text."""
+
+
 class RejectionStatus(IntEnum):
     """Status of the response to a request that is rejected before routing."""
 
@@ -71,9 +76,17 @@
     @property
     def partial_bytes(self) -> int:
         """Size of what is held of a request that was received in part."""
+        fields = FIELD_OVERHEAD_BYTES * len(self._headers)
         if not self._headers_complete:
-            return self._overhead_bytes
-        return self._parsed_header_bytes + self._overhead_bytes + len(self._body)
+            return fields + self._overhead_bytes
+        return fields + self._parsed_header_bytes + self._overhead_bytes + len(self._body)
+
+    @property
+    def held_bytes(self) -> int:
+        """Size of what is held of requests that the connection has not started."""
+        if not self.requests:
+            return self.partial_bytes
+        return self.partial_bytes + sum(req.held_bytes for req in self.requests)
 
     def drop_partial_request(self) -> None:
         """Reject the request that was received in part, and give up what is held of it."""
@@ -155,6 +168,8 @@
                     headers=self._headers,
                     body=bytes(self._body),
                     received_at=self._now if self._started_at is None else self._started_at,
+                    head_bytes=self._parsed_header_bytes
+                    + FIELD_OVERHEAD_BYTES * len(self._headers),
                 )
             )
         self._reset()
--- a/packages/router/src/cornellead/gateway/ingress/_serving_state.py
+++ b/packages/router/src/cornellead/gateway/ingress/_serving_state.py
@@ -26,7 +26,11 @@
         """Requests that were refused because the process is stopping."""
 
         self.dropped = 0
-        """Whole requests that were read behind an announced close, and not run."""
+        """Whole requests that were read and not run: behind an announced close, or for lack of
+        room."""
+
+        self.unread = 0
+        """Connections that were closed since their callers read nothing."""
 
         self.answer_by = math.inf
         """Time of the event loop by which every request has its final answer; set by a stop."""
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -16,12 +16,18 @@
 from cornellead.gateway.forwarding import Forwarder
 from cornellead.gateway.forwarding import ResponseRelay
 from cornellead.gateway.forwarding import ServerPicker
+from cornellead.gateway.ingress import FIRST_REFUSAL_STATUS
 from cornellead.gateway.ingress import CallerListener
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.policy import ColdStartLimiter
 from cornellead.gateway.policy import RetryBudgets
 from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.process._admin_handler import AdminHandler
+from cornellead.gateway.process._caller_bounds import ADMIN_DESCRIPTOR_SHARE
+from cornellead.gateway.process._caller_bounds import CALLER_DESCRIPTOR_SHARE
+from cornellead.gateway.process._caller_bounds import PEER_DESCRIPTOR_SHARE
+from cornellead.gateway.process._caller_bounds import find_bounds
+from cornellead.gateway.process._caller_bounds import find_budget_bytes
 from cornellead.gateway.process._clock import read_clock
 from cornellead.gateway.process._graceful_shutdown import GracefulShutdown
 from cornellead.gateway.process._loop_watch import LoopWatch
@@ -43,6 +49,7 @@
 from cornellead.upstream import ConnectionPool
 from cornellead.upstream import PooledHttpClient
 from cornellead_core.blackboard import supervise_controllers
+from cornellead_core.buffers import BufferBudget
 from cornellead_core.metrics import Metrics
 from cornellead_core.pacing import ReadPacer
 from cornellead_core.routing import CallerLimits
@@ -80,9 +87,6 @@
 MIN_ANNOUNCE_TIMEOUT_S = 0.1
 """Time to announce the stop if the grace period is used up: a quarter of the margin before SIGKILL,
 the rest of which is left for the exit."""
-CALLER_DESCRIPTOR_SHARE = 0.6
-"""Fraction of the file descriptors for callers; the rest is for servers, the store and other
-routers."""
 POOL_CHECK_INTERVAL_S = 1.0
 """Interval at which the pool is checked for connections past their idle timeout."""
 DEFAULT_LIMITS = CallerLimits(
@@ -115,6 +119,7 @@
         self._settings = settings
         self._serving = ServingState()
         self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
+        self._caller_budget = BufferBudget(limit_bytes=find_budget_bytes(settings))
         self._view = FleetView(router=settings.node)
         self._cold_limiter = ColdStartLimiter(
             router=settings.node, burst=settings.bounds.cold_slack
@@ -182,12 +187,12 @@
         self._exchange = LoadExchange(view=self._view, address=location.address, clock=read_clock)
         relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
-            settings.caller_address, forwarder, sock=caller_socket
+            settings.caller_address, forwarder, CALLER_DESCRIPTOR_SHARE, sock=caller_socket
         )
         self._internal_listeners = [
-            self._make_listener(settings.ready_address, admin),
-            self._make_listener(f"{settings.ip}:{metrics_port}", admin),
-            self._make_listener(location.address, relay),
+            self._make_listener(settings.ready_address, admin, ADMIN_DESCRIPTOR_SHARE),
+            self._make_listener(f"{settings.ip}:{metrics_port}", admin, ADMIN_DESCRIPTOR_SHARE),
+            self._make_listener(location.address, relay, PEER_DESCRIPTOR_SHARE),
         ]
         self._announcer = Announcer(
             store=store,
@@ -303,17 +308,25 @@
         )
 
     def _make_listener(
-        self, address: str, handler: RequestHandler, *, sock: socket.socket | None = None
+        self,
+        address: str,
+        handler: RequestHandler,
+        share: float,
+        *,
+        sock: socket.socket | None = None,
     ) -> CallerListener:
+        is_admin = isinstance(handler, AdminHandler)
         return CallerListener(
             address=address,
             handler=handler,
             serving=self._serving if isinstance(handler, Forwarder) else ServingState(),
             limits=lambda: self._view.config.limits if self._view.config else DEFAULT_LIMITS,
             clock=read_clock,
-            max_connections=int(CALLER_DESCRIPTOR_SHARE * self._settings.max_descriptors),
+            bounds=find_bounds(self._settings, share),
             sock=sock,
             pacer=self._pacer,
+            budget=self._caller_budget,
+            paced_status=200 if is_admin else FIRST_REFUSAL_STATUS,
         )
 
     def _register_gauges(self, metrics: Metrics) -> None:
@@ -339,6 +352,26 @@
                 "Times that a connection waited since its peer had used its share of a turn",
                 lambda: self._pacer.throttled,
             ),
+            "caller_connections": (
+                "Open connections of callers",
+                lambda: self._caller_listener.connections,
+            ),
+            "refused_connections": (
+                "Connections of callers that were closed at once, since a bound was reached",
+                lambda: self._caller_listener.refused_connections,
+            ),
+            "unread_connections_closed": (
+                "Connections that were closed since their callers read nothing",
+                lambda: self._serving.unread,
+            ),
+            "caller_bytes": (
+                "What is held for callers: requests and unread responses",
+                lambda: self._caller_budget.used_bytes + self._caller_budget.pinned_bytes,
+            ),
+            "caller_bytes_dropped": (
+                "Times that a caller had to give way since all of them held too much",
+                lambda: self._caller_budget.dropped + self._caller_budget.refused,
+            ),
             "load_report_bytes": ("Bytes of load reports", lambda: self._exchange.bytes_sent),
         }
         for name, (description, read_value) in gauges.items():
