--- a/tests/core/buffers/test_buffer_budget.py
+++ b/tests/core/buffers/test_buffer_budget.py
@@ -129,3 +129,17 @@
     for position, size in steps:
         holders[position].hold(size)
         assert 0 <= budget.used_bytes <= LIMIT_BYTES
+
+
+def test_holders_give_way_to_what_cannot_be_given_up() -> None:
+    """Guards against a sum above the limit because of requests in progress."""
+    budget = BufferBudget(limit_bytes=LIMIT_BYTES)
+    holder = _Holder(budget)
+    holder.hold(LIMIT_BYTES // 2)
+    assert budget.try_pin(LIMIT_BYTES // 2)
+    assert not holder.dropped
+    assert budget.try_pin(LIMIT_BYTES // 4)
+    assert holder.dropped
+    assert not budget.try_pin(LIMIT_BYTES // 2)
+    budget.unpin(3 * LIMIT_BYTES // 4)
+    assert budget.pinned_bytes == 0 and budget.refused == 1
