--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -43,8 +43,6 @@
 """Complete requests behind the one in progress above which reading is paused."""
 WRITE_HIGH_WATER_BYTES = 64 << 10
 """Unsent bytes above which a streamed response waits for the caller to read."""
-
-
 REFUSAL_COST_BYTES = 1024
 """What a refusal counts in the pacing of reads: as much work as parsing so many bytes."""
 FIRST_REFUSAL_STATUS = 400
@@ -88,12 +86,9 @@
         super().__init__(pacer=pacer)
         self._paced_status = paced_status
         self._on_opened = on_opened
-        self._watch = UnreadWatch(
-            timeout_s=unread_timeout_s,
-            read_size=self._unsent_bytes,
-            on_check=self._record_held,
-            on_stalled=self._on_nothing_read,
-        )
+        self._unread_timeout_s = unread_timeout_s
+        self._watch: UnreadWatch | None = None
+        """Set once something was unread."""
         self._held_back = False
         """Whether the next request waits since too many of this address were refused."""
         self._handler = handler
@@ -102,7 +97,7 @@
         self._limits = limits()
         self._clock = clock
         self._on_closed = on_closed
-        self._held = HeldBytes(budget=budget or BufferBudget(), holder=self)
+        self._held = HeldBytes(budget=budget or BufferBudget())
         self._owner = UNKNOWN_OWNER
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
@@ -210,13 +205,16 @@
                 close_announced=self._close_after_response,
             )
         self._cancel_timer()
-        self._watch.stop()
+        if self._watch is not None:
+            self._watch.stop()
+            # Breaks the reference cycle between the watch and this object.
+            self._watch = None
         self._pacer.forget(self, self._owner)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
         self._parser.close()
-        self._held.record(0, owner=self._owner)
+        self._held.record(self, 0, owner=self._owner)
         self._on_closed(self)
 
     def pause_writing(self) -> None:
@@ -227,7 +225,8 @@
     def resume_writing(self) -> None:
         """Unblock streamed responses and further requests."""
         self._writable.set()
-        self._watch.record_progress()
+        if self._watch is not None:
+            self._watch.record_progress()
         self._record_held()
         if self._task is None and not self._closing:
             self._go_on()
@@ -395,9 +394,19 @@
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     def _record_held(self) -> None:
-        self._held.record(self._parser.held_bytes + self._watch.unread_bytes, owner=self._owner)
+        size = self._parser.held_bytes
+        if self._watch is not None:
+            size += self._unsent_bytes()
+        self._held.record(self, size, owner=self._owner)
 
     def _watch_unread(self) -> None:
+        if self._watch is None:
+            self._watch = UnreadWatch(
+                timeout_s=self._unread_timeout_s,
+                read_size=self._unsent_bytes,
+                on_check=self._record_held,
+                on_stalled=self._on_nothing_read,
+            )
         self._watch.start()
         self._record_held()
 
--- a/packages/router/src/cornellead/gateway/ingress/_held_bytes.py
+++ b/packages/router/src/cornellead/gateway/ingress/_held_bytes.py
@@ -17,19 +17,18 @@
 
 
 class HeldBytes:
-    """Records what is held for a caller.
+    """Records what is held for a caller."""
 
-    :param holder: Gives way if all callers hold too much.
-    """
-
-    def __init__(self, *, budget: BufferBudget, holder: BufferHolder) -> None:
+    def __init__(self, *, budget: BufferBudget) -> None:
         self._budget = budget
-        self._holder = holder
         self._pinned_bytes = 0
 
-    def record(self, size: int, *, owner: BufferOwner) -> None:
-        """Record the bytes that can be given up."""
-        self._budget.record(self._holder, size, owner=owner)
+    def record(self, holder: BufferHolder, size: int, *, owner: BufferOwner) -> None:
+        """Record the bytes that can be given up.
+
+        :param holder: Gives way if all callers hold too much.
+        """
+        self._budget.record(holder, size, owner=owner)
 
     def try_begin(self, req: CallerRequest) -> bool:
         """Count a request that begins, which is not given up; ``False`` if there is no room."""
--- a/packages/router/src/cornellead/gateway/ingress/_unread_watch.py
+++ b/packages/router/src/cornellead/gateway/ingress/_unread_watch.py
@@ -40,11 +40,6 @@
         self._checks = 0
         """Checks in a row at which nothing had been read."""
 
-    @property
-    def unread_bytes(self) -> int:
-        """Unread bytes; 0 unless the watch was started."""
-        return 0 if self._timer is None else self._read_size()
-
     def start(self) -> None:
         """Start to check, unless that was done."""
         if self._timer is None:
