--- a/packages/core/src/cornellead_core/pacing/__init__.py
+++ b/packages/core/src/cornellead_core/pacing/__init__.py
@@ -8,12 +8,16 @@
 from cornellead_core.pacing._read_pacer import SLICE_BYTES
 from cornellead_core.pacing._read_pacer import PacedReader
 from cornellead_core.pacing._read_pacer import ReadPacer
+from cornellead_core.pacing._unread_watch import UNREAD_TIMEOUT_S
+from cornellead_core.pacing._unread_watch import UnreadWatch
 
 __all__ = [
     "SLICE_BYTES",
+    "UNREAD_TIMEOUT_S",
     "ArrivalTimeout",
     "ArrivalTimer",
     "PacedProtocol",
     "PacedReader",
     "ReadPacer",
+    "UnreadWatch",
 ]
--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -15,11 +15,9 @@
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 from cornellead.gateway.ingress._serving_state import ServingState
-from cornellead.gateway.ingress._unread_watch import UNREAD_TIMEOUT_S
 
 __all__ = [
     "FIRST_REFUSAL_STATUS",
-    "UNREAD_TIMEOUT_S",
     "CallerConnection",
     "CallerListener",
     "CallerRequest",
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -15,14 +15,14 @@
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
-from cornellead.gateway.ingress._unread_watch import UNREAD_TIMEOUT_S
-from cornellead.gateway.ingress._unread_watch import UnreadWatch
 from cornellead_core.buffers import MIN_RECORDED_BYTES
 from cornellead_core.buffers import UNKNOWN_OWNER
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.buffers import BufferOwner
+from cornellead_core.pacing import UNREAD_TIMEOUT_S
 from cornellead_core.pacing import ArrivalTimer
 from cornellead_core.pacing import PacedProtocol
+from cornellead_core.pacing import UnreadWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/router/src/cornellead/gateway/ingress/_connection_bounds.py
+++ b/packages/router/src/cornellead/gateway/ingress/_connection_bounds.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from cornellead.gateway.ingress._unread_watch import UNREAD_TIMEOUT_S
+from cornellead_core.pacing import UNREAD_TIMEOUT_S
 
 DEFAULT_MAX_CONNECTIONS = 512
 """Half of the usual descriptor limit of a process."""
