--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -4,11 +4,11 @@
 
 from cornellead.gateway.ingress._caller_connection import FIRST_REFUSAL_STATUS
 from cornellead.gateway.ingress._caller_connection import CallerConnection
-from cornellead.gateway.ingress._caller_connection import RequestHandler
 from cornellead.gateway.ingress._caller_listener import CallerListener
 from cornellead.gateway.ingress._caller_request import CallerRequest
 from cornellead.gateway.ingress._connection_bounds import ConnectionBounds
 from cornellead.gateway.ingress._connection_bounds import make_bounds
+from cornellead.gateway.ingress._request_handler import RequestHandler
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import ResponseWriter
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -4,15 +4,14 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 import structlog
 
 from cornellead.gateway.ingress._held_bytes import HeldBytes
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
-from cornellead.gateway.ingress._response_writer import LAST_CHUNK
-from cornellead.gateway.ingress._response_writer import encode_chunk
+from cornellead.gateway.ingress._request_timer import RequestTimer
+from cornellead.gateway.ingress._response_output import ResponseOutput
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
 from cornellead_core.buffers import MIN_RECORDED_BYTES
@@ -20,8 +19,6 @@
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.buffers import BufferOwner
 from cornellead_core.pacing import UNREAD_TIMEOUT_S
-from cornellead_core.pacing import ArrivalTimer
-from cornellead_core.pacing import PacedProtocol
 from cornellead_core.pacing import UnreadWatch
 
 if TYPE_CHECKING:
@@ -29,7 +26,7 @@
     from collections.abc import Sequence
 
     from cornellead.gateway.ingress._caller_request import CallerRequest
-    from cornellead.gateway.ingress._response_writer import ResponseWriter
+    from cornellead.gateway.ingress._request_handler import RequestHandler
     from cornellead.gateway.ingress._serving_state import ServingState
     from cornellead_core.pacing import ReadPacer
     from cornellead_core.routing import CallerLimits
@@ -48,15 +45,7 @@
 FIRST_REFUSAL_STATUS = 400
 
 
-class RequestHandler(Protocol):
-    """Serves the requests of a connection."""
-
-    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
-        """Write one response; cancelled when the caller disconnects."""
-        ...
-
-
-class CallerConnection(PacedProtocol):
+class CallerConnection(ResponseOutput):
     """Parses requests, passes them to the handler one at a time, and writes the responses.
 
     :param limits: Returns the limits in force; called again for each request on an idle connection.
@@ -101,19 +90,11 @@
         self._owner = UNKNOWN_OWNER
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
-        self._timer: ArrivalTimer | None = None
-        self._idle_since = 0.0
-        self._writable = asyncio.Event()
-        self._writable.set()
+        self._timer = RequestTimer(limits=limits)
         self._caller_closes = False
         self._close_after_response = False
-        self._closing = False
         self._continue_sent = False
-        self._response_complete = False
-        self._head_only = False
-        """Whether the request asks for the head of a response only."""
         self._dropped_bytes = 0
-        self.started = False
 
     @property
     def idle(self) -> bool:
@@ -129,16 +110,6 @@
         """Address of the caller, empty until it is known."""
         return self._owner.server
 
-    @property
-    def closing(self) -> bool:
-        """Whether the connection is being closed."""
-        return self._closing
-
-    @property
-    def unread(self) -> bool:
-        """Whether the caller leaves more unread than `WRITE_HIGH_WATER_BYTES`."""
-        return not self._writable.is_set()
-
     @property
     def settled(self) -> bool:
         """Whether closing the connection would cut off neither a request nor a response."""
@@ -159,7 +130,7 @@
         if peer:
             self._owner = BufferOwner(server=str(peer[0]))
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self._start_idle_timer()
+        self._timer.start_idle(self._close_transport, margin_s=IDLE_TIMEOUT_MARGIN_S)
         if self._on_opened is not None:
             self._on_opened(self)
 
@@ -177,7 +148,7 @@
             self._limits = self._parser.limits = self._get_limits()
         self._parser.feed(data, now=self._clock())
         if idle and self._parser.has_partial_request:
-            self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
+            self._timer.start(self._limits.header_timeout_s, self._on_request_timeout)
         rejection = self._parser.rejection
         if rejection is not None and self._task is None and not self._parser.requests:
             self._reject(rejection)
@@ -189,7 +160,7 @@
                 and self._parser.has_partial_request
                 and not self._parser.reading_headers
             ):
-                self._start_timer(self._limits.idle_timeout_s, self._on_request_timeout)
+                self._timer.start(self._limits.idle_timeout_s, self._on_request_timeout)
         if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
             self.pause_reading()
         self._record_held()
@@ -204,7 +175,7 @@
                 bytes=self._dropped_bytes,
                 close_announced=self._close_after_response,
             )
-        self._cancel_timer()
+        self._timer.cancel()
         if self._watch is not None:
             self._watch.stop()
             # Breaks the reference cycle between the watch and this object.
@@ -269,25 +240,6 @@
         self._close_if_stopping()
         self._write(encode_head(status, headers, length=None, close=self._close_after_response))
 
-    async def write(self, data: bytes) -> None:
-        """Write a chunk of the body; waits while the caller reads slowly."""
-        if not self._head_only:
-            self._write(encode_chunk(data))
-        if not self._writable.is_set():
-            await self._writable.wait()
-
-    def end(self) -> None:
-        """Complete a chunked response."""
-        self._response_complete = True
-        if not self._head_only:
-            self._write(LAST_CHUNK)
-
-    def abort(self) -> None:
-        """Reset the connection, so that a partial response does not look complete."""
-        self._closing = True
-        if self._transport is not None:
-            self._transport.abort()
-
     def drop_buffer(self) -> None:
         """Give up what is held for the caller: unread responses, or requests that have not been
         started; called by the budget."""
@@ -313,7 +265,7 @@
         if not self._parser.requests or self._held_back or not self._writable.is_set():
             return
         req = self._parser.requests.pop(0)
-        self._cancel_timer()
+        self._timer.cancel()
         self._head_only = req.method == b"HEAD"
         if req.held_bytes >= MIN_RECORDED_BYTES:
             self._record_held()
@@ -386,12 +338,9 @@
                 self._reject(self._parser.rejection)
             elif self._parser.has_partial_request:
                 self._send_continue()
-                self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
+                self._timer.start(self._limits.header_timeout_s, self._on_request_timeout)
             else:
-                self._start_idle_timer()
-
-    def _unsent_bytes(self) -> int:
-        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+                self._timer.start_idle(self._close_transport, margin_s=IDLE_TIMEOUT_MARGIN_S)
 
     def _record_held(self) -> None:
         size = self._parser.held_bytes
@@ -466,34 +415,4 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._start_timer(LINGER_TIMEOUT_S, self._close_transport)
-
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-
-    def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
-        self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = ArrivalTimer(loop=loop, delay_s=delay_s, action=action)
-
-    def _start_idle_timer(self) -> None:
-        self._idle_since = asyncio.get_running_loop().time()
-        self._start_timer(self._idle_time_left_s(), self._on_idle)
-
-    def _on_idle(self) -> None:
-        # Callers follow the limits in force, which may have changed since the timer was started.
-        left_s = self._idle_time_left_s()
-        if left_s > 0:
-            self._start_timer(left_s, self._on_idle)
-        else:
-            self._close_transport()
-
-    def _idle_time_left_s(self) -> float:
-        timeout_s = self._get_limits().idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
-        return self._idle_since + timeout_s - asyncio.get_running_loop().time()
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.start(LINGER_TIMEOUT_S, self._close_transport)
--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -21,8 +21,8 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from cornellead.gateway.ingress._caller_connection import RequestHandler
     from cornellead.gateway.ingress._connection_bounds import ConnectionBounds
+    from cornellead.gateway.ingress._request_handler import RequestHandler
     from cornellead.gateway.ingress._serving_state import ServingState
     from cornellead_core.routing import CallerLimits
 
--- /dev/null
+++ b/packages/router/src/cornellead/gateway/ingress/_response_output.py
@@ -0,0 +1,66 @@
+"""Output side of a caller's connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from cornellead.gateway.ingress._response_writer import LAST_CHUNK
+from cornellead.gateway.ingress._response_writer import encode_chunk
+from cornellead_core.pacing import PacedProtocol
+
+if TYPE_CHECKING:
+    from cornellead_core.pacing import ReadPacer
+
+
+class ResponseOutput(PacedProtocol):
+    """Writes to the transport, and knows what the caller has not read.
+
+    :param pacer: Shares the reads of the process among peers.
+    """
+
+    def __init__(self, *, pacer: ReadPacer) -> None:
+        super().__init__(pacer=pacer)
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closing = False
+        self._response_complete = False
+        self._head_only = False
+        """Whether the request asks for the head of a response only."""
+        self.started = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is being closed."""
+        return self._closing
+
+    @property
+    def unread(self) -> bool:
+        """Whether the caller leaves more unread than the high-water mark."""
+        return not self._writable.is_set()
+
+    async def write(self, data: bytes) -> None:
+        """Write a chunk of the body; waits while the caller reads slowly."""
+        if not self._head_only:
+            self._write(encode_chunk(data))
+        if not self._writable.is_set():
+            await self._writable.wait()
+
+    def end(self) -> None:
+        """Complete a chunked response."""
+        self._response_complete = True
+        if not self._head_only:
+            self._write(LAST_CHUNK)
+
+    def abort(self) -> None:
+        """Reset the connection, so that a partial response does not look complete."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _unsent_bytes(self) -> int:
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
