--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -19,7 +19,6 @@
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.buffers import BufferOwner
 from cornellead_core.pacing import UNREAD_TIMEOUT_S
-from cornellead_core.pacing import UnreadWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,12 +71,9 @@
         paced_status: int = FIRST_REFUSAL_STATUS,
         on_opened: Callable[[CallerConnection], None] | None = None,
     ) -> None:
-        super().__init__(pacer=pacer)
+        super().__init__(pacer=pacer, unread_timeout_s=unread_timeout_s)
         self._paced_status = paced_status
         self._on_opened = on_opened
-        self._unread_timeout_s = unread_timeout_s
-        self._watch: UnreadWatch | None = None
-        """Set once something was unread."""
         self._held_back = False
         """Whether the next request waits since too many of this address were refused."""
         self._handler = handler
@@ -99,11 +95,8 @@
     @property
     def idle(self) -> bool:
         """Whether no request is in progress or partly received."""
-        return (
-            self._task is None
-            and not self._parser.has_partial_request
-            and not self._parser.requests
-        )
+        waiting = self._parser.has_partial_request or self._parser.requests
+        return self._task is None and not waiting
 
     @property
     def address(self) -> str:
@@ -176,10 +169,7 @@
                 close_announced=self._close_after_response,
             )
         self._timer.cancel()
-        if self._watch is not None:
-            self._watch.stop()
-            # Breaks the reference cycle between the watch and this object.
-            self._watch = None
+        self._stop_watch()
         self._pacer.forget(self, self._owner)
         self._writable.set()
         if self._task is not None:
@@ -349,23 +339,13 @@
         self._held.record(self, size, owner=self._owner)
 
     def _watch_unread(self) -> None:
-        if self._watch is None:
-            self._watch = UnreadWatch(
-                timeout_s=self._unread_timeout_s,
-                read_size=self._unsent_bytes,
-                on_check=self._record_held,
-                on_stalled=self._on_nothing_read,
-            )
-        self._watch.start()
+        self._start_watch(on_check=self._record_held, on_stalled=self._on_nothing_read)
         self._record_held()
 
     def _on_nothing_read(self) -> None:
         self._serving.unread += 1
-        structlog.get_logger().warning(
-            "caller reads nothing, connection closed",
-            address=self.address,
-            unread_bytes=self._unsent_bytes(),
-        )
+        details = {"address": self.address, "unread_bytes": self._unsent_bytes()}
+        structlog.get_logger().warning("caller reads nothing, connection closed", **details)
         self.abort()
 
     def _send_continue(self) -> None:
--- a/packages/router/src/cornellead/gateway/ingress/_response_output.py
+++ b/packages/router/src/cornellead/gateway/ingress/_response_output.py
@@ -8,8 +8,11 @@
 from cornellead.gateway.ingress._response_writer import LAST_CHUNK
 from cornellead.gateway.ingress._response_writer import encode_chunk
 from cornellead_core.pacing import PacedProtocol
+from cornellead_core.pacing import UnreadWatch
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornellead_core.pacing import ReadPacer
 
 
@@ -17,10 +20,14 @@
     """Writes to the transport, and knows what the caller has not read.
 
     :param pacer: Shares the reads of the process among peers.
+    :param unread_timeout_s: Time without a byte being read after which responses are given up.
     """
 
-    def __init__(self, *, pacer: ReadPacer) -> None:
+    def __init__(self, *, pacer: ReadPacer, unread_timeout_s: float) -> None:
         super().__init__(pacer=pacer)
+        self._unread_timeout_s = unread_timeout_s
+        self._watch: UnreadWatch | None = None
+        """Set once something was unread."""
         self._writable = asyncio.Event()
         self._writable.set()
         self._closing = False
@@ -58,6 +65,22 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _start_watch(self, *, on_check: Callable[[], None], on_stalled: Callable[[], None]) -> None:
+        if self._watch is None:
+            self._watch = UnreadWatch(
+                timeout_s=self._unread_timeout_s,
+                read_size=self._unsent_bytes,
+                on_check=on_check,
+                on_stalled=on_stalled,
+            )
+        self._watch.start()
+
+    def _stop_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.stop()
+            # Breaks the reference cycle between the watch and this object.
+            self._watch = None
+
     def _unsent_bytes(self) -> int:
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
--- a/tests/router/gateway/ingress/test_unread_responses.py
+++ b/tests/router/gateway/ingress/test_unread_responses.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.ingress import make_bounds
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -20,6 +21,7 @@
 
     from cornellead.gateway.ingress import CallerRequest
     from cornellead.gateway.ingress import ConnectionBounds
+    from cornellead.gateway.ingress import RequestHandler
     from cornellead.gateway.ingress import ResponseWriter
 
 REQUEST = b"GET /safe/1 HTTP/1.1\r\nHost: box.example\r\n\r\n"
@@ -43,13 +45,22 @@
         out.respond(200, (), b"r" * RESPONSE_BYTES)
 
 
+class Refusals:
+    """Refuses each request at once."""
+
+    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
+        del req
+        out.respond(404, (), b"")
+
+
 @asynccontextmanager
 async def _listen(
     address: str,
-    handler: LargeResponses,
+    handler: RequestHandler,
     *,
     bounds: ConnectionBounds,
     budget: BufferBudget | None = None,
+    pacer: ReadPacer | None = None,
 ) -> AsyncIterator[CallerListener]:
     listener = CallerListener(
         address=address,
@@ -59,6 +70,7 @@
         clock=asyncio.get_running_loop().time,
         bounds=bounds,
         budget=budget,
+        pacer=pacer,
     )
     await listener.start()
     yield listener
@@ -144,3 +156,26 @@
         assert budget.pinned_bytes == 0
         first[1].close()
         second[1].close()
+
+
+async def test_refusals_of_an_address_are_paced_and_all_are_written(
+    free_address: Callable[[], str],
+) -> None:
+    """Guards against refused callers that take the event loop, and against refusals that wait in
+    calm or are lost."""
+    pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
+    address = free_address()
+    async with _listen(address, Refusals(), bounds=make_bounds(100), pacer=pacer):
+        reader, writer = await _connect(address)
+        writer.write(REQUEST)
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 404")
+        writer.close()
+        assert pacer.throttled == 0
+        conns = [await _connect(address) for _ in range(40)]
+        for _, writer in conns:
+            writer.write(REQUEST * 50)
+        for reader, writer in conns:
+            for _ in range(50):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 404")
+            writer.close()
+        assert pacer.throttled > 0
