--- a/packages/router/src/cornellead/gateway/ingress/__init__.py
+++ b/packages/router/src/cornellead/gateway/ingress/__init__.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from cornellead.gateway.ingress._caller_connection import FIRST_REFUSAL_STATUS
 from cornellead.gateway.ingress._caller_connection import CallerConnection
-from cornellead.gateway.ingress._caller_connection import RequestHandler
 from cornellead.gateway.ingress._caller_listener import CallerListener
 from cornellead.gateway.ingress._caller_request import CallerRequest
+from cornellead.gateway.ingress._connection_bounds import ConnectionBounds
+from cornellead.gateway.ingress._connection_bounds import make_bounds
+from cornellead.gateway.ingress._request_handler import RequestHandler
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
 from cornellead.gateway.ingress._response_writer import ResponseWriter
@@ -14,9 +17,11 @@
 from cornellead.gateway.ingress._serving_state import ServingState
 
 __all__ = [
+    "FIRST_REFUSAL_STATUS",
     "CallerConnection",
     "CallerListener",
     "CallerRequest",
+    "ConnectionBounds",
     "RejectionStatus",
     "RequestHandler",
     "RequestParser",
@@ -24,4 +29,5 @@
     "ServingPhase",
     "ServingState",
     "encode_head",
+    "make_bounds",
 ]
--- a/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_connection.py
@@ -4,28 +4,28 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 import structlog
 
+from cornellead.gateway.ingress._held_bytes import HeldBytes
 from cornellead.gateway.ingress._request_parser import RejectionStatus
 from cornellead.gateway.ingress._request_parser import RequestParser
-from cornellead.gateway.ingress._response_writer import LAST_CHUNK
-from cornellead.gateway.ingress._response_writer import encode_chunk
+from cornellead.gateway.ingress._request_timer import RequestTimer
+from cornellead.gateway.ingress._response_output import ResponseOutput
 from cornellead.gateway.ingress._response_writer import encode_head
 from cornellead.gateway.ingress._serving_phase import ServingPhase
+from cornellead_core.buffers import MIN_RECORDED_BYTES
 from cornellead_core.buffers import UNKNOWN_OWNER
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.buffers import BufferOwner
-from cornellead_core.pacing import ArrivalTimer
-from cornellead_core.pacing import PacedProtocol
+from cornellead_core.pacing import UNREAD_TIMEOUT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Sequence
 
     from cornellead.gateway.ingress._caller_request import CallerRequest
-    from cornellead.gateway.ingress._response_writer import ResponseWriter
+    from cornellead.gateway.ingress._request_handler import RequestHandler
     from cornellead.gateway.ingress._serving_state import ServingState
     from cornellead_core.pacing import ReadPacer
     from cornellead_core.routing import CallerLimits
@@ -39,24 +39,22 @@
 """Complete requests behind the one in progress above which reading is paused."""
 WRITE_HIGH_WATER_BYTES = 64 << 10
 """Unsent bytes above which a streamed response waits for the caller to read."""
+REFUSAL_COST_BYTES = 1024
+"""What a refusal counts in the pacing of reads: as much work as parsing so many bytes."""
+FIRST_REFUSAL_STATUS = 400
 
 
-class RequestHandler(Protocol):
-    """Serves the requests of a connection."""
-
-    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
-        """Write one response; cancelled when the caller disconnects."""
-        ...
-
-
-class CallerConnection(PacedProtocol):
+class CallerConnection(ResponseOutput):
     """Parses requests, passes them to the handler one at a time, and writes the responses.
 
     :param limits: Returns the limits in force; called again for each request on an idle connection.
     :param clock: Returns seconds, including the time for which the host was suspended.
     :param on_closed: Called once the connection is closed.
     :param pacer: Shares the reads of the process among peers.
-    :param budget: Bounds what the unfinished requests of all callers hold together.
+    :param budget: Bounds what is held for all callers: requests and unread responses.
+    :param unread_timeout_s: Time without a byte being read after which responses are given up.
+    :param paced_status: Lowest status of responses whose number is paced for each address.
+    :param on_opened: Called once the address of the caller is known.
     """
 
     def __init__(
@@ -69,36 +67,41 @@
         on_closed: Callable[[CallerConnection], None],
         pacer: ReadPacer,
         budget: BufferBudget | None = None,
+        unread_timeout_s: float = UNREAD_TIMEOUT_S,
+        paced_status: int = FIRST_REFUSAL_STATUS,
+        on_opened: Callable[[CallerConnection], None] | None = None,
     ) -> None:
-        super().__init__(pacer=pacer)
+        super().__init__(pacer=pacer, unread_timeout_s=unread_timeout_s)
+        self._paced_status = paced_status
+        self._on_opened = on_opened
+        self._held_back = False
+        """Whether the next request waits since too many of this address were refused."""
         self._handler = handler
         self._serving = serving
         self._get_limits = limits
         self._limits = limits()
         self._clock = clock
         self._on_closed = on_closed
-        self._budget = BufferBudget() if budget is None else budget
+        self._held = HeldBytes(budget=budget or BufferBudget())
         self._owner = UNKNOWN_OWNER
         self._parser = RequestParser(limits=self._limits)
         self._task: asyncio.Task[None] | None = None
-        self._timer: ArrivalTimer | None = None
-        self._idle_since = 0.0
-        self._writable = asyncio.Event()
-        self._writable.set()
+        self._timer = RequestTimer(limits=limits)
         self._caller_closes = False
         self._close_after_response = False
-        self._closing = False
         self._continue_sent = False
-        self._response_complete = False
-        self._head_only = False
-        """Whether the request asks for the head of a response only."""
         self._dropped_bytes = 0
-        self.started = False
 
     @property
     def idle(self) -> bool:
         """Whether no request is in progress or partly received."""
-        return self._task is None and not self._parser.has_partial_request
+        waiting = self._parser.has_partial_request or self._parser.requests
+        return self._task is None and not waiting
+
+    @property
+    def address(self) -> str:
+        """Address of the caller, empty until it is known."""
+        return self._owner.server
 
     @property
     def settled(self) -> bool:
@@ -120,7 +123,9 @@
         if peer:
             self._owner = BufferOwner(server=str(peer[0]))
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        self._start_idle_timer()
+        self._timer.start_idle(self._close_transport, margin_s=IDLE_TIMEOUT_MARGIN_S)
+        if self._on_opened is not None:
+            self._on_opened(self)
 
     def consume(self, data: memoryview) -> None:
         """Parse received bytes."""
@@ -136,7 +141,7 @@
             self._limits = self._parser.limits = self._get_limits()
         self._parser.feed(data, now=self._clock())
         if idle and self._parser.has_partial_request:
-            self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
+            self._timer.start(self._limits.header_timeout_s, self._on_request_timeout)
         rejection = self._parser.rejection
         if rejection is not None and self._task is None and not self._parser.requests:
             self._reject(rejection)
@@ -148,10 +153,10 @@
                 and self._parser.has_partial_request
                 and not self._parser.reading_headers
             ):
-                self._start_timer(self._limits.idle_timeout_s, self._on_request_timeout)
+                self._timer.start(self._limits.idle_timeout_s, self._on_request_timeout)
         if len(self._parser.requests) > MAX_PIPELINED_REQUESTS:
             self.pause_reading()
-        self._budget.record(self, self._parser.partial_bytes, owner=self._owner)
+        self._record_held()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, since nobody can receive its response."""
@@ -163,21 +168,37 @@
                 bytes=self._dropped_bytes,
                 close_announced=self._close_after_response,
             )
-        self._cancel_timer()
+        self._timer.cancel()
+        self._stop_watch()
+        self._pacer.forget(self, self._owner)
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
         self._parser.close()
-        self._budget.record(self, 0, owner=self._owner)
+        self._held.record(self, 0, owner=self._owner)
         self._on_closed(self)
 
     def pause_writing(self) -> None:
-        """Block streamed responses: the write buffer is above its high-water mark."""
+        """Block streamed responses and further requests: too much is unread."""
         self._writable.clear()
+        self._watch_unread()
 
     def resume_writing(self) -> None:
-        """Unblock streamed responses."""
+        """Unblock streamed responses and further requests."""
         self._writable.set()
+        if self._watch is not None:
+            self._watch.record_progress()
+        self._record_held()
+        if self._task is None and not self._closing:
+            self._go_on()
+
+    def set_throttled(self, throttled: bool) -> None:
+        """Wait for a turn, or go on with requests that wait for one."""
+        super().set_throttled(throttled)
+        if self._held_back and not throttled:
+            self._held_back = False
+            if self._task is None and not self._closing:
+                self._go_on()
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or partly received."""
@@ -199,6 +220,9 @@
         self._response_complete = True
         head = encode_head(status, headers, length=len(body), close=self._close_after_response)
         self._write(head if self._head_only else head + body)
+        if status >= self._paced_status and not self._throttled:
+            self._pacer.charge(self, self._owner, REFUSAL_COST_BYTES)
+            self._held_back = self._throttled
 
     def begin(self, status: int, headers: Sequence[tuple[bytes, bytes]]) -> None:
         """Write the head of a chunked response."""
@@ -206,30 +230,18 @@
         self._close_if_stopping()
         self._write(encode_head(status, headers, length=None, close=self._close_after_response))
 
-    async def write(self, data: bytes) -> None:
-        """Write a chunk of the body; waits while the caller reads slowly."""
-        if not self._head_only:
-            self._write(encode_chunk(data))
-        if not self._writable.is_set():
-            await self._writable.wait()
-
-    def end(self) -> None:
-        """Complete a chunked response."""
-        self._response_complete = True
-        if not self._head_only:
-            self._write(LAST_CHUNK)
-
-    def abort(self) -> None:
-        """Reset the connection, so that a partial response does not look complete."""
-        self._closing = True
-        if self._transport is not None:
-            self._transport.abort()
-
     def drop_buffer(self) -> None:
-        """Reject the request that was received in part; called by the budget."""
-        structlog.get_logger().warning(
-            "unfinished requests hold too much", rejected_bytes=self._parser.partial_bytes
-        )
+        """Give up what is held for the caller: unread responses, or requests that have not been
+        started; called by the budget."""
+        log = structlog.get_logger()
+        unsent_bytes = self._unsent_bytes()
+        if self._closing or unsent_bytes > self._parser.held_bytes:
+            log.warning("unread responses hold too much", unread_bytes=unsent_bytes)
+            self.abort()
+            return
+        log.warning("unfinished requests hold too much", rejected_bytes=self._parser.held_bytes)
+        self._serving.dropped += len(self._parser.requests)
+        self._parser.requests.clear()
         self._parser.drop_partial_request()
         if self._task is None and not self._closing:
             self._reject(RejectionStatus.NO_ROOM)
@@ -240,14 +252,23 @@
             self._close_after_response = True
 
     def _start_next_request(self) -> None:
-        if not self._parser.requests:
+        if not self._parser.requests or self._held_back or not self._writable.is_set():
             return
         req = self._parser.requests.pop(0)
-        self._cancel_timer()
+        self._timer.cancel()
+        self._head_only = req.method == b"HEAD"
+        if req.held_bytes >= MIN_RECORDED_BYTES:
+            self._record_held()
+            if not self._held.try_begin(req):
+                self._drop_requests()
+                self._reject(RejectionStatus.NO_ROOM)
+            if self._closing:
+                # Also if this connection was the one that had to make room.
+                self._held.end()
+                return
         self.started = False
         self._response_complete = False
         self._continue_sent = False
-        self._head_only = req.method == b"HEAD"
         self._caller_closes = "close" in req.header(b"connection").lower()
         self._close_after_response = self._caller_closes
         self._serving.in_progress += 1
@@ -268,6 +289,7 @@
         finally:
             self._serving.in_progress -= 1
             self._task = None
+            self._held.end()
         self._finish_request()
 
     def _respond_to_error(self) -> None:
@@ -286,17 +308,45 @@
             self._drop_requests()
             self._close_after_linger()
             return
+        if self._unsent_bytes():
+            self._watch_unread()
+        if not self._closing:
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Start the next request, or wait for one."""
+        if not self._writable.is_set():
+            self.pause_reading()
+            return
         self._start_next_request()
+        if self._closing:
+            return
         if len(self._parser.requests) <= MAX_PIPELINED_REQUESTS:
             self.resume_reading()
-        if self._task is None:
+        if self._task is None and not self._parser.requests:
             if self._parser.rejection is not None:
                 self._reject(self._parser.rejection)
             elif self._parser.has_partial_request:
                 self._send_continue()
-                self._start_timer(self._limits.header_timeout_s, self._on_request_timeout)
+                self._timer.start(self._limits.header_timeout_s, self._on_request_timeout)
             else:
-                self._start_idle_timer()
+                self._timer.start_idle(self._close_transport, margin_s=IDLE_TIMEOUT_MARGIN_S)
+
+    def _record_held(self) -> None:
+        size = self._parser.held_bytes
+        if self._watch is not None:
+            size += self._unsent_bytes()
+        self._held.record(self, size, owner=self._owner)
+
+    def _watch_unread(self) -> None:
+        self._start_watch(on_check=self._record_held, on_stalled=self._on_nothing_read)
+        self._record_held()
+
+    def _on_nothing_read(self) -> None:
+        self._serving.unread += 1
+        details = {"address": self.address, "unread_bytes": self._unsent_bytes()}
+        structlog.get_logger().warning("caller reads nothing, connection closed", **details)
+        self.abort()
 
     def _send_continue(self) -> None:
         """Ask for the body of a partial request, once all requests before it are answered."""
@@ -331,6 +381,8 @@
         self._closing = True
         if self._transport is not None:
             self._transport.close()
+            if self._transport.get_write_buffer_size():
+                self._watch_unread()
 
     def _close_after_linger(self) -> None:
         """Half-close the connection, and close it after `LINGER_TIMEOUT_S`.
@@ -343,34 +395,4 @@
             return
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._start_timer(LINGER_TIMEOUT_S, self._transport.close)
-
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-
-    def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
-        self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = ArrivalTimer(loop=loop, delay_s=delay_s, action=action)
-
-    def _start_idle_timer(self) -> None:
-        self._idle_since = asyncio.get_running_loop().time()
-        self._start_timer(self._idle_time_left_s(), self._on_idle)
-
-    def _on_idle(self) -> None:
-        # Callers follow the limits in force, which may have changed since the timer was started.
-        left_s = self._idle_time_left_s()
-        if left_s > 0:
-            self._start_timer(left_s, self._on_idle)
-        else:
-            self._close_transport()
-
-    def _idle_time_left_s(self) -> float:
-        timeout_s = self._get_limits().idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
-        return self._idle_since + timeout_s - asyncio.get_running_loop().time()
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.start(LINGER_TIMEOUT_S, self._close_transport)
