--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -32,3 +32,6 @@
     running: int
     waiting: int
     slots: int
+    work_factor: float | None = None
+    """How long work takes on the machine at this moment, as a multiple of the usual time; ``None``
+    if the server does not report it."""
--- a/packages/emulator/src/cornellead_emulator/experiments/_loads.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_loads.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from cornellead_emulator.routing import Fleet
+from cornellead_emulator.servers import ModelServerSettings
 from cornellead_emulator.simulation import EventQueue
 from cornellead_emulator.traffic import HotChat
 
@@ -77,6 +78,13 @@
 
 HOT_COMPLAINT_CHAT = HotChat("complaint-tag", 0.5, EVENT_START_S, EVENT_START_S + EVENT_DURATION_S)
 
+UNEVEN_SPEEDS: Mapping[str, object] = {
+    "work_factors": (1.0, 1.3, 1.0, 2.5, 1.0, 1.0),
+    "server": ModelServerSettings(work_jitter=0.2),
+    "reports_work": True,
+    "swing": 0.5,
+}
+
 LOADS: Mapping[str, LoadScenario] = {
     "calm": LoadScenario("constant request rate", _steady_rate, _no_events),
     "surge": LoadScenario("1.7 times the request rate for 10 s", _surge_rate(1.7), _no_events),
@@ -102,6 +110,12 @@
     "return": LoadScenario(
         "a data centre is out of service for 10 s", _steady_rate, _schedule_outage
     ),
+    "uneven": LoadScenario(
+        "6 times the request rate, swinging between data centres, before uneven servers",
+        _surge_rate(6.0),
+        _no_events,
+        setting_overrides=UNEVEN_SPEEDS,
+    ),
     "unheard": LoadScenario(
         "hot_chat without load reports between the routers",
         _surge_rate(4.0),
--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -206,7 +206,8 @@
     def _record_reported_load(self, state: ServerState) -> None:
         server = self._find_server(state.entry.server)
         if server is not None:
-            load = ReportedLoad(server.running, server.waiting, state.entry.slots)
+            factor = server.work_factor if self._settings.reports_work else None
+            load = ReportedLoad(server.running, server.waiting, state.entry.slots, factor)
             state.record_reported_load(load, now=self._queue.now)
 
     def _finish(
--- a/packages/emulator/src/cornellead_emulator/routing/_fleet.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -84,11 +85,14 @@
 
     def start_server(self, *, cold: bool = True) -> str:
         """Start a server and return its name."""
-        name = f"s{self._started_count}"
+        name, factors = f"s{self._started_count}", self.settings.work_factors
         data_centre = self._data_centre(self._started_count)
         self._started_count += 1
         self._servers[name] = ModelServer(
-            name=name, settings=self.settings.server, queue=self._queue
+            name=name,
+            settings=self.settings.server,
+            queue=self._queue,
+            mean_work_factor=factors[self._started_count % len(factors)],
         )
         self._publish_entry(
             ServerEntry(
@@ -132,7 +136,20 @@
     def submit(self, req: ChatRequest) -> None:
         """Send a new request to a random router."""
         self._metrics.submitted += 1
-        self._rng.choice(self.routers).handle(req)
+        self._choose_router().handle(req)
+
+    def _choose_router(self) -> EmulatedRouter:
+        """Choose a router at random, by the demand of its data centre at the moment."""
+        cfg = self.settings
+        if cfg.swing <= 0:
+            return self._rng.choice(self.routers)
+        turn = self._queue.now / cfg.swing_period_s
+        shares = [
+            1.0 + cfg.swing * math.sin(2 * math.pi * (turn + number / cfg.data_centres))
+            for number in range(cfg.data_centres)
+        ]
+        weights = [shares[number % len(shares)] for number in range(len(self.routers))]
+        return self._rng.choices(self.routers, weights)[0]
 
     def _retry_later(self, req: ChatRequest, wait_s: float) -> None:
         impatient = req.number % 100 < 100 * self._impatient_share
--- a/packages/emulator/src/cornellead_emulator/routing/_fleet_settings.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_fleet_settings.py
@@ -14,6 +14,14 @@
     servers: int = 6
     data_centres: int = 3
     server: ModelServerSettings = ModelServerSettings()
+    work_factors: tuple[float, ...] = (1.0,)
+    """Mean work factors of the servers; they repeat if there are more servers."""
+    reports_work: bool = False
+    """Whether servers report their work factors."""
+    swing: float = 0.0
+    """Largest deviation of a data centre's demand from its mean, as a fraction; the data centres
+    swing out of phase."""
+    swing_period_s: float = 12.0
     send_ms: float = 13.0
     """Time from a router's choice until the server starts: network and request handling."""
     list_lag_s: float = 0.25
--- a/packages/emulator/src/cornellead_emulator/servers/_model_server.py
+++ b/packages/emulator/src/cornellead_emulator/servers/_model_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from cornellead_emulator.servers._prompt_cache import PromptCache
@@ -13,6 +14,8 @@
     from cornellead_emulator.simulation import EventQueue
 
 S_PER_MS = 1e-3
+WORK_FACTOR_INTERVAL_S = 0.1
+"""Interval at which the work factor changes."""
 
 
 class ModelServer:
@@ -24,8 +27,16 @@
     prompt is prefilled again.
     """
 
-    def __init__(self, *, name: str, settings: ModelServerSettings, queue: EventQueue) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        settings: ModelServerSettings,
+        queue: EventQueue,
+        mean_work_factor: float = 1.0,
+    ) -> None:
         self.name = name
+        self._mean_work_factor = mean_work_factor
         self._settings = settings
         self._queue = queue
         self._batch: list[Generation] = []
@@ -39,6 +50,16 @@
         self.preempted = 0
         """Preemptions so far."""
 
+    @property
+    def work_factor(self) -> float:
+        """Multiple of the usual time that a step takes now."""
+        jitter = self._settings.work_jitter
+        if jitter <= 0:
+            return self._mean_work_factor
+        interval = int(self._queue.now / WORK_FACTOR_INTERVAL_S)
+        rng = random.Random(f"{self.name}/{interval}")
+        return self._mean_work_factor * (1.0 + rng.uniform(-jitter, jitter))
+
     @property
     def running(self) -> int:
         """Requests in the batch."""
@@ -145,6 +166,7 @@
         step_ms = cfg.step_ms + cfg.step_ms_per_request * len(self._batch)
         self._stepping = True
         duration_s = (step_ms + prefilled / cfg.prefill_tokens_per_ms) * S_PER_MS
+        duration_s *= self.work_factor
         self._queue.schedule_after(duration_s, lambda: self._finish_step(chunks))
 
     def _finish_step(self, chunks: list[tuple[Generation, int]]) -> None:
--- a/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
+++ b/packages/emulator/src/cornellead_emulator/servers/_server_settings.py
@@ -28,6 +28,8 @@
     """Delay before a copy starts."""
     tokens_per_event: int = 6
     """Tokens in one event of the response stream."""
+    work_jitter: float = 0.0
+    """Largest deviation of the work factor from its mean, as a fraction of the mean."""
     cold_s: float = 3.0
     """Time for which a server is cold after its start."""
     cold_rate_per_s: float = 11.0
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -13,6 +13,7 @@
 from cornellead.gateway.policy import order_for_chat
 from cornellead.gateway.policy import request_jitter
 from cornellead.gateway.policy import return_at
+from cornellead.gateway.policy import work_weights
 from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
@@ -123,13 +124,21 @@
             resumes_at = min(_return_at(state, jitter) for state in servers)
             return NoServer(resumes_at, len(servers), resumes_at - now)
         fleet = self._view.load
+        listed = self._view.servers.listed(admitted.service.name)
         loads = {
-            state.entry.server: state.load(fleet, routers=len(routers), now=now)
-            for state in self._view.servers.listed(admitted.service.name)
+            state.entry.server: state.load(fleet, routers=len(routers), now=now) for state in listed
         }
         if admitted.affinity:
             ordered = self._order(
-                PlacementContext(admitted.affinity, awake, loads, self.load_factor, jitter, now)
+                PlacementContext(
+                    admitted.affinity,
+                    awake,
+                    loads,
+                    self.load_factor,
+                    jitter,
+                    now,
+                    work_weights(listed, now=now),
+                )
             )
         else:
             ordered = order_by_cost(awake, loads, data_centre=self._data_centre, now=now)
@@ -222,7 +231,7 @@
         return expected_wait_s(
             ahead=load * health.share_ahead(admitted.urgency),
             slots=state.entry.slots,
-            slot_duration_s=health.stream_duration_s,
+            slot_duration_s=health.stream_duration_s * state.work.drift(now=now),
         )
 
     def _region_allowed(self, admitted: AdmittedRequest, state: ServerState) -> bool:
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -21,6 +21,7 @@
 from cornellead.gateway.policy._server_pause import MAX_PAUSE_S
 from cornellead.gateway.policy._server_pause import return_at
 from cornellead.gateway.policy._server_rate_limiter import ServerRateLimiter
+from cornellead.gateway.policy._work_weight import work_weights
 
 __all__ = [
     "MAX_PAUSE_S",
@@ -42,4 +43,5 @@
     "retry_after_s",
     "return_at",
     "split_service",
+    "work_weights",
 ]
--- a/packages/router/src/cornellead/gateway/policy/_chat_order.py
+++ b/packages/router/src/cornellead/gateway/policy/_chat_order.py
@@ -25,6 +25,8 @@
     """Jitter from 0 to 1, fixed for each request."""
     now: float
     """Current time in seconds."""
+    weights: Mapping[str, float] = {}
+    """Weight of the requests at servers on which work takes longer than usual, by name."""
 
 
 class ChatOrder(Protocol):
--- a/packages/router/src/cornellead/gateway/policy/_server_order.py
+++ b/packages/router/src/cornellead/gateway/policy/_server_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from cornellead_core.placement import WeightedNode
@@ -46,9 +47,10 @@
     load bound comes after those below it, so a popular chat spills over to other servers; the
     jitter of each request makes a growing fraction of its requests spill over as the load
     approaches the bound. The mean load includes all servers of the service, even those that are not
-    candidates now.
+    candidates now. A server on which work takes longer is the home of fewer chats, so that its work
+    takes as long as that of others; the bound applies to the number of requests.
     """
-    ranked = rank_homes(placement.key, placement.servers)
+    ranked = rank_homes(placement.key, placement.servers, placement.weights)
     loads = placement.loads
     mean = sum(loads.values()) / max(1, len(loads))
     limit = LOAD_BOUND_SHARE * placement.load_factor * mean + LOAD_SLACK_REQUESTS
@@ -63,10 +65,20 @@
     return sorted(ranked, key=rank)
 
 
-def rank_homes(key: str, servers: Sequence[ServerState]) -> list[ServerState]:
-    """Order servers by rendezvous hashing of the key, identically on every router."""
+def rank_homes(
+    key: str, servers: Sequence[ServerState], weights: Mapping[str, float] = MappingProxyType({})
+) -> list[ServerState]:
+    """Order servers by rendezvous hashing of the key, identically on every router.
+
+    A small change of a weight changes the order for a small fraction of the keys.
+
+    :param weights: Weight of the requests at servers on which work takes longer, by name.
+    """
     by_name = {state.entry.server: state for state in servers}
-    weighted = [WeightedNode(name, max(1.0, s.entry.slots)) for name, s in by_name.items()]
+    weighted = [
+        WeightedNode(name, max(1.0, s.entry.slots) / weights.get(name, 1.0))
+        for name, s in by_name.items()
+    ]
     return [by_name[name] for name in order_by_rendezvous(key.encode(), weighted)]
 
 
@@ -77,7 +89,8 @@
 
     This suits short calls to a few servers, some of which may be slow or fail some requests. The
     cost grows with latency and queue length and falls with the square of the success rate, so it
-    reflects the expected time until a success.
+    reflects the expected time until a success. The latency is the measured one, scaled by the
+    change of the server's work factor since.
 
     :param loads: Estimated in-flight requests at each server of the service, by name.
     :param data_centre: Data centre of this router.
@@ -86,7 +99,7 @@
 
     def cost(state: ServerState) -> tuple[bool, float]:
         health = state.health
-        latency_s = max(MIN_LATENCY_S, health.latency_s)
+        latency_s = max(MIN_LATENCY_S, health.latency_s) * state.work.drift(now=now)
         queue = 1.0 + loads[state.entry.server] / max(1, state.entry.slots)
         distance_factor = 1.0 if state.entry.data_centre == data_centre else REMOTE_COST_FACTOR
         success_rate = health.success_rate(now=now)
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from cornellead.gateway.view._server_health import ServerHealth
+from cornellead.gateway.view._work_factor import WorkFactor
 
 if TYPE_CHECKING:
     from cornellead.gateway.view._fleet_load import FleetLoad
@@ -43,6 +44,7 @@
         """When a response told that the server is leaving; ``None`` if none did."""
         self.paused_until = 0.0
         """End of the time in which the server wants no requests of this router, in seconds."""
+        self.work = WorkFactor()
         self._reported_load: ReportedLoad | None = None
         self._reported_at = 0.0
         self._in_flight_at_report = 0
@@ -71,6 +73,8 @@
         self._reported_load = load
         self._reported_at = now
         self._in_flight_at_report = self.health.in_flight
+        if load.work_factor is not None:
+            self.work.record(load.work_factor, now=now)
 
     def record_rate_limit(self, limit: ServerRateLimit) -> bool:
         """Store what a response told about the server's rate limit, unless later news is known.
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -59,6 +59,31 @@
     assert _run(load, "gateway").over_bound <= 0.03
 
 
+@pytest.mark.parametrize("routers", [5, 38])
+def test_uneven_servers_get_work_by_their_speed(routers: int) -> None:
+    """Load: servers 1.3 and 2.5 times as slow as others, and data centres that swing out of phase.
+    Guards against late answers of slow servers; compares with routers that are not told of it."""
+    load = LOADS["uneven"]
+    told, untold = (
+        run_load(
+            "uneven",
+            load._replace(
+                rate_factor=lambda now: 4.5 if 15.0 <= now < 25.0 else 1.0,
+                setting_overrides={**load.setting_overrides, "reports_work": reports_work},
+            ),
+            policy="gateway",
+            settings=FleetSettings().with_routers(routers),
+            classes=USERS_CLASSES,
+            seconds=28.0,
+            seed=2,
+        )
+        for reports_work in (True, False)
+    )
+    assert 1.0 - told.in_aim < 0.6 * (1.0 - untold.in_aim)
+    assert told.finished >= untold.finished
+    assert told.over_bound <= 0.03
+
+
 def _run_hot_chat(
     *, routers: int, servers: int, rates_per_s: tuple[float, ...], sessions: int
 ) -> Result:
--- a/tests/router/gateway/forwarding/test_server_picker.py
+++ b/tests/router/gateway/forwarding/test_server_picker.py
@@ -101,6 +101,20 @@
     assert isinstance(pick(time_left_s=5.0), NoServer)
 
 
+def test_expected_wait_grows_with_the_work_factor(fleet: FleetPicker) -> None:
+    """Guards against a request that is sent to servers that have become too slow to serve it."""
+    view, pick = fleet
+    _load_servers(view, 3 * SLOTS)
+    for name in ("s1", "s2"):
+        state = view.servers.get(name)
+        assert state is not None
+        state.work.record(1.0, now=-10.0)
+        state.work.record(3.0, now=0.0)
+    picked = pick(time_left_s=15.0)
+    assert isinstance(picked, NoServer) and picked.wait_s is not None
+    assert picked.wait_s > 8.0
+
+
 def test_less_urgent_requests_do_not_count_as_wait(fleet: FleetPicker) -> None:
     """Guards against refusing an urgent request because less urgent ones are queued."""
     view, pick = fleet
