--- a/packages/router/src/cornellead/gateway/view/_fleet_load.py
+++ b/packages/router/src/cornellead/gateway/view/_fleet_load.py
@@ -33,6 +33,8 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[float, dict[int, int]]] = {}
+        self._sums: tuple[float, int, dict[int, int]] | None = None
+        """Time, number and sums of the recent reports: one placement asks for many servers."""
 
     def __len__(self) -> int:
         return len(self._reports)
@@ -43,6 +45,7 @@
         :param now: Seconds.
         """
         self._reports[load.router] = (now, load.counts)
+        self._sums = None
 
     def estimate_others(self, server_hash: int, *, routers: int, now: float) -> float | None:
         """Return the estimated in-flight requests of all other routers at a server.
@@ -50,11 +53,20 @@
         :param routers: Number of running routers, this one included.
         :returns: ``None`` if no other router sent a report recently.
         """
-        recent = [counts for at, counts in self._reports.values() if now - at <= REPORT_MAX_AGE_S]
+        if self._sums is None or self._sums[0] != now:
+            self._sums = self._sum_recent(now)
+        _, recent, sums = self._sums
         if not recent:
             return None
-        reported = sum(counts.get(server_hash, 0) for counts in recent)
-        return reported * max(1.0, (routers - 1) / len(recent))
+        return sums.get(server_hash, 0) * max(1.0, (routers - 1) / recent)
+
+    def _sum_recent(self, now: float) -> tuple[float, int, dict[int, int]]:
+        recent = [counts for at, counts in self._reports.values() if now - at <= REPORT_MAX_AGE_S]
+        sums: dict[int, int] = {}
+        for counts in recent:
+            for server, count in counts.items():
+                sums[server] = sums.get(server, 0) + count
+        return now, len(recent), sums
 
     def evict_expired(self, *, now: float) -> None:
         """Remove expired reports."""
