--- a/packages/emulator/src/cornellead_emulator/experiments/_loads.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_loads.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cornellead_emulator.routing import Fleet
 from cornellead_emulator.servers import ModelServerSettings
 from cornellead_emulator.simulation import EventQueue
+from cornellead_emulator.traffic import CONTENDED_CLASSES
 from cornellead_emulator.traffic import HotChat
+from cornellead_emulator.traffic import RequestClass
 
 EVENT_START_S = 15.0
 """Start of the surge or failure of a scenario.
@@ -37,6 +40,8 @@
     """Fraction of the callers that retry at once when refused."""
     setting_overrides: Mapping[str, object] = {}
     """Fleet settings that differ from the defaults."""
+    classes: Sequence[RequestClass] | None = None
+    """Classes of requests that replace those of the settings, if any."""
 
 
 def _steady_rate(now: float) -> float:
@@ -51,6 +56,10 @@
     return rate_factor
 
 
+def _burst_rate(now: float) -> float:
+    return 2.5 if now % BURST_INTERVAL_S >= BURST_INTERVAL_S - BURST_DURATION_S else 1.0
+
+
 def _no_events(fleet: Fleet, queue: EventQueue) -> None:
     del fleet, queue
 
@@ -85,6 +94,12 @@
     "swing": 0.5,
 }
 
+CONTENDED_SERVER = ModelServerSettings(
+    memory_tokens=597_526, step_ms=2.97, prefill_tokens_per_ms=101.0, tokens_per_event=10
+)
+BURST_INTERVAL_S = 12.0
+BURST_DURATION_S = 6.0
+
 LOADS: Mapping[str, LoadScenario] = {
     "calm": LoadScenario("constant request rate", _steady_rate, _no_events),
     "surge": LoadScenario("1.7 times the request rate for 10 s", _surge_rate(1.7), _no_events),
@@ -116,6 +131,13 @@
         _no_events,
         setting_overrides=UNEVEN_SPEEDS,
     ),
+    "long_prompts": LoadScenario(
+        "long prompts new to the fleet before short ones, in bursts of 2.5 times the rate",
+        _burst_rate,
+        _no_events,
+        setting_overrides={"servers": 22, "server": CONTENDED_SERVER},
+        classes=CONTENDED_CLASSES,
+    ),
     "unheard": LoadScenario(
         "hot_chat without load reports between the routers",
         _surge_rate(4.0),
--- a/packages/emulator/src/cornellead_emulator/experiments/_plots.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_plots.py
@@ -57,4 +57,17 @@
         figure.savefig(path, dpi=120)
         pyplot.close(figure)
         paths.append(path)
-    return paths
+    figure, axes = pyplot.subplots(figsize=(8.0, 5.0))
+    for r in results:
+        lengths = list(r.first_token_by_length)
+        label = f"{r.load}, {r.policy}, {r.routers} routers"
+        axes.plot(lengths, list(r.first_token_by_length.values()), marker="o", label=label)
+    axes.set_xscale("log", base=2)
+    axes.set_yscale("log")
+    axes.set_xlabel("Tokens of the prompt, rounded down to a power of two")
+    axes.set_title(PLOT_TITLES["first_token_p95_ms"])
+    axes.legend(fontsize="xx-small", ncols=2)
+    path = folder / "first_token_by_length.png"
+    figure.savefig(path, dpi=120)
+    pyplot.close(figure)
+    return [*paths, path]
--- a/packages/emulator/src/cornellead_emulator/experiments/_run.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -51,6 +52,11 @@
     """Fraction of arrivals at a server whose load was above the bound."""
     retries: int
     """Retries by routers because a server no longer ran or rejected the request."""
+    late_by_class: Mapping[str, float] = {}
+    """Fraction of the requests of each class without a first token within the latency target."""
+    first_token_by_length: Mapping[int, float] = {}
+    """95th percentile of the time to first token in ms, by the power of two that the tokens of the
+    prompt reach."""
 
 
 def run_load(
@@ -79,7 +85,7 @@
         impatient_share=load.impatient_share,
     )
     Arrivals(
-        classes=classes,
+        classes=load.classes or classes,
         queue=queue,
         rng=random.Random(f"{seed}/callers"),
         rate_factor=lambda now: load.rate_factor(now) if now < seconds else 0.0,
@@ -104,6 +110,14 @@
         fetched_per_request=metrics.fetched_tokens / request_count,
         over_bound=metrics.over_bound / max(1, metrics.arrivals),
         retries=metrics.retries,
+        late_by_class={
+            name: 1.0 - metrics.within_target_by_class[name] / count
+            for name, count in metrics.submitted_by_class.items()
+        },
+        first_token_by_length={
+            length: 1000 * quantile(times, 0.95)
+            for length, times in sorted(metrics.first_token_by_length.items())
+        },
     )
 
 
--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cornellead.gateway.exchange import WorkChannel
 from cornellead.gateway.forwarding import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding import SERVICE_FULL_RETRY_AFTER_S
 from cornellead.gateway.forwarding import NoServer
@@ -84,6 +85,7 @@
                 config_delay_s=0.0,
             )
         )
+        self._work_channel = WorkChannel(view=self.view)
         self._picker = ServerPicker(
             view=self.view,
             cold_limiter=ColdStartLimiter(router=name, burst=settings.cold_slack),
@@ -108,6 +110,14 @@
         """Record the load report of another router."""
         self.view.load.record_report(load, now=self._queue.now)
 
+    def build_work_report(self) -> bytes | None:
+        """Return this router's report of work at servers, if there is anything to tell."""
+        return self._work_channel.encode(now=self._queue.now)
+
+    def receive_work_report(self, data: bytes) -> None:
+        """Apply the report of another router of work at servers."""
+        self._work_channel.apply(data, now=self._queue.now)
+
     def handle(self, req: ChatRequest) -> None:
         """Handle one attempt of a caller: place the request at a server or refuse it."""
         now = self._queue.now
@@ -143,6 +153,7 @@
         progress.tried.add(state.entry.server)
         number = progress.number
         state.health.start_request(number, now=now, urgency=progress.admitted.urgency)
+        self._picker.start_prompt(progress.admitted, state, number, now=now)
         send_s = self._settings.send_ms * S_PER_MS
         self._queue.schedule_after(send_s, lambda: self._deliver(progress, state, source))
 
@@ -179,6 +190,7 @@
     def _retry(self, progress: RequestProgress, state: ServerState) -> None:
         now = self._queue.now
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         progress.admitted.attempts.count_not_run()
         routers = len(self.view.routers(now=now))
         if not self._retries.try_spend(SERVICE_NAME, routers=routers, now=now):
@@ -200,6 +212,7 @@
         state.health.record_data_received(now=now)
         if progress.first_token_at is None:
             progress.first_token_at = now
+            self._picker.end_prefill(state, progress.number, now=now)
             self._record_reported_load(state)
             self._metrics.record_first_token(progress.req, now)
 
@@ -218,6 +231,7 @@
         progress.ended = True
         now = self._queue.now
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         state.health.record_outcome(ok=ok, now=now)
         if not ok:
             self._metrics.failed += 1
@@ -234,4 +248,5 @@
         progress.ended = True
         progress.cancel()
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         self._metrics.failed += 1
--- a/packages/emulator/src/cornellead_emulator/routing/_fleet.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_fleet.py
@@ -135,7 +135,7 @@
 
     def submit(self, req: ChatRequest) -> None:
         """Send a new request to a random router."""
-        self._metrics.submitted += 1
+        self._metrics.record_submitted(req)
         self._choose_router().handle(req)
 
     def _choose_router(self) -> EmulatedRouter:
@@ -187,10 +187,12 @@
         if receiver_count <= 0:
             return
         for router in self.routers:
-            report = router.build_report()
+            report, work = router.build_report(), router.build_work_report()
             others = [other for other in self.routers if other is not router]
             for other in self._rng.sample(others, receiver_count):
                 other.receive_report(report)
+                if work is not None:
+                    other.receive_work_report(work)
 
     def _on_arrival(self, server: str) -> ModelServer | None:
         """Record that a request arrives at a server.
--- a/packages/router/src/cornellead/gateway/exchange/__init__.py
+++ b/packages/router/src/cornellead/gateway/exchange/__init__.py
@@ -4,5 +4,6 @@
 
 from cornellead.gateway.exchange._load_exchange import LoadExchange
 from cornellead.gateway.exchange._report_channel import ReportChannel
+from cornellead.gateway.exchange._work_channel import WorkChannel
 
-__all__ = ["LoadExchange", "ReportChannel"]
+__all__ = ["LoadExchange", "ReportChannel", "WorkChannel"]
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -82,19 +82,21 @@
         """Called once when `has_head` becomes true."""
         self.on_stalled: Callable[[], None] = lambda: None
         """Called at each check while the server is stalled and the request may be repeated."""
+        self.on_first_event: Callable[[], None] = lambda: None
+        """Called once when the first event arrives."""
         self.search: asyncio.Task[None] | None = None
         """Search for a server that takes the request if this one has stalled."""
         self.has_head = False
         """Whether the head of a successful response arrived."""
         self._first_event_at: float | None = None
-        self._attempt_id = next(_attempt_ids)
+        self.attempt_id = next(_attempt_ids)
         self._first_byte_timeout_s = first_byte_timeout_s
         self._can_fail_over = can_fail_over
         self._last_byte_at: float | None = None
         self._last_progress_at = now
         self._buffered_bytes = 0
         self._watched_since = float("-inf")
-        state.health.start_request(self._attempt_id, now=now, urgency=urgency)
+        state.health.start_request(self.attempt_id, now=now, urgency=urgency)
 
     def record_data(self, *, now: float) -> None:
         """Restart the timeout for silence, and record the latency if this is the first data."""
@@ -121,6 +123,7 @@
         """Record an event of the response, which counts as answered once it has lasted."""
         if self._first_event_at is None:
             self._first_event_at = now
+            self.on_first_event()
         elif now - self._first_event_at >= ANSWER_PROOF_S:
             self.record_answered()
 
@@ -147,7 +150,8 @@
         if self.search is not None:
             self.search.cancel()
         self.exchange.abort()
-        self.state.health.finish_request(self._attempt_id)
+        self.state.health.finish_request(self.attempt_id)
+        self.state.prompts.finish(self.attempt_id)
 
     def restart_timeouts(self, *, now: float) -> None:
         """Ignore the silence so far, for example that of a pause of this process."""
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -79,8 +79,13 @@
             trace.add_attempt(state.entry.server, "no_connection")
             return None
         attempt.on_answered = partial(self._crashes.record_answer, admitted)
+        self._picker.start_prompt(admitted, state, attempt.attempt_id, now=self._clock())
+        attempt.on_first_event = partial(self._end_prefill, attempt)
         return attempt
 
+    def _end_prefill(self, attempt: Attempt) -> None:
+        self._picker.end_prefill(attempt.state, attempt.attempt_id, now=self._clock())
+
     async def run(self, context: RequestContext, attempt: Attempt) -> AttemptOutcome:
         """Relay the response of an attempt and end it.
 
--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -251,6 +251,9 @@
                 admitted, tried=trace.tried, excluded=excluded, now=self._clock()
             )
             if isinstance(picked, ServerState):
+                if self._picker.avoided and admitted.affinity:
+                    trace.add_note_once(f"prompt_avoids_{len(self._picker.avoided)}")
+                    self._stats.count_decision("prompt_avoids_server")
                 return picked
             if picked.next_send_at is None or picked.next_send_at > hold_until:
                 return picked
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 
 from cornellead.gateway.policy import PlacementContext
+from cornellead.gateway.policy import PromptPlacement
+from cornellead.gateway.policy import PromptRequest
 from cornellead.gateway.policy import exclude
 from cornellead.gateway.policy import expected_wait_s
 from cornellead.gateway.policy import find_prompt_source
@@ -14,6 +16,7 @@
 from cornellead.gateway.policy import request_jitter
 from cornellead.gateway.policy import return_at
 from cornellead.gateway.policy import work_weights
+from cornellead.gateway.view import PromptLoad
 from cornellead.gateway.view import ServerState
 
 if TYPE_CHECKING:
@@ -79,6 +82,9 @@
         self._regions = regions
         self.load_factor = load_factor
         self._order = order
+        self._prompts = PromptPlacement()
+        self.avoided = frozenset[str]()
+        """Servers that the latest `find` put behind others because of prompts."""
 
     def pick(
         self,
@@ -129,6 +135,9 @@
             state.entry.server: state.load(fleet, routers=len(routers), now=now) for state in listed
         }
         if admitted.affinity:
+            prompt = self._describe_prompt(admitted, now=now)
+            self.avoided = self._prompts.find_late(prompt, awake, loads, now=now)
+            self.avoided |= self._prompts.find_full(prompt, awake, loads)
             ordered = self._order(
                 PlacementContext(
                     admitted.affinity,
@@ -138,6 +147,7 @@
                     jitter,
                     now,
                     work_weights(listed, now=now),
+                    self.avoided,
                 )
             )
         else:
@@ -219,6 +229,40 @@
             now=now,
         )
 
+    def start_prompt(
+        self, admitted: AdmittedRequest, state: ServerState, request: int, *, now: float
+    ) -> None:
+        """Count the prompt of a request that is sent to a server.
+
+        :param request: Number of the attempt.
+        """
+        if not admitted.affinity:
+            return
+        prompt = self._describe_prompt(admitted, now=now)
+        self._prompts.record_request(prompt)
+        state.prompts.start(
+            request, PromptLoad(prompt.tokens, prompt.uncached_tokens, prompt.new_tokens), now=now
+        )
+
+    def end_prefill(self, state: ServerState, request: int, *, now: float) -> None:
+        """Record the first event of a request."""
+        sample = state.prompts.end_prefill(request, now=now)
+        self._prompts.record_first_event(state, sample, now=now)
+
+    def _describe_prompt(self, admitted: AdmittedRequest, *, now: float) -> PromptRequest:
+        tokens, shared = admitted.caller.prompt_tokens, admitted.shared_tokens
+        known = bool(self._view.prompts.holders(admitted.affinity, now=now))
+        cached_share = 1.0 if known else self._prompts.rates.cached_share(admitted.service.name)
+        return PromptRequest(
+            service=admitted.service.name,
+            tokens=tokens,
+            uncached_tokens=max(0, tokens - int(shared * cached_share)),
+            new_tokens=0 if known else tokens,
+            target_s=admitted.route.target_latency_s,
+            capacity_tokens=admitted.service.kv_capacity_tokens,
+            config_version=admitted.config_version,
+        )
+
     def _expected_wait_s(
         self, admitted: AdmittedRequest, state: ServerState, *, now: float
     ) -> float:
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -6,6 +6,8 @@
 from cornellead.gateway.policy._chat_order import PlacementContext
 from cornellead.gateway.policy._cold_start_limiter import ColdStartLimiter
 from cornellead.gateway.policy._expected_wait import expected_wait_s
+from cornellead.gateway.policy._prompt_placement import PromptPlacement
+from cornellead.gateway.policy._prompt_placement import PromptRequest
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_attempts import RequestAttempts
 from cornellead.gateway.policy._request_attempts import RunState
@@ -28,6 +30,8 @@
     "ChatOrder",
     "ColdStartLimiter",
     "PlacementContext",
+    "PromptPlacement",
+    "PromptRequest",
     "RequestAttempts",
     "RetryBudgets",
     "RunState",
--- a/packages/router/src/cornellead/gateway/policy/_chat_order.py
+++ b/packages/router/src/cornellead/gateway/policy/_chat_order.py
@@ -27,6 +27,8 @@
     """Current time in seconds."""
     weights: Mapping[str, float] = {}
     """Weight of the requests at servers on which work takes longer than usual, by name."""
+    avoided: frozenset[str] = frozenset()
+    """Servers with too much pending prefill or too little memory for the prompt."""
 
 
 class ChatOrder(Protocol):
--- a/packages/router/src/cornellead/gateway/policy/_server_order.py
+++ b/packages/router/src/cornellead/gateway/policy/_server_order.py
@@ -48,7 +48,8 @@
     jitter of each request makes a growing fraction of its requests spill over as the load
     approaches the bound. The mean load includes all servers of the service, even those that are not
     candidates now. A server on which work takes longer is the home of fewer chats, so that its work
-    takes as long as that of others; the bound applies to the number of requests.
+    takes as long as that of others; the bound applies to the number of requests. Servers that the
+    prompt should avoid come after those that are alike otherwise.
     """
     ranked = rank_homes(placement.key, placement.servers, placement.weights)
     loads = placement.loads
@@ -57,10 +58,11 @@
     limit *= 1.0 - SPILL_RANGE_SHARE * placement.jitter
     unhealthy = _unhealthy(ranked, now=placement.now)
 
-    def rank(state: ServerState) -> tuple[bool, int]:
-        load = loads[state.entry.server]
+    def rank(state: ServerState) -> tuple[bool, bool, bool, int]:
+        name = state.entry.server
+        load = loads[name]
         load_level = 1 + int(load / LOAD_LEVEL_REQUESTS) if load > limit else 0
-        return state.entry.server in unhealthy, load_level
+        return name in unhealthy, load > limit, name in placement.avoided, load_level
 
     return sorted(ranked, key=rank)
 
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -9,6 +9,7 @@
 import structlog
 
 from cornellead.gateway.exchange import LoadExchange
+from cornellead.gateway.exchange import WorkChannel
 from cornellead.gateway.forwarding import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
@@ -179,7 +180,12 @@
         self._store = RelayedStore(
             store=store, view=self._view, http=http, location=location, clock=read_clock
         )
-        self._exchange = LoadExchange(view=self._view, address=location.address, clock=read_clock)
+        self._exchange = LoadExchange(
+            view=self._view,
+            address=location.address,
+            clock=read_clock,
+            channels=[WorkChannel(view=self._view)],
+        )
         relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
             settings.caller_address, forwarder, sock=caller_socket
--- a/packages/router/src/cornellead/gateway/view/__init__.py
+++ b/packages/router/src/cornellead/gateway/view/__init__.py
@@ -5,7 +5,11 @@
 from cornellead.gateway.view._fleet_load import FleetLoad
 from cornellead.gateway.view._fleet_load import RouterLoad
 from cornellead.gateway.view._fleet_view import FleetView
+from cornellead.gateway.view._prefill_rates import PrefillRates
 from cornellead.gateway.view._prompt_directory import PromptDirectory
+from cornellead.gateway.view._prompt_work import PrefillSample
+from cornellead.gateway.view._prompt_work import PromptLoad
+from cornellead.gateway.view._prompt_work import PromptWork
 from cornellead.gateway.view._rate_limits import RateLimitReport
 from cornellead.gateway.view._rate_limits import RateLimits
 from cornellead.gateway.view._server_health import SILENCE_TIMEOUT_S
@@ -23,7 +27,11 @@
     "SILENCE_TIMEOUT_S",
     "FleetLoad",
     "FleetView",
+    "PrefillRates",
+    "PrefillSample",
     "PromptDirectory",
+    "PromptLoad",
+    "PromptWork",
     "RateLimitReport",
     "RateLimits",
     "RouterLoad",
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -62,6 +62,10 @@
         self._services = frozenset(services)
         self._rebuild_indexes()
 
+    def states(self) -> list[ServerState]:
+        """Return the states of all servers."""
+        return list(self._servers.values())
+
     def get(self, server: str) -> ServerState | None:
         """Return the state of a server; ``None`` if it is not registered."""
         return self._servers.get(server)
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from cornellead.gateway.view._prompt_work import PromptWork
 from cornellead.gateway.view._server_health import ServerHealth
 from cornellead.gateway.view._work_factor import WorkFactor
 
@@ -45,6 +46,7 @@
         self.paused_until = 0.0
         """End of the time in which the server wants no requests of this router, in seconds."""
         self.work = WorkFactor()
+        self.prompts = PromptWork()
         self._reported_load: ReportedLoad | None = None
         self._reported_at = 0.0
         self._in_flight_at_report = 0
--- a/packages/router/src/cornellead/gateway/view/_work_factor.py
+++ b/packages/router/src/cornellead/gateway/view/_work_factor.py
@@ -29,6 +29,7 @@
         self._value = USUAL
         self._measured = USUAL
         self._recorded_at: float | None = None
+        self._heard_at = float("-inf")
 
     def record(self, factor: float, *, now: float) -> None:
         """Add the factor of a response.
@@ -44,7 +45,19 @@
             old_share = min(old_share, 1.0 - MEASURED_SAMPLE_WEIGHT)
             self._value += (1.0 - old_share) * (factor - self._value)
             self._measured += MEASURED_SAMPLE_WEIGHT * (factor - self._measured)
-        self._recorded_at = now
+        self._recorded_at = self._heard_at = now
+
+    def record_report(self, factor: float, *, at: float) -> None:
+        """Use the factor that another router received, unless a later one is known.
+
+        :param at: Time of the response, in seconds.
+        """
+        if self._recorded_at is None or at > self._recorded_at:
+            self._value, self._recorded_at = factor, at
+
+    def age_s(self, *, now: float) -> float:
+        """Return the age of the latest factor that this router received from the server itself."""
+        return max(0.0, now - self._heard_at)
 
     def value(self, *, now: float) -> float:
         """Return the factor; 1 if it is unknown."""
