--- a/packages/emulator/src/cornellead_emulator/experiments/_loads.py
+++ b/packages/emulator/src/cornellead_emulator/experiments/_loads.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cornellead_emulator.routing import Fleet
+from cornellead_emulator.servers import ModelServerSettings
 from cornellead_emulator.simulation import EventQueue
+from cornellead_emulator.traffic import CONTENDED_CLASSES
 from cornellead_emulator.traffic import HotChat
+from cornellead_emulator.traffic import RequestClass
 
 EVENT_START_S = 15.0
 """Start of the surge or failure of a scenario.
@@ -40,6 +44,8 @@
     """Fraction of the callers that retry at once when refused."""
     setting_overrides: Mapping[str, object] = {}
     """Fleet settings that differ from the defaults."""
+    classes: Sequence[RequestClass] | None = None
+    """Classes of requests that replace those of the settings, if any."""
 
 
 def _steady_rate(now: float) -> float:
@@ -54,6 +60,10 @@
     return rate_factor
 
 
+def _burst_rate(now: float) -> float:
+    return 2.5 if now % BURST_INTERVAL_S >= BURST_INTERVAL_S - BURST_DURATION_S else 1.0
+
+
 def _no_events(fleet: Fleet, queue: EventQueue) -> None:
     del fleet, queue
 
@@ -93,6 +103,19 @@
 
 HOT_COMPLAINT_CHAT = HotChat("complaint-tag", 0.5, EVENT_START_S, EVENT_START_S + EVENT_DURATION_S)
 
+UNEVEN_SPEEDS: Mapping[str, object] = {
+    "work_factors": (1.0, 1.3, 1.0, 2.5, 1.0, 1.0),
+    "server": ModelServerSettings(work_jitter=0.2),
+    "reports_work": True,
+    "swing": 0.5,
+}
+
+CONTENDED_SERVER = ModelServerSettings(
+    memory_tokens=597_526, step_ms=2.97, prefill_tokens_per_ms=101.0, tokens_per_event=10
+)
+BURST_INTERVAL_S = 12.0
+BURST_DURATION_S = 6.0
+
 LOADS: Mapping[str, LoadScenario] = {
     "calm": LoadScenario("constant request rate", _steady_rate, _no_events),
     "surge": LoadScenario("1.7 times the request rate for 10 s", _surge_rate(1.7), _no_events),
@@ -121,6 +144,19 @@
     "bad_version": LoadScenario(
         "a rollout to servers that are four times slower", _steady_rate, _schedule_rollout(4.0)
     ),
+    "uneven": LoadScenario(
+        "6 times the request rate, swinging between data centres, before uneven servers",
+        _surge_rate(6.0),
+        _no_events,
+        setting_overrides=UNEVEN_SPEEDS,
+    ),
+    "long_prompts": LoadScenario(
+        "long prompts new to the fleet before short ones, in bursts of 2.5 times the rate",
+        _burst_rate,
+        _no_events,
+        setting_overrides={"servers": 22, "server": CONTENDED_SERVER},
+        classes=CONTENDED_CLASSES,
+    ),
     "unheard": LoadScenario(
         "hot_chat without load reports between the routers",
         _surge_rate(4.0),
--- a/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_emulated_router.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from cornellead.gateway.exchange import WorkChannel
 from cornellead.gateway.forwarding import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding import SERVICE_FULL_RETRY_AFTER_S
 from cornellead.gateway.forwarding import BrokenResponse
@@ -95,6 +96,7 @@
                 config_delay_s=0.0,
             )
         )
+        self._work_channel = WorkChannel(view=self.view)
         self._picker = ServerPicker(
             view=self.view,
             cold_limiter=ColdStartLimiter(router=name, burst=settings.cold_slack),
@@ -119,6 +121,14 @@
         """Record the load report of another router."""
         self.view.load.record_report(load, now=self._queue.now)
 
+    def build_work_report(self) -> bytes | None:
+        """Return this router's report of work at servers, if there is anything to tell."""
+        return self._work_channel.encode(now=self._queue.now)
+
+    def receive_work_report(self, data: bytes) -> None:
+        """Apply the report of another router of work at servers."""
+        self._work_channel.apply(data, now=self._queue.now)
+
     def handle(self, req: ChatRequest) -> None:
         """Handle one attempt of a caller: place the request at a server or refuse it."""
         now = self._queue.now
@@ -156,6 +166,7 @@
         progress.tried.add(state.entry.server)
         number = progress.number
         state.health.start_request(number, now=now, urgency=progress.admitted.urgency)
+        self._picker.start_prompt(progress.admitted, state, number, now=now)
         send_s = self._settings.send_ms * S_PER_MS
         self._queue.schedule_after(send_s, lambda: self._deliver(progress, state, source))
 
@@ -192,6 +203,7 @@
     def _retry(self, progress: RequestProgress, state: ServerState) -> None:
         now = self._queue.now
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         progress.admitted.attempts.count_not_run()
         routers = len(self.view.routers(now=now))
         if not self._retries.try_spend(SERVICE_NAME, routers=routers, now=now):
@@ -213,13 +225,15 @@
         state.health.record_data_received(now=now)
         if progress.first_token_at is None:
             progress.first_token_at = now
+            self._picker.end_prefill(state, progress.number, now=now)
             self._record_reported_load(state)
             self._metrics.record_first_token(progress.req, now)
 
     def _record_reported_load(self, state: ServerState) -> None:
         server = self._find_server(state.entry.server)
         if server is not None:
-            load = ReportedLoad(server.running, server.waiting, state.entry.slots)
+            factor = server.work_factor if self._settings.reports_work else None
+            load = ReportedLoad(server.running, server.waiting, state.entry.slots, factor)
             state.record_reported_load(load, now=self._queue.now)
 
     def _finish(
@@ -230,6 +244,7 @@
         progress.ended = True
         now = self._queue.now
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         state.health.record_outcome(ok=ok, now=now)
         self._count_version(progress, state, ok=ok)
         if not ok:
@@ -257,4 +272,5 @@
         progress.ended = True
         progress.cancel()
         state.health.finish_request(progress.number)
+        state.prompts.finish(progress.number)
         self._metrics.failed += 1
--- a/packages/emulator/src/cornellead_emulator/routing/_fleet.py
+++ b/packages/emulator/src/cornellead_emulator/routing/_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -96,11 +97,15 @@
 
         :param slowness: Factor by which its steps take longer than usual.
         """
-        name = f"s{self._started_count}"
+        name, factors = f"s{self._started_count}", self.settings.work_factors
         data_centre = self._data_centre(self._started_count)
         self._started_count += 1
-        settings = self.settings.server.slowed(slowness)
-        self._servers[name] = ModelServer(name=name, settings=settings, queue=self._queue)
+        self._servers[name] = ModelServer(
+            name=name,
+            settings=self.settings.server.slowed(slowness),
+            queue=self._queue,
+            mean_work_factor=factors[self._started_count % len(factors)],
+        )
         self._publish_entry(
             ServerEntry(
                 server=name,
@@ -143,8 +148,21 @@
 
     def submit(self, req: ChatRequest) -> None:
         """Send a new request to a random router."""
-        self._metrics.submitted += 1
-        self._rng.choice(self.routers).handle(req)
+        self._metrics.record_submitted(req)
+        self._choose_router().handle(req)
+
+    def _choose_router(self) -> EmulatedRouter:
+        """Choose a router at random, by the demand of its data centre at the moment."""
+        cfg = self.settings
+        if cfg.swing <= 0:
+            return self._rng.choice(self.routers)
+        turn = self._queue.now / cfg.swing_period_s
+        shares = [
+            1.0 + cfg.swing * math.sin(2 * math.pi * (turn + number / cfg.data_centres))
+            for number in range(cfg.data_centres)
+        ]
+        weights = [shares[number % len(shares)] for number in range(len(self.routers))]
+        return self._rng.choices(self.routers, weights)[0]
 
     def _retry_later(self, req: ChatRequest, wait_s: float) -> None:
         impatient = req.number % 100 < 100 * self._impatient_share
@@ -182,10 +200,12 @@
         if receiver_count <= 0:
             return
         for router in self.routers:
-            report = router.build_report()
+            report, work = router.build_report(), router.build_work_report()
             others = [other for other in self.routers if other is not router]
             for other in self._rng.sample(others, receiver_count):
                 other.receive_report(report)
+                if work is not None:
+                    other.receive_work_report(work)
 
     def _on_arrival(self, server: str) -> ModelServer | None:
         """Record that a request arrives at a server.
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -80,8 +80,13 @@
             return None
         self._picker.rollouts.record_sent(admitted)
         attempt.on_answered = partial(self._crashes.record_answer, admitted)
+        self._picker.start_prompt(admitted, state, attempt.attempt_id, now=self._clock())
+        attempt.on_first_event = partial(self._end_prefill, attempt)
         return attempt
 
+    def _end_prefill(self, attempt: Attempt) -> None:
+        self._picker.end_prefill(attempt.state, attempt.attempt_id, now=self._clock())
+
     async def run(self, context: RequestContext, attempt: Attempt) -> AttemptOutcome:
         """Relay the response of an attempt and end it.
 
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -12,6 +12,8 @@
 from cornellead.gateway.policy._place_share import MIN_BACKLOG
 from cornellead.gateway.policy._place_share import ServerLoad
 from cornellead.gateway.policy._place_share import count_places
+from cornellead.gateway.policy._prompt_placement import PromptPlacement
+from cornellead.gateway.policy._prompt_placement import PromptRequest
 from cornellead.gateway.policy._prompt_source import find_prompt_source
 from cornellead.gateway.policy._request_attempts import RequestAttempts
 from cornellead.gateway.policy._request_attempts import RunState
@@ -33,6 +35,7 @@
 from cornellead.gateway.policy._version_verdict import VersionJudge
 from cornellead.gateway.policy._version_verdict import is_worse
 from cornellead.gateway.policy._version_verdict import slow_limit_s
+from cornellead.gateway.policy._work_weight import work_weights
 
 __all__ = [
     "MAX_PAUSE_S",
@@ -43,6 +46,8 @@
     "HeldRequest",
     "PlaceQueue",
     "PlacementContext",
+    "PromptPlacement",
+    "PromptRequest",
     "RequestAttempts",
     "RetryBudgets",
     "RolloutFacts",
@@ -66,4 +71,5 @@
     "return_at",
     "slow_limit_s",
     "split_service",
+    "work_weights",
 ]
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -11,6 +11,7 @@
 from cornellead.gateway.exchange import LoadExchange
 from cornellead.gateway.exchange import QueueChannel
 from cornellead.gateway.exchange import RolloutChannel
+from cornellead.gateway.exchange import WorkChannel
 from cornellead.gateway.forwarding import STALL_CHECK_INTERVAL_S
 from cornellead.gateway.forwarding import Admission
 from cornellead.gateway.forwarding import AttemptSender
@@ -197,6 +198,7 @@
             channels=[
                 RolloutChannel(rollouts=self._view.rollouts),
                 QueueChannel(reports=forwarder.places.reports),
+                WorkChannel(view=self._view),
             ],
         )
         self._rollouts = RolloutController(
