--- a/packages/router/src/cornellead/gateway/forwarding/__init__.py
+++ b/packages/router/src/cornellead/gateway/forwarding/__init__.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.forwarding._forwarder import Forwarder
 from cornellead.gateway.forwarding._outcome import BrokenResponse
 from cornellead.gateway.forwarding._outcome import DeliveredResponse
+from cornellead.gateway.forwarding._place_waiter import PlaceWaiter
 from cornellead.gateway.forwarding._request_sender import COLD_WAIT_SHARE
 from cornellead.gateway.forwarding._response_relay import ResponseRelay
 from cornellead.gateway.forwarding._server_picker import NoServer
@@ -30,6 +31,7 @@
     "EventSplitter",
     "Forwarder",
     "NoServer",
+    "PlaceWaiter",
     "ResponseRelay",
     "ServerPicker",
 ]
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -32,6 +32,8 @@
 from cornellead.gateway.process._caller_bounds import find_bounds
 from cornellead.gateway.process._caller_bounds import find_budget_bytes
 from cornellead.gateway.process._clock import read_clock
+from cornellead.gateway.process._gateway_gauges import GaugeSources
+from cornellead.gateway.process._gateway_gauges import register_gauges
 from cornellead.gateway.process._graceful_shutdown import GracefulShutdown
 from cornellead.gateway.process._loop_watch import LoopWatch
 from cornellead.gateway.process._server_cleanup import ServerCleanup
@@ -134,7 +136,6 @@
         rate_limiter = ServerRateLimiter(router=settings.node)
         metrics = Metrics()
         self._stats = GatewayStats(metrics=metrics)
-        self._register_gauges(metrics)
         self._pool = ConnectionPool(
             loop=asyncio.get_running_loop(),
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -212,9 +213,6 @@
                 min(ROLLOUTS_READ_INTERVAL_S, self._settings.bounds.rollback_s / 4)
             ),
         )
-        metrics.gauge(
-            "gateway_queued_requests", "Requests that wait in the router for a place"
-        ).set_function(lambda: forwarder.places.held)
         relay = RelayHandler(logs=self._store.logs, view=self._view, clock=read_clock)
         self._caller_listener = self._make_listener(
             settings.caller_address, forwarder, CALLER_DESCRIPTOR_SHARE, sock=caller_socket
@@ -234,6 +232,20 @@
         self._watcher = SettingsWatcher(
             path=settings_path, current=settings, load=load, apply=self._apply_settings
         )
+        register_gauges(
+            metrics,
+            GaugeSources(
+                view=self._view,
+                serving=self._serving,
+                store=self._store,
+                pacer=self._pacer,
+                callers=self._caller_listener,
+                budget=self._caller_budget,
+                exchange=self._exchange,
+                places=forwarder.places,
+            ),
+            clock=read_clock,
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully; SIGHUP reloads the settings."""
@@ -360,54 +372,6 @@
             paced_status=200 if is_admin else FIRST_REFUSAL_STATUS,
         )
 
-    def _register_gauges(self, metrics: Metrics) -> None:
-        view, now = self._view, read_clock
-        gauges: dict[str, tuple[str, Callable[[], float]]] = {
-            "routers": ("Running routers", lambda: len(view.routers(now=now()))),
-            "servers": ("Listed servers", lambda: len(view.servers)),
-            "requests_in_progress": ("Requests", lambda: self._serving.in_progress),
-            "config_version": (
-                "Configuration in force",
-                lambda: view.config.version if view.config else 0,
-            ),
-            "store_era": (
-                "Latest era of the store that was met, -1 if it names none",
-                lambda: view.history.era,
-            ),
-            "config_age_seconds": (
-                "Time since the store confirmed the configuration",
-                lambda: view.config_age_s(now=now()),
-            ),
-            "relayed_reads": ("Reads answered by other routers", lambda: self._store.relayed),
-            "throttled_reads": (
-                "Times that a connection waited since its peer had used its share of a turn",
-                lambda: self._pacer.throttled,
-            ),
-            "caller_connections": (
-                "Open connections of callers",
-                lambda: self._caller_listener.connections,
-            ),
-            "refused_connections": (
-                "Connections of callers that were closed at once, since a bound was reached",
-                lambda: self._caller_listener.refused_connections,
-            ),
-            "unread_connections_closed": (
-                "Connections that were closed since their callers read nothing",
-                lambda: self._serving.unread,
-            ),
-            "caller_bytes": (
-                "What is held for callers: requests and unread responses",
-                lambda: self._caller_budget.used_bytes + self._caller_budget.pinned_bytes,
-            ),
-            "caller_bytes_dropped": (
-                "Times that a caller had to give way since all of them held too much",
-                lambda: self._caller_budget.dropped + self._caller_budget.refused,
-            ),
-            "load_report_bytes": ("Bytes of load reports", lambda: self._exchange.bytes_sent),
-        }
-        for name, (description, read_value) in gauges.items():
-            metrics.gauge(f"gateway_{name}", description).set_function(read_value)
-
     def _remove_idle(self) -> None:
         self._pool.close_idle(now=asyncio.get_running_loop().time())
         self._cleanup.remove_idle(now=read_clock())
