--- a/packages/core/src/cornellead_core/buffers/_buffer_budget.py
+++ b/packages/core/src/cornellead_core/buffers/_buffer_budget.py
@@ -57,6 +57,7 @@
         """Sum of what the holders hold."""
         self.pinned_bytes = 0
         """What is held beside the holders and cannot be given up, such as requests in progress."""
+        self._large_pins = 0
         self.dropped = 0
         """Number of holders that had to give up."""
         self.refused = 0
@@ -94,22 +95,27 @@
     def try_pin(self, size: int) -> bool:
         """Count bytes that cannot be given up until `unpin`; holders give way to them.
 
+        A large request always has room while no other one is pinned, since callers may send one of
+        any size up to the configured limit.
+
         :param size: Bytes.
         :returns: ``False`` if what is pinned leaves no room; nothing is counted then.
         """
-        limit = self._limit_bytes
-        if size > MAX_USUAL_PIN_BYTES:
-            limit = int(LARGE_PIN_SHARE * limit)
-        if self.pinned_bytes + size > limit:
+        large = size > MAX_USUAL_PIN_BYTES
+        limit = int(LARGE_PIN_SHARE * self._limit_bytes) if large else self._limit_bytes
+        only_large = large and not self._large_pins
+        if self.pinned_bytes + size > limit and not only_large:
             self.refused += 1
             return False
         self.pinned_bytes += size
+        self._large_pins += large
         self._make_room()
         return True
 
     def unpin(self, size: int) -> None:
         """Stop counting bytes of `try_pin`."""
         self.pinned_bytes -= size
+        self._large_pins -= size > MAX_USUAL_PIN_BYTES
 
     def _make_room(self) -> None:
         while self._shares and self.used_bytes + self.pinned_bytes > self._limit_bytes:
--- a/tests/core/buffers/test_buffer_budget.py
+++ b/tests/core/buffers/test_buffer_budget.py
@@ -143,3 +143,13 @@
     assert not budget.try_pin(LIMIT_BYTES // 2)
     budget.unpin(3 * LIMIT_BYTES // 4)
     assert budget.pinned_bytes == 0 and budget.refused == 1
+
+
+def test_single_large_request_has_room_in_any_budget() -> None:
+    """Guards against a limit on bodies that is larger than the budget: its requests would be
+    refused also while nothing else is in progress."""
+    budget = BufferBudget(limit_bytes=1 << 20)
+    assert budget.try_pin(2 << 20)
+    assert not budget.try_pin(2 << 20)
+    budget.unpin(2 << 20)
+    assert budget.try_pin(2 << 20)
