--- a/packages/router/src/cornellead/gateway/view/_prompt_work.py
+++ b/packages/router/src/cornellead/gateway/view/_prompt_work.py
@@ -107,10 +107,11 @@
 
     def record_report(self, router: str, tokens: int, *, now: float) -> None:
         """Store the pending prefill that another router reported, in place of its last report."""
+        # The latest report comes last, so that the expired ones come first.
+        self._reports.pop(router, None)
         if tokens:
             self._reports[router] = (now, tokens)
-        else:
-            self._reports.pop(router, None)
+        self._evict(now)
 
     def pending_tokens(self, *, tokens_per_s: float, now: float) -> float:
         """Return the expected pending tokens of all routers that are known of.
@@ -120,13 +121,19 @@
 
         :param tokens_per_s: Rate at which the server prefills.
         """
-        self._reports = {
-            router: report
-            for router, report in self._reports.items()
-            if now - report[0] <= REPORT_MAX_AGE_S
-        }
-        reported = sum(tokens for _, tokens in self._reports.values())
+        self._evict(now)
+        reported, weighted_age = 0, 0.0
+        for at, tokens in self._reports.values():
+            reported += tokens
+            weighted_age += (now - at) * tokens
         if not reported:
             return float(self.own_pending_tokens)
-        age_s = sum((now - at) * tokens for at, tokens in self._reports.values()) / reported
-        return self.own_pending_tokens + max(0.0, reported - age_s * tokens_per_s)
+        left = reported - weighted_age / reported * tokens_per_s
+        return self.own_pending_tokens + max(0.0, left)
+
+    def _evict(self, now: float) -> None:
+        while self._reports:
+            router, (at, _) = next(iter(self._reports.items()))
+            if now - at <= REPORT_MAX_AGE_S:
+                return
+            del self._reports[router]
