--- a/packages/router/src/cornellead/gateway/exchange/_work_channel.py
+++ b/packages/router/src/cornellead/gateway/exchange/_work_channel.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cornellead.gateway.gossip import MAX_COUNT
 from cornellead.gateway.gossip import Age
 from cornellead.gateway.gossip import Count
 
@@ -90,7 +91,7 @@
         heard = age_s <= NEWS_MAX_AGE_S
         return WorkItem(
             state.name_hash,
-            state.prompts.own_pending_tokens,
+            min(state.prompts.own_pending_tokens, MAX_COUNT),
             round(state.work.value(now=now), 2) if heard else None,
             age_s if heard else 0.0,
         )
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -262,6 +262,9 @@
         if not admitted.affinity:
             return
         prompt = self._describe_prompt(admitted, now=now)
+        if 0 < prompt.capacity_tokens < prompt.tokens:
+            # A server rejects a prompt that exceeds its memory, so that none of it is prefilled.
+            return
         self._prompts.record_request(prompt)
         state.prompts.start(
             request, PromptLoad(prompt.tokens, prompt.uncached_tokens, prompt.new_tokens), now=now
--- a/packages/router/src/cornellead/gateway/gossip/__init__.py
+++ b/packages/router/src/cornellead/gateway/gossip/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cornellead.gateway.gossip._ranges import MAX_COUNT
 from cornellead.gateway.gossip._ranges import Age
 from cornellead.gateway.gossip._ranges import Count
 from cornellead.gateway.gossip._ranges import Rate
@@ -9,4 +10,4 @@
 from cornellead.gateway.gossip._send_queue import RELAY_ROUNDS
 from cornellead.gateway.gossip._send_queue import SendQueue
 
-__all__ = ["OWN_ROUNDS", "RELAY_ROUNDS", "Age", "Count", "Rate", "SendQueue"]
+__all__ = ["MAX_COUNT", "OWN_ROUNDS", "RELAY_ROUNDS", "Age", "Count", "Rate", "SendQueue"]
--- a/tests/router/gateway/exchange/test_work_channel.py
+++ b/tests/router/gateway/exchange/test_work_channel.py
@@ -50,6 +50,19 @@
     assert report is not None and len(report) <= 300
 
 
+def test_huge_pending_prefill_leaves_the_report_readable() -> None:
+    """Guards against a caller whose token count ends the task that sends reports, or makes other
+    routers drop them."""
+    (sender, mine), (receiver, theirs) = _make_router("r1"), _make_router("r2")
+    for number in range(100):
+        mine[0].prompts.start(number, PromptLoad(10**18, 10**18), now=0.0)
+    mine[1].work.record(2.5, now=0.0)
+    report = sender.encode(now=0.0)
+    assert report is not None
+    receiver.apply(report, now=0.0)
+    assert theirs[1].work.value(now=0.0) == 2.5
+
+
 @pytest.mark.parametrize(
     "report",
     [b"", b"\x00", msgspec.msgpack.encode(["r", [[1, -1, None, 0.0]]])]
--- a/tests/router/gateway/forwarding/test_server_picker.py
+++ b/tests/router/gateway/forwarding/test_server_picker.py
@@ -38,7 +38,16 @@
     view.activate_config(make_config())
     for name in ("s1", "s2"):
         view.servers.put(make_entry(name, slots=SLOTS), now=0.0)
-    picker = ServerPicker(
+    picker = _make_picker(view)
+
+    def pick(*, time_left_s: float, urgency: int = 1) -> ServerState | NoServer:
+        return picker.pick(_admitted_request(view, time_left_s, urgency), tried=(), now=0.0)
+
+    return view, pick
+
+
+def _make_picker(view: FleetView) -> ServerPicker:
+    return ServerPicker(
         view=view,
         cold_limiter=ColdStartLimiter(router="r1", burst=5.0),
         rate_limiter=ServerRateLimiter(router="r1"),
@@ -47,11 +56,6 @@
         load_factor=BOUNDS.load_factor,
     )
 
-    def pick(*, time_left_s: float, urgency: int = 1) -> ServerState | NoServer:
-        return picker.pick(_admitted_request(view, time_left_s, urgency), tried=(), now=0.0)
-
-    return view, pick
-
 
 def _admitted_request(view: FleetView, time_left_s: float, urgency: int) -> AdmittedRequest:
     assert view.config is not None
@@ -143,3 +147,19 @@
         view.load.record_report(RouterLoad("r2", {state.name_hash: 3}), now=0.0)
         assert state.load(view.load, routers=300, now=0.0) > 10 * SLOTS
     assert isinstance(pick(time_left_s=3.0), ServerState)
+
+
+def test_prompt_that_fits_no_server_counts_for_nothing(fleet: FleetPicker) -> None:
+    """Guards against a caller whose token count makes a server seem full and its prefill endless:
+    a server rejects such a prompt at once."""
+    view, _ = fleet
+    admitted = _admitted_request(view, 5.0, 1)
+    capacity = 600_000
+    service = admitted.service._replace(kv_capacity_tokens=capacity)
+    picker = _make_picker(view)
+    state = view.servers.states()[0]
+    for number, tokens in enumerate((10**18 - 1, capacity)):
+        caller = admitted.caller._replace(prompt_tokens=tokens)
+        request = admitted._replace(caller=caller, service=service)
+        picker.start_prompt(request, state, number, now=0.0)
+    assert state.prompts.held_tokens == state.prompts.own_pending_tokens == capacity
