--- a/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
@@ -14,6 +14,7 @@
 from cornellead.gateway.policy import PlaceQueue
 from cornellead.gateway.policy import ServerLoad
 from cornellead.gateway.policy import count_places
+from cornellead.gateway.policy import mostly_idle
 from cornellead.gateway.view import REPORTED_LOAD_FRESH_S
 from cornellead.gateway.view import REPORTED_LOAD_MAX_AGE_S
 from cornellead.gateway.view import QueueReports
@@ -53,6 +54,8 @@
 MIN_WAIT_S = 0.1
 """Expected wait of a request that made room for others, at least: the rate of places may not be
 known yet, and callers that return at once would be refused again."""
+QUEUE_RETENTION_S = 60.0
+"""Time for which an empty queue is kept: its shares of teams have decayed long before."""
 LOG_INTERVAL_S = 5.0
 """Minimum time between two log lines: queues may form and empty many times a second."""
 MAX_HELD_BYTES = 8 << 20
@@ -146,10 +149,11 @@
         if not queue and not self._is_contended(admitted, now=now):
             return None
         if queue is None:
+            self._evict_unused(now=now)
             queue = self._queues[line] = PlaceQueue()
         held = self._make_held(admitted, now=now)
         wait_s = queue.expected_wait_s(held, now=now)
-        if now + wait_s >= held.give_up_at:
+        if now + wait_s >= held.give_up_at and not self._mostly_idle(admitted, now=now):
             self._stats.count_decision("queue_refused_wait")
             return wait_s
         ticket = _Ticket(held=held, admitted=admitted)
@@ -216,9 +220,7 @@
         if self._serving.phase >= ServingPhase.REFUSING:
             return False
         servers = self._fit_servers(admitted, now=now)
-        if not any(state.reported_load(now=now) is not None for state in servers):
-            return False
-        if any(state.entry.slots <= 0 for state in servers) or not self._hears_others(now=now):
+        if not self._knows_places(servers, now=now):
             return False
         if self._serves_urgent_elsewhere(admitted, servers, now=now):
             return True
@@ -271,6 +273,26 @@
             if state.paused_until <= now and state.health.responsive(now=now)
         ]
 
+    def _mostly_idle(self, admitted: AdmittedRequest, *, now: float) -> bool:
+        return mostly_idle(
+            self._read_loads(self._fit_servers(admitted, now=now), admitted, now=now)
+        )
+
+    def _knows_places(self, servers: list[ServerState], *, now: float) -> bool:
+        """Return whether the servers state slots and load, and other routers are heard."""
+        return (
+            any(state.reported_load(now=now) is not None for state in servers)
+            and all(state.entry.slots > 0 for state in servers)
+            and self._hears_others(now=now)
+        )
+
+    def _evict_unused(self, *, now: float) -> None:
+        """Remove the queues of services that have not been contended for some time."""
+        for line, queue in list(self._queues.items()):
+            if not self._tickets.get(line) and now - queue.used_at > QUEUE_RETENTION_S:
+                del self._queues[line]
+                self._tickets.pop(line, None)
+
     def _hears_others(self, *, now: float) -> bool:
         return len(self._view.load) > 0 or len(self._view.routers(now=now)) == 1
 
@@ -284,14 +306,15 @@
             return
         admitted = next(iter(tickets.values())).admitted
         servers = self._fit_servers(admitted, now=now)
-        known = any(state.reported_load(now=now) is not None for state in servers)
-        if not known or not self._hears_others(now=now):
+        if not self._knows_places(servers, now=now):
             self._resolve(line, queue.take_all(), PLACED)
             return
         others = self.reports.others(line[0], heard_share=self._heard_share(now), now=now)
-        ready = queue.take_ready(self._read_loads(servers, admitted, now=now), others, now=now)
-        self._resolve(line, ready, PLACED)
-        self._resolve(line, queue.take_expired(now=now), "queue_gave_up")
+        loads = self._read_loads(servers, admitted, now=now)
+        self._resolve(line, queue.take_ready(loads, others, now=now), PLACED)
+        # What others hold may be wrong or out of date: idle servers are no reason to refuse.
+        verdict = PLACED if mostly_idle(loads) else "queue_gave_up"
+        self._resolve(line, queue.take_expired(now=now), verdict)
 
     def _heard_share(self, now: float) -> float:
         others = len(self._view.routers(now=now)) - 1
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.policy._place_share import MIN_BACKLOG
 from cornellead.gateway.policy._place_share import ServerLoad
 from cornellead.gateway.policy._place_share import count_places
+from cornellead.gateway.policy._place_share import mostly_idle
 from cornellead.gateway.policy._prompt_placement import PromptPlacement
 from cornellead.gateway.policy._prompt_placement import PromptRequest
 from cornellead.gateway.policy._prompt_source import find_prompt_source
@@ -62,6 +63,7 @@
     "expected_wait_s",
     "find_prompt_source",
     "is_worse",
+    "mostly_idle",
     "next_record",
     "order_by_cost",
     "order_for_chat",
--- a/packages/router/src/cornellead/gateway/policy/_place_queue.py
+++ b/packages/router/src/cornellead/gateway/policy/_place_queue.py
@@ -70,6 +70,11 @@
     def __len__(self) -> int:
         return len(self._held)
 
+    @property
+    def used_at(self) -> float:
+        """Time at which places were last looked for, in seconds."""
+        return self._turn_at
+
     def counts(self) -> dict[int, int]:
         """Return the number of requests by urgency."""
         return dict(Counter(held.urgency for held in self._held.values()))
--- a/packages/router/src/cornellead/gateway/policy/_place_share.py
+++ b/packages/router/src/cornellead/gateway/policy/_place_share.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
 MIN_BACKLOG = 1.0
 """Requests that may wait at a server, at least. Without any, a slot is idle from the end of a
@@ -46,6 +47,19 @@
     return Places(idle, total)
 
 
+def mostly_idle(servers: Sequence[ServerLoad]) -> bool:
+    """Return whether nothing waits at the servers and under half of their slots are in use.
+
+    >>> mostly_idle([ServerLoad(5, 6), ServerLoad(0, 6)])
+    True
+    >>> mostly_idle([ServerLoad(7, 6), ServerLoad(0, 6)]), mostly_idle([])
+    (False, False)
+    """
+    in_use = sum(server.load for server in servers)
+    waiting = any(server.load > server.slots for server in servers)
+    return not waiting and 2 * in_use < sum(server.slots for server in servers)
+
+
 def share_places(places: Places, own: Mapping[int, int], others: Mapping[int, float]) -> float:
     """Return how many of the free places this router may use.
 
--- a/tests/router/gateway/forwarding/queue_play.py
+++ b/tests/router/gateway/forwarding/queue_play.py
@@ -292,7 +292,7 @@
         attempts = RequestAttempts(repeatable=False, max_attempts=2, deadline=deadline)
         fields: dict[str, Any] = {
             "req": SimpleNamespace(received_at=self.clock(), body=b""),
-            "caller": SimpleNamespace(request_id=request_id),
+            "caller": SimpleNamespace(request_id=request_id, prompt_tokens=0),
             "route": route,
             "service": self.service,
             "team": team,
--- a/tests/router/gateway/forwarding/test_place_waiter.py
+++ b/tests/router/gateway/forwarding/test_place_waiter.py
@@ -12,6 +12,7 @@
 
 from cornellead.gateway.forwarding import ServerPicker
 from cornellead.gateway.forwarding._place_waiter import MAX_HELD_BYTES
+from cornellead.gateway.forwarding._place_waiter import QUEUE_RETENTION_S
 from cornellead.gateway.forwarding._place_waiter import PlaceWaiter
 from cornellead.gateway.forwarding._request_trace import RequestTrace
 from cornellead.gateway.ingress import ServingPhase
@@ -21,6 +22,8 @@
 from cornellead.gateway.policy import ServerRateLimiter
 from cornellead.gateway.stats import GatewayStats
 from cornellead.gateway.view import FleetView
+from cornellead.gateway.view import QueueReport
+from cornellead.gateway.view._queue_reports import hash_service
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import RequestKind
@@ -40,7 +43,7 @@
             cold_limiter=ColdStartLimiter(router="r1", burst=5.0),
             rate_limiter=ServerRateLimiter(router="r1"),
             data_centre="dc-a",
-            regions={},
+            regions={"dc-a": "eu"},
             load_factor=2.0,
         )
         self.waiter = PlaceWaiter(
@@ -61,7 +64,12 @@
         self.waiter.wake("llm")
 
     def hold(
-        self, *, timeout_s: float = 4.0, body: bytes = b"", kv_tokens: int = 0
+        self,
+        *,
+        timeout_s: float = 4.0,
+        body: bytes = b"",
+        kv_tokens: int = 0,
+        regions: frozenset[str] = frozenset(),
     ) -> asyncio.Task[float | None]:
         """Start a request."""
         now = self.clock()
@@ -72,7 +80,7 @@
             service=Service("llm", 100, 0.0, 0.0, 6, kv_tokens),
             team="a",
             urgency=1,
-            regions=frozenset(),
+            regions=regions,
             affinity="",
             attempts=RequestAttempts(repeatable=False, max_attempts=1, deadline=now + timeout_s),
         )
@@ -143,3 +151,42 @@
     assert await asyncio.wait_for(desk.hold(kv_tokens=1000), 0.1) is None
     desk.view.apply_announcement("r2", RouterLocation("r2:1", "dc-a"), now=desk.clock())
     assert await asyncio.wait_for(desk.hold(), 0.1) is None
+
+
+async def test_idle_servers_are_no_reason_to_refuse() -> None:
+    """Guards against a broken router whose report makes others refuse while servers are idle."""
+    desk = _Desk()
+    desk.report(0)
+    report = QueueReport("r2", {hash_service("llm"): {0: 2**31 - 1}})
+    desk.waiter.reports.apply_report(report, now=desk.clock())
+    task = desk.hold(timeout_s=0.4)
+    await asyncio.sleep(0.1)
+    assert not task.done()
+    assert await asyncio.wait_for(task, 1.0) is None
+
+
+async def test_server_without_slots_ends_the_wait() -> None:
+    """Guards against requests that wait although a server that states no slots could run them."""
+    desk = _Desk()
+    task = desk.hold()
+    await asyncio.sleep(0.05)
+    assert not task.done()
+    desk.view.servers.put(make_entry("s2", slots=0), now=desk.clock())
+    other = desk.view.servers.get("s2")
+    assert other is not None
+    other.record_reported_load(ReportedLoad(5, 0, 0), now=desk.clock())
+    assert await asyncio.wait_for(task, 0.5) is None
+
+
+async def test_queues_that_are_no_longer_used_are_removed() -> None:
+    """Guards against memory that grows with each service that was ever contended."""
+    desk = _Desk()
+    first = desk.hold(timeout_s=0.4)
+    await first
+    shift_s = QUEUE_RETENTION_S + 1
+    desk.waiter._clock = lambda: desk.clock() + shift_s
+    desk.state.record_reported_load(ReportedLoad(30, 0, 6), now=desk.clock() + shift_s)
+    second = desk.hold(timeout_s=shift_s + 4.0, regions=frozenset({"eu"}))
+    await asyncio.sleep(0)
+    assert list(desk.waiter._queues) == [("llm", frozenset({"eu"}))]
+    second.cancel()
