--- a/packages/router/src/cornellead/gateway/policy/_place_queue.py
+++ b/packages/router/src/cornellead/gateway/policy/_place_queue.py
@@ -112,7 +112,9 @@
         waiting = Counter(held.team for held in self._held.values() if held.urgency == req.urgency)
         own = waiting[req.team] + (req.number not in self._held)
         ahead += sum(min(count, own) for team, count in waiting.items() if team != req.team)
-        return (ahead + own) * RATE_WINDOW_S / len(self._given_at)
+        # A queue that has just formed has given places for less than the window.
+        measured_s = max(NEWS_DELAY_S, now - self._given_at[0])
+        return (ahead + own) * measured_s / len(self._given_at)
 
     def take_ready(
         self,
--- a/tests/router/gateway/policy/test_place_queue.py
+++ b/tests/router/gateway/policy/test_place_queue.py
@@ -103,9 +103,20 @@
     assert queue.expected_wait_s(_held(90), now=0.0) == 0.0
     for _ in range(10):
         _take_one(queue)
-    assert queue.expected_wait_s(_held(91, team="large"), now=0.5) == 2.1
-    assert queue.expected_wait_s(_held(92, team="small"), now=0.5) == 0.2
-    assert queue.expected_wait_s(_held(93, urgency=0), now=0.5) == 0.1
+    assert queue.expected_wait_s(_held(91, team="large"), now=1.0) == 2.1
+    assert queue.expected_wait_s(_held(92, team="small"), now=1.0) == 0.2
+    assert queue.expected_wait_s(_held(93, urgency=0), now=1.0) == 0.1
+
+
+def test_queue_that_has_just_formed_knows_its_rate() -> None:
+    """Guards against refusals because of a rate over a time in which nothing waited."""
+    queue = PlaceQueue()
+    for number in range(10):
+        queue.add(_held(number), now=50.0)
+    for turn in range(4):
+        _take_one(queue, now=50.0 + 0.05 * turn)
+    # Four places in 0.2 s, and seven requests.
+    assert round(queue.expected_wait_s(_held(90), now=50.2), 9) == 0.35
 
 
 def test_requests_that_waited_too_long_are_taken_out() -> None:
