--- a/packages/router/src/cornellead/gateway/view/_work_factor.py
+++ b/packages/router/src/cornellead/gateway/view/_work_factor.py
@@ -37,14 +37,17 @@
         :param factor: Multiple of the usual time that work takes.
         :param now: Seconds.
         """
+        if self._heard_at == float("-inf"):
+            self._measured = factor
+        else:
+            self._measured += MEASURED_SAMPLE_WEIGHT * (factor - self._measured)
         if self._recorded_at is None:
-            self._value = self._measured = factor
+            self._value = factor
         else:
             old_share = 0.5 ** (max(0.0, now - self._recorded_at) / HALF_LIFE_S)
             # Responses that arrive together count as one sample each of equal weight.
             old_share = min(old_share, 1.0 - MEASURED_SAMPLE_WEIGHT)
             self._value += (1.0 - old_share) * (factor - self._value)
-            self._measured += MEASURED_SAMPLE_WEIGHT * (factor - self._measured)
         self._recorded_at = self._heard_at = now
 
     def record_report(self, factor: float, *, at: float) -> None:
--- a/tests/router/gateway/view/test_work_factor.py
+++ b/tests/router/gateway/view/test_work_factor.py
@@ -42,3 +42,12 @@
     assert work.drift(now=49.0) == pytest.approx(1.0)
     work.record(5.0, now=53.0)
     assert work.drift(now=53.0) == pytest.approx(5.0 / 3.0, rel=0.01)
+
+
+def test_report_before_the_first_response_counts_once() -> None:
+    """Guards against a slow server whose measured latency, which contains its factor, is multiplied
+    by the factor again because other routers reported it first."""
+    work = WorkFactor()
+    work.record_report(2.5, at=0.0)
+    work.record(2.5, now=0.1)
+    assert work.drift(now=0.1) == 1.0
