--- a/tests/router/gateway/forwarding/test_queue_plays.py
+++ b/tests/router/gateway/forwarding/test_queue_plays.py
@@ -59,8 +59,8 @@
 
 
 def test_nothing_is_lost_if_routers_rarely_hear_of_each_other() -> None:
-    """Guards against shares of the places that rest on old reports: slots stayed idle and a tenth
-    fewer requests were in time than without the queue."""
+    """Guards against shares of the places that rest on old reports: slots stay idle, and fewer
+    requests are in time than without the queue."""
     for name in ("plain-3-slow-reports", "plain-slow-slow-reports"):
         without, with_queue = _run(PLAYS[name])
         assert with_queue.served >= 0.98 * without.served
