--- a/packages/router/src/cornellead/gateway/policy/_prompt_placement.py
+++ b/packages/router/src/cornellead/gateway/policy/_prompt_placement.py
@@ -96,9 +96,9 @@
         A short prompt avoids a server where it would miss its own target. A prompt with much
         uncached prefill avoids one where, together with what is pending, it would make the request
         with the shortest target miss it. A prompt with a long shared part goes to its home, since
-        it would be prefilled again elsewhere. A server without pending prefill is never late: a prompt
-        that is too long by itself is so everywhere. At a server without a free slot, requests wait
-        for others to end and not for prefill.
+        it would be prefilled again elsewhere. A server without pending prefill is never late: a
+        prompt that is too long by itself is so everywhere. At a server without a free slot,
+        requests wait for others to end and not for prefill.
 
         :param loads: Estimated requests at each server, by name.
         """
--- a/tests/router/gateway/policy/test_prompt_placement.py
+++ b/tests/router/gateway/policy/test_prompt_placement.py
@@ -51,7 +51,7 @@
 
 
 def test_prompt_with_a_long_shared_part_stays_at_its_home() -> None:
-    """Guards against repeated prefill of long shared parts, which delays all requests in a burst."""
+    """Guards against repeated prefill of long shared parts, which delays all requests."""
     servers = _servers()
     for number in range(3):
         servers[0].prompts.start(number, PromptLoad(11_812, 11_812), now=0.0)
