--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -66,12 +66,17 @@
         """Return the servers that may receive the request, in groups by preference.
 
         Only the first send of a request may go to a version that has not proved itself, until all
-        requests move to it.
+        requests move to it. Servers of versions whose rollout was given up get nothing while others
+        can be used.
         """
         rollout = self._view.rollouts.get(admitted.service.name)
         if rollout is None:
             return [servers]
         to, share = rollout.order.to, rollout.share
+        usable = self._view.servers.usable(admitted.service.name)
+        given_up = _given_up(rollout, {state.entry.version for state in usable})
+        servers = [state for state in servers if state.entry.version not in given_up]
+        usable = [state for state in usable if state.entry.version not in given_up]
         new = [state for state in servers if state.entry.version == to]
         old = [state for state in servers if state.entry.version != to]
         if rollout.withdrawn and rollout.settled:
@@ -82,7 +87,6 @@
             return [new, old] if new else [old]
         if share > 0.0 and new and self._may_expose(rollout, admitted):
             return [new, old]
-        usable = self._view.servers.usable(admitted.service.name)
         if old or any(state.entry.version != to for state in usable):
             return [old]
         return [new]
@@ -160,3 +164,17 @@
         if known is None or known[0] is not rollout:
             known = self._limiters[rollout.order.service] = (rollout, ExposureLimiter())
         return known[1]
+
+
+def _given_up(rollout: Rollout, versions: set[str]) -> set[str]:
+    """Return the versions of earlier orders that get nothing while others can be used.
+
+    :param versions: Versions of the usable servers.
+    """
+    given_up = set(rollout.abandoned)
+    # The replaced version may have been completed meanwhile, so it serves as the only old one.
+    if versions - given_up - {rollout.replaced, rollout.order.to}:
+        given_up.add(rollout.replaced)
+    # A server that states no version is in force.
+    given_up.discard("")
+    return given_up if versions - given_up else set()
--- a/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
+++ b/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
@@ -221,7 +221,9 @@
                 new_responses=sum(counts[0] for counts in merged),
                 old_responses=sum(counts[2] for counts in merged),
                 new_servers=sum(state.entry.version == order.to for state in usable),
-                old_servers=sum(state.entry.version != order.to for state in listed),
+                old_servers=sum(
+                    state.entry.version not in (order.to, *rollout.abandoned) for state in listed
+                ),
                 exposure_share=self._exposure_share(),
             )
         )
--- a/packages/router/src/cornellead/gateway/view/_rollout.py
+++ b/packages/router/src/cornellead/gateway/view/_rollout.py
@@ -19,6 +19,8 @@
 """Maximum number of processes whose counts are kept."""
 MAX_ROUTES = 256
 """Maximum number of routes whose counts are kept."""
+MAX_ABANDONED = 16
+"""Maximum number of earlier versions that are remembered as rolled back."""
 
 Counts = tuple[int, int, int, int]
 """Responses of the new version, bad ones of them, and the same of the version in force."""
@@ -40,6 +42,11 @@
         """Why the new version is bad; empty if it is not."""
         self.fault_before = ""
         """The same for the order before this one, if its end is not yet in the store."""
+        self.abandoned: tuple[str, ...] = ()
+        """Versions of earlier orders that were bad or rolled back, the latest last. Their servers
+        remain for some seconds, and are not in force."""
+        self.replaced = ""
+        """Version of the order before this one, if this router has not seen its completion."""
         self.fault_rounds = 0
         """Reports in which the fault is still to be sent at once."""
         self.reported_at = float("-inf")
@@ -103,6 +110,12 @@
     def apply_record(self, record: RolloutRecord, *, now: float) -> None:
         """Apply the state in the store."""
         self.record = record
+        if record.phase is RolloutPhase.ROLLED_BACK:
+            self.abandon((record.to,))
+        elif record.phase is RolloutPhase.COMPLETED:
+            self.abandoned = tuple(name for name in self.abandoned if name != record.to)
+            if record.to == self.replaced:
+                self.replaced = ""
         if not self._is_of_order(record):
             return
         self.set_elapsed(record.elapsed_s, now=now)
@@ -112,6 +125,12 @@
             # The old servers end, so a fault that was found too late cannot be avoided.
             self.fault, self.fault_rounds = "", 0
 
+    def abandon(self, versions: Iterable[str]) -> None:
+        """Remember versions of earlier orders that were bad or rolled back."""
+        for version in versions:
+            if version != self.order.to and version not in self.abandoned:
+                self.abandoned = (*self.abandoned, version)[-MAX_ABANDONED:]
+
     def count(self, route: str, *, new: bool, bad: bool) -> None:
         """Count a response of this router's requests."""
         counts = self.own.get(route)
--- a/packages/router/src/cornellead/gateway/view/_rollouts.py
+++ b/packages/router/src/cornellead/gateway/view/_rollouts.py
@@ -98,6 +98,11 @@
             if before is not None:
                 rollout.record = before.record
                 rollout.fault_before = before.fault if before.open else ""
+                rollout.abandon(before.abandoned)
+                if before.fault:
+                    rollout.abandon((before.order.to,))
+                elif not before.settled and before.order.to != order.to:
+                    rollout.replaced = before.order.to
         structlog.get_logger().info(
             "rollout ordered",
             service=order.service,
