--- a/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
+++ b/packages/router/src/cornellead/gateway/ingress/_caller_listener.py
@@ -161,17 +161,25 @@
             )
 
     def _evict(self, conns: Iterable[CallerConnection]) -> bool:
-        """Close a connection that is idle, or else one whose caller does not read."""
+        """Close a connection that is idle, or else one whose caller does not read.
+
+        A connection with unsent bytes is reset: a close would wait for its caller to read them, and
+        keep its descriptor meanwhile.
+        """
         # The connections are ordered by the time at which they were opened.
         unread: CallerConnection | None = None
+        unsent: CallerConnection | None = None
         for conn in conns:
-            if conn.closing:
-                continue
-            if conn.idle and not conn.unread:
+            if conn.idle and conn.settled and not conn.closing:
                 conn.close_idle()
                 return True
+            if not conn.unsent:
+                continue
             if unread is None and conn.unread:
                 unread = conn
+            if unsent is None and (conn.idle or conn.closing):
+                unsent = conn
+        unread = unread or unsent
         if unread is None:
             return False
         structlog.get_logger().warning("caller that does not read evicted", address=unread.address)
--- a/packages/router/src/cornellead/gateway/ingress/_response_output.py
+++ b/packages/router/src/cornellead/gateway/ingress/_response_output.py
@@ -46,6 +46,11 @@
         """Whether the caller leaves more unread than the high-water mark."""
         return not self._writable.is_set()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether anything waits for the caller to read; false after a reset."""
+        return self._unsent_bytes() > 0
+
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body; waits while the caller reads slowly."""
         if not self._head_only:
--- a/tests/router/gateway/ingress/test_unread_responses.py
+++ b/tests/router/gateway/ingress/test_unread_responses.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.ingress import CallerListener
 from cornellead.gateway.ingress import ServingState
 from cornellead.gateway.ingress import make_bounds
+from cornellead.gateway.ingress._caller_connection import CallerConnection
 from cornellead_core.buffers import BufferBudget
 from cornellead_core.pacing import ReadPacer
 
@@ -45,6 +46,19 @@
         out.respond(200, (), b"r" * RESPONSE_BYTES)
 
 
+class UnsentResponses:
+    """Answers each request with a response of which less than the high-water mark stays unsent."""
+
+    async def handle(self, req: CallerRequest, out: ResponseWriter) -> None:
+        del req
+        assert isinstance(out, CallerConnection) and out._transport is not None
+        # The kernel takes a few megabytes, depending on the machine.
+        out.begin(200, ())
+        while not out._transport.get_write_buffer_size():
+            out._write(b"r" * 4096)
+        out.end()
+
+
 class Refusals:
     """Refuses each request at once."""
 
@@ -133,6 +147,23 @@
             writer.close()
 
 
+async def test_evicted_connections_with_unread_responses_are_closed_at_once(
+    free_address: Callable[[], str],
+) -> None:
+    """Guards against descriptors beyond the bound: a close that waits for a caller who reads
+    nothing keeps the connection open."""
+    address, bound = free_address(), 5
+    async with _listen(address, UnsentResponses(), bounds=make_bounds(bound)) as listener:
+        conns = []
+        for _ in range(4 * bound):
+            conns.append(await _connect(address))
+            conns[-1][1].write(REQUEST)
+            await asyncio.sleep(0.02)
+        assert listener.connections <= bound
+        for _, writer in conns:
+            writer.close()
+
+
 async def test_whole_request_without_room_is_refused_before_it_is_run(
     free_address: Callable[[], str],
 ) -> None:
