--- a/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_place_waiter.py
@@ -203,7 +203,7 @@
                     PATIENCE_GAPS * route.target_gap_s,
                 ),
             )
-        latencies = [state.health.latency_s for state in self._picker.usable(admitted)]
+        latencies = [state.health.latency_s for state in self._picker.in_force(admitted)]
         return HeldRequest(
             number=next(self._numbers),
             team=admitted.team,
@@ -267,7 +267,7 @@
     def _fit_servers(self, admitted: AdmittedRequest, *, now: float) -> list[ServerState]:
         return [
             state
-            for state in self._picker.usable(admitted)
+            for state in self._picker.in_force(admitted)
             if state.paused_until <= now and state.health.responsive(now=now)
         ]
 
--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -61,13 +61,19 @@
         """Time of the last counted broken connection by server."""
 
     def groups(
-        self, admitted: AdmittedRequest, servers: Sequence[ServerState]
+        self,
+        admitted: AdmittedRequest,
+        servers: Sequence[ServerState],
+        *,
+        with_exposure: bool = True,
     ) -> list[Sequence[ServerState]]:
         """Return the servers that may receive the request, in groups by preference.
 
         Only the first send of a request may go to a version that has not proved itself, until all
         requests move to it. Servers of versions whose rollout was given up get nothing while others
         can be used.
+
+        :param with_exposure: Whether to include the servers that get a small share only.
         """
         rollout = self._view.rollouts.get(admitted.service.name)
         if rollout is None:
@@ -85,12 +91,16 @@
             return [old]
         if share >= 1.0:
             return [new, old] if new else [old]
-        if share > 0.0 and new and self._may_expose(rollout, admitted):
+        if with_exposure and share > 0.0 and new and self._may_expose(rollout, admitted):
             return [new, old]
         if old or any(state.entry.version != to for state in usable):
             return [old]
         return [new]
 
+    def may_send(self, admitted: AdmittedRequest, state: ServerState) -> bool:
+        """Return whether a server that was found some time ago may still receive the request."""
+        return any(state in group for group in self.groups(admitted, [state]))
+
     def _may_expose(self, rollout: Rollout, admitted: AdmittedRequest) -> bool:
         limiter = self._limiter(rollout)
         if rollout.moving:
--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -194,6 +194,12 @@
             admitted.service.name, allow=lambda s: self._region_allowed(admitted, s)
         )
 
+    def in_force(self, admitted: AdmittedRequest) -> Sequence[ServerState]:
+        """Return the servers that may run a request, without those of a version that gets a small
+        share only, or nothing any more."""
+        groups = self.rollouts.groups(admitted, self.usable(admitted), with_exposure=False)
+        return groups[0]
+
     def _next_send_at(
         self, state: ServerState, cold_rate_per_s: float, routers: Sequence[str], *, now: float
     ) -> float | None:
@@ -217,7 +223,9 @@
         return max(times)
 
     def may_send(self, admitted: AdmittedRequest, state: ServerState, *, now: float) -> bool:
-        """Return whether the rate limits of a server allow a request now."""
+        """Return whether the limits of a server and of its version allow a request now."""
+        if not self.rollouts.may_send(admitted, state):
+            return False
         rate_per_s, routers = admitted.service.cold_rate_per_s, self._view.routers(now=now)
         return self._next_send_at(state, rate_per_s, routers, now=now) == now
 
--- a/tests/router/gateway/forwarding/test_place_waiter.py
+++ b/tests/router/gateway/forwarding/test_place_waiter.py
@@ -24,6 +24,7 @@
 from cornellead_core.metrics import Metrics
 from cornellead_core.routing import ReportedLoad
 from cornellead_core.routing import RequestKind
+from cornellead_core.routing import RolloutOrder
 from cornellead_core.routing import RouterLocation
 from cornellead_core.routing import Service
 
@@ -143,3 +144,19 @@
     assert await asyncio.wait_for(desk.hold(kv_tokens=1000), 0.1) is None
     desk.view.apply_announcement("r2", RouterLocation("r2:1", "dc-a"), now=desk.clock())
     assert await asyncio.wait_for(desk.hold(), 0.1) is None
+
+
+async def test_places_at_an_unproved_version_are_not_counted() -> None:
+    """Guards against requests that are not held since the servers of a version that may not get
+    them are idle."""
+    desk = _Desk()
+    desk.view.servers.put(make_entry("s2", slots=6, version="v2"), now=desk.clock())
+    desk.view.rollouts.apply_order(RolloutOrder("llm", "v2", 60.0, 1), now=desk.clock())
+    new = desk.view.servers.get("s2")
+    assert new is not None
+    new.record_reported_load(ReportedLoad(0, 0, 6), now=desk.clock())
+    task = desk.hold()
+    await asyncio.sleep(0.1)
+    assert not task.done()
+    desk.report(0)
+    assert await task is None
--- a/tests/router/gateway/forwarding/test_rollout_gate.py
+++ b/tests/router/gateway/forwarding/test_rollout_gate.py
@@ -139,6 +139,23 @@
     assert isinstance(router.picker.pick(router.admit(), tried=(), now=0.0), NoServer)
 
 
+def test_server_that_was_found_before_the_fault_is_not_used(router: Router) -> None:
+    """Guards against a stream that moves to a bad version, since the fault was found while the
+    connection was opened."""
+    router.order(phase=RolloutPhase.MOVING, share=0.095)
+    router.send(100)
+    rollout, admitted = router.view.rollouts.get("llm"), router.admit()
+    assert rollout is not None
+    new, old = (router.view.servers.get(name) for name in ("b1", "a1"))
+    assert new is not None and old is not None
+    limiter = router.picker.rollouts._limiter(rollout)
+    limiter.exposed = 0
+    assert router.picker.may_send(admitted, new, now=0.0)
+    router.view.rollouts.mark_bad(rollout, "all routes", source="r2")
+    assert not router.picker.may_send(admitted, new, now=0.0)
+    assert router.picker.may_send(admitted, old, now=0.0)
+
+
 def test_unproved_version_serves_if_no_other_is_left(router: Router) -> None:
     """Guards against a service that refuses everything although servers are there."""
     router.order()
