--- a/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
+++ b/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
@@ -169,6 +169,9 @@
             return self._report_failure(rollout, newest.failure().message)
         batch = newest.unwrap()
         self._apply(batch)
+        if self._view.rollouts.get(rollout.order.service) is not rollout:
+            # Another order came meanwhile, and the state that was read belongs to that one.
+            return True
         record = self._next_record(rollout)
         if record is None:
             if not _is_unannounced(rollout) or rollout.record is None:
--- a/packages/router/src/cornellead/gateway/view/_rollouts.py
+++ b/packages/router/src/cornellead/gateway/view/_rollouts.py
@@ -89,7 +89,12 @@
         rollout = self._rollouts.get(order.service)
         if rollout is not None and rollout.order == order and not rollout.withdrawn:
             return
-        continued = rollout is not None and rollout.open and rollout.order.to == order.to
+        continued = (
+            rollout is not None
+            and rollout.open
+            and rollout.order.to == order.to
+            and (rollout.current is None or not rollout.current.phase.ended)
+        )
         if rollout is not None and continued and not rollout.fault:
             rollout.order, rollout.withdrawn = order, False
         else:
--- a/tests/router/gateway/sync/test_rollout_controller.py
+++ b/tests/router/gateway/sync/test_rollout_controller.py
@@ -12,6 +12,7 @@
 from tests.router.gateway.rollout_fleet import RolloutFleet
 
 from cornellead_core.placement import rank_members
+from cornellead_core.routing import RolloutNotice
 from cornellead_core.routing import RolloutOrder
 from cornellead_core.routing import RolloutPhase
 from cornellead_core.routing import RolloutRecord
@@ -20,6 +21,12 @@
     import random
     from collections.abc import Callable
 
+    from returns.result import Result
+
+    from cornellead_core.routing import NoticeBatch
+    from cornellead_core.routing import StoreError
+    from cornellead_core.routing import Topic
+
     Behaviour = Callable[[str, str, float, random.Random], Outcome]
 
 SLACK = 50
@@ -285,3 +292,42 @@
     assert fleet.store.calls == 0
     assert all(router.view.rollouts.make_report(now=fleet.now) is None for router in fleet.routers)
     assert len(fleet.sent_new) == pytest.approx(fleet.requests / 2, rel=0.15)
+
+
+async def test_decision_on_a_replaced_order_is_not_written() -> None:
+    """Guards against a router that overwrites the end of a rollout with its next step: the next
+    order arrived while it waited for the store."""
+    fleet = RolloutFleet(good, routers=1)
+    fleet.order(duration_s=DURATION_S)
+    await fleet.run(1.0)
+    router, read_newest = fleet.routers[0], fleet.store.read_newest
+    old = fleet.store.records[-1].record
+
+    async def read_late(topic: Topic) -> Result[NoticeBatch, StoreError]:
+        end = old._replace(phase=RolloutPhase.ROLLED_BACK, share=0.0)
+        fleet.store.records.append(RolloutNotice(SERVICE, end))
+        fleet.order(to="v3", duration_s=DURATION_S)
+        return await read_newest(topic)
+
+    rollout = router.view.rollouts.get(SERVICE)
+    assert rollout is not None
+    router.view.rollouts.mark_bad(rollout, "all routes", source="r9")
+    fleet.store.read_newest = read_late  # type: ignore[method-assign]
+    await router.controller._write(rollout)
+    assert len(fleet.store.records) == 3
+
+
+async def test_order_after_a_rollback_that_is_not_told_yet_begins_anew() -> None:
+    """Guards against a version that is completed at once: the time before its withdrawal does not
+    count for the next order."""
+    fleet = RolloutFleet(good)
+    fleet.order(duration_s=DURATION_S)
+    await fleet.run(45.0)
+    fleet.store.status_down = True
+    fleet.withdraw()
+    await fleet.run(3.0)
+    assert fleet.record is not None and fleet.record.phase is RolloutPhase.ROLLED_BACK
+    fleet.store.status_down = False
+    fleet.order(duration_s=DURATION_S)
+    await fleet.run(30.0)
+    assert fleet.store.statuses == [("running", "v2"), ("rolled_back", "v2"), ("running", "v2")]
