--- a/packages/core/src/cornellead_core/serving/_paced_http_protocol.py
+++ b/packages/core/src/cornellead_core/serving/_paced_http_protocol.py
@@ -81,6 +81,18 @@
     def pause_writing(self) -> None:
         """Block responses, and close the connection if none is read in time; called by asyncio."""
         super().pause_writing()
+        self._start_watch()
+
+    def on_response_complete(self) -> None:
+        """Go on with the next request; called by uvicorn.
+
+        What is unread below the high-water mark would else keep a closed connection open for ever.
+        """
+        super().on_response_complete()
+        if self.transport.get_write_buffer_size():
+            self._start_watch()
+
+    def _start_watch(self) -> None:
         if self._watch is None:
             self._watch = UnreadWatch(
                 timeout_s=self._unread_timeout_s,
--- a/tests/router/process/test_unread_responses.py
+++ b/tests/router/process/test_unread_responses.py
@@ -29,15 +29,16 @@
 class _LargeApp:
     """Answers each request with a large response."""
 
-    def __init__(self) -> None:
+    def __init__(self, response: bytes = RESPONSE) -> None:
         self.handled = 0
+        self.response = response
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         del scope, receive
         self.handled += 1
-        headers = [(b"content-length", b"%d" % len(RESPONSE))]
+        headers = [(b"content-length", b"%d" % len(self.response))]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": RESPONSE, "more_body": False})
+        await send({"type": "http.response.body", "body": self.response, "more_body": False})
 
 
 @asynccontextmanager
@@ -74,6 +75,28 @@
         writer.close()
 
 
+async def test_caller_that_leaves_little_unread_is_closed(
+    free_address: Callable[[], str],
+) -> None:
+    """Guards against connections that are held open for ever by less than the high-water mark."""
+    app, address = _LargeApp(b"r" * 4096), free_address()
+    async with _serve(address, app) as server:
+        _reader, writer = await _connect(address)
+        unsent_bytes = 0
+        while not unsent_bytes:
+            handled = app.handled
+            writer.write(REQUEST)
+            while app.handled == handled:
+                await asyncio.sleep(0)
+            conns: Any = list(server.server_state.connections)
+            unsent_bytes = conns[0].transport.get_write_buffer_size()
+        assert unsent_bytes < 64 << 10
+        async with asyncio.timeout(10.0):
+            while server.server_state.connections:
+                await asyncio.sleep(0.05)
+        writer.close()
+
+
 async def test_connections_are_bounded(free_address: Callable[[], str]) -> None:
     """Guards against callers that leave no descriptor for servers."""
     app, address = _LargeApp(), free_address()
