--- a/packages/router/src/cornellead/gateway/view/_rollout.py
+++ b/packages/router/src/cornellead/gateway/view/_rollout.py
@@ -45,6 +45,8 @@
         self.abandoned: tuple[str, ...] = ()
         """Versions of earlier orders that were bad or rolled back, the latest last. Their servers
         remain for some seconds, and are not in force."""
+        self.rolled_back_at = float("inf")
+        """Time in seconds at which this router learned that the rollout was rolled back."""
         self.replaced = ""
         """Version of the order before this one, if this router has not seen its completion."""
         self.fault_rounds = 0
@@ -111,7 +113,10 @@
         """Apply the state in the store."""
         self.record = record
         if record.phase is RolloutPhase.ROLLED_BACK:
-            self.abandon((record.to,))
+            if record.to == self.replaced:
+                self.abandon((record.to,))
+            if self._is_of_order(record):
+                self.rolled_back_at = min(self.rolled_back_at, now)
         elif record.phase is RolloutPhase.COMPLETED:
             self.abandoned = tuple(name for name in self.abandoned if name != record.to)
             if record.to == self.replaced:
--- a/packages/router/src/cornellead/gateway/view/_rollouts.py
+++ b/packages/router/src/cornellead/gateway/view/_rollouts.py
@@ -24,6 +24,9 @@
 """Maximum number of routes in a report, to keep it within one packet."""
 FAULT_ROUNDS = 6
 """Reports in which a fault is sent at once: datagrams may be lost."""
+DRAIN_S = 60.0
+"""Time after a rollback in which servers of the version may still be listed: they drain for some
+seconds. A version that is listed later was started anew, and may be the one in force."""
 MAX_FAULT_LENGTH = 120
 MAX_RUN_ID = (1 << 31) - 1
 
@@ -103,10 +106,11 @@
             if before is not None:
                 rollout.record = before.record
                 rollout.fault_before = before.fault if before.open else ""
-                rollout.abandon(before.abandoned)
-                if before.fault:
+                if before.elapsed_s(now=now) < DRAIN_S:
+                    rollout.abandon(before.abandoned)
+                if before.fault and (before.open or now - before.rolled_back_at < DRAIN_S):
                     rollout.abandon((before.order.to,))
-                elif not before.settled and before.order.to != order.to:
+                elif before.open and not before.settled and before.order.to != order.to:
                     rollout.replaced = before.order.to
         structlog.get_logger().info(
             "rollout ordered",
--- a/tests/router/gateway/sync/test_rollout_controller.py
+++ b/tests/router/gateway/sync/test_rollout_controller.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from tests.router.gateway.builders import make_entry
 from tests.router.gateway.rollout_fleet import EXPOSURE_SHARE
 from tests.router.gateway.rollout_fleet import SERVICE
 from tests.router.gateway.rollout_fleet import USUAL_S
@@ -331,3 +332,29 @@
     fleet.order(duration_s=DURATION_S)
     await fleet.run(30.0)
     assert fleet.store.statuses == [("running", "v2"), ("rolled_back", "v2"), ("running", "v2")]
+
+
+@pytest.mark.parametrize("restarted", [True, False])
+async def test_version_in_force_that_was_rolled_back_long_ago_keeps_its_requests(
+    restarted: bool,
+) -> None:
+    """Guards against an unproved version that gets all requests: an earlier order for the version
+    in force was rolled back, and its record is still in the store."""
+    fleet = RolloutFleet(bad(share=1.0))
+    fleet.order(duration_s=DURATION_S)
+    await fleet.run(10.0)
+    fleet.behave = good
+    await fleet.run(70.0)
+    for router in fleet.routers:
+        for server in ("a0", "a1", "a2"):
+            entry = make_entry(server, version="v3", started_ms=2)
+            router.view.servers.put(entry, now=fleet.now)
+    order = RolloutOrder(SERVICE, "v3", DURATION_S, 2)
+    for index in range(len(fleet.routers) if restarted else 0):
+        fleet.servers |= {"a0": "v3", "a1": "v3", "a2": "v3"}
+        fleet.restart(index, order)
+    fleet.order(to="v3", duration_s=DURATION_S)
+    sent, requests = len(fleet.sent_new), fleet.requests
+    await fleet.run(15.0)
+    assert len(fleet.sent_new) - sent > 0.9 * (fleet.requests - requests)
+    assert fleet.store.statuses[-1] == ("running", "v3")
