--- a/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_rollout_gate.py
@@ -61,17 +61,28 @@
         """Time of the last counted broken connection by server."""
 
     def groups(
-        self, admitted: AdmittedRequest, servers: Sequence[ServerState]
+        self,
+        admitted: AdmittedRequest,
+        servers: Sequence[ServerState],
+        *,
+        with_exposure: bool = True,
     ) -> list[Sequence[ServerState]]:
         """Return the servers that may receive the request, in groups by preference.
 
         Only the first send of a request may go to a version that has not proved itself, until all
-        requests move to it.
+        requests move to it. Servers of versions whose rollout was given up get nothing while others
+        can be used.
+
+        :param with_exposure: Whether to include the servers that get a small share only.
         """
         rollout = self._view.rollouts.get(admitted.service.name)
         if rollout is None:
             return [servers]
         to, share = rollout.order.to, rollout.share
+        usable = self._view.servers.usable(admitted.service.name)
+        given_up = _given_up(rollout, {state.entry.version for state in usable})
+        servers = [state for state in servers if state.entry.version not in given_up]
+        usable = [state for state in usable if state.entry.version not in given_up]
         new = [state for state in servers if state.entry.version == to]
         old = [state for state in servers if state.entry.version != to]
         if rollout.withdrawn and rollout.settled:
@@ -80,13 +91,16 @@
             return [old]
         if share >= 1.0:
             return [new, old] if new else [old]
-        if share > 0.0 and new and self._may_expose(rollout, admitted):
+        if with_exposure and share > 0.0 and new and self._may_expose(rollout, admitted):
             return [new, old]
-        usable = self._view.servers.usable(admitted.service.name)
         if old or any(state.entry.version != to for state in usable):
             return [old]
         return [new]
 
+    def may_send(self, admitted: AdmittedRequest, state: ServerState) -> bool:
+        """Return whether a server that was found some time ago may still receive the request."""
+        return any(state in group for group in self.groups(admitted, [state]))
+
     def _may_expose(self, rollout: Rollout, admitted: AdmittedRequest) -> bool:
         limiter = self._limiter(rollout)
         if rollout.moving:
@@ -160,3 +174,17 @@
         if known is None or known[0] is not rollout:
             known = self._limiters[rollout.order.service] = (rollout, ExposureLimiter())
         return known[1]
+
+
+def _given_up(rollout: Rollout, versions: set[str]) -> set[str]:
+    """Return the versions of earlier orders that get nothing while others can be used.
+
+    :param versions: Versions of the usable servers.
+    """
+    given_up = set(rollout.abandoned)
+    # The replaced version may have been completed meanwhile, so it serves as the only old one.
+    if versions - given_up - {rollout.replaced, rollout.order.to}:
+        given_up.add(rollout.replaced)
+    # A server that states no version is in force.
+    given_up.discard("")
+    return given_up if versions - given_up else set()
--- a/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
+++ b/packages/router/src/cornellead/gateway/sync/_rollout_controller.py
@@ -169,6 +169,9 @@
             return self._report_failure(rollout, newest.failure().message)
         batch = newest.unwrap()
         self._apply(batch)
+        if self._view.rollouts.get(rollout.order.service) is not rollout:
+            # Another order came meanwhile, and the state that was read belongs to that one.
+            return True
         record = self._next_record(rollout)
         if record is None:
             if not _is_unannounced(rollout) or rollout.record is None:
@@ -221,7 +224,9 @@
                 new_responses=sum(counts[0] for counts in merged),
                 old_responses=sum(counts[2] for counts in merged),
                 new_servers=sum(state.entry.version == order.to for state in usable),
-                old_servers=sum(state.entry.version != order.to for state in listed),
+                old_servers=sum(
+                    state.entry.version not in (order.to, *rollout.abandoned) for state in listed
+                ),
                 exposure_share=self._exposure_share(),
             )
         )
