--- a/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_server_picker.py
@@ -162,7 +162,7 @@
                     self.load_factor,
                     jitter,
                     now,
-                    work_weights(listed, now=now),
+                    work_weights(listed),
                     self.avoided,
                 )
             )
--- a/packages/router/src/cornellead/gateway/policy/_work_weight.py
+++ b/packages/router/src/cornellead/gateway/policy/_work_weight.py
@@ -16,7 +16,7 @@
 varies around a threshold does not move many chats back and forth."""
 
 
-def work_weights(servers: Sequence[ServerState], *, now: float) -> dict[str, float]:
+def work_weights(servers: Sequence[ServerState]) -> dict[str, float]:
     """Return the weight of requests at servers that are slower than usual, by name.
 
     The usual time of the service is the harmonic mean of the factors: the time that work takes if
@@ -25,7 +25,7 @@
     :param servers: All servers of a service.
     :returns: Weights above 1; servers with weight 1 are omitted.
     """
-    factors = [state.work.value(now=now) for state in servers]
+    factors = [state.work.mean for state in servers]
     speed = sum(1.0 / factor for factor in factors)
     if not factors or max(factors) * speed <= (1.0 + IGNORED_EXCESS) * len(factors):
         return {}
--- a/packages/router/src/cornellead/gateway/view/_work_factor.py
+++ b/packages/router/src/cornellead/gateway/view/_work_factor.py
@@ -9,6 +9,11 @@
 HALF_LIFE_S = 0.3
 """Half-life of the weight of a factor. It changes many times a second, while a request that is
 placed by it takes from some tens of milliseconds to a second."""
+MEAN_HALF_LIFE_S = 3.0
+"""Half-life of the weight of a factor in `WorkFactor.mean`: homes of chats that follow each change
+are different ones for each router, and their prompts are copied back and forth."""
+MAX_MEAN_WEIGHT = 0.2
+"""Maximum weight of one factor in `WorkFactor.mean`, also after a time without any."""
 MEASURED_SAMPLE_WEIGHT = 0.2
 """Weight of the latest factor in `WorkFactor.measured`; the same as for latencies."""
 USUAL = 1.0
@@ -28,6 +33,8 @@
     def __init__(self) -> None:
         self._value = USUAL
         self._measured = USUAL
+        self.mean = USUAL
+        """Mean over some seconds, including what other routers received; 1 if nothing is known."""
         self._recorded_at: float | None = None
         self._heard_at = float("-inf")
 
@@ -41,6 +48,7 @@
             self._measured = factor
         else:
             self._measured += MEASURED_SAMPLE_WEIGHT * (factor - self._measured)
+        self._add_to_mean(factor, at=now)
         if self._recorded_at is None:
             self._value = factor
         else:
@@ -56,8 +64,16 @@
         :param at: Time of the response, in seconds.
         """
         if self._recorded_at is None or at > self._recorded_at:
+            self._add_to_mean(factor, at=at)
             self._value, self._recorded_at = factor, at
 
+    def _add_to_mean(self, factor: float, *, at: float) -> None:
+        if self._recorded_at is None:
+            self.mean = factor
+            return
+        weight = 1.0 - 0.5 ** (max(0.0, at - self._recorded_at) / MEAN_HALF_LIFE_S)
+        self.mean += min(MAX_MEAN_WEIGHT, weight) * (factor - self.mean)
+
     def age_s(self, *, now: float) -> float:
         """Return the age of the latest factor that this router received from the server itself."""
         return max(0.0, now - self._heard_at)
--- a/tests/router/gateway/policy/test_work_weight.py
+++ b/tests/router/gateway/policy/test_work_weight.py
@@ -30,7 +30,7 @@
 
 def _homes(servers: list[ServerState]) -> dict[str, str]:
     loads = {state.entry.server: 0.0 for state in servers}
-    weights = work_weights(servers, now=0.0)
+    weights = work_weights(servers)
     return {
         chat: order_for_chat(PlacementContext(chat, servers, loads, 2.0, 0.0, 0.0, weights))[
             0
@@ -57,7 +57,7 @@
 def test_small_or_common_differences_move_no_chat(factors: list[float]) -> None:
     """Guards against chats that leave their caches without need."""
     servers = _servers(*factors)
-    assert work_weights(servers, now=0.0) == {}
+    assert work_weights(servers) == {}
     ranked = {chat: rank_homes(chat, servers)[0].entry.server for chat in CHATS}
     assert _homes(servers) == ranked
 
