--- a/packages/router/src/cornellead/gateway/policy/_work_weight.py
+++ b/packages/router/src/cornellead/gateway/policy/_work_weight.py
@@ -9,9 +9,11 @@
 
     from cornellead.gateway.view import ServerState
 
-IGNORED_EXCESS = 0.1
-"""Excess over the usual time of the service that is ignored, so that chats stay at their caches."""
-FULL_EXCESS = 0.3
+IGNORED_EXCESS = 0.5
+"""Excess over the usual time of the service that is ignored. A home that moves has its prompts
+copied or prefilled again; with a third of the servers 1.3 times as slow, that cost more than the
+slower work."""
+FULL_EXCESS = 1.0
 """Excess from which it counts in full; between the two it grows gradually, so that a factor that
 varies around a threshold does not move many chats back and forth."""
 
@@ -39,8 +41,8 @@
 def _weight(relative: float) -> float:
     """Return the weight of a server by its time relative to the service's.
 
-    >>> [round(_weight(relative), 2) for relative in (0.5, 1.1, 1.2, 1.3, 2.5)]
-    [1.0, 1.0, 1.15, 1.3, 2.5]
+    >>> [round(_weight(relative), 2) for relative in (0.5, 1.3, 1.5, 1.75, 2.0, 2.5)]
+    [1.0, 1.0, 1.0, 1.5, 2.0, 2.5]
     """
     if relative <= 1.0 + IGNORED_EXCESS:
         return 1.0
