--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -89,25 +89,21 @@
     """Load: the rates of a deployment with long and short prompts, in bursts. Guards against short
     prompts whose first tokens wait for the prefill of long ones; compares with routers that ignore
     pending prefill."""
-    spread = run_load(
-        "long_prompts",
-        LOADS["long_prompts"],
-        policy="gateway",
-        settings=FleetSettings(),
-        classes=USERS_CLASSES,
-        seconds=24.0,
-        seed=1,
-    )
+
+    def run() -> Result:
+        return run_load(
+            "long_prompts",
+            LOADS["long_prompts"],
+            policy="gateway",
+            settings=FleetSettings(),
+            classes=USERS_CLASSES,
+            seconds=24.0,
+            seed=1,
+        )
+
+    spread = run()
     monkeypatch.setattr(_prompt_placement, "MAX_PREFILL_SHARE", math.inf)
-    piled = run_load(
-        "long_prompts",
-        LOADS["long_prompts"],
-        policy="gateway",
-        settings=FleetSettings(),
-        classes=USERS_CLASSES,
-        seconds=24.0,
-        seed=1,
-    )
+    piled = run()
     assert spread.late_by_class["answer"] < 0.75 * piled.late_by_class["answer"]
     for name in ("tag", "summary"):
         assert spread.late_by_class[name] <= piled.late_by_class[name] + 0.002
--- a/tests/router/gateway/forwarding/test_queue_plays.py
+++ b/tests/router/gateway/forwarding/test_queue_plays.py
@@ -4,7 +4,7 @@
 
 from functools import cache
 
-from tests.router.gateway.forwarding.queue_play import PLAYS
+from tests.router.gateway.forwarding.queue_loads import PLAYS
 from tests.router.gateway.forwarding.queue_play import Play
 from tests.router.gateway.forwarding.queue_play import PlayResult
 from tests.router.gateway.forwarding.queue_play import run_play
