--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import socket
 import struct
 import sys
@@ -52,14 +53,18 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on the loopback address, and the port after it too."""
+    """Return a port that is free on the loopback address, and the port after it too.
+
+    They are below the usual range for outgoing connections, so that a server that is down keeps
+    its port.
+    """
     while True:
+        port = random.randrange(15_000, 32_000, 2)
+        if port in _given_out:
+            continue
         with socket.socket() as first, socket.socket() as second:
-            first.bind((IP, 0))
-            port = first.getsockname()[1]
-            if port + 1 > 65535 or port in _given_out or port + 1 in _given_out:
-                continue
             try:
+                first.bind((IP, port))
                 second.bind((IP, port + 1))
             except OSError:
                 continue
