--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,7 +17,7 @@
 
 DEADLY = "dead0001"
 SERVERS = 8
-DOWN_S = 1.5
+DOWN_S = 3.0
 DEADLY_INTERVAL_S = 0.7
 DEADLY_REQUESTS = 24
 MAX_ARRIVALS = 3
@@ -32,6 +32,8 @@
         self.arrivals: list[tuple[float, str]] = []
         """Time and id of each request with the part."""
         self.crashes: list[float] = []
+        self.ran = 0
+        """Requests that the server has read whole."""
         self.ended = False
         self.process: asyncio.subprocess.Process | None = None
 
@@ -49,7 +51,9 @@
                 word, *rest = line.decode().split()
                 if word == "listening":
                     beats = asyncio.create_task(self._beat(int(time.time() * 1000)))
-                elif rest[1] == "deadly" or rest[0].startswith("deadly"):
+                    continue
+                self.ran += 1
+                if rest[0].startswith("deadly"):
                     self.arrivals.append((self.record.now(), rest[0]))
                     self.record.write(f"{rest[0]} reached {self.name}")
             await self.process.wait()
@@ -133,6 +137,8 @@
             await server.end()
         await asyncio.gather(*runs, return_exceptions=True)
         store.close()
+    for server in servers:
+        record.write(f"server {server.name} ran {server.ran} requests")
     arrivals = sorted(at for server in servers for at, _ in server.arrivals)
     crashes = sorted(at for server in servers for at in server.crashes)
     record.write(f"crashes at {[round(at, 3) for at in crashes]}")
@@ -149,4 +155,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleet.play(case, FOLDER))
+    sys.exit(fleet.play(case, FOLDER / "record.txt"))
