Log how the end of a close-delimited response was recognised

Cause: a response with neither a length nor chunks ends with its connection.

The request line tells the result ("200_closed_whole", "_unproven", "_cut"), and a line "response ended with its connection" what was found. What callers get does not change yet; the end of such a response waits for the check, at most half of the time left.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -14,6 +14,7 @@
 
     from cornellead.gateway.view import ServerState
     from cornellead.upstream import Exchange
+    from cornellead_core.close_delimited import ResponseEnd
 
 STREAM_STALL_TIMEOUT_S = 1.5
 """Time without data after which a stream is resumed at another server: model servers emit events
@@ -86,6 +87,8 @@
         """Called at each check while the server is stalled and the request may be repeated."""
         self.on_first_event: Callable[[], None] = lambda: None
         """Called once when the first event arrives."""
+        self.end_check: asyncio.Task[ResponseEnd] | None = None
+        """Check whether a response that ended with its connection is whole."""
         self.search: asyncio.Task[None] | None = None
         """Search for a server that takes the request if this one has stalled."""
         self.has_head = False
@@ -117,6 +120,10 @@
         self._last_progress_at = now
         self._buffered_bytes = buffered_bytes
 
+    def record_end(self, *, now: float) -> None:
+        """Restart both timeouts, since the response has ended and its end is being checked."""
+        self._last_byte_at = self._last_progress_at = now
+
     def record_buffered(self, size: int, *, now: float) -> None:
         """Record the size of the incomplete event or body that was received so far."""
         if size - self._buffered_bytes >= MIN_PROGRESS_BYTES:
@@ -150,8 +157,9 @@
     def close(self) -> None:
         """Remove the request from the server's in-flight requests, and close the connection if the
         response is incomplete."""
-        if self.search is not None:
-            self.search.cancel()
+        for task in (self.search, self.end_check):
+            if task is not None:
+                task.cancel()
         self.exchange.abort()
         self.state.health.finish_request(self.attempt_id)
         self.state.prompts.finish(self.attempt_id)
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -160,4 +160,6 @@
         return outcome.cause
     if isinstance(outcome, NotRunResponse):
         return f"not_run_{outcome.status}"
+    if isinstance(outcome, DeliveredResponse) and outcome.end is not None:
+        return f"{outcome.status}_closed_{outcome.end}"
     return str(outcome.status)
--- a/packages/router/src/cornellead/gateway/forwarding/_outcome.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_outcome.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple
 
+from cornellead_core.close_delimited import ResponseEnd
 from cornellead_core.routing import HeaderList
 
 
@@ -11,6 +12,8 @@
     """The complete response was written to the caller."""
 
     status: int
+    end: ResponseEnd | None = None
+    """What is known of the end; ``None`` if the length or the chunks of the response show it."""
 
 
 class ErrorResponse(NamedTuple):
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -10,6 +10,7 @@
 from cornellead.gateway.forwarding._outcome import ErrorResponse
 from cornellead.gateway.forwarding._outcome import NotRunResponse
 from cornellead.gateway.forwarding._reply_recorder import ReplyRecorder
+from cornellead.gateway.forwarding._response_end_check import ResponseEndCheck
 from cornellead.upstream import ResponseHead
 from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.routing import RequestKind
@@ -26,7 +27,10 @@
     from cornellead.gateway.ingress import ResponseWriter
     from cornellead.gateway.stats import GatewayStats
     from cornellead.gateway.view import RateLimits
+    from cornellead.gateway.view import ServerRegistry
+    from cornellead.upstream import ConnectionPool
     from cornellead.upstream import Exchange
+    from cornellead_core.close_delimited import ResponseEnd
     from cornellead_core.routing import WireFormat
 
 MAX_RESPONSE_BYTES = 16 << 20
@@ -60,10 +64,13 @@
         *,
         wire: WireFormat,
         rate_limits: RateLimits,
+        servers: ServerRegistry,
+        pool: ConnectionPool,
         stats: GatewayStats,
         clock: Callable[[], float],
     ) -> None:
         self._wire = wire
+        self._ends = ResponseEndCheck(pool=pool, servers=servers, stats=stats, clock=clock)
         self._recorder = ReplyRecorder(rate_limits=rate_limits, stats=stats, clock=clock)
         self._clock = clock
 
@@ -79,16 +86,18 @@
         if not isinstance(accepted, _AcceptedHead):
             return accepted
         head, reply = accepted
+        self._ends.watch(admitted, attempt)
         streaming = admitted.route.kind is RequestKind.STREAMING and head.status == OK
         if streaming and _may_be_event_stream(head):
             return await self._relay_stream(attempt, events, head.status, reply, out)
         body = await self._read_body(attempt)
         if body is None:
             return _broken(attempt, "truncated")
+        end = await self._ends.wait(attempt)
         if head.status >= SERVER_ERROR or out.started:
             return ErrorResponse(head.status, reply.forwarded, body)
         out.respond(head.status, _headers_of_response(admitted, head, reply), body)
-        return DeliveredResponse(head.status)
+        return DeliveredResponse(head.status, end)
 
     async def read_failure(
         self, admitted: AdmittedRequest, attempt: Attempt
@@ -145,6 +154,7 @@
         out: ResponseWriter,
     ) -> AttemptOutcome:
         first_data_at: float | None = None
+        end: ResponseEnd | None = None
         while True:
             data = await attempt.exchange.read(keep=True)
             if data is None:
@@ -161,6 +171,7 @@
                 attempt.ended_inside_event = True
                 return BrokenResponse("ended_inside_event")
             else:
+                end = await self._ends.wait(attempt)
                 complete = b""
             # The head is written with the first event: until then, another server can be tried.
             if not out.started and (complete or not data):
@@ -178,7 +189,7 @@
                 if first_data_at is not None:
                     attempt.state.health.record_stream_duration(self._clock() - first_data_at)
                 out.end()
-                return DeliveredResponse(status)
+                return DeliveredResponse(status, end)
 
     async def _write(self, attempt: Attempt, data: bytes, out: ResponseWriter) -> None:
         """Write events; what a slow caller does not read is held in its connection.
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -170,6 +170,8 @@
             relay=ResponseRelay(
                 wire=wire,
                 rate_limits=self._view.rate_limits,
+                servers=self._view.servers,
+                pool=self._pool,
                 stats=self._stats,
                 clock=read_clock,
             ),
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -208,6 +208,17 @@
             if self._accepts_requests(state) and (allow is None or allow(state))
         ]
 
+    def is_leaving(self, state: ServerState) -> bool:
+        """Return whether a server is leaving, or is listed no longer.
+
+        If it was restarted at its address, the later incarnation counts: its entry may arrive while
+        it serves requests that were sent to the earlier one.
+        """
+        listed = self._servers.get(state.entry.server)
+        if state.leaving or listed is None or listed.entry.address != state.entry.address:
+            return True
+        return listed.leaving
+
     def by_hash(self, name_hash: int) -> ServerState | None:
         """Return the state of the server whose name has a hash; ``None`` if there is none."""
         return self._by_hash.get(name_hash)
@@ -237,8 +248,7 @@
         return state.entry.data_centre not in self._out_of_service
 
     def _accepts_requests(self, state: ServerState) -> bool:
-        leaving = state.entry.draining or state.leaving_since is not None
-        return not leaving and self.in_service(state)
+        return not state.leaving and self.in_service(state)
 
     def _defers_removals(self, now: float) -> bool:
         if self._store_unavailable:
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -43,6 +43,8 @@
         """Limit that the server named last; ``None`` if it never named one."""
         self.leaving_since: float | None = None
         """When a response told that the server is leaving; ``None`` if none did."""
+        self.broke_off_at = float("-inf")
+        """When the server last broke off a response to this router, in seconds."""
         self.paused_until = 0.0
         """End of the time in which the server wants no requests of this router, in seconds."""
         self.work = WorkFactor()
@@ -101,6 +103,11 @@
         self.leaving_since = now
         return True
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the server's entry or one of its responses says that it is leaving."""
+        return self.entry.draining or self.leaving_since is not None
+
     def record_pause(self, seconds: float, *, now: float) -> bool:
         """Record that the server wants no requests for a time.
 
--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -150,6 +150,10 @@
         poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    def is_open(self) -> bool:
+        """Return whether an idle connection is open, and the server has sent nothing on it."""
+        return not self.closed and not self.has_unread_input()
+
     def may_carry(self, expect: EchoedHeader | None) -> bool:
         """Return whether a response to this request can be told from late copies of earlier ones.
 
@@ -199,7 +203,7 @@
         If the request was not sent as a whole, the server may have given up while it answered.
         """
         if self._ends_at_eof and self._exchange is not None:
-            self._exchange.finish(complete=not self.unacknowledged_bytes())
+            self._exchange.finish_by_close(complete=not self.unacknowledged_bytes())
             self._exchange = None
         return False
 
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -12,6 +12,7 @@
 
 from cornellead.upstream._connection import Connection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.close_delimited import check_listener
 from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.pacing import ReadPacer
 
@@ -20,6 +21,7 @@
 
     from cornellead.upstream._connection import EchoedHeader
     from cornellead.upstream._exchange import Exchange
+    from cornellead_core.close_delimited import ListenerState
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 3.0
@@ -115,6 +117,13 @@
         opened = await self._open(address)
         return opened.map(lambda conn: self._add_idle(address, conn))
 
+    async def check_listener(self, address: str, *, timeout_s: float) -> ListenerState:
+        """Find out whether a process still listens, and keep the connection as an idle one.
+
+        :param timeout_s: Maximum time of the check, in seconds.
+        """
+        return await check_listener(partial(self._connect, address), timeout_s=timeout_s)
+
     def close_idle(self, *, now: float) -> None:
         """Close connections whose idle timeout has passed.
 
@@ -147,25 +156,34 @@
             conn.close()
 
     async def _open(self, address: str) -> Result[Connection, ConnectError]:
-        host, _, port = address.rpartition(":")
         try:
             async with ArrivalTimeout(delay_s=self._connect_timeout_s):
-                _, conn = await self._loop.create_connection(
-                    lambda: Connection(
-                        loop=self._loop,
-                        release=lambda conn: self._add_idle(address, conn),
-                        pacer=self._pacer,
-                        address=address,
-                        budget=self.budget,
-                    ),
-                    host,
-                    int(port),
-                )
+                return Success(await self._connect(address))
         except (OSError, OverflowError, TimeoutError, ValueError) as exc:
             return Failure(ConnectError(f"no connection to {address}: {exc!r}"))
+
+    async def _connect(self, address: str) -> Connection:
+        """Open a connection.
+
+        :raises OSError: It failed.
+        :raises OverflowError: The port is out of range.
+        :raises ValueError: The address has no port.
+        """
+        host, _, port = address.rpartition(":")
+        _, conn = await self._loop.create_connection(
+            lambda: Connection(
+                loop=self._loop,
+                release=lambda conn: self._add_idle(address, conn),
+                pacer=self._pacer,
+                address=address,
+                budget=self.budget,
+            ),
+            host,
+            int(port),
+        )
         conn.set_user_timeout(TCP_USER_TIMEOUT_MS)
         self.opened += 1
-        return Success(conn)
+        return conn
 
     def _pop_idle(
         self, address: str, max_idle_s: float, expect: EchoedHeader | None
--- a/packages/router/src/cornellead/upstream/_exchange.py
+++ b/packages/router/src/cornellead/upstream/_exchange.py
@@ -67,6 +67,9 @@
         self.pending_bytes = 0
         self.complete = False
         self.broken = False
+        self.close_delimited = False
+        """Whether the response has neither a length nor chunks, and its connection has closed."""
+        self._on_closed: Callable[[], None] = lambda: None
         self.dropped = False
         """Whether the response was given up because all of them held too much."""
         self.on_dropped: Callable[[], None] = lambda: None
@@ -250,6 +253,24 @@
         self._record_size()
         self.wake()
 
+    def set_closed_callback(self, callback: Callable[[], None]) -> None:
+        """Set what is called once the end of the connection has ended the response, or call it now
+        if that has happened."""
+        if self.close_delimited:
+            callback()
+        else:
+            self._on_closed = callback
+
+    def finish_by_close(self, *, complete: bool) -> None:
+        """Record the end of a response that ends with its connection; called by the connection.
+
+        :param complete: As for `finish`.
+        """
+        self.close_delimited = complete
+        self.finish(complete=complete)
+        if complete:
+            self._on_closed()
+
     def finish(self, *, complete: bool) -> None:
         """Record the end of the response; called by the connection.
 
--- a/tests/router/gateway/gateway_harness.py
+++ b/tests/router/gateway/gateway_harness.py
@@ -82,7 +82,12 @@
             picker=self.picker,
             sender=self.sender,
             relay=ResponseRelay(
-                wire=wire, rate_limits=self.view.rate_limits, stats=stats, clock=clock
+                wire=wire,
+                rate_limits=self.view.rate_limits,
+                servers=self.view.servers,
+                pool=self.pool,
+                stats=stats,
+                clock=clock,
             ),
             retries=self.retries,
             wire=wire,
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -46,11 +46,7 @@
 
     def reset(self) -> None:
         """Reset the connection."""
-        sock = self.writer.get_extra_info("socket")
-        if sock is not None and not self.writer.transport.is_closing():
-            # Without a linger time of 0, closing sends a regular end of the connection.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
+        reset(self.writer)
 
     def response(self, status: int, *headers: str, body: bytes = b"") -> bytes:
         """Return a complete response without a seal."""
@@ -83,6 +79,14 @@
         )
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
+    async def begin_without_length(self, *headers: str) -> None:
+        """Write the head of a sealed response that ends with its connection.
+
+        :param headers: Further header lines.
+        """
+        head = self.stream_head("Connection: close", *headers)
+        await self.send(head.replace(b"Transfer-Encoding: chunked\r\n", b""))
+
     async def begin_stream(self, *headers: str) -> None:
         """Write the head of an event stream.
 
@@ -110,6 +114,15 @@
         await self.send(b"0\r\n\r\n")
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.transport.is_closing():
+        # Without a linger time of 0, closing sends a regular end of the connection.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Return bytes as a chunk of a body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
@@ -132,7 +145,10 @@
         self.script = script
         self.received: list[ScriptedExchange] = []
         self.address = ""
+        self.accepts = True
+        """Whether new connections are kept; others are reset at once."""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -151,7 +167,26 @@
         for seen in self.received:
             seen.reset()
 
+    async def end(self, *, listener_delay_s: float = 0.0) -> None:
+        """Close all connections regularly and stop listening, as the kernel does for a process that
+        was killed.
+
+        :param listener_delay_s: Time until the listening socket closes as well.
+        """
+        ended, self._writers = self._writers, set()
+        for writer in ended:
+            writer.close()
+        await asyncio.sleep(listener_delay_s)
+        self.stop()
+        # The kernel resets the connections that the process did not accept any more.
+        for writer in self._writers:
+            reset(writer)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self.accepts:
+            reset(writer)
+            return
+        self._writers.add(writer)
         try:
             while not writer.is_closing():
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -170,6 +205,7 @@
             for seen in self.received:
                 if seen.writer is writer:
                     seen.disconnected.set()
+            self._writers.discard(writer)
             writer.close()
 
     async def _watch_disconnect(
--- a/tests/router/gateway/view/test_server_registry.py
+++ b/tests/router/gateway/view/test_server_registry.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Any
 
     from cornellead.gateway.view import ServerState
 
@@ -327,3 +328,29 @@
     assert registry.put(make_entry(started_ms=5, sequence=8), now=3.0) == []
     assert registry.get("s1") is (None if removed else restarted)
     assert registry.usable("llm") == []
+
+
+@pytest.mark.parametrize(
+    ("change", "leaving"),
+    [
+        ({}, False),
+        ({"draining": True}, True),
+        ({"started_ms": 2}, False),
+        ({"started_ms": 2, "draining": True}, True),
+        ({"started_ms": 2, "address": "s1.test:81"}, True),
+        (None, True),
+    ],
+    ids=["listed", "draining", "restarted", "restarted-draining", "moved", "removed"],
+)
+def test_incarnation_is_leaving_unless_its_address_is_in_use(
+    change: dict[str, Any] | None, leaving: bool
+) -> None:
+    """Guards against a killed server that counts as leaving since it was restarted before."""
+    registry = ServerRegistry()
+    registry.put(make_entry(), now=0.0)
+    state = registry.states()[0]
+    if change is None:
+        registry.remove("s1", now=1.0)
+    else:
+        registry.put(make_entry(**change), now=1.0)
+    assert registry.is_leaving(state) is leaving
