Break off close-delimited responses of servers that have ended

Callers of servers that were killed in the middle of answers without a length or chunks got empty or short answers, framed as whole: streams behind any event, bodies of safe and unsafe requests, resumed streams.

Cause: the FIN of the kernel was taken for the end of the answer. The outcome then counted as an answer to the prompt's parts, which refutes all evidence of crashes and lifts a quarantine, as good health, as a good response of a rollout's version and as a cached prompt.

Change: a response whose server does not listen any more is broken off, unless the server was known to be leaving. With that, all that follows a reset follows: a check for a crash, bad health, another server where the request may be repeated, a resumed stream, else an end that does not look complete.

It works since a process that has ended itself its answer still listens afterwards, or has announced that it leaves.

--- a/packages/router/src/cornellead/gateway/forwarding/_attempt.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt.py
@@ -77,8 +77,8 @@
         """Whether the relay waits for a slow caller and therefore reads nothing from the server."""
         self.answered = False
         """Whether the server began to answer the request and survived that."""
-        self.ended_inside_event = False
-        """Whether the response ended inside an event."""
+        self.ended_early = False
+        """Whether the response is incomplete although its connection ended regularly."""
         self.on_answered: Callable[[], None] = lambda: None
         """Called once when `answered` becomes true."""
         self.on_head: Callable[[], None] = lambda: None
@@ -151,8 +151,13 @@
     @property
     def broken_by_server(self) -> bool:
         """Whether the server broke off the connection before it had begun to answer."""
-        broken = (self.exchange.broken and not self.exchange.dropped) or self.ended_inside_event
-        return broken and self.stall is None and not self.answered
+        return self.cut_by_server and not self.answered
+
+    @property
+    def cut_by_server(self) -> bool:
+        """Whether the server broke off the connection, or ended it before the whole response."""
+        broken = (self.exchange.broken and not self.exchange.dropped) or self.ended_early
+        return broken and self.stall is None
 
     def close(self) -> None:
         """Remove the request from the server's in-flight requests, and close the connection if the
--- a/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_attempt_runner.py
@@ -14,6 +14,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from cornellead.gateway.forwarding._admitted_request import AdmittedRequest
     from cornellead.gateway.forwarding._attempt import Attempt
     from cornellead.gateway.forwarding._attempt_sender import AttemptSender
     from cornellead.gateway.forwarding._crash_watch import CrashWatch
@@ -105,16 +106,12 @@
     ) -> AttemptOutcome:
         """Wait for the outcome of an attempt, and record what it tells."""
         admitted, trace = context.admitted, context.trace
-        state = attempt.state
-        name = state.entry.server
+        name = attempt.state.entry.server
         try:
             outcome = await response
             if isinstance(outcome, BrokenResponse):
-                trace.broke_off.add(name)
-            if isinstance(outcome, BrokenResponse) and attempt.broken_by_server:
-                trace.unanswered_breaks += 1
-                self._crashes.record_broken(admitted, attempt)
-            if isinstance(outcome, DeliveredResponse) and outcome.status < CLIENT_ERROR:
+                self._record_break(context, attempt)
+            elif _proves_answer(outcome):
                 attempt.record_answered()
         except BaseException:
             trace.add_attempt(name, "cancelled")
@@ -123,20 +120,38 @@
             raise
         finally:
             self._sender.finish(attempt)
-        self._picker.rollouts.record_outcome(admitted, attempt, outcome, now=self._clock())
         if isinstance(outcome, NotRunResponse):
             admitted.attempts.count_not_run()
-        ok = isinstance(outcome, DeliveredResponse)
-        if ok and admitted.affinity:
-            self._view.prompts.record(admitted.affinity, name, now=self._clock())
-        paused = isinstance(outcome, NotRunResponse) and self._clock() < state.paused_until
-        if not paused:
-            state.health.record_outcome(ok=ok, now=self._clock())
+        delivered = isinstance(outcome, DeliveredResponse)
+        if not isinstance(outcome, DeliveredResponse) or outcome.proven:
+            self._record_evidence(admitted, attempt, outcome)
         trace.add_attempt(name, _outcome_label(outcome))
-        if ok or not _can_go_on(context, attempt.successor):
+        if delivered or not _can_go_on(context, attempt.successor):
             self.drop_successor(context, attempt)
         return outcome
 
+    def _record_break(self, context: RequestContext, attempt: Attempt) -> None:
+        trace, state = context.trace, attempt.state
+        trace.broke_off.add(state.entry.server)
+        if attempt.cut_by_server:
+            state.broke_off_at = self._clock()
+        if attempt.broken_by_server:
+            trace.unanswered_breaks += 1
+            self._crashes.record_broken(context.admitted, attempt)
+
+    def _record_evidence(
+        self, admitted: AdmittedRequest, attempt: Attempt, outcome: AttemptOutcome
+    ) -> None:
+        """Record what an outcome tells about the server's health, version and cached prompts."""
+        now, state = self._clock(), attempt.state
+        self._picker.rollouts.record_outcome(admitted, attempt, outcome, now=now)
+        ok = isinstance(outcome, DeliveredResponse)
+        if ok and admitted.affinity:
+            self._view.prompts.record(admitted.affinity, state.entry.server, now=now)
+        paused = isinstance(outcome, NotRunResponse) and now < state.paused_until
+        if not paused:
+            state.health.record_outcome(ok=ok, now=now)
+
     def drop_successor(self, context: RequestContext, attempt: Attempt) -> None:
         """Abort the successor of an attempt, if there is one."""
         successor, attempt.successor = attempt.successor, None
@@ -155,6 +170,12 @@
     )
 
 
+def _proves_answer(outcome: AttemptOutcome) -> bool:
+    if not isinstance(outcome, DeliveredResponse):
+        return False
+    return outcome.status < CLIENT_ERROR and outcome.proven
+
+
 def _outcome_label(outcome: AttemptOutcome) -> str:
     if isinstance(outcome, BrokenResponse):
         return outcome.cause
--- a/packages/router/src/cornellead/gateway/forwarding/_outcome.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_outcome.py
@@ -15,6 +15,11 @@
     end: ResponseEnd | None = None
     """What is known of the end; ``None`` if the length or the chunks of the response show it."""
 
+    @property
+    def proven(self) -> bool:
+        """Whether the response is evidence that its server is sound."""
+        return self.end is not ResponseEnd.UNPROVEN
+
 
 class ErrorResponse(NamedTuple):
     """A complete response that is held back, since another attempt may yield a better one."""
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -12,6 +12,7 @@
 from cornellead.gateway.forwarding._reply_recorder import ReplyRecorder
 from cornellead.gateway.forwarding._response_end_check import ResponseEndCheck
 from cornellead.upstream import ResponseHead
+from cornellead_core.close_delimited import ResponseEnd
 from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.routing import RequestKind
 from cornellead_core.routing import ServerReply
@@ -30,7 +31,6 @@
     from cornellead.gateway.view import ServerRegistry
     from cornellead.upstream import ConnectionPool
     from cornellead.upstream import Exchange
-    from cornellead_core.close_delimited import ResponseEnd
     from cornellead_core.routing import WireFormat
 
 MAX_RESPONSE_BYTES = 16 << 20
@@ -94,6 +94,8 @@
         if body is None:
             return _broken(attempt, "truncated")
         end = await self._ends.wait(attempt)
+        if end is ResponseEnd.CUT:
+            return _broken_by_end(attempt)
         if head.status >= SERVER_ERROR or out.started:
             return ErrorResponse(head.status, reply.forwarded, body)
         out.respond(head.status, _headers_of_response(admitted, head, reply), body)
@@ -168,10 +170,12 @@
                     attempt.record_progress(buffered_bytes=len(events.tail), now=now)
                 attempt.record_buffered(len(events.tail), now=now)
             elif events.tail:
-                attempt.ended_inside_event = True
+                attempt.ended_early = True
                 return BrokenResponse("ended_inside_event")
             else:
                 end = await self._ends.wait(attempt)
+                if end is ResponseEnd.CUT:
+                    return _broken_by_end(attempt)
                 complete = b""
             # The head is written with the first event: until then, another server can be tried.
             if not out.started and (complete or not data):
@@ -212,6 +216,11 @@
     return BrokenResponse(cause if attempt.stall is None else "gave_up_silent")
 
 
+def _broken_by_end(attempt: Attempt) -> BrokenResponse:
+    attempt.ended_early = True
+    return BrokenResponse("server_ended")
+
+
 def _is_for(admitted: AdmittedRequest, reply: ServerReply) -> bool:
     return reply.request_id == admitted.caller.request_id
 
--- a/tests/router/gateway/forwarding/test_crashing_prompt.py
+++ b/tests/router/gateway/forwarding/test_crashing_prompt.py
@@ -12,8 +12,10 @@
 import pytest
 from tests.router.gateway.gateway_harness import Gateway
 from tests.router.gateway.scripted_server import ScriptedServer
+from tests.router.gateway.scripted_server import encode_events
 
 from cornellead.gateway.exchange import LoadExchange
+from cornellead.gateway.quarantine import QuarantinedPart
 from cornellead_core.routing import RouterLocation
 
 if TYPE_CHECKING:
@@ -32,6 +34,7 @@
 BETWEEN_REQUESTS_S = 0.3
 MAX_CRASHES = 5
 """Crashes after which no further server may get the part."""
+QUARANTINE_S = 600.0
 REPORT_TIME_S = 0.5
 """Time for evidence to reach another router: two intervals of load reports."""
 
@@ -73,6 +76,18 @@
     exchange.writer.close()
 
 
+async def _end_before_an_event(exchange: ScriptedExchange, server: ScriptedServer) -> None:
+    await exchange.begin_without_length()
+    await server.end()
+
+
+async def _end_between_events(exchange: ScriptedExchange, server: ScriptedServer) -> None:
+    await exchange.begin_without_length()
+    await exchange.send(encode_events(1, 1))
+    await asyncio.sleep(0.01)
+    await server.end()
+
+
 async def _crash_after_a_late_event(exchange: ScriptedExchange, server: ScriptedServer) -> None:
     await exchange.begin_stream()
     await asyncio.sleep(0.6)
@@ -169,6 +184,29 @@
     assert crashes <= MAX_CRASHES
 
 
+@pytest.mark.parametrize("crash", [_end_before_an_event, _end_between_events])
+async def test_part_is_refused_if_answers_look_whole_at_the_crash(
+    gateway: Gateway, start_server: StartServer, crash: Crash
+) -> None:
+    """Guards against crashes that count as answers, as the connection ends behind the head or an
+    event (review/6)."""
+    assert await _count_servers_until_refusal(gateway, start_server, crash) <= MAX_CRASHES
+
+
+@pytest.mark.parametrize("crash", [_end_before_an_event, _end_between_events])
+async def test_crash_that_looks_like_an_answer_does_not_lift_a_quarantine(
+    gateway: Gateway, start_server: StartServer, crash: Crash
+) -> None:
+    """Guards against a quarantine that ends since the trial of its part crashed a server."""
+    gateway.configure(await make_server(start_server, crash=crash))
+    guard, now = gateway.view.guard, time.monotonic()
+    held = QuarantinedPart(DEADLY, 1, 3, now - 1.01 * QUARANTINE_S)
+    assert guard.restore(held, source="store") and held.until < now < held.forgotten_at
+    await call(gateway, "shared", DEADLY)
+    assert [part.part for part in guard.quarantined(now=time.monotonic())] == [DEADLY]
+    assert (await call(gateway, "shared", DEADLY)).status == 503
+
+
 async def test_part_is_refused_if_its_first_event_comes_late(
     gateway: Gateway, start_server: StartServer
 ) -> None:
