Report cut responses of killed services as lost

An agent whose service was killed in the middle of an answer without a length or chunks passed an empty or half body on as the result of the call. For a call that runs at most once it was recorded, and would have been given again at each repeat of its key.

Cause: httpx takes the end of the connection for the end of such a response.

Change: ServerClient asks whether the service still listens (close_delimited.ServerEndCheck). If not, the call is lost: its outcome is unknown, or another agent gets it if it may be repeated. While the agent's server is draining, the response is kept, since a service that is being stopped closes its listening socket first.

--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -42,6 +42,7 @@
 from cornellead_core.distribution import ConfigDistributor
 from cornellead_core.distribution import HostDistributor
 from cornellead_core.load import LoadTable
+from cornellead_core.load import ServerState
 from cornellead_core.metrics import Metrics
 from cornellead_core.pacing import ReadPacer
 from cornellead_core.platform import HttpHostList
@@ -130,6 +131,7 @@
                 log=log,
                 client=self._http_client,
                 incarnation=clock.unix_ms(),
+                leaving=self._is_leaving,
             )
         self._cache_handoff = CacheHandoff(
             settings=settings,
@@ -246,6 +248,9 @@
         await self._http_client.aclose()
         return 0
 
+    def _is_leaving(self) -> bool:
+        return self._admission.state is ServerState.DRAINING
+
     def _controllers(self) -> list[Controller]:
         if self._service_handler is not None:
             server_controllers = self._service_handler.controllers()
--- a/packages/agent/src/cornellead_agent/services/_server_client.py
+++ b/packages/agent/src/cornellead_agent/services/_server_client.py
@@ -14,10 +14,16 @@
 
 from cornellead_agent.services._service_response import ServiceResponse
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.close_delimited import CHECK_TIMEOUT_S
+from cornellead_core.close_delimited import MAX_SHARE_OF_TIME_LEFT
+from cornellead_core.close_delimited import ResponseEnd
+from cornellead_core.close_delimited import ServerEndCheck
 from cornellead_core.decoding import is_interim_status
 from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cornellead_agent.services._service_request import ServiceRequest
 
 MAX_RESPONSE_BYTES = 4 << 20
@@ -44,14 +50,21 @@
     :param client: HTTP client, which the caller closes.
     :param url: Base URL of the service.
     :param budget: Bounds what all responses hold together.
+    :param leaving: Returns whether the service is being taken out of service.
     """
 
     def __init__(
-        self, *, client: httpx.AsyncClient, url: str, budget: BufferBudget | None = None
+        self,
+        *,
+        client: httpx.AsyncClient,
+        url: str,
+        budget: BufferBudget | None = None,
+        leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._client = client
         self._url = url.rstrip("/")
         self._budget = BufferBudget() if budget is None else budget
+        self._end_check = ServerEndCheck(url=url, leaving=leaving)
 
     async def send(
         self, request: ServiceRequest, *, timeout_s: float
@@ -70,6 +83,8 @@
         if request.key is not None:
             fields["idempotency-key"] = request.key
         timeout = httpx.Timeout(timeout_s, connect=min(CONNECT_TIMEOUT_S, timeout_s))
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         url = f"{self._url}/v1/{quote(request.operation, safe='')}"
         try:
             # The timeouts of httpx apply to each read, not to the whole response.
@@ -79,12 +94,22 @@
                     "POST", url, content=request.body, headers=fields, timeout=timeout
                 ) as resp,
             ):
-                return await _read_response(resp, self._budget)
+                result = await _read_response(resp, self._budget)
+                if isinstance(result, Success) and _is_close_delimited(resp):
+                    return await self._check_end(result, time_left_s=deadline - loop.time())
+                return result
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return Failure(SendError.NOT_SENT)
         except (httpx.HTTPError, httpx.InvalidURL, TimeoutError):
             return Failure(SendError.LOST)
 
+    async def _check_end(
+        self, result: Result[ServiceResponse, SendError], *, time_left_s: float
+    ) -> Result[ServiceResponse, SendError]:
+        timeout_s = min(CHECK_TIMEOUT_S, MAX_SHARE_OF_TIME_LEFT * time_left_s)
+        end = await self._end_check.run(timeout_s=timeout_s)
+        return Failure(SendError.LOST) if end is ResponseEnd.CUT else result
+
 
 class _Body:
     """Body of a response that is being read."""
@@ -106,6 +131,11 @@
         return False
 
 
+def _is_close_delimited(resp: httpx.Response) -> bool:
+    framed = "content-length" in resp.headers or "transfer-encoding" in resp.headers
+    return not framed and resp.status_code not in (httpx.codes.NO_CONTENT, httpx.codes.NOT_MODIFIED)
+
+
 async def _read_response(
     resp: httpx.Response, budget: BufferBudget
 ) -> Result[ServiceResponse, SendError]:
--- a/packages/agent/src/cornellead_agent/services/_service_handler.py
+++ b/packages/agent/src/cornellead_agent/services/_service_handler.py
@@ -31,6 +31,8 @@
 from cornellead_core.pacing import ArrivalTimeout
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import httpx
 
     from cornellead_agent.services._service_request import ServiceRequest
@@ -50,6 +52,7 @@
 
     :param client: HTTP client for the server and for readiness probes of other agents.
     :param incarnation: Unix time in milliseconds at which this process started.
+    :param leaving: Returns whether the service is being taken out of service.
     :param token: Id of the process, random by default; only tests set it.
     """
 
@@ -61,6 +64,7 @@
         log: LogClient,
         client: httpx.AsyncClient,
         incarnation: int,
+        leaving: Callable[[], bool] = lambda: False,
         token: str | None = None,
     ) -> None:
         service = settings.server.service
@@ -68,7 +72,7 @@
         self._board = board
         self._log = log
         self._service = service
-        self._server = ServerClient(client=client, url=settings.server.url)
+        self._server = ServerClient(client=client, url=settings.server.url, leaving=leaving)
         self._probe = PeerProbe(
             server=settings.process.name, service=service, board=board, client=client
         )
--- a/packages/core/src/cornellead_core/close_delimited/__init__.py
+++ b/packages/core/src/cornellead_core/close_delimited/__init__.py
@@ -12,6 +12,7 @@
 from cornellead_core.close_delimited._probe_connection import open_probe
 from cornellead_core.close_delimited._response_end import ResponseEnd
 from cornellead_core.close_delimited._response_end import judge_end
+from cornellead_core.close_delimited._server_end_check import ServerEndCheck
 
 __all__ = [
     "CHECK_TIMEOUT_S",
@@ -21,6 +22,7 @@
     "Probe",
     "ProbeConnection",
     "ResponseEnd",
+    "ServerEndCheck",
     "check_listener",
     "judge_end",
     "open_probe",
