Reject cut responses of killed engines

An agent that exports a prompt cache from an engine without a length or chunks took part of it for the whole when the engine was killed, and passed it on to another server.

Cause: EngineConnection takes the FIN of the kernel for the end of such a response.

Change: EngineClient.fetch asks whether the engine still listens, as for services. Chats need no check: a stream needs its final marker and its usage, an answer must be a whole JSON object.

--- a/packages/agent/src/cornellead_agent/process/_agent.py
+++ b/packages/agent/src/cornellead_agent/process/_agent.py
@@ -83,7 +83,9 @@
         # takes megabytes.
         self._http_client = httpx.AsyncClient(verify=False, trust_env=False)
         self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
-        self._engine_client = EngineClient(url=settings.server.url, pacer=self._pacer)
+        self._engine_client = EngineClient(
+            url=settings.server.url, pacer=self._pacer, leaving=self._is_leaving
+        )
         self._upstream = Upstream(client=self._engine_client)
         self._control_client = ControlClient(key=key, traffic=self._traffic)
         self._cold_limit = ColdLimit(
--- a/packages/agent/src/cornellead_agent/relay/_engine_client.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_client.py
@@ -13,10 +13,13 @@
 
 from cornellead_agent.relay._engine_connection import EngineConnection
 from cornellead_core.buffers import BufferBudget
+from cornellead_core.close_delimited import ResponseEnd
+from cornellead_core.close_delimited import ServerEndCheck
 from cornellead_core.pacing import ArrivalTimeout
 from cornellead_core.pacing import ReadPacer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
 CONNECT_TIMEOUT_S = 2.0
@@ -52,15 +55,22 @@
     :param url: Base URL with a numeric address, such as ``http://127.0.0.1:8000``.
     :param budget: Bounds what all responses hold together, those of periodic reads excepted.
     :param pacer: Shares the reads of the process among peers; by default, it has no others.
+    :param leaving: Returns whether the server is being taken out of service.
     """
 
     def __init__(
-        self, *, url: str, budget: BufferBudget | None = None, pacer: ReadPacer | None = None
+        self,
+        *,
+        url: str,
+        budget: BufferBudget | None = None,
+        pacer: ReadPacer | None = None,
+        leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self._budget = BufferBudget() if budget is None else budget
         self._pacer = (
             ReadPacer(call_soon=asyncio.get_running_loop().call_soon) if pacer is None else pacer
         )
+        self._end_check = ServerEndCheck(url=url, leaving=leaving)
         parts = urlsplit(url)
         self._host = parts.hostname or "127.0.0.1"
         self._port = parts.port or 80
@@ -156,6 +166,8 @@
             return Failure(
                 EngineRequestError("the response ended early, or is too large", sent=True)
             )
+        if conn.close_delimited and await self._end_check.run() is ResponseEnd.CUT:
+            return Failure(EngineRequestError("the server ended while it answered", sent=True))
         return Success(CompleteResponse(head.status, head.headers, body))
 
     def _pop_idle_connection(self) -> EngineConnection | None:
--- a/packages/agent/src/cornellead_agent/relay/_engine_connection.py
+++ b/packages/agent/src/cornellead_agent/relay/_engine_connection.py
@@ -68,6 +68,8 @@
         self._complete = False
         self._ends_at_eof = False
         self._waiter: asyncio.Future[None] | None = None
+        self.close_delimited = False
+        """Whether the response has neither a length nor chunks, and its connection has closed."""
         self.sent = False
         """Whether a request was written to the transport."""
         self.shared = False
@@ -105,7 +107,7 @@
         If the request was not sent as a whole, the server may have given up while it answered.
         """
         if self._ends_at_eof and not self.closed and not self.unacknowledged_bytes():
-            self._complete = True
+            self._complete = self.close_delimited = True
         return False
 
     def on_header(self, name: bytes, value: bytes) -> None:
