Kill servers with close-delimited streams in the soak

Cause: servers of the soak reset their connections when they crashed, so it never met the FIN of a killed process.

Change: every second crash comes behind an event of a stream without a length or chunks. The connections end regularly, the listening socket 10 ms later.

--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -24,6 +24,8 @@
 
 
 DELAY_S = 0.15
+LISTENER_DELAY_S = 0.01
+"""Time from the end of a killed process's connections to that of its listening socket."""
 POLL_S = 0.02
 READ_BYTES = 16 << 10
 
@@ -71,6 +73,13 @@
             self._server.close()
         self._reset_connections()
 
+    async def kill(self) -> None:
+        """End connections and listening socket as the kernel does for a process that is killed."""
+        for writer in list(self._writers):
+            writer.close()
+        await asyncio.sleep(LISTENER_DELAY_S)
+        self.stop()
+
     def set_fault(self, fault: Fault) -> None:
         """Set the fault; it applies to open connections too."""
         self.fault = fault
--- a/tests/soak/server_trouble.py
+++ b/tests/soak/server_trouble.py
@@ -88,19 +88,25 @@
         allowed = LIMIT_TOLERANCE * RATE_LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_SLACK_REQUESTS
         return f"{arrivals} of at most {allowed} requests" if arrivals > allowed else ""
 
-    def _crash(self, proxy: FaultProxy) -> None:
+    def _crash(self, proxy: FaultProxy, killed: bool) -> None:
         self.crashes += 1
-        task = asyncio.create_task(self.stop_for_a_while(proxy))
+        task = asyncio.create_task(self.stop_for_a_while(proxy, killed=killed))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def stop_for_a_while(self, proxy: FaultProxy) -> None:
-        """Cut a server's connections and let it listen again later, unless it is down already."""
+    async def stop_for_a_while(self, proxy: FaultProxy, *, killed: bool = False) -> None:
+        """Cut a server's connections and let it listen again later, unless it is down already.
+
+        :param killed: Whether the connections end regularly; otherwise they are reset.
+        """
         if proxy in self._down:
             return
         self._down.add(proxy)
         self.on_crash()
-        proxy.stop()
+        if killed:
+            await proxy.kill()
+        else:
+            proxy.stop()
         await asyncio.sleep(DOWN_S)
         await proxy.start()
         self._down.discard(proxy)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -9,6 +9,7 @@
 from weakref import WeakKeyDictionary
 
 from tests.router.gateway.scripted_server import ScriptedServer
+from tests.router.gateway.scripted_server import encode_event
 from tests.soak.broken_answers import BROKEN_ANSWERS
 from tests.soak.broken_answers import BrokenAnswers
 from tests.soak.server_notices import LEAVING_HEADER
@@ -49,8 +50,10 @@
         self.limit_per_s: float | None = None
         """Rate of requests that the server names in its responses."""
         self.arrivals: deque[float] = deque(maxlen=MAX_ARRIVALS)
-        self.crash: Callable[[], None] = lambda: None
-        """Called when a request crashes the server."""
+        self.crash: Callable[[bool], None] = lambda _: None
+        """Called when a request crashes the server, with whether it is killed and its connections
+        end regularly."""
+        self._crash_count = 0
         self.name = ""
         self.on_arrival: Callable[[str], None] = lambda _: None
         """Called with the id of each request."""
@@ -88,9 +91,7 @@
         self._runs[exchange.request_id] += 1
         await asyncio.sleep(self._rng.uniform(0.0, 0.05))
         if f"{CRASHING_PART}:" in exchange.header("x-prompt-prefix"):
-            await exchange.begin_stream()
-            await exchange.send(b"6\r\nid: 1\n\r\n")
-            self.crash()
+            await self._crash(exchange)
             return
         if failure == "reset":
             exchange.reset()
@@ -111,6 +112,19 @@
             if failure == "extra":
                 await exchange.send(exchange.sealed_response(200, b"extra"))
 
+    async def _crash(self, exchange: ScriptedExchange) -> None:
+        """Crash inside an event, or behind one of a stream without a length."""
+        self._crash_count += 1
+        killed = self._crash_count % 2 == 1
+        if killed:
+            await exchange.begin_without_length()
+            await exchange.send(encode_event(1))
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        else:
+            await exchange.begin_stream()
+            await exchange.send(b"6\r\nid: 1\n\r\n")
+        self.crash(killed)
+
     async def _ask_for_pause(self, exchange: ScriptedExchange, pause_s: float) -> None:
         lines = ("X-Not-Executed: 1", f"Retry-After: {pause_s:.3f}")
         await exchange.send(exchange.response(503, *lines))
