Wait for the listening socket of a server that may have crashed

A part of a prompt could go on crashing servers, since some crashes left no evidence: "connections reset" in place of "server crashed".

Cause: the check for a crash took a single accepted connection for a server that lives.

Change: the check is the one for responses that end with their connection: a new connection must stay open for 50 ms. An address that does not answer in time is no longer taken for a crash.

The stand-in of a killed process closes the connections that it has accepted late in the same turn of the event loop as its listening socket.

--- a/packages/router/src/cornellead/gateway/forwarding/_crash_watch.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_crash_watch.py
@@ -8,9 +8,10 @@
 
 import structlog
 import xxhash
-from returns.result import Failure
 
 from cornellead.gateway.quarantine import CrashReport
+from cornellead_core.close_delimited import CHECK_TIMEOUT_S
+from cornellead_core.close_delimited import ListenerState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,7 +41,7 @@
     requests that may have caused it.
 
     A connection may also be reset by the server or on the way. After a crash, no process listens on
-    the server's address any more, so a further connection is refused.
+    the server's address any more.
     """
 
     def __init__(
@@ -82,9 +83,9 @@
     async def _check(self, state: ServerState) -> None:
         broken_at = self._clock()
         server = state.entry.server
-        probe = await self._pool.probe(state.entry.address)
+        listener = await self._pool.check_listener(state.entry.address, timeout_s=CHECK_TIMEOUT_S)
         suspects = self._suspects.pop(server)
-        crashed = isinstance(probe, Failure)
+        crashed = listener is ListenerState.CLOSED
         self._stats.count_view_change("server_crashed" if crashed else "connection_reset")
         log = structlog.get_logger()
         log.info(
--- a/packages/router/src/cornellead/upstream/_connection_pool.py
+++ b/packages/router/src/cornellead/upstream/_connection_pool.py
@@ -112,11 +112,6 @@
         """Open a connection for one request; the holder passes it to `send` or releases it."""
         return await self._open(address)
 
-    async def probe(self, address: str) -> Result[None, ConnectError]:
-        """Open a connection and keep it as an idle one, to find out whether a server listens."""
-        opened = await self._open(address)
-        return opened.map(lambda conn: self._add_idle(address, conn))
-
     async def check_listener(self, address: str, *, timeout_s: float) -> ListenerState:
         """Find out whether a process still listens, and keep the connection as an idle one.
 
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -178,8 +178,9 @@
             writer.close()
         await asyncio.sleep(listener_delay_s)
         self.stop()
-        # The kernel resets the connections that the process did not accept any more.
+        # The kernel resets at once the connections that the process did not accept any more.
         for writer in self._writers:
+            writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             reset(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
