Close the listening socket of killed servers at once in the soak

The request lines say "200_closed_whole": the address still kept a connection for 50 ms. So the stand-in listened for 42 ms or more in place of 10 ms, since the event loop of the soak was late, by 0.11 s at most. A kernel does not wait for that loop.

Change: the stand-in stops listening in the call that closes the connections.

--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -24,8 +24,6 @@
 
 
 DELAY_S = 0.15
-LISTENER_DELAY_S = 0.01
-"""Time from the end of a killed process's connections to that of its listening socket."""
 POLL_S = 0.02
 READ_BYTES = 16 << 10
 
@@ -73,12 +71,13 @@
             self._server.close()
         self._reset_connections()
 
-    async def kill(self) -> None:
-        """End connections and listening socket as the kernel does for a process that is killed."""
+    def kill(self) -> None:
+        """Stop listening and end all connections regularly, as the kernel does for a process that
+        is killed."""
+        if self._server is not None:
+            self._server.close()
         for writer in list(self._writers):
             writer.close()
-        await asyncio.sleep(LISTENER_DELAY_S)
-        self.stop()
 
     def set_fault(self, fault: Fault) -> None:
         """Set the fault; it applies to open connections too."""
--- a/tests/soak/server_trouble.py
+++ b/tests/soak/server_trouble.py
@@ -104,7 +104,7 @@
         self._down.add(proxy)
         self.on_crash()
         if killed:
-            await proxy.kill()
+            proxy.kill()
         else:
             proxy.stop()
         await asyncio.sleep(DOWN_S)
