--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -72,6 +72,8 @@
         self._logs: dict[str, list[tuple[str, bytes]]] = {}
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self.server_reads: list[tuple[float, int]] = []
+        """Time and caller's port of each read of the list of servers."""
 
     @property
     def address(self) -> str:
@@ -254,6 +256,12 @@
         if self._task is not None:
             self._task.cancel()
 
+    def skip_write(self) -> dict:
+        """Return what the next write would have been: a call whose answer is lost, and which the
+        store executes later."""
+        self._fields["sequence"] += 1
+        return dict(self._fields)
+
     def remove(self) -> float:
         self.stop_beating()
         return self._store.put("keyed.servers", self.server, None)
@@ -267,7 +275,9 @@
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
-    def __init__(self, *, name: str, store_address: str, folder: str, port_base: int = 0) -> None:
+    def __init__(
+        self, *, name: str, store_address: str, folder: str, link_mbps: float = 1000.0
+    ) -> None:
         self.name = name
         self.front, self.ready = free_port(), free_port()
         self._metrics, internal = free_port(), free_port()
@@ -290,7 +300,9 @@
             "internal_port_range": [internal, internal + 15],
             "seeds": [],
             "bootstrap": True,
-            "limits": {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+            "limits": {
+                "memory_mb": 300, "max_fds": 4100, "link_mbps": link_mbps, "disk_mb": 0
+            },
             "data_dir": None,
             "heartbeat_ms": 1200,
             "bounds": {
