--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -36,11 +36,11 @@
 
 
 class Record:
-    """Writes what happened to ``record.txt``, with seconds since the start."""
+    """Writes what was sent, answered and run to a file, with seconds since the start."""
 
-    def __init__(self, folder: str) -> None:
+    def __init__(self, path: pathlib.Path) -> None:
         self.started_at = time.monotonic()
-        self._file = open(pathlib.Path(folder) / "record.txt", "w", encoding="utf-8")
+        self._file = path.open("w", encoding="utf-8")
 
     def now(self) -> float:
         return time.monotonic() - self.started_at
@@ -445,8 +445,25 @@
     body: bytes = b"",
     headers: dict[str, str] | None = None,
     timeout_s: float = 5.0,
+    record: Record,
+) -> Answer:
+    """Send one request on a new connection, read its answer, and record both."""
+    record.add(f"{request_id} sent: {method} {path}")
+    answer = await _exchange(port, method, path, request_id, body, headers or {}, timeout_s)
+    end = "whole" if answer.complete else answer.error
+    record.add(f"{request_id} answered: {answer.status}, {len(answer.body)} bytes, {end}")
+    return answer
+
+
+async def _exchange(
+    port: int,
+    method: str,
+    path: str,
+    request_id: str,
+    body: bytes,
+    headers: dict[str, str],
+    timeout_s: float,
 ) -> Answer:
-    """Send one request on a new connection and read its answer."""
     answer = Answer()
     writer = None
     try:
@@ -458,7 +475,7 @@
                 f"X-Request-Id: {request_id}",
                 f"X-Api-Key: {KEY}",
             ]
-            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+            lines += [f"{name}: {value}" for name, value in headers.items()]
             if body or method == "POST":
                 lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
@@ -544,10 +561,14 @@
             writer.transport.abort()
 
 
-def run_case(main, folder: str) -> None:
+def run_case(main, record_path: pathlib.Path) -> None:
     """Run a case within 110 s and exit with its code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    try:
+        record = Record(record_path)
+    except OSError as exc:
+        print(f"could not run: {exc}", flush=True)
+        os._exit(2)
     record.add(f"TROUBLE={'1' if trouble else '0'}")
 
     async def bounded(scratch: str) -> int:
