--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,8 +6,10 @@
 import pathlib
 import sys
 
-FOLDER = str(pathlib.Path(__file__).resolve().parent)
-sys.path.insert(0, str(pathlib.Path(FOLDER).parent / "common-3"))
+FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
+"""What was sent, answered and run."""
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
 import standins  # noqa: E402
 from server import Server  # noqa: E402
@@ -54,7 +56,7 @@
                 request_id = f"hold-{number}-{attempt}"
                 answer = await standins.send_request(
                     gateway.front, "POST", "/hold/1", request_id, body=b"seat",
-                    headers={"X-Deadline-Ms": "1500"},
+                    headers={"X-Deadline-Ms": "1500"}, record=record,
                 )
                 ran = runs.get(request_id, 0)
                 answered += answer.complete
@@ -68,7 +70,7 @@
                     record.add(f"REFUSED: {request_id} got {answer.status} and has run")
                 if ran and ran_before:
                     doubled += 1
-                    record.add(f"seat hold {number} has now run twice: the client trusted the {answer.status and 'promise'}")
+                    record.add(f"seat hold {number} has now run twice: the client trusted the promise")
                 ran_before += ran
                 if answer.status not in PROMISES:
                     break
@@ -80,4 +82,4 @@
         gateway.end()
 
 
-standins.run_case(main, FOLDER)
+standins.run_case(main, RECORD)
