--- a/review/15/case.py
+++ b/review/15/case.py
@@ -9,8 +9,10 @@
 import sys
 import time
 
-FOLDER = str(pathlib.Path(__file__).resolve().parent)
-sys.path.insert(0, str(pathlib.Path(FOLDER).parent / "common-3"))
+FOLDER = pathlib.Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
+"""What was sent, answered and run."""
+sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
 import standins  # noqa: E402
 from server import Server  # noqa: E402
@@ -50,9 +52,12 @@
         starts += 1
         server = Server(server=f"i-app{starts}", work_s=work_s)
         name = server.server
-        server.on_run = lambda request_id, path: arrivals.append(
-            (time.monotonic(), request_id, name)
-        )
+
+        def arrive(request_id: str, path: str) -> None:
+            arrivals.append((time.monotonic(), request_id, name))
+            record.add(f"{request_id} runs at {name}")
+
+        server.on_run = arrive
         server.on_end = lambda request_id, what: None
         port = standins.free_port()
         await asyncio.start_server(server.serve, "127.0.0.1", port)
@@ -77,7 +82,8 @@
     async def request(request_id: str) -> None:
         nonlocal answered
         answer = await standins.send_request(
-            other.front, "GET", "/lookup/1", request_id, headers={"X-Deadline-Ms": "1500"}
+            other.front, "GET", "/lookup/1", request_id, headers={"X-Deadline-Ms": "1500"},
+            record=record,
         )
         answered += answer.status == 200
 
@@ -158,4 +164,4 @@
             gateway.end()
 
 
-standins.run_case(main, FOLDER)
+standins.run_case(main, RECORD)
