Replace unconfirmed refusals of servers

Cause: RequestAttempts decided on the statuses that the router sends itself; the status of a server was passed on whatever it promised.

RequestAttempts.may_pass_on now decides on both. A request that may run once gets a 502 without a seal, with the cause unconfirmed_refusal and the server's status in the log line. Requests that may be repeated, and all other statuses, still get the server's answer with its seal.

--- a/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_forwarder.py
@@ -173,6 +173,9 @@
         if out.started:
             out.abort()
             trace.set_result(0, "stream_broken")
+        elif fallback is not None and not admitted.attempts.may_pass_on(fallback.status):
+            note = f"server_status_{fallback.status}"
+            self._refuse(trace, out, RefusalResponse(BAD_GATEWAY, "unconfirmed_refusal", note=note))
         elif fallback is not None:
             out.respond(fallback.status, fallback.headers, fallback.body)
             trace.set_result(fallback.status, "server_failure")
--- a/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
+++ b/packages/router/src/cornellead/gateway/forwarding/_response_relay.py
@@ -96,7 +96,8 @@
         end = await self._ends.wait(attempt)
         if end is ResponseEnd.CUT:
             return _broken_by_end(attempt)
-        if head.status >= SERVER_ERROR or out.started:
+        final = head.status < SERVER_ERROR and admitted.attempts.may_pass_on(head.status)
+        if not final or out.started:
             return ErrorResponse(head.status, reply.forwarded, body)
         out.respond(head.status, _headers_of_response(admitted, head, reply), body)
         return DeliveredResponse(head.status, end)
--- a/packages/router/src/cornellead/gateway/policy/_request_attempts.py
+++ b/packages/router/src/cornellead/gateway/policy/_request_attempts.py
@@ -4,6 +4,9 @@
 
 from enum import StrEnum
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request did not run and will not run later."""
+
 
 class RunState(StrEnum):
     """Whether a server may have executed the request."""
@@ -33,6 +36,8 @@
     >>> attempts.count_send()
     >>> attempts.may_send(now=0.0), attempts.state.value
     (False, 'maybe_run')
+    >>> attempts.may_pass_on(503), attempts.may_pass_on(500)
+    (False, True)
     >>> attempts.count_not_run()
     >>> attempts.may_send(now=0.0), attempts.not_run
     (True, True)
@@ -58,6 +63,14 @@
         """Whether the request can be reported to the caller as not run."""
         return self.state is not RunState.MAYBE_RUN
 
+    def may_pass_on(self, status: int) -> bool:
+        """Return whether the status of a server's response is true for the caller.
+
+        An application may fail with one of `NOT_RUN_STATUSES` after it has executed the request,
+        which the caller would then repeat.
+        """
+        return self._repeatable or self.not_run or status not in NOT_RUN_STATUSES
+
     def time_left_s(self, *, now: float) -> float:
         """Return the seconds until the deadline, at least 0."""
         return max(0.0, self.deadline - now)
