Keep the order of writes across a change of reader

Cause: readers relay changes without the counts of entries, so the router that takes over, or starts over, cannot tell a late write from news.

Pages now carry the counts of the entries that they name and of servers removed in the last 60 s, to routers that ask for them; earlier builds do not ask. A router that begins to read the store reads the last records before its position for their counts, one that starts anew asks another router, and one that starts over keeps what it knows. It works because every write of a start has a higher count than those before: later counts and other starts still pass, and only what is known to be older is dropped.

--- a/packages/core/src/cornellead_core/routing/__init__.py
+++ b/packages/core/src/cornellead_core/routing/__init__.py
@@ -28,6 +28,7 @@
 from cornellead_core.routing._routing_config import RoutingConfig
 from cornellead_core.routing._routing_config import RoutingData
 from cornellead_core.routing._routing_config import TeamKeys
+from cornellead_core.routing._server_entry import EntryCount
 from cornellead_core.routing._server_entry import ReportedLoad
 from cornellead_core.routing._server_entry import ServerEntry
 from cornellead_core.routing._store import STORE_SOURCE
@@ -64,6 +65,7 @@
     "CallerLimits",
     "CallerSettings",
     "DataCentreNotice",
+    "EntryCount",
     "FleetStore",
     "ForwardTarget",
     "GatewayStore",
--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -22,12 +22,22 @@
     started_ms: int
     """Start time in Unix milliseconds; 0 if not announced."""
     sequence: int = 0
-    """Number of the entry among those of the same start; 0 if not announced. Not relayed between
-    routers, since each renewal has another one."""
+    """Number of the entry among those of the same start; 0 if not announced. Relayed between
+    routers with changes only, since each renewal has another one."""
     version: str = ""
     """Version of the software that the server runs; empty if not announced."""
 
 
+class EntryCount(NamedTuple):
+    """Latest write of a server's entry, which tells later writes from earlier ones."""
+
+    server: str
+    started_ms: int
+    """Start that wrote the entry; 0 if not announced."""
+    sequence: int
+    """Number of the write among those of its start; 0 if not announced."""
+
+
 class ReportedLoad(NamedTuple):
     """Load that a server reports in a response header."""
 
--- a/packages/core/src/cornellead_core/routing/_store.py
+++ b/packages/core/src/cornellead_core/routing/_store.py
@@ -13,6 +13,7 @@
 from cornellead_core.routing._rollout import RolloutOrderNotice
 from cornellead_core.routing._rollout import RolloutRecord
 from cornellead_core.routing._routing_config import RoutingData
+from cornellead_core.routing._server_entry import EntryCount
 from cornellead_core.routing._server_entry import ServerEntry
 
 if TYPE_CHECKING:
@@ -152,6 +153,8 @@
     """Records of the store that name nothing to use; empty if another router relayed the batch."""
     era: int = UNKNOWN_ERA
     """History of the store that they belong to."""
+    counts: tuple[EntryCount, ...] = ()
+    """Latest writes of servers that are listed no longer."""
     not_stored: tuple[Notice, ...] = ()
     """What is in force at other routers, and may have been lost when the store was restored."""
 
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -8,6 +8,7 @@
 
 from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import EntryCount
 from cornellead_core.routing import Notice
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineNotice
@@ -18,6 +19,8 @@
 from cornellead_core.routing import are_different
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
 REMOVAL_RETENTION_S = 60.0
@@ -37,6 +40,9 @@
     """Time since the store confirmed the notices."""
     era: int = UNKNOWN_ERA
     """History of the store that the notices and the offset belong to."""
+    counts: tuple[EntryCount, ...] = ()
+    """Latest writes of the servers that the notices name and, in a snapshot, of those that were
+    removed recently."""
 
     @property
     def position(self) -> Position:
@@ -50,16 +56,12 @@
     notice: Notice
 
 
-class _Count(NamedTuple):
-    started_ms: int
-    sequence: int
-
-
 class ChangeLog:
     """Keeps the newest notice of each writer and discards renewals that change nothing.
 
-    The store may execute a write late, after a later one of the same server. Routers that read here
-    see no counts, so an entry with a lower count than one before is not passed on.
+    The store may execute a write late, after a later one of the same server. An entry with a lower
+    count than one before is not passed on. Routers that read here learn the counts of changes and
+    removals only, with which they recognize late writes once they read the store themselves.
 
     Offsets are those of the store, so a client can continue at any other router.
 
@@ -67,15 +69,15 @@
     >>> log.replace([ServerNotice("s1", None, False)], Position(5, era=1), now=0.0)
     >>> log.add([ServerNotice("s1", None, False)], Position(6, era=1), now=1.0)
     >>> log.read(Position(5, era=1), now=1.5)
-    RelayPage(notices=[], next_offset=6, snapshot=False, age_s=0.5, era=1)
+    RelayPage(notices=[], next_offset=6, snapshot=False, age_s=0.5, era=1, counts=())
     >>> log.read(Position(2, era=1), now=1.5).snapshot
     True
     """
 
     def __init__(self) -> None:
         self._changes: dict[str, _Change] = {}
-        self._counts: dict[str, _Count] = {}
-        """Count of the newest entry of each server, which is not passed on."""
+        self._counts: dict[str, EntryCount] = {}
+        """Latest known write of each server that is listed or was removed recently."""
         self._oldest_offset = 0
         self._next: Position | None = None
         self._confirmed_at = 0.0
@@ -99,12 +101,11 @@
         self._oldest_offset = position.offset
         for notice in notices:
             writer = _writer(notice)
-            if not self._is_late(notice):
+            if not self._is_late(notice, previous):
                 self._changes[writer] = _Change(position.offset - 1, now, self._count(notice))
             elif writer in previous and not _is_removal(previous[writer].notice):
                 self._changes[writer] = _Change(position.offset - 1, now, previous[writer].notice)
-        servers = {notice.server for notice in notices if isinstance(notice, ServerNotice)}
-        self._counts = {name: count for name, count in self._counts.items() if name in servers}
+        self._keep_removals(previous, position, now=now)
         self._record_confirmation(position, now=now)
 
     def add(
@@ -117,7 +118,7 @@
         :param complete: Whether the store had no further notices.
         """
         for notice in notices:
-            if self._is_late(notice):
+            if self._is_late(notice, self._changes):
                 continue
             counted = self._count(notice)
             previous = self._changes.get(_writer(notice))
@@ -142,11 +143,34 @@
             or are_different(position.era, era)
         ):
             notices = [c.notice for c in self._changes.values() if not _is_removal(c.notice)]
-            return RelayPage(notices, end, True, age_s, era)
+            return RelayPage(notices, end, True, age_s, era, tuple(self._counts.values()))
         changes = [c for c in self._changes.values() if c.offset >= position.offset]
         changes.sort(key=lambda change: change.offset)
         notices = [change.notice for change in changes]
-        return RelayPage(notices, max(position.offset, end), False, age_s, era)
+        counts = self.counts_of(n.server for n in notices if isinstance(n, ServerNotice))
+        return RelayPage(notices, max(position.offset, end), False, age_s, era, counts)
+
+    def ended_counts(self) -> tuple[EntryCount, ...]:
+        """Return the latest known writes of the servers that were removed recently."""
+        removed = [w for w, change in self._changes.items() if _is_removal(change.notice)]
+        return self.counts_of(removed)
+
+    def counts_of(self, servers: Iterable[str]) -> tuple[EntryCount, ...]:
+        """Return the latest known writes of servers."""
+        return tuple(self._counts[name] for name in servers if name in self._counts)
+
+    def record_counts(self, counts: Iterable[EntryCount], *, now: float) -> None:
+        """Record writes that another router knows, unless later ones are known.
+
+        :param now: Seconds.
+        """
+        for count in counts:
+            known = self._counts.get(count.server)
+            if known is None or known.started_ms < count.started_ms or _is_later(count, known):
+                self._counts[count.server] = count
+            if count.server not in self._changes:
+                removal = ServerNotice(count.server, None, removed=True)
+                self._changes[count.server] = _Change(0, now, removal)
 
     def set_from_store(self, from_store: bool) -> None:
         """Set `from_store` and end all waits if the store was lost."""
@@ -175,16 +199,17 @@
         except TimeoutError:
             return
 
-    def _is_late(self, notice: Notice) -> bool:
-        """Return whether a later entry of the same start of the server was recorded."""
+    def _is_late(self, notice: Notice, recorded: Mapping[str, _Change]) -> bool:
+        """Return whether a later entry of the same start of the server was recorded, or the same
+        one before its removal."""
         if not isinstance(notice, ServerNotice) or notice.entry is None:
             return False
         known, entry = self._counts.get(notice.server), notice.entry
-        return (
-            known is not None
-            and known.started_ms == entry.started_ms
-            and (0 < entry.sequence < known.sequence)
-        )
+        if known is None or known.started_ms != entry.started_ms or not entry.sequence:
+            return False
+        if entry.sequence == known.sequence:
+            return notice.server in recorded and _is_removal(recorded[notice.server].notice)
+        return entry.sequence < known.sequence
 
     def _count(self, notice: Notice) -> Notice:
         """Record the count of an entry, and return the notice without it: each renewal differs."""
@@ -192,9 +217,26 @@
             return notice
         entry = notice.entry
         if entry.sequence and entry.started_ms > 0:
-            self._counts[notice.server] = _Count(entry.started_ms, entry.sequence)
+            self._counts[notice.server] = EntryCount(
+                notice.server, entry.started_ms, entry.sequence
+            )
+        elif not entry.started_ms > 0:
+            self._counts.pop(notice.server, None)
         return notice._replace(entry=entry._replace(sequence=0))
 
+    def _keep_removals(
+        self, previous: dict[str, _Change], position: Position, *, now: float
+    ) -> None:
+        """Keep the servers of the previous notices that a snapshot does not list, as removed."""
+        for writer, change in previous.items():
+            if writer in self._changes or not isinstance(change.notice, ServerNotice):
+                continue
+            if _is_removal(change.notice):
+                self._changes[writer] = change
+            else:
+                removal = ServerNotice(writer, None, removed=True)
+                self._changes[writer] = _Change(position.offset - 1, now, removal)
+
     def _record_confirmation(self, position: Position, *, now: float) -> None:
         advanced = (
             self._next is None
@@ -222,6 +264,10 @@
             self._oldest_offset = max(self._oldest_offset, offset + 1)
 
 
+def _is_later(count: EntryCount, known: EntryCount) -> bool:
+    return count.started_ms == known.started_ms and count.sequence > known.sequence
+
+
 def _writer(notice: Notice) -> str:
     if isinstance(notice, ServerNotice):
         return notice.server
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -60,12 +60,13 @@
         *,
         position: Position | None,
         wait_s: float,
+        ended: bool = False,
     ) -> FetchedPage | None:
         """Query routers concurrently and return the page of the latest era, and among these the
         most recently confirmed one."""
         responses = await asyncio.gather(
             *(
-                self.fetch(name, address, topic, position=position, wait_s=wait_s)
+                self.fetch(name, address, topic, position=position, wait_s=wait_s, ended=ended)
                 for name, address in addresses.items()
             )
         )
@@ -81,14 +82,18 @@
         position: Position | None,
         wait_s: float,
         as_reader: bool = False,
+        ended: bool = False,
     ) -> FetchedPage | None:
         """Read the notices of another router.
 
+        :param ended: Whether to ask for the counts of all servers that were removed recently.
         :param as_reader: Whether to rely on the other router to read the store.
         """
-        query = {"versions": "1"}
+        query = {"versions": "1", "counts": "1"}
         if as_reader:
             query["reader"] = "1"
+        if ended:
+            query["ended"] = "1"
         if position is not None:
             query["after"] = str(position.offset)
         era = self._view.history.latest(topic)
--- a/packages/router/src/cornellead/gateway/relay/_relay_codec.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from cornellead.gateway.relay._change_log import RelayPage
 from cornellead_core.decoding import UNREADABLE
 from cornellead_core.routing import DataCentreNotice
+from cornellead_core.routing import EntryCount
 from cornellead_core.routing import Notice
 from cornellead_core.routing import QuarantineNotice
 from cornellead_core.routing import RolloutNotice
@@ -21,6 +23,9 @@
 from cornellead_core.routing import ServerEntry
 from cornellead_core.routing import ServerNotice
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 MAX_OFFSET = (1 << 63) - 1
 """Maximum offset in the store."""
 _Offset = Annotated[int, msgspec.Meta(ge=0, le=MAX_OFFSET)]
@@ -41,6 +46,8 @@
     orders: list[RolloutOrderNotice] = []
     """Encoded, with `rollouts`, only if asked for and if there are some."""
     rollouts: list[RolloutNotice] = []
+    counts: list[EntryCount] = []
+    """Encoded only if asked for and if there are some."""
 
 
 MAX_PAGE_BYTES = 64 << 20
@@ -55,11 +62,12 @@
 _decoder = msgspec.msgpack.Decoder(_EncodedPage)
 
 
-def encode_page(page: RelayPage, *, versions: bool = False) -> bytes:
+def encode_page(page: RelayPage, *, versions: bool = False, counts: bool = False) -> bytes:
     """Encode a page as MessagePack, compressed if it is large.
 
     :param versions: Whether to include the versions of servers, and the rollouts. Routers of
         earlier builds, which do not ask for them, reject pages that include them.
+    :param counts: Whether to include the counts of entries, under the same condition.
 
     Notices are grouped by kind. The order among different kinds is not preserved, as no notice
     depends on one of another kind. Compression reduces the traffic of configurations, which are
@@ -74,10 +82,11 @@
         [_encode_server(n, versions=versions) for n in page.notices if isinstance(n, ServerNotice)],
         [n for n in page.notices if isinstance(n, RouterNotice)],
     )
-    optional: list[list[Notice]] = [
+    optional: list[Sequence[object]] = [
         [n for n in page.notices if isinstance(n, QuarantineNotice)],
         [n for n in page.notices if versions and isinstance(n, RolloutOrderNotice)],
         [n for n in page.notices if versions and isinstance(n, RolloutNotice)],
+        page.counts if counts else (),
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -95,16 +104,30 @@
         encoded = _decoder.decode(_decompress(data))
     except (*UNREADABLE, zlib.error):
         return None
+    counts = {count.server: count for count in encoded.counts}
     notices: list[Notice] = [
         *encoded.routing,
         *encoded.data_centres,
-        *encoded.servers,
+        *(_with_count(n, counts.get(n.server)) for n in encoded.servers),
         *encoded.routers,
         *encoded.quarantines,
         *encoded.orders,
         *encoded.rollouts,
     ]
-    return RelayPage(notices, encoded.next_offset, encoded.snapshot, encoded.age_s)
+    return RelayPage(
+        notices,
+        encoded.next_offset,
+        encoded.snapshot,
+        encoded.age_s,
+        counts=tuple(encoded.counts),
+    )
+
+
+def _with_count(notice: ServerNotice, count: EntryCount | None) -> ServerNotice:
+    entry = notice.entry
+    if entry is None or count is None or count.started_ms != entry.started_ms:
+        return notice
+    return notice._replace(entry=entry._replace(sequence=count.sequence))
 
 
 def _encode_server(notice: ServerNotice, *, versions: bool) -> tuple[object, ...]:
--- a/packages/router/src/cornellead/gateway/relay/_relay_handler.py
+++ b/packages/router/src/cornellead/gateway/relay/_relay_handler.py
@@ -35,7 +35,9 @@
 
     With ``reader``, the other router relies on this one to read the store. ``era`` is the latest
     one of the store that the other router has met in the topic. With ``versions=1``, the page
-    includes the versions of servers and the rollouts. ``/in-force`` is passed on.
+    includes the versions of servers and the rollouts, and with ``counts=1`` the counts of entries;
+    with ``ended=1`` also those of all servers that were removed recently. ``/in-force`` is passed
+    on.
     """
 
     def __init__(
@@ -76,5 +78,8 @@
         if page is None or (relied_on and not log.from_store) or UNKNOWN_ERA < page.era < era:
             out.respond(503, (), b"")
             return
+        if "ended" in query:
+            page = page._replace(counts=(*page.counts, *log.ended_counts()))
         headers = () if page.era == UNKNOWN_ERA else ((ERA_HEADER.encode(), b"%d" % page.era),)
-        out.respond(200, headers, encode_page(page, versions="versions" in query))
+        body = encode_page(page, versions="versions" in query, counts="counts" in query)
+        out.respond(200, headers, body)
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -17,6 +17,7 @@
 from cornellead.gateway.relay._in_force_client import newest_version
 from cornellead.gateway.relay._peer_client import FetchedPage
 from cornellead.gateway.relay._peer_client import PeerClient
+from cornellead.gateway.relay._server_writes import ServerWrites
 from cornellead_core.placement import rank_members
 from cornellead_core.routing import UNKNOWN_ERA
 from cornellead_core.routing import NoticeBatch
@@ -99,6 +100,7 @@
         self._store_retry_at: dict[Topic, float] = {}
         """Time of the next read of the store, by the topics whose last read of it failed."""
         self.logs = {topic: ChangeLog() for topic in Topic}
+        self._writes = ServerWrites(store=store, log=self.logs[Topic.SERVERS], clock=clock)
         self.relayed = 0
         """Number of reads served by another router."""
 
@@ -128,9 +130,10 @@
         if isinstance(result, Success):
             batch = result.unwrap()
             sent_at = self._clock() - batch.age_s
+            batch = self._writes.record_newest(topic, batch)
             self.logs[topic].replace(batch.notices, batch.position, now=sent_at)
             self.logs[topic].set_from_store(True)
-            return result
+            return Success(batch)
         self.logs[topic].set_from_store(False)
         peers = self._sample_peers(MAX_QUERIED_PEERS)
         youngest = await self._peers.fetch_youngest(peers, topic, position=None, wait_s=0.0)
@@ -177,6 +180,8 @@
     ) -> Result[NoticeBatch, StoreError | OffsetExpired]:
         if self._view.history.take_settled(topic, now=self._clock()):
             return Failure(OffsetExpired(position.offset, position.era, settled=True))
+        if topic is Topic.SERVERS and self._writes.lacks_ended:
+            await self._ask_ended(position)
         hold_s = min(MAX_WAIT_S, wait_s)
         fetched = await self._query_reader(topic, position=position, wait_s=hold_s)
         if fetched is None and topic in self._store_retry_at:
@@ -268,6 +273,7 @@
             if not position.continues_in(batch.era):
                 return Failure(OffsetExpired(position.offset, batch.era))
             batch = batch._replace(era=position.era)
+            await self._writes.learn_missed(topic, position, servers=len(self._view.servers))
             self.logs[topic].add(
                 batch.notices,
                 batch.position,
@@ -276,7 +282,7 @@
             )
             self.logs[topic].set_from_store(True)
             self._store_retry_at.pop(topic, None)
-            return Success(batch)
+            return Success(self._writes.record_read(topic, batch))
         error = result.failure()
         if isinstance(error, OffsetExpired):
             self._meet(topic, error.era)
@@ -290,7 +296,7 @@
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].replace(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return _make_batch(fetched)
+        return self._writes.record_relayed(topic, _make_batch(fetched))
 
     def _apply_changes(
         self, topic: Topic, fetched: FetchedPage, *, position: Position
@@ -301,7 +307,16 @@
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return Success(_make_batch(fetched))
+        return Success(self._writes.record_relayed(topic, _make_batch(fetched)))
+
+    async def _ask_ended(self, position: Position) -> None:
+        """Ask other routers for the servers that were removed before this one began to read."""
+        peers = self._sample_peers(MAX_BACKUPS_QUERIED)
+        fetched = await self._peers.fetch_youngest(
+            peers, Topic.SERVERS, position=position, wait_s=0.0, ended=True
+        )
+        if fetched is not None:
+            self._writes.record_ended(fetched.page.counts)
 
     def _sample_peers(self, count: int) -> dict[str, str]:
         """Return the addresses of a few random routers of any data centre by name."""
@@ -377,6 +392,5 @@
 
 def _make_batch(fetched: FetchedPage) -> NoticeBatch:
     page = fetched.page
-    return NoticeBatch(
-        page.notices, page.next_offset, fetched.age_s, read=fetched.read, era=page.era
-    )
+    batch = NoticeBatch(page.notices, page.next_offset, fetched.age_s, read=fetched.read)
+    return batch._replace(era=page.era, counts=page.counts)
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -49,6 +49,7 @@
             self._log_change(entry)
         for state in self._view.servers.replace_all(entries, now=now):
             self._report_ended(state, "not_listed")
+        self._view.servers.record_counts(batch.counts, now=now)
         self._view.servers_loaded = True
 
     def apply_changes(self, batch: NoticeBatch) -> None:
@@ -67,6 +68,7 @@
             for state in self._view.servers.put(notice.entry, now=now):
                 restarted = state.entry.server == notice.server
                 self._report_ended(state, "restarted" if restarted else "address_taken")
+        self._view.servers.record_counts(batch.counts, now=now)
         for state in self._view.servers.remove_expired(now=now):
             self._report_ended(state, "lapsed_while_store_was_away")
         # These follow a snapshot, which may have been applied notice by notice.
--- a/packages/router/src/cornellead/gateway/view/_ended_servers.py
+++ b/packages/router/src/cornellead/gateway/view/_ended_servers.py
@@ -8,8 +8,10 @@
 from cornellead.gateway.view._server_state import ServerState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from cornellead_core.routing import EntryCount
     from cornellead_core.routing import ServerEntry
 
 RETENTION_S = 600.0
@@ -22,6 +24,11 @@
     state: ServerState
 
 
+class _Counted(NamedTuple):
+    at: float
+    sequence: int
+
+
 class EndedServers:
     """States of the incarnations whose entries were removed or replaced recently.
 
@@ -31,6 +38,8 @@
 
     def __init__(self) -> None:
         self._ended: dict[tuple[str, int], _Ended] = {}
+        self._counts: dict[tuple[str, int], _Counted] = {}
+        """Latest writes of incarnations that were never listed at this router."""
 
     def add(self, state: ServerState, *, now: float) -> None:
         """Remember an incarnation that is listed no longer.
@@ -43,6 +52,28 @@
         if state.entry.started_ms > 0:
             self._ended[_key(state.entry)] = _Ended(now, state)
 
+    def record_counts(self, counts: Iterable[EntryCount], *, now: float) -> None:
+        """Record the latest known writes of incarnations that are not listed.
+
+        :param now: Seconds.
+        """
+        self._counts = {
+            key: counted for key, counted in self._counts.items() if now - counted.at <= RETENTION_S
+        }
+        for count in counts:
+            key = (count.server, count.started_ms)
+            if key in self._ended:
+                self._ended[key].state.record_sequence(count.sequence)
+            elif count.started_ms > 0:
+                known = self._counts.get(key, _Counted(now, 0))
+                self._counts[key] = _Counted(now, max(known.sequence, count.sequence))
+
+    def last_sequence(self, entry: ServerEntry) -> int:
+        """Return the count of the latest known write of an incarnation that was never listed; 0 if
+        none is known."""
+        counted = self._counts.get(_key(entry))
+        return 0 if counted is None else counted.sequence
+
     def find(self, entry: ServerEntry) -> ServerState | None:
         """Return the state of the incarnation that an entry belongs to, if it was remembered."""
         ended = self._ended.get(_key(entry))
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from cornellead_core.routing import EntryCount
     from cornellead_core.routing import ServerEntry
 
 EXPIRY_GRACE_S = 2.5
@@ -146,6 +147,21 @@
         removed = [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
         return ended + [state for state in removed if state is not None]
 
+    def record_counts(self, counts: Iterable[EntryCount], *, now: float) -> None:
+        """Record the latest known writes of servers, also of those that were never listed here.
+
+        :param now: Seconds.
+        """
+        unlisted: list[EntryCount] = []
+        for count in counts:
+            state = self._servers.get(count.server)
+            if state is not None and state.entry.started_ms == count.started_ms:
+                state.record_sequence(count.sequence)
+            else:
+                unlisted.append(count)
+        if unlisted:
+            self._ended.record_counts(unlisted, now=now)
+
     def remove_expired(self, *, now: float) -> list[ServerState]:
         """Remove and return servers whose deferred removals are due."""
         if self._defers_removals(now):
@@ -270,8 +286,10 @@
             return True
         ended = self._ended.find(entry) if state is None else None
         last = ended if state is None else state
-        if last is None or not entry.started_ms > 0:
+        if not entry.started_ms > 0:
             return False
+        if last is None:
+            return 0 < entry.sequence <= self._ended.last_sequence(entry)
         known = last.entry
         restored_at = self._store_restored_at
         settling = restored_at is not None and now - restored_at < SETTLE_S
--- a/packages/router/src/cornellead/gateway/view/_server_state.py
+++ b/packages/router/src/cornellead/gateway/view/_server_state.py
@@ -55,7 +55,10 @@
 
     def update(self, entry: ServerEntry, *, now: float) -> None:
         """Apply a newer entry of the same incarnation."""
+        known = self.entry.sequence
         self.entry = entry
+        # A router of an earlier build relays entries without their counts.
+        self.record_sequence(known)
         self.entry_received_at = now
         self.missing_since = None
         if entry.cold_s > 0:
@@ -63,6 +66,11 @@
         else:
             self.cold_until = min(self.cold_until, self._forced_cold_until)
 
+    def record_sequence(self, sequence: int) -> None:
+        """Record the count of a later write of the entry, which changed nothing else."""
+        if sequence > self.entry.sequence:
+            self.entry = self.entry._replace(sequence=sequence)
+
     def assume_cold(self, seconds: float, *, now: float) -> None:
         """Treat the server as cold for a time, even if its entry does not mark it as cold."""
         self._forced_cold_until = now + seconds
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -18,6 +18,7 @@
 from cornellead.gateway.relay import decode_page
 from cornellead.gateway.relay import encode_page
 from cornellead.gateway.view import FleetView
+from cornellead_core.routing import EntryCount
 from cornellead_core.routing import Notice
 from cornellead_core.routing import Position
 from cornellead_core.routing import QuarantineMark
@@ -58,6 +59,39 @@
     assert [len(entry) for _, entry, _ in encoded[5]] == [8]
 
 
+def _page_with_counts(sequence: int) -> RelayPage:
+    entry = make_entry("s1", started_ms=1_796_000_000_000, sequence=sequence)
+    notices: list[Notice] = [
+        ServerNotice("s1", entry, removed=False),
+        ServerNotice("s2", None, removed=True),
+    ]
+    counts = (
+        EntryCount("s1", entry.started_ms, sequence),
+        EntryCount("s2", entry.started_ms, 9),
+    )
+    return RelayPage(notices, 9, False, 0.5, counts=counts)
+
+
+def test_counts_round_trip() -> None:
+    """Guards against a router that takes over as the reader and knows no counts."""
+    page = _page_with_counts(7)
+    assert decode_page(encode_page(page, counts=True)) == page
+
+
+def test_counts_are_sent_only_to_routers_that_ask() -> None:
+    """Guards against routers of an earlier build that reject each page with a server."""
+    page = _page_with_counts(0)
+    assert decode_page(encode_page(page, versions=True)) == page._replace(counts=())
+    assert len(msgspec.msgpack.decode(encode_page(page)[1:])) == 7
+
+
+def test_counts_take_few_bytes() -> None:
+    """Guards against control traffic above 3 KB a second: ten changes a second may take a tenth."""
+    page = _page_with_counts(100_000)
+    added = len(encode_page(page, counts=True)) - len(encode_page(page))
+    assert added / len(page.notices) <= 30
+
+
 def test_large_page_is_compressed() -> None:
     """Guards against configuration changes that exceed a node's 3 KB/s for control traffic."""
     names = [f"s{number}" for number in range(300)]
--- a/tests/router/gateway/restored_fleet.py
+++ b/tests/router/gateway/restored_fleet.py
@@ -177,6 +177,17 @@
         entry = payloads.server_entry(f"10.0.{host >> 8}.{host & 255}:80") | changes
         self.store.put(SERVERS, name, entry)
 
+    def remove_server(self, name: str) -> None:
+        """Remove the entry of a server."""
+        self.store.put(SERVERS, name, None)
+
+    def end(self, number: int) -> None:
+        """End a router, which announces it."""
+        ended = self.routers.pop(number)
+        ended.listener.stop_accepting()
+        for router in self.routers:
+            router.view.apply_announcement(ended.name, None, now=router.clock())
+
     async def read(self, topic: Topic, times: int = 1) -> None:
         """Let all routers read a topic in rank order."""
         for _ in range(times):
