Drop servers that left around a cut of the router

Cause: a removal that is read within 2.5 s after an outage was deferred as if the entry had lapsed in it, counted from the first read, which comes up to 1.3 s after the end.

LapseCheck tells both apart. The renewals of an entry, read at once after the cut, bound how long it can have been silent before its removal; less than three heartbeat intervals are no lapse. Where the log has no renewals, writes of another data centre in which most servers are still listed tell that the store was not down. Readers pass the verdict on with the counts. Servers that are still missing 2.0 s after the outage are removed if their service has others, and the list is read every 0.2 s while removals are deferred. Entries that lapse in an outage, or in a cut of the router's own data centre, stay as before until they are back.

--- a/packages/core/src/cornellead_core/routing/_node_settings.py
+++ b/packages/core/src/cornellead_core/routing/_node_settings.py
@@ -74,3 +74,5 @@
     memory_mb: float = 0.0
     """Memory of the host in MB; 0 if unknown."""
     callers: CallerSettings = CallerSettings()
+    heartbeat_s: float = 0.0
+    """Interval at which servers renew their entries in the store; 0 if unknown."""
--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -36,6 +36,8 @@
     """Start that wrote the entry; 0 if not announced."""
     sequence: int
     """Number of the write among those of its start; 0 if not announced."""
+    left: bool = False
+    """Whether the entry was removed so soon after this write that it cannot have lapsed."""
 
 
 class ReportedLoad(NamedTuple):
--- a/packages/router/src/cornellead/gateway/policy/__init__.py
+++ b/packages/router/src/cornellead/gateway/policy/__init__.py
@@ -7,6 +7,7 @@
 from cornellead.gateway.policy._cold_start_limiter import ColdStartLimiter
 from cornellead.gateway.policy._expected_wait import expected_wait_s
 from cornellead.gateway.policy._exposure_limiter import ExposureLimiter
+from cornellead.gateway.policy._lapse_check import LapseCheck
 from cornellead.gateway.policy._place_queue import HeldRequest
 from cornellead.gateway.policy._place_queue import PlaceQueue
 from cornellead.gateway.policy._place_share import MIN_BACKLOG
@@ -45,6 +46,7 @@
     "ColdStartLimiter",
     "ExposureLimiter",
     "HeldRequest",
+    "LapseCheck",
     "PlaceQueue",
     "PlacementContext",
     "PromptPlacement",
--- a/packages/router/src/cornellead/gateway/process/_gateway_process.py
+++ b/packages/router/src/cornellead/gateway/process/_gateway_process.py
@@ -38,6 +38,7 @@
 from cornellead.gateway.process._loop_watch import LoopWatch
 from cornellead.gateway.process._server_cleanup import ServerCleanup
 from cornellead.gateway.process._settings_watcher import SettingsWatcher
+from cornellead.gateway.process._store_pace import StorePace
 from cornellead.gateway.process._ticker import Ticker
 from cornellead.gateway.relay import RelayedStore
 from cornellead.gateway.relay import RelayHandler
@@ -82,17 +83,9 @@
 """Time for which the store holds a long poll for changes by operators. A stalled connection is
 detected after this time plus the call timeout, which is within the bound on the delay of a
 configuration change."""
-SERVERS_READ_INTERVAL_S = 0.5
-"""Interval between reads of the server list: a leaving server has to be detected within 2 s."""
 ROLLOUTS_READ_INTERVAL_S = 1.0
 """Minimum interval between reads of the state of rollouts while one is open, unless a quarter of
 the time to react to a bad version is shorter."""
-ROUTERS_INTERVAL_S = 4.0
-"""Minimum interval between announcements of this router, and between reads of the router list."""
-TOPIC_READ_SHARE = 0.3
-"""Fraction of the store's read rate that all routers together use for one topic."""
-ANNOUNCE_WRITE_SHARE = 0.1
-"""Fraction of the store's write rate that the announcements of all routers together use."""
 MIN_ANNOUNCE_TIMEOUT_S = 0.1
 """Time to announce the stop if the grace period is used up: a quarter of the margin before SIGKILL,
 the rest of which is left for the exit."""
@@ -130,6 +123,9 @@
         self._pacer = ReadPacer(call_soon=asyncio.get_running_loop().call_soon)
         self._caller_budget = BufferBudget(limit_bytes=find_budget_bytes(settings))
         self._view = FleetView(router=settings.node)
+        self._pace = StorePace(
+            view=self._view, settings=lambda: self._settings.store, clock=read_clock
+        )
         self._cold_limiter = ColdStartLimiter(
             router=settings.node, burst=settings.bounds.cold_slack
         )
@@ -192,7 +188,12 @@
             settings.link_mbps,
         )
         self._store = RelayedStore(
-            store=store, view=self._view, http=http, location=location, clock=read_clock
+            store=store,
+            view=self._view,
+            http=http,
+            location=location,
+            clock=read_clock,
+            heartbeat_s=lambda: self._settings.heartbeat_s,
         )
         self._exchange = LoadExchange(
             view=self._view,
@@ -211,7 +212,7 @@
             stats=self._stats,
             clock=read_clock,
             exposure_share=lambda: self._settings.bounds.exposure_share,
-            read_interval_s=lambda: self._read_interval_s(
+            read_interval_s=lambda: self._pace.read_interval_s(
                 min(ROLLOUTS_READ_INTERVAL_S, self._settings.bounds.rollback_s / 4)
             ),
         )
@@ -229,7 +230,7 @@
             router=settings.node,
             location=location,
             history=self._view.history,
-            interval_s=self._announce_interval_s,
+            interval_s=self._pace.announce_interval_s,
         )
         self._watcher = SettingsWatcher(
             path=settings_path, current=settings, load=load, apply=self._apply_settings
@@ -308,12 +309,12 @@
             self._make_reader(
                 Topic.SERVERS,
                 ServerSink(view=view, stats=stats, clock=read_clock, on_ended=self._cleanup.remove),
-                interval_s=lambda: self._read_interval_s(SERVERS_READ_INTERVAL_S),
+                interval_s=self._pace.servers_interval_s,
             ),
             self._make_reader(
                 Topic.ROUTERS,
                 router_sink,
-                interval_s=lambda: self._read_interval_s(ROUTERS_INTERVAL_S),
+                interval_s=self._pace.routers_interval_s,
             ),
             QuarantinePublisher(store=self._store, view=view, sink=router_sink, clock=read_clock),
             self._rollouts,
@@ -360,7 +361,6 @@
         *,
         sock: socket.socket | None = None,
     ) -> CallerListener:
-        is_admin = isinstance(handler, AdminHandler)
         return CallerListener(
             address=address,
             handler=handler,
@@ -371,7 +371,7 @@
             sock=sock,
             pacer=self._pacer,
             budget=self._caller_budget,
-            paced_status=200 if is_admin else FIRST_REFUSAL_STATUS,
+            paced_status=200 if isinstance(handler, AdminHandler) else FIRST_REFUSAL_STATUS,
         )
 
     def _remove_idle(self) -> None:
@@ -384,13 +384,3 @@
         self._picker.load_factor = settings.bounds.load_factor
         self._admission.max_config_age_s = settings.bounds.config_delay_s
         self._cold_limiter.burst = settings.bounds.cold_slack
-
-    def _read_interval_s(self, min_interval_s: float) -> float:
-        routers = len(self._view.routers(now=read_clock()))
-        return max(min_interval_s, routers / (TOPIC_READ_SHARE * self._settings.store.reads_per_s))
-
-    def _announce_interval_s(self) -> float:
-        routers = len(self._view.routers(now=read_clock()))
-        return max(
-            ROUTERS_INTERVAL_S, routers / (ANNOUNCE_WRITE_SHARE * self._settings.store.writes_per_s)
-        )
--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -265,7 +265,9 @@
 
 
 def _is_later(count: EntryCount, known: EntryCount) -> bool:
-    return count.started_ms == known.started_ms and count.sequence > known.sequence
+    return count.started_ms == known.started_ms and (
+        count.sequence > known.sequence or (count.sequence == known.sequence and count.left)
+    )
 
 
 def _writer(notice: Notice) -> str:
--- a/packages/router/src/cornellead/gateway/relay/_peer_client.py
+++ b/packages/router/src/cornellead/gateway/relay/_peer_client.py
@@ -15,6 +15,7 @@
 from cornellead.gateway.relay._relay_handler import ERA_HEADER
 from cornellead.gateway.relay._relay_handler import PATH_PREFIX
 from cornellead_core.routing import UNKNOWN_ERA
+from cornellead_core.routing import NoticeBatch
 from cornellead_core.routing import ReadStats
 from cornellead_core.routing import parse_era
 
@@ -44,6 +45,12 @@
         """Time since the store sent the notices, with the transfer from the other router."""
         return self.page.age_s + self.read.transfer_s + self.read.decode_s
 
+    def to_batch(self) -> NoticeBatch:
+        """Return the notices as those of a read of the store."""
+        page = self.page
+        batch = NoticeBatch(page.notices, page.next_offset, self.age_s, read=self.read)
+        return batch._replace(era=page.era, counts=page.counts)
+
 
 class PeerClient:
     """Reads pages of other routers, and renews the routers that respond."""
--- a/packages/router/src/cornellead/gateway/relay/_relayed_store.py
+++ b/packages/router/src/cornellead/gateway/relay/_relayed_store.py
@@ -79,6 +79,7 @@
     ones.
 
     :param location: Where this router runs.
+    :param heartbeat_s: Returns the heartbeat interval of servers in seconds; 0 if it is unknown.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         http: HttpClient,
         location: RouterLocation,
         clock: Callable[[], float],
+        heartbeat_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._view = view
@@ -100,7 +102,13 @@
         self._store_retry_at: dict[Topic, float] = {}
         """Time of the next read of the store, by the topics whose last read of it failed."""
         self.logs = {topic: ChangeLog() for topic in Topic}
-        self._writes = ServerWrites(store=store, log=self.logs[Topic.SERVERS], clock=clock)
+        self._writes = ServerWrites(
+            store=store,
+            log=self.logs[Topic.SERVERS],
+            data_centre=location.data_centre,
+            heartbeat_s=heartbeat_s,
+            clock=clock,
+        )
         self.relayed = 0
         """Number of reads served by another router."""
 
@@ -296,7 +304,7 @@
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].replace(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return self._writes.record_relayed(topic, _make_batch(fetched))
+        return self._writes.record_relayed(topic, fetched.to_batch())
 
     def _apply_changes(
         self, topic: Topic, fetched: FetchedPage, *, position: Position
@@ -307,7 +315,7 @@
         page, age_s = fetched.page, fetched.age_s
         self.logs[topic].add(page.notices, page.position, now=self._clock() - age_s)
         self.logs[topic].set_from_store(False)
-        return Success(self._writes.record_relayed(topic, _make_batch(fetched)))
+        return Success(self._writes.record_relayed(topic, fetched.to_batch()))
 
     async def _ask_ended(self, position: Position) -> None:
         """Ask other routers for the servers that were removed before this one began to read."""
@@ -388,9 +396,3 @@
                 age_s=None if fetched is None else round(fetched.page.age_s, 2),
             )
         return None
-
-
-def _make_batch(fetched: FetchedPage) -> NoticeBatch:
-    page = fetched.page
-    batch = NoticeBatch(page.notices, page.next_offset, fetched.age_s, read=fetched.read)
-    return batch._replace(era=page.era, counts=page.counts)
--- a/packages/router/src/cornellead/gateway/relay/_server_writes.py
+++ b/packages/router/src/cornellead/gateway/relay/_server_writes.py
@@ -7,6 +7,7 @@
 import structlog
 from returns.result import Failure
 
+from cornellead.gateway.policy import LapseCheck
 from cornellead_core.routing import EntryCount
 from cornellead_core.routing import Position
 from cornellead_core.routing import ServerNotice
@@ -39,6 +40,9 @@
     The store may execute a write seconds late, after the entry was removed. Routers that read from
     another router see changes only. One that goes on to read the store itself first learns the
     counts of the writes before, since a late write would pass for the return of a server.
+
+    :param data_centre: Data centre of this router.
+    :param heartbeat_s: Returns the heartbeat interval of servers in seconds; 0 if it is unknown.
     """
 
     def __init__(
@@ -46,11 +50,16 @@
         *,
         store: FleetStore,
         log: ChangeLog,
+        data_centre: str,
+        heartbeat_s: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
         self._store = store
         self._log = log
+        self._lapses = LapseCheck(data_centre=data_centre, heartbeat_s=heartbeat_s)
         self._clock = clock
+        self._read_from = float("-inf")
+        """Time from which writes may be missing in the notices so far, in seconds."""
         self._read_end: Position | None = None
         """End of the latest read of the store itself."""
         self._learned: dict[str, EntryCount] = {}
@@ -68,14 +77,18 @@
         if topic is not Topic.SERVERS:
             return batch
         self._log.record_counts(batch.counts, now=self._clock())
+        self._lapses.record_relayed(batch.notices, snapshot=False)
+        self._read_from = self._sent_at(batch)
         return self._pass_on(batch)
 
     def record_newest(self, topic: Topic, batch: NoticeBatch) -> NoticeBatch:
-        """Complete the newest entries of the store."""
+        """Complete the newest entries of the store, which do not tell when they were written."""
         if topic is not Topic.SERVERS:
             return batch
         if not self._log.loaded:
             self._ask_ended_until = self._clock() + ASK_ENDED_S
+        self._lapses.record_relayed(batch.notices, snapshot=True)
+        self._read_from = self._sent_at(batch)
         self._read_end = batch.position
         return self._pass_on(batch)
 
@@ -83,9 +96,13 @@
         """Complete later entries of the store, with the latest writes before each removal."""
         if topic is not Topic.SERVERS:
             return batch
+        left = self._lapses.find_left(batch.notices, since=self._read_from, now=self._clock())
+        self._read_from = self._sent_at(batch)
         self._read_end = batch.position
-        removed = _removed(batch.notices)
-        self._learned.update({known.server: known for known in self._log.counts_of(removed)})
+        for server in _removed(batch.notices):
+            known = self._log.counts_of([server]) or (EntryCount(server, 0, 0),)
+            self._learned[server] = known[0]._replace(left=server in left)
+        self._log.record_counts(self._learned.values(), now=self._clock())
         return self._pass_on(batch)
 
     def record_ended(self, counts: Iterable[EntryCount]) -> None:
@@ -129,6 +146,10 @@
         learned, self._learned = self._learned, {}
         return batch._replace(counts=(*batch.counts, *learned.values()))
 
+    def _sent_at(self, batch: NoticeBatch) -> float:
+        wait_s = 0.0 if batch.read is None else batch.read.wait_s
+        return self._clock() - batch.age_s - wait_s
+
 
 def _removed(notices: Iterable[Notice]) -> set[str]:
     return {n.server for n in notices if isinstance(n, ServerNotice) and n.removed}
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -47,7 +47,8 @@
         entries = [n.entry for n in servers if n.entry is not None]
         for entry in entries:
             self._log_change(entry)
-        for state in self._view.servers.replace_all(entries, now=now):
+        left = {count.server for count in batch.counts if count.left}
+        for state in self._view.servers.replace_all(entries, now=now, left=left):
             self._report_ended(state, "not_listed")
         self._view.servers.record_counts(batch.counts, now=now)
         self._view.servers_loaded = True
@@ -56,11 +57,14 @@
         """Apply later notices; an empty batch confirms that nothing changed."""
         now = self._clock()
         self._record_recovery(batch, now=now)
+        left = {count.server for count in batch.counts if count.left}
         for notice in batch.notices:
             if not isinstance(notice, ServerNotice):
                 continue
             if notice.entry is None:
-                state = self._view.servers.remove(notice.server, now=now)
+                state = self._view.servers.remove(
+                    notice.server, now=now, left=notice.server in left
+                )
                 if state is not None:
                     self._report_ended(state, "removed" if notice.removed else "unreadable_entry")
                 continue
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -10,14 +10,18 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from cornellead_core.routing import EntryCount
     from cornellead_core.routing import ServerEntry
 
+RETURN_S = 2.0
+"""Time after a store outage within which sound servers renew entries that expired. Servers that are
+still missing then are removed if others of their service are listed."""
 EXPIRY_GRACE_S = 2.5
-"""Time after a store outage for which removals of expired entries are deferred: servers renew their
-entries within about two seconds."""
+"""Time after a store outage for which removals of expired entries are deferred at most: the last
+server of a service is kept a little longer."""
 LISTED_BEFORE_START = float("-inf")
 """Value of `listed_at` for servers that were listed before this router started: they count as
 established, so they may be the home server of existing chats."""
@@ -58,6 +62,11 @@
         """Data centres that operators took out of service."""
         return frozenset(self._out_of_service)
 
+    @property
+    def deferring(self) -> bool:
+        """Whether the removal of a server is deferred."""
+        return any(state.missing_since is not None for state in self._servers.values())
+
     def set_services(self, services: Iterable[str]) -> None:
         """Set the services of the active configuration."""
         self._services = frozenset(services)
@@ -116,16 +125,17 @@
             self._index(started)
         return ended
 
-    def remove(self, server: str, *, now: float) -> ServerState | None:
+    def remove(self, server: str, *, now: float, left: bool = False) -> ServerState | None:
         """Remove the entry of a server, or defer its removal if the store is or recently was
         unavailable.
 
+        :param left: Whether the entry is known not to have lapsed.
         :returns: The removed state; ``None`` if the server is unknown or its removal was deferred.
         """
         state = self._servers.get(server)
         if state is None:
             return None
-        if self._defers_removals(now) and not state.entry.draining:
+        if self._defers_removals(now) and not (left or state.entry.draining):
             state.missing_since = now if state.missing_since is None else state.missing_since
             return None
         del self._servers[server]
@@ -133,9 +143,12 @@
         self._rebuild_indexes()
         return state
 
-    def replace_all(self, entries: Iterable[ServerEntry], *, now: float) -> list[ServerState]:
+    def replace_all(
+        self, entries: Iterable[ServerEntry], *, now: float, left: Collection[str] = ()
+    ) -> list[ServerState]:
         """Replace the registry with a complete list of entries.
 
+        :param left: Servers whose entries are known not to have lapsed if they are not listed.
         :returns: The states that ended.
         """
         listed = {entry.server: entry for entry in entries}
@@ -144,7 +157,10 @@
         if initial:
             for state in self._servers.values():
                 state.listed_at = LISTED_BEFORE_START
-        removed = [self.remove(name, now=now) for name in set(self._servers) - set(listed)]
+        removed = [
+            self.remove(name, now=now, left=name in left)
+            for name in set(self._servers) - set(listed)
+        ]
         return ended + [state for state in removed if state is not None]
 
     def record_counts(self, counts: Iterable[EntryCount], *, now: float) -> None:
@@ -164,9 +180,17 @@
 
     def remove_expired(self, *, now: float) -> list[ServerState]:
         """Remove and return servers whose deferred removals are due."""
-        if self._defers_removals(now):
+        if self._defers_removals(now, grace_s=RETURN_S):
             return []
-        ended = [state for state in self._servers.values() if state.missing_since is not None]
+        missing = [state for state in self._servers.values() if state.missing_since is not None]
+        ended = missing
+        if missing and self._defers_removals(now):
+            listed = {
+                state.entry.service
+                for state in self._servers.values()
+                if state.missing_since is None and self._accepts_requests(state)
+            }
+            ended = [state for state in missing if state.entry.service in listed]
         for state in ended:
             del self._servers[state.entry.server]
             self._ended.add(state, now=now)
@@ -266,12 +290,11 @@
     def _accepts_requests(self, state: ServerState) -> bool:
         return not state.leaving and self.in_service(state)
 
-    def _defers_removals(self, now: float) -> bool:
+    def _defers_removals(self, now: float, *, grace_s: float = EXPIRY_GRACE_S) -> bool:
         if self._store_unavailable:
             return True
-        return (
-            self._store_recovered_at is not None and now - self._store_recovered_at < EXPIRY_GRACE_S
-        )
+        recovered_at = self._store_recovered_at
+        return recovered_at is not None and now - recovered_at < grace_s
 
     def _is_outdated(self, entry: ServerEntry, *, now: float) -> bool:
         """Return whether a later entry of the server is known.
--- a/tests/router/gateway/relay/test_relay_codec.py
+++ b/tests/router/gateway/relay/test_relay_codec.py
@@ -67,7 +67,7 @@
     ]
     counts = (
         EntryCount("s1", entry.started_ms, sequence),
-        EntryCount("s2", entry.started_ms, 9),
+        EntryCount("s2", entry.started_ms, 9, left=True),
     )
     return RelayPage(notices, 9, False, 0.5, counts=counts)
 
--- a/tests/router/gateway/restored_fleet.py
+++ b/tests/router/gateway/restored_fleet.py
@@ -41,6 +41,7 @@
 
 OPERATOR = "keyed.op"
 SERVERS = "keyed.servers"
+HEARTBEAT_S = 1.2
 
 
 class GatedHttpClient:
@@ -76,6 +77,7 @@
             http=http,
             location=self.location,
             clock=self.clock,
+            heartbeat_s=lambda: HEARTBEAT_S,
         )
         stats = GatewayStats(metrics=Metrics())
         self.router_sink = RouterSink(view=self.view, clock=self.clock)
--- a/tests/router/gateway/view/test_server_registry.py
+++ b/tests/router/gateway/view/test_server_registry.py
@@ -123,6 +123,23 @@
     assert registry.usable("llm") == []
 
 
+@pytest.mark.parametrize(("others", "removed"), [(True, {"s1"}), (False, set())])
+def test_missing_server_is_removed_earlier_if_its_service_has_others(
+    others: bool, removed: set[str]
+) -> None:
+    """Guards against requests to a server that ended in a cut, until a router that noticed its end
+    late gives it up (the day of review/13)."""
+    registry = ServerRegistry()
+    registry.put(make_entry(), now=0.0)
+    if others:
+        registry.put(make_entry("s2"), now=0.0)
+    registry.mark_store_unavailable()
+    registry.mark_store_available(now=10.0)
+    registry.remove("s1", now=10.0)
+    assert registry.deferring and registry.remove_expired(now=11.9) == []
+    assert {state.entry.server for state in registry.remove_expired(now=12.1)} == removed
+
+
 def test_restarted_server_gets_new_state() -> None:
     """Guards against reusing health and cold period of an earlier incarnation with the same
     name."""
