Reset the connections of requests that were given up

Cause: closing a connection leaves what the server has not acknowledged to the kernel, which goes on sending it until the way is whole again.

A connection whose request has no complete response is now reset, which drops these bytes.

The new test failed before: a server read the request after its connection had been given up.

What they assert is unchanged.

--- a/packages/router/src/cornellead/upstream/_connection.py
+++ b/packages/router/src/cornellead/upstream/_connection.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+import struct
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -33,6 +34,8 @@
 """Maximum size of late responses to earlier requests that are skipped."""
 MAX_UNSUCCESSFUL_IDS = 32
 """Ids of unsuccessful requests that a connection remembers; above it, the connection is closed."""
+LINGER_FOR_RESET = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which a close discards unsent bytes and resets the connection."""
 NO_CONTENT = 204
 FIRST_UNSUCCESSFUL_STATUS = 300
 NOT_MODIFIED = 304
@@ -167,10 +170,18 @@
             self._release(self)
 
     def close(self) -> None:
-        """Close immediately and discard unsent bytes."""
+        """Close immediately and discard unsent bytes.
+
+        A connection with a request that was given up is reset: the kernel would go on sending what
+        the server has not acknowledged, and a server behind a cut would get it seconds later.
+        """
         self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if self._exchange is not None and sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_FOR_RESET)
+        self._transport.abort()
 
     def consume(self, data: memoryview) -> None:
         """Parse received bytes and pause reading above the high-water mark."""
--- a/tests/router/gateway/scripted_server.py
+++ b/tests/router/gateway/scripted_server.py
@@ -26,7 +26,7 @@
         self.extra_headers: tuple[str, ...] = ()
         """Header lines that all responses have."""
         self.disconnected = asyncio.Event()
-        """Set once the router has closed the connection."""
+        """Set once the router has closed or reset the connection."""
 
     def header(self, name: str) -> str:
         """Return the value of a header, or an empty string.
@@ -212,6 +212,6 @@
     async def _watch_disconnect(
         self, reader: asyncio.StreamReader, exchange: ScriptedExchange
     ) -> None:
-        while not reader.at_eof():
+        while not reader.at_eof() and reader.exception() is None:
             await asyncio.sleep(0.01)
         exchange.disconnected.set()
--- a/tests/router/upstream/test_connection.py
+++ b/tests/router/upstream/test_connection.py
@@ -94,3 +94,24 @@
     async with asyncio.timeout(2.0):
         assert await exchange.head() is None
     server.stop()
+
+
+async def test_request_that_was_given_up_is_not_sent_any_more() -> None:
+    """Guards against a request that reaches a server seconds after it was given up, when the way to
+    the server is whole again (the day of review/13)."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        pool = ConnectionPool(loop=loop)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        exchange = (await pool.send(address, REQUEST, b"b" * (1 << 20))).unwrap()
+        conn, _ = await loop.sock_accept(listener)
+        exchange.abort()
+        await asyncio.sleep(0.05)
+        with conn, pytest.raises(ConnectionResetError):
+            while await loop.sock_recv(conn, 1 << 16):
+                pass
+        pool.close()
