Drop a late write that is read together with a removal

Cause: the count of a removed entry was recorded behind all notices of a read, so a late write in the same read passed for the server's return.

The count is now recorded with the removal. A server that is back by the end of the read has a later count, and none is recorded for its removal.

The new test of the late write failed before, the one of the return passed before and after.

--- a/packages/router/src/cornellead/gateway/relay/_change_log.py
+++ b/packages/router/src/cornellead/gateway/relay/_change_log.py
@@ -150,6 +150,11 @@
         counts = self.counts_of(n.server for n in notices if isinstance(n, ServerNotice))
         return RelayPage(notices, max(position.offset, end), False, age_s, era, counts)
 
+    @property
+    def listed(self) -> set[str]:
+        """Writers whose newest notice is no removal."""
+        return {w for w, change in self._changes.items() if not _is_removal(change.notice)}
+
     def ended_counts(self) -> tuple[EntryCount, ...]:
         """Return the latest known writes of the servers that were removed recently."""
         removed = [w for w, change in self._changes.items() if _is_removal(change.notice)]
--- a/packages/router/src/cornellead/gateway/relay/_server_writes.py
+++ b/packages/router/src/cornellead/gateway/relay/_server_writes.py
@@ -99,7 +99,8 @@
         left = self._lapses.find_left(batch.notices, since=self._read_from, now=self._clock())
         self._read_from = self._sent_at(batch)
         self._read_end = batch.position
-        for server in _removed(batch.notices):
+        # A server that is back by the end of the read has the count of its return.
+        for server in _removed(batch.notices) - self._log.listed:
             known = self._log.counts_of([server]) or (EntryCount(server, 0, 0),)
             self._learned[server] = known[0]._replace(left=server in left)
         self._log.record_counts(self._learned.values(), now=self._clock())
--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -57,14 +57,17 @@
         """Apply later notices; an empty batch confirms that nothing changed."""
         now = self._clock()
         self._record_recovery(batch, now=now)
-        left = {count.server for count in batch.counts if count.left}
+        counts = {count.server: count for count in batch.counts}
         for notice in batch.notices:
             if not isinstance(notice, ServerNotice):
                 continue
             if notice.entry is None:
-                state = self._view.servers.remove(
-                    notice.server, now=now, left=notice.server in left
-                )
+                count = counts.get(notice.server)
+                left = count is not None and count.left
+                state = self._view.servers.remove(notice.server, now=now, left=left)
+                if count is not None:
+                    # A late write may follow in the same batch.
+                    self._view.servers.record_counts([count], now=now)
                 if state is not None:
                     self._report_ended(state, "removed" if notice.removed else "unreadable_entry")
                 continue
--- a/tests/router/gateway/relay/test_late_writes.py
+++ b/tests/router/gateway/relay/test_late_writes.py
@@ -146,3 +146,20 @@
     fleet.put_server("stays", born=BORN, sequence=2)
     await fleet.read(Topic.SERVERS)
     assert fleet.routers[0].usable == {"s2", "stays"}
+
+
+async def test_late_write_that_is_read_together_with_the_removal(fleet: RestoredFleet) -> None:
+    """Guards against a late write that passes since the removal before it is in the same read."""
+    fleet.end(0)
+    fleet.remove_server("s1")
+    await _execute_late(fleet)
+    assert fleet.routers[0].usable == {"stays"}
+
+
+async def test_return_that_is_read_together_with_the_removal(fleet: RestoredFleet) -> None:
+    """Guards against a sound server that stays out, since its count counts as that of its removed
+    entry."""
+    fleet.end(0)
+    fleet.remove_server("s1")
+    await _execute_late(fleet, sequence=LAST + 1)
+    assert fleet.routers[0].usable == {"s1", "stays"}
