Log late writes and deferred removals of servers

On-call could not tell a router that took a late write for news, or deferred a removal, from one that had not read it: the log named neither, and a dropped write was logged as "server changed".

"late entry dropped" and "removal deferred" name the server with what was known of it, and both are counted as changes of the view. The new test failed before, as neither line existed.

--- a/packages/router/src/cornellead/gateway/sync/_server_sink.py
+++ b/packages/router/src/cornellead/gateway/sync/_server_sink.py
@@ -70,6 +70,8 @@
                     self._view.servers.record_counts([count], now=now)
                 if state is not None:
                     self._report_ended(state, "removed" if notice.removed else "unreadable_entry")
+                else:
+                    self._report_deferred(notice.server, now=now)
                 continue
             self._log_change(notice.entry)
             for state in self._view.servers.put(notice.entry, now=now):
@@ -97,6 +99,9 @@
 
     def _log_change(self, entry: ServerEntry) -> None:
         state = self._view.servers.get(entry.server)
+        if self._view.servers.is_outdated(entry, now=self._clock()):
+            self._report_late(entry, state)
+            return
         if state is not None and (state.entry.draining, state.entry.started_ms) == (
             entry.draining,
             entry.started_ms,
@@ -113,6 +118,29 @@
             cold_s=entry.cold_s,
         )
 
+    def _report_late(self, entry: ServerEntry, state: ServerState | None) -> None:
+        self._stats.count_view_change("late_entry")
+        structlog.get_logger().info(
+            "late entry dropped",
+            server=entry.server,
+            sequence=entry.sequence,
+            started_ms=entry.started_ms,
+            draining=entry.draining,
+            listed_sequence=None if state is None else state.entry.sequence,
+        )
+
+    def _report_deferred(self, server: str, *, now: float) -> None:
+        state = self._view.servers.get(server)
+        if state is None or state.missing_since != now:
+            return
+        self._stats.count_view_change("server_missing")
+        structlog.get_logger().info(
+            "removal deferred",
+            server=server,
+            entry_age_s=round(now - state.entry_received_at, 2),
+            data_centre=state.entry.data_centre,
+        )
+
     def _report_ended(self, state: ServerState, cause: str) -> None:
         self._stats.count_view_change("server_ended")
         structlog.get_logger().info(
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -93,7 +93,7 @@
             of its address.
         """
         state = self._servers.get(entry.server)
-        if self._is_outdated(entry, now=now):
+        if self.is_outdated(entry, now=now):
             return []
         if state is not None and state.entry.started_ms == entry.started_ms:
             service_changed = state.entry.service != entry.service
@@ -217,6 +217,36 @@
         self._store_restored_at = now
         self._store_recovered_at = now
 
+    def is_outdated(self, entry: ServerEntry, *, now: float) -> bool:
+        """Return whether a later entry of the server is known.
+
+        Counts start anew with a restart, so only those of the same start are compared. An
+        incarnation that a later one has replaced does not come back. While a
+        restored store settles, an entry without a count or of an earlier start is taken for one of
+        the copy if it contradicts what is known.
+        """
+        state = self._servers.get(entry.server)
+        if self._ended.is_superseded(entry, state):
+            return True
+        ended = self._ended.find(entry) if state is None else None
+        last = ended if state is None else state
+        if not entry.started_ms > 0:
+            return False
+        if last is None:
+            return 0 < entry.sequence <= self._ended.last_sequence(entry)
+        known = last.entry
+        restored_at = self._store_restored_at
+        settling = restored_at is not None and now - restored_at < SETTLE_S
+        if entry.started_ms != known.started_ms:
+            return settling and entry.started_ms < known.started_ms
+        if entry.sequence and known.sequence:
+            return entry.sequence < known.sequence or (
+                ended is not None and entry.sequence == known.sequence
+            )
+        if ended is not None:
+            return settling and not entry.sequence
+        return settling and known.draining and not entry.draining
+
     def set_out_of_service(self, data_centre: str, *, out: bool, now: float) -> bool:
         """Take a data centre out of service or return it to service.
 
@@ -296,36 +326,6 @@
         recovered_at = self._store_recovered_at
         return recovered_at is not None and now - recovered_at < grace_s
 
-    def _is_outdated(self, entry: ServerEntry, *, now: float) -> bool:
-        """Return whether a later entry of the server is known.
-
-        Counts start anew with a restart, so only those of the same start are compared. An
-        incarnation that a later one has replaced does not come back. While a
-        restored store settles, an entry without a count or of an earlier start is taken for one of
-        the copy if it contradicts what is known.
-        """
-        state = self._servers.get(entry.server)
-        if self._ended.is_superseded(entry, state):
-            return True
-        ended = self._ended.find(entry) if state is None else None
-        last = ended if state is None else state
-        if not entry.started_ms > 0:
-            return False
-        if last is None:
-            return 0 < entry.sequence <= self._ended.last_sequence(entry)
-        known = last.entry
-        restored_at = self._store_restored_at
-        settling = restored_at is not None and now - restored_at < SETTLE_S
-        if entry.started_ms != known.started_ms:
-            return settling and entry.started_ms < known.started_ms
-        if entry.sequence and known.sequence:
-            return entry.sequence < known.sequence or (
-                ended is not None and entry.sequence == known.sequence
-            )
-        if ended is not None:
-            return settling and not entry.sequence
-        return settling and known.draining and not entry.draining
-
     def _make_state(self, entry: ServerEntry, *, now: float) -> ServerState:
         """Return the state for an entry: the earlier one if its incarnation was listed before."""
         state = self._ended.pop(entry)
--- a/tests/router/gateway/relay/test_late_writes.py
+++ b/tests/router/gateway/relay/test_late_writes.py
@@ -163,3 +163,19 @@
     fleet.remove_server("s1")
     await _execute_late(fleet, sequence=LAST + 1)
     assert fleet.routers[0].usable == {"s1", "stays"}
+
+
+async def test_log_names_late_writes_and_deferred_removals(
+    fleet: RestoredFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a server that gets requests, or none, without a line that tells why."""
+    reader = fleet.routers[0]
+    fleet.remove_server("s1")
+    await reader.read(Topic.SERVERS)
+    fleet.put_server("s1", born=BORN, sequence=LATE)
+    await reader.read(Topic.SERVERS)
+    reader.view.servers.mark_store_unavailable()
+    fleet.remove_server("stays")
+    await reader.read(Topic.SERVERS)
+    out = capsys.readouterr().out
+    assert "late entry dropped" in out and "removal deferred" in out
