Test that the refusal of a service that ran is replayed

The own interface was looked at for the fault of unconfirmed refusals: a service's 503, 429 or 408 reaches the caller of an at-most-once call with its status, and the same key gets the recorded answer; the call does not run again.

--- a/tests/agent/services/test_handler_over_http.py
+++ b/tests/agent/services/test_handler_over_http.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import httpx
+import pytest
 
 from cornellead_agent.services import ServiceHandler
 from cornellead_agent.services import ServiceRequest
@@ -24,14 +25,17 @@
     from cornellead_agent.services import ServiceResponse
 
 
-def make_client() -> httpx.AsyncClient:
-    """Return a client that is connected to new stand-ins in this process, without sockets."""
+def make_client(service: httpx.AsyncBaseTransport | None = None) -> httpx.AsyncClient:
+    """Return a client that is connected to new stand-ins in this process, without sockets.
+
+    :param service: Replaces the stand-in of the service.
+    """
     platform: Any = build_platform(PlatformSettings(listen=""))
-    service: Any = build_service(ServiceSettings(listen="", work_s=0.0))
+    stand_in: Any = build_service(ServiceSettings(listen="", work_s=0.0))
     return httpx.AsyncClient(
         mounts={
             "http://platform": httpx.ASGITransport(app=platform),
-            "http://service": httpx.ASGITransport(app=service),
+            "http://service": service or httpx.ASGITransport(app=stand_in),
         }
     )
 
@@ -89,3 +93,28 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     await client.aclose()
+
+
+@pytest.mark.parametrize("status", [503, 429, 408])
+async def test_refusal_that_a_service_sends_after_it_ran_is_replayed(status: int) -> None:
+    """Guards against a booking that runs twice since its service answers as if it had not run."""
+    runs: list[str] = []
+
+    def run(request: httpx.Request) -> httpx.Response:
+        runs.append(request.headers["idempotency-key"])
+        return httpx.Response(status, text="later")
+
+    client = make_client(httpx.MockTransport(run))
+    handler = make_handler(client, "a0")
+    tasks = [asyncio.create_task(controller.run()) for controller in handler.controllers()]
+    first = await call(handler, 1, 0)
+    while not handler.idle:
+        await asyncio.sleep(0.01)
+    second = await call(handler, 1, 1)
+    assert (first.status, second.status, second.body) == (status, status, b"later")
+    assert ("idempotent-replayed", "true") in second.headers
+    assert runs == ["order-1"]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await client.aclose()
