--- a/packages/router/src/cornellead/gateway/process/_store_pace.py
+++ b/packages/router/src/cornellead/gateway/process/_store_pace.py
@@ -13,8 +13,8 @@
 SERVERS_READ_INTERVAL_S = 0.5
 """Interval between reads of the server list: a leaving server has to be detected within 2 s."""
 DEFERRED_READ_INTERVAL_S = 0.2
-"""The same while removals are deferred after an outage: a server that has not come back must be
-dropped within the second after the time that sound servers take."""
+"""The same while removals are deferred after an outage: a server that has not come back has to be
+dropped within a second after the time in which sound servers do."""
 ROUTERS_INTERVAL_S = 4.0
 """Minimum interval between announcements of this router, and between reads of the router list."""
 TOPIC_READ_SHARE = 0.3
--- a/packages/router/src/cornellead/gateway/view/_server_registry.py
+++ b/packages/router/src/cornellead/gateway/view/_server_registry.py
@@ -33,9 +33,11 @@
     A server receives no requests while its entry or one of its responses says that it is leaving,
     after its entry was removed, or while its data centre is out of service. An entry that still
     says ready was written before the server began to leave. An incarnation whose entry comes back
-    has the state that it had. During a store outage healthy servers
-    cannot renew their entries either, so the removal of an entry that expired meanwhile is deferred
-    until `EXPIRY_GRACE_S` after the outage.
+    has the state that it had.
+
+    During a store outage healthy servers cannot renew their entries either, so the removal of an
+    entry that may have expired meanwhile is deferred until `RETURN_S` after the outage, or until
+    `EXPIRY_GRACE_S` if no other server of the service is listed.
 
     :param return_cold_s: Time for which servers count as cold after their data centre returned to
         service.
@@ -221,9 +223,9 @@
         """Return whether a later entry of the server is known.
 
         Counts start anew with a restart, so only those of the same start are compared. An
-        incarnation that a later one has replaced does not come back. While a
-        restored store settles, an entry without a count or of an earlier start is taken for one of
-        the copy if it contradicts what is known.
+        incarnation that a later one has replaced does not come back. While a restored store
+        settles, an entry without a count or of an earlier start is taken for one of the copy if it
+        contradicts what is known.
         """
         state = self._servers.get(entry.server)
         if self._ended.is_superseded(entry, state):
