--- a/packages/core/src/cornellead_core/routing/_server_entry.py
+++ b/packages/core/src/cornellead_core/routing/_server_entry.py
@@ -37,7 +37,8 @@
     sequence: int
     """Number of the write among those of its start; 0 if not announced."""
     left: bool = False
-    """Whether the entry was removed so soon after this write that it cannot have lapsed."""
+    """Whether the entry was removed without having lapsed, as far as the reader of the store can
+    tell."""
 
 
 class ReportedLoad(NamedTuple):
--- a/packages/router/src/cornellead/gateway/policy/_lapse_check.py
+++ b/packages/router/src/cornellead/gateway/policy/_lapse_check.py
@@ -80,7 +80,7 @@
                     unproven[notice.server] = written[1].data_centre
         return left | self._find_served(unproven, now=now)
 
-    def record_relayed(self, notices: Sequence[Notice], *, snapshot: bool) -> None:
+    def record_entries(self, notices: Sequence[Notice], *, snapshot: bool) -> None:
         """Record entries that do not tell when they were written.
 
         :param snapshot: Whether the notices are those of all listed servers.
--- a/packages/router/src/cornellead/gateway/relay/_server_writes.py
+++ b/packages/router/src/cornellead/gateway/relay/_server_writes.py
@@ -27,12 +27,12 @@
 """Records per listed server that are read for their counts: each server writes once in a heartbeat
 interval, so the last records include one of each."""
 MIN_MISSED_RECORDS = 64
-"""The same, at least."""
+"""Minimum number of records that are read for their counts."""
 ASK_ENDED_S = 10.0
 """Time after the first read for which other routers are asked for servers that were removed before:
 the store does not list them, and may execute a late write of one."""
 MAX_MISSED_READS = 4
-"""Maximum number of reads for them, each of at most 256 KB: two records of 2,500 servers."""
+"""Maximum number of reads for counts, each of at most 256 KB: two records of 2,500 servers."""
 
 
 class ServerWrites:
@@ -78,7 +78,7 @@
         if topic is not Topic.SERVERS:
             return batch
         self._log.record_counts(batch.counts, now=self._clock())
-        self._lapses.record_relayed(batch.notices, snapshot=False)
+        self._lapses.record_entries(batch.notices, snapshot=False)
         self._read_from = self._sent_at(batch)
         return self._pass_on(batch)
 
@@ -88,7 +88,7 @@
             return batch
         if not self._log.loaded:
             self._ask_ended_until = self._clock() + ASK_ENDED_S
-        self._lapses.record_relayed(batch.notices, snapshot=True)
+        self._lapses.record_entries(batch.notices, snapshot=True)
         self._read_from = self._sent_at(batch)
         self._read_end = batch.position
         return self._pass_on(batch)
